--- /dev/null
+++ b/pkg/cranfleet/config.go
@@ -0,0 +1,109 @@
+package cranfleet
+
+import "time"
+
+// Config is a complete, immutable description of a fleet's pools and
+// services.
+type Config struct {
+	name string
+	// pools is sorted by name; names are unique.
+	pools []Pool
+	// services is sorted by name; names are unique; each names a pool of
+	// pools that is not the spare.
+	services []Service
+	// spare names a pool of pools.
+	spare  string
+	prices Prices
+}
+
+// Pool is a named set of instances.
+type Pool struct {
+	name string
+	// instances is the wanted size, zero or more; the spare takes the rest.
+	instances int
+}
+
+// Service is an application that runs on every instance of its pool.
+type Service struct {
+	name string
+	pool string
+	// maxUnavailable is at least 1 and at most the pool's wanted size.
+	maxUnavailable int
+	// maxDuration bounds one request from arrival to answer.
+	maxDuration time.Duration
+	// maxQueue bounds the requests that wait at one entry instance.
+	maxQueue int
+}
+
+// Prices weigh the three measures of the fleet against each other.
+type Prices struct {
+	move        float64
+	idleSecond  float64
+	lateRequest float64
+}
+
+// Name returns the deployment's name.
+func (c *Config) Name() string { return c.name }
+
+// Pools returns the pools in order of name.
+func (c *Config) Pools() []Pool { return append([]Pool(nil), c.pools...) }
+
+// Services returns the services in order of name.
+func (c *Config) Services() []Service { return append([]Service(nil), c.services...) }
+
+// Spare returns the name of the pool that takes unclaimed instances.
+func (c *Config) Spare() string { return c.spare }
+
+// Prices returns the operator's weights.
+func (c *Config) Prices() Prices { return c.prices }
+
+// Pool returns the pool of that name.
+func (c *Config) Pool(name string) (Pool, bool) {
+	for _, p := range c.pools {
+		if p.name == name {
+			return p, true
+		}
+	}
+	return Pool{}, false
+}
+
+// Service returns the service of that name.
+func (c *Config) Service(name string) (Service, bool) {
+	for _, s := range c.services {
+		if s.name == name {
+			return s, true
+		}
+	}
+	return Service{}, false
+}
+
+// Name returns the pool's name.
+func (p Pool) Name() string { return p.name }
+
+// Instances returns the wanted number of instances.
+func (p Pool) Instances() int { return p.instances }
+
+// Name returns the service's name.
+func (s Service) Name() string { return s.name }
+
+// Pool returns the name of the pool that the service runs on.
+func (s Service) Pool() string { return s.pool }
+
+// MaxUnavailable returns how many instances of the pool's wanted size may be
+// unavailable at once.
+func (s Service) MaxUnavailable() int { return s.maxUnavailable }
+
+// MaxDuration returns the longest time a request may take.
+func (s Service) MaxDuration() time.Duration { return s.maxDuration }
+
+// MaxQueue returns how many requests may wait at one entry instance.
+func (s Service) MaxQueue() int { return s.maxQueue }
+
+// Move returns the price of moving one instance.
+func (p Prices) Move() float64 { return p.move }
+
+// IdleSecond returns the price of one idle instance for one second.
+func (p Prices) IdleSecond() float64 { return p.idleSecond }
+
+// LateRequest returns the price of one late or refused request.
+func (p Prices) LateRequest() float64 { return p.lateRequest }
