Add the platform and target stand-ins and the platform client

Cause: the whole path needs a platform and targets to run against; both are outside systems, met through the published protocol. Ruled out: a second in-process fake beside the HTTP one; Log and Fleet are the embedded form and the handlers are thin over them.

--- /dev/null
+++ b/cmd/cranstandin/platform.go
@@ -0,0 +1,39 @@
+package main
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cranberrypick/cranberrypick/internal/cranstandin"
+)
+
+// platformCommand runs the platform.
+type platformCommand struct {
+	Listen    string        `required:"" placeholder:"ADDR" help:"Address to serve on, such as 127.0.0.1:7000; port 0 picks a free one."`
+	Retention int           `default:"100000" placeholder:"N" help:"Records that each stream keeps (${default})."`
+	MaxAge    time.Duration `default:"0s" help:"Age at which records expire; 0s keeps them by count alone."`
+	Fleet     string        `placeholder:"FILE.toml" help:"Times of the fleet and instances to start with."`
+}
+
+// Run serves the platform until a signal.
+func (c *platformCommand) Run(out io.Writer) error {
+	settings, err := loadFleet(c.Fleet)
+	if err != nil {
+		return usageError{cause: err}
+	}
+	control := cranstandin.ControlProcesses(&http.Client{})
+	platform := cranstandin.NewPlatform(
+		cranstandin.WithLog(cranstandin.WithRetention(c.Retention), cranstandin.WithMaxAge(c.MaxAge)),
+		cranstandin.WithFleet(append(settings.options(), cranstandin.WithControl(control))...),
+	)
+	if err := settings.register(platform.Fleet()); err != nil {
+		_ = platform.Close()
+		return usageError{cause: err}
+	}
+	s := &server{
+		handler:    platform,
+		beforeStop: platform.Close,
+	}
+	return s.run(c.Listen, out)
+}
--- /dev/null
+++ b/internal/cranplatform/client_calls.go
@@ -0,0 +1,92 @@
+package cranplatform
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+)
+
+// appendRequest is the body of an append.
+type appendRequest struct {
+	Payloads [][]byte `json:"payloads"`
+}
+
+// appendAnswer is the answer to an append.
+type appendAnswer struct {
+	First uint64 `json:"first"`
+	Next  uint64 `json:"next"`
+}
+
+// listAnswer is the answer to a list of instances.
+type listAnswer struct {
+	Instances []Instance `json:"instances"`
+}
+
+// Append implements Log.
+func (c *Client) Append(ctx context.Context, stream string, payloads [][]byte) (uint64, error) {
+	call := call{
+		service: logService,
+		method:  http.MethodPost,
+		path:    recordsPath(stream),
+		timeout: c.timeout,
+	}
+	answer, err := exchange[appendAnswer](ctx, c, call, appendRequest{Payloads: payloads})
+	return answer.First, err
+}
+
+// Read implements Log.
+func (c *Client) Read(ctx context.Context, stream string, from uint64, maxRecords int, waitMs int) (Batch, error) {
+	query := url.Values{}
+	query.Set("from", strconv.FormatUint(from, 10))
+	query.Set("max", strconv.Itoa(maxRecords))
+	query.Set("waitMs", strconv.Itoa(waitMs))
+	call := call{
+		service: logService,
+		method:  http.MethodGet,
+		path:    recordsPath(stream) + "?" + query.Encode(),
+		timeout: c.timeout + time.Duration(waitMs)*time.Millisecond,
+	}
+	return exchange[Batch](ctx, c, call, nil)
+}
+
+// Instances implements Fleet.
+func (c *Client) Instances(ctx context.Context) ([]Instance, error) {
+	call := call{service: fleetService, method: http.MethodGet, path: "/instances", timeout: c.timeout}
+	answer, err := exchange[listAnswer](ctx, c, call, nil)
+	return answer.Instances, err
+}
+
+// Act implements Fleet.
+func (c *Client) Act(ctx context.Context, action Action) error {
+	call := call{service: fleetService, method: http.MethodPost, path: "/actions", timeout: c.timeout}
+	_, err := exchange[ActionStatus](ctx, c, call, action)
+	return err
+}
+
+// ActionStatus implements Fleet.
+func (c *Client) ActionStatus(ctx context.Context, id string) (ActionStatus, error) {
+	path := "/actions/" + url.PathEscape(id)
+	call := call{service: fleetService, method: http.MethodGet, path: path, timeout: c.timeout}
+	return exchange[ActionStatus](ctx, c, call, nil)
+}
+
+// Register adds an instance to the platform's list, or brings it back.
+func (c *Client) Register(ctx context.Context, instance Instance) error {
+	call := call{service: fleetService, method: http.MethodPost, path: "/instances", timeout: c.timeout}
+	_, err := exchange[struct{}](ctx, c, call, instance)
+	return err
+}
+
+// Deregister tells the platform that an instance leaves.
+func (c *Client) Deregister(ctx context.Context, id string) error {
+	path := "/instances/" + url.PathEscape(id)
+	call := call{service: fleetService, method: http.MethodDelete, path: path, timeout: c.timeout}
+	_, err := exchange[struct{}](ctx, c, call, nil)
+	return err
+}
+
+func recordsPath(stream string) string {
+	return "/streams/" + url.PathEscape(stream) + "/records"
+}
--- /dev/null
+++ b/internal/cranstandin/platform_http.go
@@ -0,0 +1,189 @@
+package cranstandin
+
+import (
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/cranberrypick/cranberrypick/internal/cranfault"
+	"github.com/cranberrypick/cranberrypick/internal/cranplatform"
+)
+
+// clientHeader carries the name of the caller.
+const clientHeader = "X-Client"
+
+// appendRequest is the body of an append.
+type appendRequest struct {
+	Payloads [][]byte `json:"payloads"`
+}
+
+// appendAnswer is the answer to an append.
+type appendAnswer struct {
+	First uint64 `json:"first"`
+	Next  uint64 `json:"next"`
+}
+
+// listAnswer is the answer to a list of instances.
+type listAnswer struct {
+	Instances []cranplatform.Instance `json:"instances"`
+}
+
+// ledgerAnswer is the answer to a call for the ledger.
+type ledgerAnswer struct {
+	Entries []LedgerEntry `json:"entries"`
+}
+
+// expireRequest drops the records of a stream below an offset.
+type expireRequest struct {
+	Stream string `json:"stream"`
+	Before uint64 `json:"before"`
+}
+
+// emptyAnswer is the answer to a call that returns nothing.
+type emptyAnswer struct{}
+
+// newPlatformHandler routes the protocol to a platform.
+func newPlatformHandler(p *Platform) http.Handler {
+	e := newEcho()
+	e.POST("/streams/:stream/records", handle(p.serveAppend))
+	e.GET("/streams/:stream/records", handle(p.serveRead))
+	e.GET("/instances", handle(p.serveInstances))
+	e.POST("/instances", handle(p.serveAdd))
+	e.DELETE("/instances/:id", handle(p.serveRemove))
+	e.POST("/actions", handle(p.serveAct))
+	e.GET("/actions/:id", handle(p.serveActionStatus))
+	e.GET("/faults", handle(p.serveFaults))
+	e.PUT("/faults", handle(p.serveSetFaults))
+	e.GET("/ledger", handle(p.serveLedger))
+	e.GET("/truth", handle(p.serveTruth))
+	e.POST("/expire", handle(p.serveExpire))
+	e.GET("/health", handle(serveHealth))
+	return e
+}
+
+func (p *Platform) serveAppend(c echo.Context) (appendAnswer, error) {
+	stream, err := pathValue(c, "stream")
+	if err != nil {
+		return appendAnswer{}, err
+	}
+	body, err := decodeBody[appendRequest](c, maxAppendBody)
+	if err != nil {
+		return appendAnswer{}, err
+	}
+	first, err := p.LogFor(clientOf(c)).Append(c.Request().Context(), stream, body.Payloads)
+	return appendAnswer{First: first, Next: first + uint64(len(body.Payloads))}, err
+}
+
+func (p *Platform) serveRead(c echo.Context) (cranplatform.Batch, error) {
+	stream, err := pathValue(c, "stream")
+	if err != nil {
+		return cranplatform.Batch{}, err
+	}
+	query, err := decodeReadQuery(c.QueryParams())
+	if err != nil {
+		return cranplatform.Batch{}, err
+	}
+	log := p.LogFor(clientOf(c))
+	return log.Read(c.Request().Context(), stream, query.from, query.max, query.waitMs)
+}
+
+func (p *Platform) serveInstances(c echo.Context) (listAnswer, error) {
+	instances, err := p.FleetFor(clientOf(c)).Instances(c.Request().Context())
+	return listAnswer{Instances: instances}, err
+}
+
+func (p *Platform) serveTruth(echo.Context) (listAnswer, error) {
+	return listAnswer{Instances: p.fleet.Truth()}, nil
+}
+
+func (p *Platform) serveAdd(c echo.Context) (emptyAnswer, error) {
+	instance, err := decodeBody[cranplatform.Instance](c, maxSmallBody)
+	if err != nil {
+		return emptyAnswer{}, err
+	}
+	return emptyAnswer{}, p.fleet.Add(instance, nil)
+}
+
+func (p *Platform) serveRemove(c echo.Context) (emptyAnswer, error) {
+	id, err := pathValue(c, "id")
+	if err != nil {
+		return emptyAnswer{}, err
+	}
+	if c.QueryParam("abrupt") == "true" {
+		return emptyAnswer{}, p.fleet.Lose(id)
+	}
+	return emptyAnswer{}, p.fleet.Remove(id)
+}
+
+func (p *Platform) serveAct(c echo.Context) (cranplatform.ActionStatus, error) {
+	action, err := decodeBody[cranplatform.Action](c, maxSmallBody)
+	if err != nil {
+		return cranplatform.ActionStatus{}, err
+	}
+	err = p.FleetFor(clientOf(c)).Act(c.Request().Context(), action)
+	return cranplatform.ActionStatus{Known: true}, err
+}
+
+func (p *Platform) serveActionStatus(c echo.Context) (cranplatform.ActionStatus, error) {
+	id, err := pathValue(c, "id")
+	if err != nil {
+		return cranplatform.ActionStatus{}, err
+	}
+	return p.FleetFor(clientOf(c)).ActionStatus(c.Request().Context(), id)
+}
+
+func (p *Platform) serveFaults(echo.Context) (Faults, error) { return p.Faults(), nil }
+
+func (p *Platform) serveSetFaults(c echo.Context) (Faults, error) {
+	faults, err := decodeBody[Faults](c, maxSmallBody)
+	if err != nil {
+		return Faults{}, err
+	}
+	if err := p.SetFaults(faults); err != nil {
+		return Faults{}, err
+	}
+	return p.Faults(), nil
+}
+
+func (p *Platform) serveLedger(echo.Context) (ledgerAnswer, error) {
+	return ledgerAnswer{Entries: p.fleet.Ledger()}, nil
+}
+
+func (p *Platform) serveExpire(c echo.Context) (emptyAnswer, error) {
+	body, err := decodeBody[expireRequest](c, maxSmallBody)
+	if err != nil {
+		return emptyAnswer{}, err
+	}
+	p.log.Expire(body.Stream, body.Before)
+	return emptyAnswer{}, nil
+}
+
+func serveHealth(echo.Context) (emptyAnswer, error) { return emptyAnswer{}, nil }
+
+// clientOf returns the caller's name, or the empty one.
+func clientOf(c echo.Context) string { return c.Request().Header.Get(clientHeader) }
+
+// readQuery is the decoded query of a read.
+type readQuery struct {
+	from   uint64
+	max    int
+	waitMs int
+}
+
+// decodeReadQuery decodes the query of a read; a missing wait is zero.
+func decodeReadQuery(values url.Values) (readQuery, error) {
+	from, fromErr := strconv.ParseUint(values.Get("from"), 10, 64)
+	maxRecords, maxErr := strconv.ParseInt(values.Get("max"), 10, 32)
+	wait := values.Get("waitMs")
+	if wait == "" {
+		wait = "0"
+	}
+	waitMs, waitErr := strconv.ParseInt(wait, 10, 32)
+	if fromErr != nil || maxErr != nil || waitErr != nil {
+		return readQuery{}, cranfault.New(cranfault.Malformed, "send from, max and waitMs as decimal numbers",
+			"the read's query can't be decoded")
+	}
+	return readQuery{from: from, max: int(maxRecords), waitMs: int(waitMs)}, nil
+}
--- /dev/null
+++ b/internal/cranstandin/stream.go
@@ -0,0 +1,90 @@
+package cranstandin
+
+import (
+	"bytes"
+
+	"github.com/cranberrypick/cranberrypick/internal/cranplatform"
+)
+
+// stream is one sequence of records; the log's mutex guards it.
+type stream struct {
+	// records holds the kept records; their offsets are consecutive and
+	// start at oldest.
+	records []cranplatform.Record
+	// oldest is the lowest kept offset, or the next one if none is kept.
+	oldest uint64
+	// lastMs is the newest stamp; stamps never decrease.
+	lastMs int64
+	// changed is closed and replaced at every append.
+	changed chan struct{}
+}
+
+func newStream() *stream {
+	return &stream{changed: make(chan struct{})}
+}
+
+// next returns the offset of the next append.
+func (s *stream) next() uint64 { return s.oldest + uint64(len(s.records)) }
+
+// append stamps and adds payloads and returns the first offset.
+func (s *stream) append(payloads [][]byte, nowMs int64) uint64 {
+	first := s.next()
+	s.lastMs = max(s.lastMs, nowMs)
+	for n, p := range payloads {
+		r := cranplatform.Record{Offset: first + uint64(n), TimeMs: s.lastMs, Data: bytes.Clone(p)}
+		s.records = append(s.records, r)
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return first
+}
+
+// keep drops the oldest records beyond a count.
+func (s *stream) keep(count int) {
+	if excess := len(s.records) - count; excess > 0 {
+		s.dropBefore(s.oldest + uint64(excess))
+	}
+}
+
+// dropOlder drops the records with a stamp before beforeMs.
+func (s *stream) dropOlder(beforeMs int64) {
+	for _, r := range s.records {
+		if r.TimeMs >= beforeMs {
+			s.dropBefore(r.Offset)
+			return
+		}
+	}
+	s.dropBefore(s.next())
+}
+
+// dropBefore drops the records below an offset.
+func (s *stream) dropBefore(offset uint64) {
+	if offset <= s.oldest {
+		return
+	}
+	count := min(offset-s.oldest, uint64(len(s.records)))
+	clear(s.records[:count])
+	s.records = s.records[count:]
+	s.oldest += count
+}
+
+// slice copies at most maxRecords records from an offset on, and stops before
+// their content exceeds maxReadBytes, but for the first.
+func (s *stream) slice(from uint64, maxRecords int) []cranplatform.Record {
+	if from >= s.next() {
+		return nil
+	}
+	kept := s.records[from-s.oldest:]
+	kept = kept[:min(len(kept), maxRecords, maxReadRecords)]
+	out := make([]cranplatform.Record, 0, len(kept))
+	total := 0
+	for _, r := range kept {
+		total += len(r.Data)
+		if total > maxReadBytes && len(out) > 0 {
+			break
+		}
+		r.Data = bytes.Clone(r.Data)
+		out = append(out, r)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/cranstandin/timers.go
@@ -0,0 +1,78 @@
+package cranstandin
+
+import (
+	"sync"
+	"time"
+)
+
+// timers runs work after a delay, until it is closed.
+type timers struct {
+	mu      sync.Mutex
+	done    chan struct{}
+	pending map[*time.Timer]struct{}
+	// running counts the work that has begun or may begin.
+	running sync.WaitGroup
+}
+
+func newTimers() *timers {
+	return &timers{done: make(chan struct{}), pending: map[*time.Timer]struct{}{}}
+}
+
+// closed returns a channel that is closed by close.
+func (t *timers) closed() <-chan struct{} { return t.done }
+
+// start runs work after a delay, or at once without one, and reports whether
+// it was taken; it isn't after close.
+func (t *timers) start(delay time.Duration, work func()) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	select {
+	case <-t.done:
+		return false
+	default:
+	}
+	t.running.Add(1)
+	var timer *time.Timer
+	timer = time.AfterFunc(delay, func() {
+		defer t.running.Done()
+		t.mu.Lock()
+		delete(t.pending, timer)
+		t.mu.Unlock()
+		work()
+	})
+	t.pending[timer] = struct{}{}
+	return true
+}
+
+// after runs an append after a delay and returns where its outcome arrives;
+// without a delay it runs in the caller.
+func (t *timers) after(delay time.Duration, work func() appendOutcome) (<-chan appendOutcome, error) {
+	outcome := make(chan appendOutcome, 1)
+	if delay == 0 {
+		outcome <- work()
+		return outcome, nil
+	}
+	if !t.start(delay, func() { outcome <- work() }) {
+		return nil, closedFault()
+	}
+	return outcome, nil
+}
+
+// close drops the work that hasn't begun and waits for the rest. It may be
+// called more than once.
+func (t *timers) close() {
+	t.mu.Lock()
+	select {
+	case <-t.done:
+	default:
+		close(t.done)
+	}
+	for timer := range t.pending {
+		if timer.Stop() {
+			delete(t.pending, timer)
+			t.running.Done()
+		}
+	}
+	t.mu.Unlock()
+	t.running.Wait()
+}
