Log client: envelope, group-committing writer, tailer without gaps

Cause: every decision is a record at an offset, so all parts need one client that identifies records, learns lost outcomes by reading back and never skips. Ruled out: taking the answer of the append as the outcome (answers get lost); sending the next batch before the last one is confirmed (a late repeat could become the first occurrence out of order); withdrawal of queued records (their numbers would leave holes). Seen failing, then passing with the mechanism restored: no repeat after a failed append; success by read-back not ending the batch; relayed records accepted over a gap; old relayed records delivered twice; expiry not terminal (the test hangs until its time is over).

--- /dev/null
+++ b/internal/cranlog/ring.go
@@ -0,0 +1,38 @@
+package cranlog
+
+import "github.com/cranberrypick/cranberrypick/internal/cranplatform"
+
+// ring keeps the most recent records of a stream, without gaps, bounded by
+// number and by bytes of payload.
+type ring struct {
+	maxRecords int
+	maxBytes   int
+	// records are in offset order without gaps.
+	records []cranplatform.Record
+	bytes   int
+}
+
+// add appends the record that follows the last one.
+func (r *ring) add(record cranplatform.Record) {
+	r.records = append(r.records, record)
+	r.bytes += len(record.Data)
+	for len(r.records) > r.maxRecords || r.bytes > r.maxBytes {
+		r.bytes -= len(r.records[0].Data)
+		r.records[0] = cranplatform.Record{}
+		r.records = r.records[1:]
+	}
+}
+
+// since returns a copy of the records from an offset on, and false if the
+// ring doesn't reach back so far.
+func (r *ring) since(offset, next uint64) ([]cranplatform.Record, bool) {
+	first := next - uint64(len(r.records))
+	if offset < first {
+		return nil, false
+	}
+	if offset >= next {
+		return nil, true
+	}
+	kept := r.records[offset-first:]
+	return append([]cranplatform.Record(nil), kept...), true
+}
--- /dev/null
+++ b/internal/cranlog/writer.go
@@ -0,0 +1,225 @@
+package cranlog
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/cranberrypick/cranberrypick/internal/cranfault"
+	"github.com/cranberrypick/cranberrypick/internal/cranplatform"
+)
+
+// Outcome says where a record stands in the log.
+type Outcome struct {
+	offset uint64
+	timeMs int64
+	seq    uint64
+}
+
+// Offset returns the place of the record's first occurrence.
+func (o Outcome) Offset() uint64 { return o.offset }
+
+// TimeMs returns the platform's clock at that append, in milliseconds since
+// the epoch.
+func (o Outcome) TimeMs() int64 { return o.timeMs }
+
+// Seq returns the record's sequence number.
+func (o Outcome) Seq() uint64 { return o.seq }
+
+// Backlog is what a writer has accepted and not yet read back.
+type Backlog struct {
+	records int
+	since   time.Time
+}
+
+// Records returns the number of records not yet read back.
+func (b Backlog) Records() int { return b.records }
+
+// Since returns when the batch in flight was first tried, or the zero time
+// when none is in flight.
+func (b Backlog) Since() time.Time { return b.since }
+
+// Writer appends records to one stream in batches. It learns the outcome of
+// its records only through Observe, which the owner of the stream's tailer
+// has to feed.
+type Writer struct {
+	log         cranplatform.Log
+	stream      string
+	incarnation string
+	settings    settings
+
+	wake   chan struct{}
+	cancel context.CancelFunc
+	done   chan struct{}
+
+	mu sync.Mutex
+	// queue holds the records not yet sent, in the order of their numbers.
+	queue      []item
+	queueBytes int
+	// assigned is the last sequence number given out.
+	assigned uint64
+	// observed is the mark up to which all records were read back; it never
+	// exceeds assigned.
+	observed uint64
+	// waiters holds the callers of Append, by sequence number.
+	waiters map[uint64]chan result
+	flight  flight
+	closed  bool
+}
+
+// item is a record that waits to be sent.
+type item struct {
+	seq     uint64
+	payload []byte
+}
+
+// result is what the caller of Append gets.
+type result struct {
+	outcome Outcome
+	err     error
+}
+
+// flight is the batch that is being appended. The zero value means none.
+type flight struct {
+	last   uint64
+	since  time.Time
+	cancel context.CancelFunc
+}
+
+// NewWriter starts a writer. The incarnation must be unique to this writer
+// among all processes that ever wrote to the stream: a second writer of the
+// same name would have its records taken for repeats.
+func NewWriter(log cranplatform.Log, stream, incarnation string, options ...Option) *Writer {
+	ctx, cancel := context.WithCancel(context.Background())
+	w := &Writer{
+		log:         log,
+		stream:      stream,
+		incarnation: incarnation,
+		settings:    newSettings(options),
+		wake:        make(chan struct{}, 1),
+		cancel:      cancel,
+		done:        make(chan struct{}),
+		waiters:     map[uint64]chan result{},
+	}
+	go w.run(ctx)
+	return w
+}
+
+// Incarnation returns the writer's name in its records.
+func (w *Writer) Incarnation() string { return w.incarnation }
+
+// Submit accepts a body and returns its sequence number without waiting for
+// the log. It refuses with cranfault.QueueFull, cranfault.TooLarge or
+// cranfault.Cancelled (after Close); a refused body is never appended.
+func (w *Writer) Submit(ctx context.Context, body []byte) (uint64, error) {
+	return w.submit(ctx, body, nil)
+}
+
+// Append accepts a body and waits until its record was read back. Its
+// refusals are those of Submit. When ctx ends first it fails with
+// cranfault.Timeout, and the outcome is unknown: the record may stand in the
+// log already, or come to stand there later.
+func (w *Writer) Append(ctx context.Context, body []byte) (Outcome, error) {
+	waiter := make(chan result, 1)
+	seq, err := w.submit(ctx, body, waiter)
+	if err != nil {
+		return Outcome{}, err
+	}
+	select {
+	case r := <-waiter:
+		return r.outcome, r.err
+	case <-ctx.Done():
+		err = outcomeUnknown(cranfault.Timeout, w.stream, seq, "the time for it is over")
+	case <-w.done:
+		err = outcomeUnknown(cranfault.Cancelled, w.stream, seq, "the writer was closed")
+	}
+	return w.abandon(seq, waiter, err)
+}
+
+// Backlog returns what is not yet read back.
+func (w *Writer) Backlog() Backlog {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return Backlog{records: int(w.assigned - w.observed), since: w.flight.since}
+}
+
+// Close stops the writer and waits for its goroutine. Records not yet read
+// back may or may not come to stand in the log.
+func (w *Writer) Close() error {
+	w.mu.Lock()
+	w.closed = true
+	w.mu.Unlock()
+	w.cancel()
+	<-w.done
+	return nil
+}
+
+func (w *Writer) submit(ctx context.Context, body []byte, waiter chan result) (uint64, error) {
+	if ctx.Err() != nil {
+		return 0, cranfault.New(cranfault.Timeout, "send it again with a later deadline",
+			"the time for an append to %s was over before it began", w.stream)
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.closed {
+		return 0, cranfault.New(cranfault.Cancelled, "use another instance",
+			"the writer to %s is closed", w.stream)
+	}
+	if int(w.assigned-w.observed) >= w.settings.maxPending {
+		w.settings.count(ReasonQueueFull)
+		return 0, cranfault.New(cranfault.QueueFull, "try again when the log answers",
+			"%d records wait for the stream %s", w.settings.maxPending, w.stream)
+	}
+	seq := w.assigned + 1
+	payload, err := NewEnvelope(w.incarnation, seq, body).Encode()
+	if err != nil {
+		return 0, err
+	}
+	if len(payload) > w.settings.maxBatchBytes {
+		w.settings.count(ReasonTooLarge)
+		return 0, cranfault.New(cranfault.TooLarge, "split the content over several records",
+			"a record of %d bytes exceeds the bound of %d", len(payload), w.settings.maxBatchBytes)
+	}
+	w.assigned = seq
+	w.queue = append(w.queue, item{seq: seq, payload: payload})
+	w.queueBytes += len(payload)
+	if waiter != nil {
+		w.waiters[seq] = waiter
+	}
+	w.signal()
+	return seq, nil
+}
+
+func (w *Writer) signal() {
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+}
+
+// abandon ends the wait for a record, unless it was read back meanwhile.
+func (w *Writer) abandon(seq uint64, waiter chan result, err error) (Outcome, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.waiters, seq)
+	select {
+	case r := <-waiter:
+		return r.outcome, r.err
+	default:
+		return Outcome{}, err
+	}
+}
+
+func outcomeUnknown(kind cranfault.Kind, stream string, seq uint64, why string) error {
+	return cranfault.New(kind, "read the stream to learn whether it took effect",
+		"the outcome of record %d to %s is unknown: %s", seq, stream, why)
+}
+
+// failureReason tells an append or read that timed out from one that failed.
+func failureReason(err error, failed, timeout Reason) Reason {
+	if errors.Is(err, context.DeadlineExceeded) {
+		return timeout
+	}
+	return failed
+}
--- /dev/null
+++ b/internal/cranlog/writer_test.go
@@ -0,0 +1,188 @@
+package cranlog
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cranberrypick/cranberrypick/internal/cranfault"
+)
+
+// fixedJitter makes pauses the same in every run.
+func fixedJitter() float64 { return 0.5 }
+
+// pair is a writer with the tailer that feeds it.
+type pair struct {
+	writer *Writer
+	tailer *Tailer
+	counts *counts
+}
+
+func newPair(log *fakeLog, options ...Option) *pair {
+	p := &pair{counts: newCounts()}
+	options = append([]Option{WithRandom(fixedJitter), WithCounter(p.counts.add)}, options...)
+	p.writer = NewWriter(log, "control", "a", options...)
+	p.tailer = NewTailer(log, "control", 0, p.writer.Observe, options...)
+	return p
+}
+
+func (p *pair) close() {
+	_ = p.writer.Close()
+	_ = p.tailer.Close()
+}
+
+func within(d time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.Background(), d)
+}
+
+func TestAppendReturnsFirstOccurrence(t *testing.T) {
+	faults := map[string]struct {
+		fault   appendFault
+		records int
+		reason  Reason
+	}{
+		"none":       {faultNone, 1, ""},
+		"lostAnswer": {faultLostAnswer, 1, ReasonAppendFailed},
+		"refused":    {faultRefused, 1, ReasonAppendFailed},
+		"late":       {faultLate, 2, ReasonAppendFailed},
+		"silent":     {faultSilent, 1, ReasonAppendTimeout},
+	}
+	for name, c := range faults {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				log := newFakeLog()
+				p := newPair(log)
+				defer p.close()
+				log.inject(c.fault)
+				ctx, cancel := within(time.Minute)
+				defer cancel()
+				outcome, err := p.writer.Append(ctx, []byte("x"))
+				require.NoError(t, err)
+				require.Equal(t, uint64(0), outcome.Offset())
+				require.Equal(t, uint64(1), outcome.Seq())
+				time.Sleep(time.Second)
+				require.Len(t, log.all(), c.records)
+				if c.reason != "" {
+					require.Equal(t, 1, p.counts.of(c.reason))
+				}
+			})
+		})
+	}
+}
+
+func TestGroupCommitGathersWhileOneIsInFlight(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := newFakeLog()
+		p := newPair(log)
+		defer p.close()
+		log.inject(faultSilent)
+		ctx, cancel := within(time.Minute)
+		defer cancel()
+		var wg sync.WaitGroup
+		for i := range 50 {
+			wg.Go(func() {
+				_, err := p.writer.Append(ctx, fmt.Appendf(nil, "%d", i))
+				require.NoError(t, err)
+			})
+		}
+		wg.Wait()
+		require.LessOrEqual(t, log.appendCount(), 3)
+		require.Len(t, log.all(), 50)
+	})
+}
+
+func TestBatchWindowGathersBodies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := newFakeLog()
+		p := newPair(log, WithBatchWindow(10*time.Millisecond))
+		defer p.close()
+		ctx, cancel := within(time.Minute)
+		defer cancel()
+		for range 5 {
+			_, err := p.writer.Submit(ctx, []byte("x"))
+			require.NoError(t, err)
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		require.Equal(t, 1, log.appendCount())
+		require.Len(t, log.all(), 5)
+	})
+}
+
+func TestAppendTimesOutWithOutcomeUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := newFakeLog()
+		p := newPair(log)
+		defer p.close()
+		log.setDown(true)
+		ctx, cancel := within(3 * time.Second)
+		defer cancel()
+		_, err := p.writer.Append(ctx, []byte("x"))
+		require.ErrorIs(t, err, cranfault.Of(cranfault.Timeout))
+		require.ErrorContains(t, err, "unknown")
+		require.Equal(t, 1, p.writer.Backlog().Records())
+		require.False(t, p.writer.Backlog().Since().IsZero())
+		log.setDown(false)
+		time.Sleep(10 * time.Second)
+		require.Len(t, log.all(), 1)
+		require.Equal(t, Backlog{}, p.writer.Backlog())
+	})
+}
+
+func TestWriterRefusals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := newFakeLog()
+		p := newPair(log, WithMaxPending(2), WithMaxBatch(1, 100))
+		log.setDown(true)
+		ctx := context.Background()
+		_, err := p.writer.Submit(ctx, make([]byte, 101))
+		require.ErrorIs(t, err, cranfault.Of(cranfault.TooLarge))
+		for range 2 {
+			_, err = p.writer.Submit(ctx, []byte("x"))
+			require.NoError(t, err)
+		}
+		_, err = p.writer.Submit(ctx, []byte("x"))
+		require.ErrorIs(t, err, cranfault.Of(cranfault.QueueFull))
+		require.Equal(t, 1, p.counts.of(ReasonQueueFull))
+		require.Equal(t, 1, p.counts.of(ReasonTooLarge))
+		p.close()
+		_, err = p.writer.Submit(ctx, []byte("x"))
+		require.ErrorIs(t, err, cranfault.Of(cranfault.Cancelled))
+	})
+}
+
+func TestCloseReleasesWaitingAppend(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := newFakeLog()
+		p := newPair(log)
+		log.setDown(true)
+		go func() {
+			time.Sleep(time.Second)
+			p.close()
+		}()
+		_, err := p.writer.Append(context.Background(), []byte("x"))
+		require.ErrorIs(t, err, cranfault.Of(cranfault.Cancelled))
+	})
+}
+
+func TestSnapshotMarkResolvesRecords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := newFakeLog()
+		w := NewWriter(log, "control", "a", WithRandom(fixedJitter))
+		defer func() { _ = w.Close() }()
+		log.inject(faultLostAnswer, faultRefused, faultRefused, faultRefused)
+		go func() {
+			time.Sleep(50 * time.Millisecond)
+			w.ObserveMark(1)
+		}()
+		_, err := w.Append(context.Background(), []byte("x"))
+		require.ErrorIs(t, err, cranfault.Of(cranfault.RecordsExpired))
+		time.Sleep(time.Minute)
+		require.Len(t, log.all(), 1)
+	})
+}
