--- a/internal/cranlog/tailer.go
+++ b/internal/cranlog/tailer.go
@@ -1,109 +1,192 @@
-package cranslot
-
-import "slices"
-
-const (
-	// askPeers is the number of peers asked at a time.
-	askPeers = 2
-	// askEverySteps is the least number of steps between two asks for a
-	// group.
-	askEverySteps uint64 = 1
-	// keepSteps is how long a borrowed slot is kept unused.
-	keepSteps uint64 = 3
+package cranlog
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cranberrypick/cranberrypick/internal/cranfault"
+	"github.com/cranberrypick/cranberrypick/internal/cranplatform"
 )
 
-func (t *table) setWaiting(group string, n int) {
-	g := t.group(group)
-	g.waiting = max(n, 0)
-	t.serve(group)
+// Position says how far a tailer has come.
+type Position struct {
+	next        uint64
+	end         uint64
+	oldest      uint64
+	platformMs  int64
+	lastContact time.Time
 }
 
-// ask asks some peers for slots of the group if requests wait for more than
-// are idle here.
-func (t *table) ask(name string) {
-	g := t.groups[name]
-	need := g.waiting - g.idle()
-	if need <= 0 || t.step < g.nextAsk {
-		return
-	}
-	g.nextAsk = t.step + askEverySteps
-	for _, peer := range t.choosePeers(g) {
-		w := t.to(peer)
-		w.Asks = append(w.Asks, wireAsk{Group: name, Slots: need})
-	}
+// Next returns the offset of the record that is delivered next.
+func (p Position) Next() uint64 { return p.next }
+
+// End returns the offset after the last record of the log, as of the last
+// contact with it or the last relayed record.
+func (p Position) End() uint64 { return p.end }
+
+// Oldest returns the lowest offset kept, as of the last contact.
+func (p Position) Oldest() uint64 { return p.oldest }
+
+// PlatformMs returns the platform's clock at the last contact, in
+// milliseconds since the epoch.
+func (p Position) PlatformMs() int64 { return p.platformMs }
+
+// LastContact returns the local time, with its monotonic reading, at which
+// the last successful read of the log itself was sent; zero before the first.
+// What the read answered was true at that time or later.
+func (p Position) LastContact() time.Time { return p.lastContact }
+
+// CaughtUp reports whether all records known to be in the log were delivered.
+// It is false before the first contact.
+func (p Position) CaughtUp() bool {
+	return !p.lastContact.IsZero() && p.next >= p.end
 }
 
-// choosePeers returns the peers to ask: the one that last lent, which is then
-// forgotten until it lends again, and others at random.
-func (t *table) choosePeers(g *groupState) []string {
-	peers := slices.DeleteFunc(slices.Clone(t.view.members), func(m string) bool { return m == t.self })
-	chosen := min(askPeers, len(peers))
-	for i := range chosen {
-		j := i + t.random.IntN(len(peers)-i)
-		peers[i], peers[j] = peers[j], peers[i]
-	}
-	if at := slices.Index(peers, g.lender); at >= chosen {
-		peers[0], peers[at] = peers[at], peers[0]
-	}
-	g.lender = ""
-	return peers[:chosen]
+// Tailer delivers the records of one stream in offset order without gaps.
+type Tailer struct {
+	log      cranplatform.Log
+	stream   string
+	handler  func(Entry)
+	settings settings
+	cancel   context.CancelFunc
+	done     chan struct{}
+
+	// delivery serialises the handler; it is taken before mu.
+	delivery sync.Mutex
+	mu       sync.Mutex
+	position Position
+	recent   ring
+	// err is the fault that ended the tailer; nil while it runs.
+	err error
 }
 
-// handleLoan accepts a slot from its home, or answers that it was returned.
-// Loans of an epoch that isn't in force here are ignored; the home repeats
-// them if they matter.
-func (t *table) handleLoan(from string, l wireLoan) {
-	in := t.find(l.Instance, l.Index)
-	if in == nil || !t.view.has(t.self) {
-		return
-	}
-	s := &in.slots[l.Index]
-	if s.home != (Home{Entry: from, Epoch: l.Epoch}) || l.Epoch < s.floor {
-		return
+// NewTailer starts a tailer at an offset. The handler gets every record from
+// there on, malformed ones included, from one goroutine at a time; it must
+// not call Offer or Close.
+func NewTailer(
+	log cranplatform.Log, stream string, from uint64, handler func(Entry), options ...Option,
+) *Tailer {
+	ctx, cancel := context.WithCancel(context.Background())
+	s := newSettings(options)
+	t := &Tailer{
+		log:      log,
+		stream:   stream,
+		handler:  handler,
+		settings: s,
+		cancel:   cancel,
+		done:     make(chan struct{}),
+		position: Position{next: from},
+		recent:   ring{maxRecords: s.ringRecords, maxBytes: s.ringBytes},
 	}
-	if l.ID <= s.loan {
-		if !s.current() || l.ID != s.loan {
-			t.sendReturn(from, l)
-		}
-		return
-	}
-	if s.hold != holdNone {
-		return
-	}
-	t.accept(in, l)
+	go t.run(ctx)
+	return t
 }
 
-// accept takes a borrowed slot into use here.
-func (t *table) accept(in *instanceState, l wireLoan) {
-	s := &in.slots[l.Index]
-	s.loan = l.ID
-	s.holdEpoch = l.Epoch
-	in.setHold(l.Index, holdIdle)
-	if !in.open {
-		t.giveBack(in, l.Index)
-		return
+// Next returns the offset of the record that is delivered next.
+func (t *Tailer) Next() uint64 { return t.Position().next }
+
+// LastContact returns when the last successful read of the log itself was
+// sent.
+func (t *Tailer) LastContact() time.Time { return t.Position().lastContact }
+
+// Position returns how far the tailer has come.
+func (t *Tailer) Position() Position {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.position
+}
+
+// Since returns the recent records from an offset on, for a peer. It reports
+// false if the records kept don't reach back so far.
+func (t *Tailer) Since(offset uint64) ([]cranplatform.Record, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.recent.since(offset, t.position.next)
+}
+
+// Done is closed when the tailer has ended, by Close or by a fault.
+func (t *Tailer) Done() <-chan struct{} { return t.done }
+
+// Err returns the fault that ended the tailer: cranfault.RecordsExpired when
+// the log no longer keeps the next record, or nil.
+func (t *Tailer) Err() error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.err
+}
+
+// Close ends the tailer and waits until its handler has returned; Offer
+// delivers nothing after it.
+func (t *Tailer) Close() error {
+	t.cancel()
+	<-t.done
+	t.delivery.Lock()
+	defer t.delivery.Unlock()
+	return nil
+}
+
+// Offer applies records relayed by a peer, which must be in offset order. It
+// passes over those already delivered and refuses with cranfault.Conflict
+// records that leave a gap. It returns the number of records delivered.
+func (t *Tailer) Offer(records []cranplatform.Record) (int, error) {
+	t.delivery.Lock()
+	defer t.delivery.Unlock()
+	err := t.ended()
+	if err != nil {
+		return 0, err
 	}
-	t.group(in.group).lender = s.home.Entry
-	t.idled(in, l.Index)
+	delivered, gap := t.deliver(records)
+	if !gap {
+		return delivered, nil
+	}
+	t.settings.count(ReasonRelayGap)
+	return delivered, cranfault.New(cranfault.Conflict,
+		"relay the records from the offset wanted on, or leave it to the log",
+		"the records relayed for %s don't continue at offset %d", t.stream, t.Next())
 }
 
-// keepWhile returns a borrowed slot later if it is still unused then.
-func (t *table) keepWhile(in *instanceState, index int) {
-	if !in.open {
-		t.giveBack(in, index)
-		return
+// ended returns why nothing more is delivered, or nil.
+func (t *Tailer) ended() error {
+	err := t.Err()
+	if err != nil {
+		return err
+	}
+	select {
+	case <-t.done:
+		return cranfault.New(cranfault.Cancelled, "start another tailer",
+			"the tailer of %s is closed", t.stream)
+	default:
+		return nil
 	}
-	t.after(keepSteps, in, index)
 }
 
-// giveBack returns a borrowed slot that isn't in use to its home.
-func (t *table) giveBack(in *instanceState, index int) {
-	s := &in.slots[index]
-	in.setHold(index, holdNone)
-	t.sendReturn(s.home.Entry, wireLoan{Instance: in.id, Index: index, Epoch: s.home.Epoch, ID: s.loan})
+// deliver hands over the records that continue the stream, and reports
+// whether it met a gap. The caller holds delivery.
+func (t *Tailer) deliver(records []cranplatform.Record) (delivered int, gap bool) {
+	for _, record := range records {
+		next := t.Next()
+		if record.Offset < next {
+			continue
+		}
+		if record.Offset > next {
+			return delivered, true
+		}
+		t.deliverOne(record)
+		delivered++
+	}
+	return delivered, false
 }
 
-func (t *table) sendReturn(to string, l wireLoan) {
-	w := t.to(to)
-	w.Returns = append(w.Returns, l)
+func (t *Tailer) deliverOne(record cranplatform.Record) {
+	entry, err := Decode(record)
+	if err != nil {
+		t.settings.count(ReasonMalformed)
+	}
+	t.handler(entry)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.recent.add(record)
+	t.position.next = record.Offset + 1
+	t.position.end = max(t.position.end, t.position.next)
 }
