Read the settings of an entry instance from TOML

Ruled out: decoding into a tagged struct (first fault only, no positions for bounds, silent about wrong sections); a table of keys over go-toml's parser gives positions, and drives the page and the suggestions too. Test seen failing, then passing: 11 mutations of the checks (heartbeat under a third, isolation bound, shared port, advertise, suggestion across sections, order of faults, recovery behind a broken header, upper bound, unspecified IP, page row, missing rows) each failed TestParseFiles, TestIntegerBounds or TestPage. A lease.isolatedAfterMs that isn't given follows lease.durationMs, since a fixed default broke the relation for a shorter lease.

--- /dev/null
+++ b/internal/cransettings/keys.go
@@ -0,0 +1,194 @@
+package cransettings
+
+import (
+	"fmt"
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Units of the bounds.
+const (
+	kib = 1 << 10
+	mib = 1 << 20
+
+	maxPort = 65535
+)
+
+// Key describes one setting.
+type Key struct {
+	path, kind, unit, bound, meaning string
+	// standard is the printed default; it is empty for a required key.
+	standard string
+	required bool
+	assign   func(*Settings, item) *reason
+	reset    func(*Settings)
+	value    func(*Settings) string
+}
+
+// Path returns the key with its section, such as lease.heartbeatMs.
+func (k Key) Path() string { return k.path }
+
+// Kind returns the TOML type: integer or string.
+func (k Key) Kind() string { return k.kind }
+
+// Unit returns the unit of the value, or the empty string.
+func (k Key) Unit() string { return k.unit }
+
+// Default returns the value that holds when the key is not given.
+func (k Key) Default() string { return k.standard }
+
+// Bound returns the values allowed.
+func (k Key) Bound() string { return k.bound }
+
+// Meaning returns what the key is for, in one sentence.
+func (k Key) Meaning() string { return k.meaning }
+
+// Required reports whether the key must be given.
+func (k Key) Required() bool { return k.required }
+
+// Value returns the value that holds in s, as it would stand in a file.
+func (k Key) Value(s *Settings) string { return k.value(s) }
+
+// Keys returns every key in the order of the settings page.
+func Keys() []Key { return append([]Key(nil), keys...) }
+
+var keys = []Key{
+	optional("id", "", "", nameBound, parseName, func(s *Settings) *string { return &s.id },
+		"Name of the process; a random part is added at each start. Made up when not given."),
+	required("dataCentre", nameBound, parseName, func(s *Settings) *string { return &s.dataCentre },
+		"Data centre that the process runs in."),
+	required("domain", nameBound, parseName, func(s *Settings) *string { return &s.domain },
+		"Failure domain, such as a rack, that the process runs in."),
+	required("listen", addressBound, parseAddress, func(s *Settings) *netip.AddrPort { return &s.listen },
+		"Address for callers."),
+	required("peerListen", addressBound, parseAddress, func(s *Settings) *netip.AddrPort { return &s.peerListen },
+		"Address for other entry instances."),
+	required("adminListen", addressBound, parseAddress, func(s *Settings) *netip.AddrPort { return &s.adminListen },
+		"Address for operators: metrics, readiness and status."),
+	optional("advertise", "", netip.Addr{}, "an IP number that is not 0.0.0.0 or ::", parseIP,
+		func(s *Settings) *netip.Addr { return &s.advertise },
+		"IP number that peers use. That of `peerListen` when not given."),
+	required("platform", "http://IP or http://IP:port", parsePlatform, func(s *Settings) *string { return &s.platform },
+		"Base URL of the platform's service."),
+
+	number("limits.maxBody", "bytes", mib, 1*kib, 64*mib, func(s *Settings) *int { return &s.limits.maxBody },
+		"Largest request body."),
+	number("limits.maxHeader", "bytes", 64*kib, 4*kib, mib, func(s *Settings) *int { return &s.limits.maxHeader },
+		"Largest request header."),
+	number("limits.maxAnswerBuffer", "bytes", 8*mib, 1*kib, 64*mib, func(s *Settings) *int { return &s.limits.maxAnswerBuffer },
+		"Largest answer that is held until it is whole."),
+	number("limits.maxConnections", "connections", 4096, 1, 65536, func(s *Settings) *int { return &s.limits.maxConnections },
+		"Callers' connections that may be open."),
+	number("limits.maxPeerMessage", "bytes", mib, 4*kib, 16*mib, func(s *Settings) *int { return &s.limits.maxPeerMessage },
+		"Largest message of a peer."),
+
+	millis("lease.durationMs", 4000, 500, 60_000, func(s *Settings) *time.Duration { return &s.lease.duration },
+		"How long a lease lasts after its last renewal."),
+	millis("lease.heartbeatMs", 1000, 50, 19_999, func(s *Settings) *time.Duration { return &s.lease.heartbeat },
+		"Interval between renewals; under a third of `lease.durationMs`."),
+	millis("lease.isolatedAfterMs", 4000, 500, 60_000, func(s *Settings) *time.Duration { return &s.lease.isolatedAfter },
+		"How long a process that reaches neither the log nor a peer goes on taking requests; at most `lease.durationMs`, and equal to it when not given."),
+
+	optional("log.stream", "", "control", nameBound, parseName, func(s *Settings) *string { return &s.log.stream },
+		"Name of the control stream."),
+	millis("log.batchWindowMs", 5, 0, 1000, func(s *Settings) *time.Duration { return &s.log.batchWindow },
+		"How long an append waits for others to join it."),
+	number("log.maxRecords", "records", 256, 1, 10_000, func(s *Settings) *int { return &s.log.maxRecords },
+		"Largest number of records in one append or read."),
+
+	number("snapshot.everyRecords", "records", 1000, 10, 1_000_000, func(s *Settings) *int { return &s.snapshot.everyRecords },
+		"Records between two snapshots."),
+	millis("snapshot.everyMs", 60_000, 1000, 3_600_000, func(s *Settings) *time.Duration { return &s.snapshot.every },
+		"Longest time between two snapshots."),
+
+	number("wave.maxParallel", "instances", 4, 1, 1000, func(s *Settings) *int { return &s.wave.maxParallel },
+		"Instances that one wave stops at once at most; budgets may allow fewer."),
+	number("wave.haltFailures", "instances", 2, 1, 1000, func(s *Settings) *int { return &s.wave.haltFailures },
+		"Failed instances that halt a wave."),
+	millis("wave.pauseMs", 0, 0, 3_600_000, func(s *Settings) *time.Duration { return &s.wave.pause },
+		"Rest between an instance's return and the next stop."),
+
+	number("retry.budgetPercent", "percent", 10, 0, 100, func(s *Settings) *int { return &s.retry.budgetPercent },
+		"Retries allowed per hundred requests."),
+	number("retry.burst", "retries", 10, 0, 1000, func(s *Settings) *int { return &s.retry.burst },
+		"Unused retries that may be saved up."),
+	number("retry.maxAttempts", "attempts", 3, 1, 10, func(s *Settings) *int { return &s.retry.maxAttempts },
+		"How often one request is sent at most, the first time included."),
+
+	optional("output.level", "", LevelInfo, "debug, info, warn or error",
+		oneOf(LevelDebug, LevelInfo, LevelWarn, LevelError), func(s *Settings) *Level { return &s.output.level },
+		"Lowest level of log events that are written."),
+	optional("output.format", "", FormatJSON, "json or console",
+		oneOf(FormatJSON, FormatConsole), func(s *Settings) *Format { return &s.output.format },
+		"Form of a line of the log output."),
+}
+
+func required[T any](path, bound string, parse parser[T], field func(*Settings) *T, meaning string) Key {
+	var none T
+	k := optional(path, "", none, bound, parse, field, meaning)
+	k.required = true
+	k.standard = ""
+	return k
+}
+
+func optional[T any](path, unit string, standard T, bound string, parse parser[T], field func(*Settings) *T, meaning string) Key {
+	return Key{
+		path: path, kind: kindString, unit: unit, bound: bound, meaning: meaning,
+		standard: printed(standard),
+		assign: func(s *Settings, it item) *reason {
+			v, wrong := parse(it)
+			if wrong == nil {
+				*field(s) = v
+			}
+			return wrong
+		},
+		reset: func(s *Settings) { *field(s) = standard },
+		value: func(s *Settings) string { return printed(*field(s)) },
+	}
+}
+
+func number(path, unit string, standard, low, high int, field func(*Settings) *int, meaning string) Key {
+	bound := fmt.Sprintf("%d to %d", low, high)
+	k := optional(path, unit, standard, bound, parseNumber(low, high), field, meaning)
+	k.kind = kindInteger
+	return k
+}
+
+func millis(path string, standard, low, high int, field func(*Settings) *time.Duration, meaning string) Key {
+	parse := func(it item) (time.Duration, *reason) {
+		n, wrong := parseNumber(low, high)(it)
+		return time.Duration(n) * time.Millisecond, wrong
+	}
+	bound := fmt.Sprintf("%d to %d", low, high)
+	k := optional(path, "ms", time.Duration(standard)*time.Millisecond, bound, parse, field, meaning)
+	k.kind = kindInteger
+	return k
+}
+
+// printed returns a value as it would stand in a file, without quotes, or
+// the empty string for a value that is not set.
+func printed(v any) string {
+	switch v := v.(type) {
+	case time.Duration:
+		return strconv.FormatInt(v.Milliseconds(), 10)
+	case netip.Addr:
+		if !v.IsValid() {
+			return ""
+		}
+	}
+	return fmt.Sprint(v)
+}
+
+// sections returns the known sections, in order of the keys.
+func sections() []string {
+	var list []string
+	for _, k := range keys {
+		section, _, found := strings.Cut(k.path, ".")
+		if found && (len(list) == 0 || list[len(list)-1] != section) {
+			list = append(list, section)
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/internal/cransettings/suggest.go
@@ -0,0 +1,70 @@
+package cransettings
+
+import (
+	"strings"
+
+	"github.com/pelletier/go-toml/v2/unstable"
+)
+
+// maxDistance bounds the edits between an unknown key and one that is
+// suggested for it.
+const maxDistance = 4
+
+// suggest names the known key that is nearest to an unknown one.
+func suggest(it item) string {
+	candidates := sections()
+	if it.kind != unstable.Table && it.kind != unstable.ArrayTable {
+		candidates = candidates[:0:0]
+		for _, k := range keys {
+			candidates = append(candidates, k.path)
+		}
+	}
+	best, bestDistance := "", maxDistance+1
+	for _, k := range candidates {
+		if d := keyDistance(it.path, k); d < bestDistance {
+			best, bestDistance = k, d
+		}
+	}
+	if best == "" {
+		return "remove it, or see the table of keys in docs/settings.md"
+	}
+	return "did you mean " + best + "?"
+}
+
+// keyDistance compares keys without regard to case, hyphens and underscores;
+// a key in the wrong section counts as one edit.
+func keyDistance(given, known string) int {
+	given, known = plainKey(given), plainKey(known)
+	d := editDistance(given, known)
+	lastGiven := given[strings.LastIndex(given, ".")+1:]
+	lastKnown := known[strings.LastIndex(known, ".")+1:]
+	if lastGiven == lastKnown {
+		d = min(d, 1)
+	}
+	return d
+}
+
+func plainKey(key string) string {
+	return strings.NewReplacer("_", "", "-", "").Replace(strings.ToLower(key))
+}
+
+// editDistance is the Levenshtein distance in bytes.
+func editDistance(a, b string) int {
+	row := make([]int, len(b)+1)
+	for j := range row {
+		row[j] = j
+	}
+	for i := range len(a) {
+		diagonal := row[0]
+		row[0] = i + 1
+		for j := range len(b) {
+			cost := diagonal
+			if a[i] != b[j] {
+				cost++
+			}
+			diagonal = row[j+1]
+			row[j+1] = min(cost, row[j]+1, diagonal+1)
+		}
+	}
+	return row[len(b)]
+}
