Number the log events and keep their catalogue

Ruled out: one Go type per event (49 structs for one line each); bare keys and values (the house style asks for typed messages). A typed number with a definition, and typed fields with fixed keys, give the same safety with one table; WithStrict makes a field that isn't listed fail a test. Ruled out: the library's default time format, since it reads the system clock past package time and a golden file under synctest showed real time. Test seen failing, then passing: mutations of a text, a lost definition, a changed number, the lock (race detector), the time format, the strict check, the unit of elapsedMs, a lost row and an empty action each failed TestLines, TestConstants, TestNumbersAreNeverReused, TestCatalogue, TestUndefinedEventIsWritten or TestEmitFromManyGoroutines.

--- /dev/null
+++ b/internal/cranevent/catalogue.go
@@ -0,0 +1,124 @@
+package cranevent
+
+func define(event Event, name string, level Level, text string, fields ...Key) Definition {
+	return Definition{event: event, name: name, level: level, text: text, fields: fields}
+}
+
+// definitions is in order of number; numbers and names are unique.
+var definitions = []Definition{
+	define(EntryStarting, "entryStarting", LevelInfo, "the entry instance starts",
+		KeyAddress, KeyDataCentre, KeyDomain),
+	define(EntryReady, "entryReady", LevelInfo, "the entry instance takes requests",
+		KeyElapsedMs, KeyOffset, KeyRevision),
+	define(EntryNotReady, "entryNotReady", LevelWarn, "the entry instance takes no requests",
+		KeyError, KeyReason),
+	define(EntryStopping, "entryStopping", LevelInfo, "the entry instance stops once its requests are answered",
+		KeyCount),
+	define(EntryStopped, "entryStopped", LevelInfo, "the entry instance has stopped",
+		KeyElapsedMs),
+	define(SettingsLoaded, "settingsLoaded", LevelInfo, "the settings are loaded",
+		KeyFile),
+	define(SettingsFault, "settingsFault", LevelError, "the settings are faulty",
+		KeyError, KeyFile),
+
+	define(ConfigurationAccepted, "configurationAccepted", LevelInfo, "a configuration is accepted",
+		KeyOffset, KeyRevision),
+	define(ConfigurationRefused, "configurationRefused", LevelWarn, "a configuration is refused",
+		KeyError, KeyOffset, KeyReason, KeyRevision),
+	define(ConfigurationInForce, "configurationInForce", LevelInfo, "a configuration is in force here",
+		KeyElapsedMs, KeyOffset, KeyRevision),
+
+	define(LogUnavailable, "logUnavailable", LevelWarn, "the log can't be reached",
+		KeyError, KeyOffset, KeyStream),
+	define(LogBack, "logBack", LevelInfo, "the log can be reached again",
+		KeyElapsedMs, KeyOffset, KeyStream),
+	define(RecordsExpired, "recordsExpired", LevelWarn, "records have expired before they were read",
+		KeyOffset, KeyStream),
+	define(SnapshotRestart, "snapshotRestart", LevelInfo, "the control state restarts from a snapshot",
+		KeyOffset, KeyStream),
+	define(MalformedRecord, "malformedRecord", LevelWarn, "a malformed record is skipped",
+		KeyError, KeyOffset, KeyStream),
+	define(SnapshotWritten, "snapshotWritten", LevelInfo, "a snapshot is written",
+		KeyBytes, KeyCount, KeyDigest, KeyElapsedMs, KeyOffset),
+	define(SnapshotLoaded, "snapshotLoaded", LevelInfo, "a snapshot is loaded",
+		KeyBytes, KeyDigest, KeyElapsedMs, KeyOffset, KeyPeer),
+	define(SnapshotFailed, "snapshotFailed", LevelError, "a snapshot couldn't be written or loaded",
+		KeyError, KeyOffset, KeyPeer),
+
+	define(MemberJoined, "memberJoined", LevelInfo, "an entry instance has joined",
+		KeyAddress, KeyDataCentre, KeyDomain, KeyMember, KeyOffset),
+	define(MemberLeft, "memberLeft", LevelInfo, "an entry instance has left",
+		KeyMember, KeyOffset),
+	define(MemberWrittenOff, "memberWrittenOff", LevelWarn, "a silent entry instance is written off",
+		KeyMember, KeyOffset),
+	define(LeaseTaken, "leaseTaken", LevelInfo, "a lease is taken",
+		KeyMember, KeyOffset, KeyPool),
+	define(LeaseLost, "leaseLost", LevelWarn, "this entry instance has lost a lease",
+		KeyMember, KeyOffset, KeyPool),
+	define(LeaseLapsed, "leaseLapsed", LevelWarn, "a lease has lapsed",
+		KeyMember, KeyOffset, KeyPool),
+
+	define(StopProposed, "stopProposed", LevelInfo, "a planned stop is accepted",
+		KeyInstance, KeyOffset, KeyPool, KeyWave),
+	define(StopRefused, "stopRefused", LevelWarn, "a planned stop is refused",
+		KeyError, KeyInstance, KeyOffset, KeyPool, KeyReason, KeyWave),
+	define(StopCordoned, "stopCordoned", LevelInfo, "an instance gets no new work here",
+		KeyCount, KeyInstance, KeyOffset, KeyPool),
+	define(StopBarrierPassed, "stopBarrierPassed", LevelInfo, "every entry instance has finished its work on an instance",
+		KeyElapsedMs, KeyInstance, KeyOffset, KeyPool),
+	define(StopBlocked, "stopBlocked", LevelWarn, "a planned stop waits",
+		KeyBlockedBy, KeyElapsedMs, KeyInstance, KeyPool, KeyReason),
+	define(StopRebooted, "stopRebooted", LevelInfo, "an instance has rebooted",
+		KeyAction, KeyElapsedMs, KeyInstance, KeyPool),
+	define(StopBack, "stopBack", LevelInfo, "an instance takes work again",
+		KeyElapsedMs, KeyInstance, KeyOffset, KeyPool),
+	define(InstanceLost, "instanceLost", LevelWarn, "an instance is lost without a plan",
+		KeyDomain, KeyInstance, KeyOffset, KeyPool),
+
+	define(MoveProposed, "moveProposed", LevelInfo, "a move is accepted",
+		KeyInstance, KeyOffset, KeyPool, KeyToPool),
+	define(MoveRefused, "moveRefused", LevelWarn, "a move is refused",
+		KeyError, KeyInstance, KeyOffset, KeyPool, KeyReason, KeyToPool),
+	define(MoveDone, "moveDone", LevelInfo, "an instance is in its new pool",
+		KeyElapsedMs, KeyInstance, KeyOffset, KeyPool, KeyToPool),
+
+	define(WaveStarted, "waveStarted", LevelInfo, "a maintenance wave starts",
+		KeyCount, KeyOffset, KeyWave),
+	define(WaveHalted, "waveHalted", LevelError, "a maintenance wave is halted",
+		KeyCount, KeyError, KeyOffset, KeyReason, KeyWave),
+	define(WaveResumed, "waveResumed", LevelInfo, "a maintenance wave goes on",
+		KeyCount, KeyOffset, KeyWave),
+	define(WaveDone, "waveDone", LevelInfo, "a maintenance wave is done",
+		KeyCount, KeyElapsedMs, KeyOffset, KeyWave),
+
+	define(Isolated, "isolated", LevelError, "neither the log nor a peer can be reached",
+		KeyElapsedMs, KeyOffset),
+	define(Reconnected, "reconnected", LevelInfo, "the log or a peer can be reached again",
+		KeyElapsedMs, KeyOffset),
+	define(PeerRefused, "peerRefused", LevelWarn, "a stranger at the peer address is refused",
+		KeyAddress, KeyPeer, KeyReason),
+	define(PeerMalformed, "peerMalformed", LevelWarn, "a malformed message of a peer is dropped",
+		KeyAddress, KeyBytes, KeyError, KeyPeer),
+
+	define(TargetEjected, "targetEjected", LevelWarn, "a target gets no new work because its answers fail",
+		KeyCount, KeyInstance, KeyPool, KeyReason),
+	define(TargetRestored, "targetRestored", LevelInfo, "a target that had failed gets work again",
+		KeyElapsedMs, KeyInstance, KeyPool),
+	define(SilentConnection, "silentConnection", LevelWarn, "a connection has gone silent and is closed",
+		KeyElapsedMs, KeyInstance, KeyPeer),
+	define(SlotBlocked, "slotBlocked", LevelWarn, "a slot is kept unused until its loan is settled",
+		KeyElapsedMs, KeyInstance, KeyPeer),
+	define(ClaimsNotReady, "claimsNotReady", LevelWarn, "claims can't be recorded; non-idempotent requests are refused",
+		KeyError, KeyReason, KeyStream),
+	define(ClaimsReady, "claimsReady", LevelInfo, "claims can be recorded again",
+		KeyElapsedMs, KeyOffset, KeyStream),
+}
+
+// byEvent finds a definition by its number.
+var byEvent = func() map[Event]Definition {
+	m := make(map[Event]Definition, len(definitions))
+	for _, d := range definitions {
+		m[d.event] = d
+	}
+	return m
+}()
--- /dev/null
+++ b/internal/cranevent/event.go
@@ -0,0 +1,141 @@
+package cranevent
+
+import (
+	"slices"
+	"strconv"
+)
+
+// Event is the number of one kind of log event.
+type Event int
+
+// Events of the process and its settings.
+const (
+	EntryStarting  Event = 101
+	EntryReady     Event = 102
+	EntryNotReady  Event = 103
+	EntryStopping  Event = 104
+	EntryStopped   Event = 105
+	SettingsLoaded Event = 110
+	SettingsFault  Event = 111
+)
+
+// Events of the published configuration.
+const (
+	ConfigurationAccepted Event = 201
+	ConfigurationRefused  Event = 202
+	ConfigurationInForce  Event = 203
+)
+
+// Events of the log and of snapshots.
+const (
+	LogUnavailable  Event = 301
+	LogBack         Event = 302
+	RecordsExpired  Event = 303
+	SnapshotRestart Event = 304
+	MalformedRecord Event = 305
+	SnapshotWritten Event = 310
+	SnapshotLoaded  Event = 311
+	SnapshotFailed  Event = 312
+)
+
+// Events of membership and leases.
+const (
+	MemberJoined     Event = 401
+	MemberLeft       Event = 402
+	MemberWrittenOff Event = 403
+	LeaseTaken       Event = 410
+	LeaseLost        Event = 411
+	LeaseLapsed      Event = 412
+)
+
+// Events of planned stops and of lost instances.
+const (
+	StopProposed      Event = 501
+	StopRefused       Event = 502
+	StopCordoned      Event = 503
+	StopBarrierPassed Event = 504
+	StopBlocked       Event = 505
+	StopRebooted      Event = 506
+	StopBack          Event = 507
+	InstanceLost      Event = 510
+)
+
+// Events of moves between pools.
+const (
+	MoveProposed Event = 601
+	MoveRefused  Event = 602
+	MoveDone     Event = 603
+)
+
+// Events of maintenance waves.
+const (
+	WaveStarted Event = 701
+	WaveHalted  Event = 702
+	WaveResumed Event = 703
+	WaveDone    Event = 704
+)
+
+// Events between entry instances.
+const (
+	Isolated      Event = 801
+	Reconnected   Event = 802
+	PeerRefused   Event = 803
+	PeerMalformed Event = 804
+)
+
+// Events of traffic.
+const (
+	TargetEjected    Event = 901
+	TargetRestored   Event = 902
+	SilentConnection Event = 903
+	SlotBlocked      Event = 904
+	ClaimsNotReady   Event = 905
+	ClaimsReady      Event = 906
+)
+
+// Number returns the number that the catalogue lists.
+func (e Event) Number() int { return int(e) }
+
+// String returns the event's name, or its number if it isn't defined.
+func (e Event) String() string {
+	if d, ok := e.Definition(); ok {
+		return d.name
+	}
+	return strconv.Itoa(int(e))
+}
+
+// Definition returns what is fixed about the event.
+func (e Event) Definition() (Definition, bool) {
+	d, ok := byEvent[e]
+	return d, ok
+}
+
+// Definition is what is fixed about an event.
+type Definition struct {
+	event Event
+	// name is unique, in camel case.
+	name  string
+	level Level
+	// text is one clause without a full stop.
+	text string
+	// fields are the keys that the event may carry, in order of name.
+	fields []Key
+}
+
+// Event returns the number.
+func (d Definition) Event() Event { return d.event }
+
+// Name returns the unique name, in camel case.
+func (d Definition) Name() string { return d.name }
+
+// Level returns how serious the event is.
+func (d Definition) Level() Level { return d.level }
+
+// Text returns the message of the line.
+func (d Definition) Text() string { return d.text }
+
+// Fields returns the keys that the event may carry.
+func (d Definition) Fields() []Key { return slices.Clone(d.fields) }
+
+// Definitions returns every event in order of number.
+func Definitions() []Definition { return slices.Clone(definitions) }
--- /dev/null
+++ b/internal/cranevent/event_test.go
@@ -0,0 +1,167 @@
+package cranevent
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"regexp"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cranberrypick/cranberrypick/internal/cranfault"
+)
+
+// sample holds one field of every key.
+var sample = []Field{
+	Action("a-1"), Address(netip.MustParseAddrPort("10.0.0.7:8081")), BlockedBy("entry-2", "entry-3"),
+	Bytes(512), Count(3), DataCentre("perth-1"), Digest(0xabc), Domain("rack-3"),
+	Elapsed(1500 * time.Millisecond), Err(errors.New("a \"quoted\"\nerror")), File("entry.toml"),
+	Instance("office-1"), Member("entry-1-7f"), Offset(18446744073709551615), Peer("entry-2"),
+	Pool("office"), Reason(cranfault.BudgetSpent), Revision(7), Service("placement"),
+	Stream("control"), ToPool("vets"), Wave("wave-1"),
+}
+
+func sampleFor(d Definition) []Field {
+	return slices.DeleteFunc(slices.Clone(sample), func(f Field) bool {
+		return !slices.Contains(d.fields, f.key)
+	})
+}
+
+func emitAll(l *Logger) {
+	for _, d := range Definitions() {
+		time.Sleep(time.Second)
+		l.Emit(d.Event(), sampleFor(d)...)
+	}
+}
+
+// TestLines keeps every event in both forms, under a virtual clock.
+func TestLines(t *testing.T) {
+	forms := []struct {
+		name    string
+		options []Option
+	}{
+		{"json", []Option{WithProcess("entry-1-7f"), WithStrict()}},
+		{"console", []Option{WithConsole(), WithLevel(LevelWarn), WithStrict()}},
+	}
+	for _, form := range forms {
+		var b bytes.Buffer
+		synctest.Test(t, func(*testing.T) { emitAll(New(&b, form.options...)) })
+		goldie.New(t, goldie.WithNameSuffix(".golden")).Assert(t, form.name, b.Bytes())
+	}
+}
+
+func TestDefinitions(t *testing.T) {
+	names := map[string]bool{}
+	last := 0
+	for _, d := range Definitions() {
+		require.Greater(t, d.Event().Number(), last, "numbers are unique and in order")
+		last = d.Event().Number()
+		require.False(t, names[d.Name()], "the name %s is unique", d.Name())
+		names[d.Name()] = true
+		require.Regexp(t, `^[a-z][a-zA-Z]+$`, d.Name())
+		require.NotRegexp(t, `\.$`, d.Text())
+		require.True(t, slices.IsSorted(d.Fields()), d.Name())
+		require.Len(t, sampleFor(d), len(d.Fields()), d.Name())
+		require.Equal(t, d.Name(), d.Event().String())
+	}
+}
+
+// TestConstants checks that every constant of the package has a definition.
+func TestConstants(t *testing.T) {
+	source, err := os.ReadFile("event.go")
+	require.NoError(t, err)
+	constants := regexp.MustCompile(`(?m)^\t\w+ +Event = (\d+)$`).FindAllSubmatch(source, -1)
+	require.Len(t, Definitions(), len(constants))
+	for _, c := range constants {
+		require.True(t, slices.ContainsFunc(Definitions(), func(d Definition) bool {
+			return fmt.Sprint(d.Event().Number()) == string(c[1])
+		}), "event %s", c[1])
+	}
+}
+
+// TestNumbersAreNeverReused compares the code with the list of every number
+// that was ever given out. A retired number stays in the list, marked so.
+func TestNumbersAreNeverReused(t *testing.T) {
+	list, err := os.ReadFile("testdata/numbers.txt")
+	require.NoError(t, err)
+	listed := map[Event]string{}
+	for line := range strings.Lines(string(list)) {
+		var number int
+		var name string
+		_, err := fmt.Sscan(line, &number, &name)
+		require.NoError(t, err)
+		listed[Event(number)] = name
+		d, ok := Event(number).Definition()
+		require.Equal(t, !strings.HasSuffix(strings.TrimSpace(line), " retired"), ok, "event %d is defined unless it is retired", number)
+		if ok {
+			require.Equal(t, name, d.Name(), "event %d keeps its name", number)
+		}
+	}
+	for _, d := range Definitions() {
+		require.Contains(t, listed, d.Event(), "add event %d to testdata/numbers.txt", d.Event().Number())
+	}
+}
+
+// TestCatalogue checks that docs/events.md lists the events of the code, no
+// more and no less, each with a meaning and what an operator does.
+func TestCatalogue(t *testing.T) {
+	page, err := os.ReadFile("../../docs/events.md")
+	require.NoError(t, err)
+	var want, got []string
+	for _, d := range Definitions() {
+		fields := make([]string, 0, len(d.Fields()))
+		for _, k := range d.Fields() {
+			fields = append(fields, string(k))
+		}
+		want = append(want, fmt.Sprintf("| %d | `%s` | %s | %s | %s |",
+			d.Event().Number(), d.Name(), d.Level(), d.Text(), strings.Join(fields, ", ")))
+	}
+	rows := regexp.MustCompile(`(?m)^(\| \d+ \|.*\|.*\|.*\|.*\|)([^|]*)\|([^|]*)\|$`)
+	for _, r := range rows.FindAllStringSubmatch(string(page), -1) {
+		got = append(got, r[1])
+		require.NotEmpty(t, strings.TrimSpace(r[2]), "meaning of %s", r[1])
+		require.NotEmpty(t, strings.TrimSpace(r[3]), "action for %s", r[1])
+	}
+	require.Equal(t, strings.Join(want, "\n"), strings.Join(got, "\n"))
+}
+
+func TestUndefinedEventIsWritten(t *testing.T) {
+	var b bytes.Buffer
+	New(&b).Emit(Event(9999), Count(1))
+	require.Contains(t, b.String(), `"level":"error","event":9999,"name":"undefined","count":1`)
+	require.Panics(t, func() { New(io.Discard, WithStrict()).Emit(Event(9999)) })
+	require.Panics(t, func() { New(io.Discard, WithStrict()).Emit(EntryReady, Wave("w")) })
+}
+
+func TestEmitFromManyGoroutines(t *testing.T) {
+	const writers, lines = 8, 100
+	var b bytes.Buffer
+	l := New(&b)
+	var wg sync.WaitGroup
+	for range writers {
+		wg.Go(func() {
+			for i := range lines {
+				l.Emit(EntryStopping, Count(i))
+			}
+		})
+	}
+	wg.Wait()
+	d := json.NewDecoder(&b)
+	for range writers * lines {
+		var line struct{ Event int }
+		require.NoError(t, d.Decode(&line))
+		require.Equal(t, EntryStopping.Number(), line.Event)
+	}
+	require.False(t, d.More())
+}
--- /dev/null
+++ b/internal/cranevent/field.go
@@ -0,0 +1,134 @@
+package cranevent
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/cranberrypick/cranberrypick/internal/cranfault"
+)
+
+// Key is the name of a field in a line of the log.
+type Key string
+
+// Keys of fields.
+const (
+	KeyAction     Key = "action"
+	KeyAddress    Key = "address"
+	KeyBlockedBy  Key = "blockedBy"
+	KeyBytes      Key = "bytes"
+	KeyCount      Key = "count"
+	KeyDataCentre Key = "dataCentre"
+	KeyDigest     Key = "digest"
+	KeyDomain     Key = "domain"
+	KeyElapsedMs  Key = "elapsedMs"
+	KeyError      Key = "error"
+	KeyFile       Key = "file"
+	KeyInstance   Key = "instance"
+	KeyMember     Key = "member"
+	KeyOffset     Key = "offset"
+	KeyPeer       Key = "peer"
+	KeyPool       Key = "pool"
+	KeyReason     Key = "reason"
+	KeyRevision   Key = "revision"
+	KeyService    Key = "service"
+	KeyStream     Key = "stream"
+	KeyToPool     Key = "toPool"
+	KeyWave       Key = "wave"
+)
+
+// Field is one typed value of an event.
+type Field struct {
+	key   Key
+	write func(*log.Entry, string)
+}
+
+// Key returns the field's key.
+func (f Field) Key() Key { return f.key }
+
+func textField(k Key, v string) Field {
+	return Field{key: k, write: func(e *log.Entry, name string) { e.Str(name, v) }}
+}
+
+func integerField(k Key, v int64) Field {
+	return Field{key: k, write: func(e *log.Entry, name string) { e.Int64(name, v) }}
+}
+
+func unsignedField(k Key, v uint64) Field {
+	return Field{key: k, write: func(e *log.Entry, name string) { e.Uint64(name, v) }}
+}
+
+// Action names an action on the platform by its id.
+func Action(id string) Field { return textField(KeyAction, id) }
+
+// Address is an IP number with a port.
+func Address(a fmt.Stringer) Field { return textField(KeyAddress, a.String()) }
+
+// BlockedBy names the members whose word is waited for.
+func BlockedBy(members ...string) Field {
+	return Field{key: KeyBlockedBy, write: func(e *log.Entry, name string) { e.Strs(name, members) }}
+}
+
+// Bytes is a size in bytes.
+func Bytes(n int) Field { return integerField(KeyBytes, int64(n)) }
+
+// Count is a number of things; the event's text says of which.
+func Count(n int) Field { return integerField(KeyCount, int64(n)) }
+
+// DataCentre is the name of a data centre.
+func DataCentre(name string) Field { return textField(KeyDataCentre, name) }
+
+// Digest is the digest of a state, written in hexadecimal.
+func Digest(sum uint64) Field { return textField(KeyDigest, fmt.Sprintf("%016x", sum)) }
+
+// Domain is the name of a failure domain.
+func Domain(name string) Field { return textField(KeyDomain, name) }
+
+// Elapsed is a duration, written in whole milliseconds.
+func Elapsed(d time.Duration) Field { return integerField(KeyElapsedMs, d.Milliseconds()) }
+
+// Err is the text of an error.
+func Err(err error) Field {
+	return Field{key: KeyError, write: func(e *log.Entry, name string) {
+		if err != nil {
+			e.Str(name, err.Error())
+		}
+	}}
+}
+
+// File is the path of a file.
+func File(path string) Field { return textField(KeyFile, path) }
+
+// Instance is the id of a target instance.
+func Instance(id string) Field { return textField(KeyInstance, id) }
+
+// Member is the id of an entry instance's incarnation.
+func Member(id string) Field { return textField(KeyMember, id) }
+
+// Offset is an offset of a stream.
+func Offset(n uint64) Field { return unsignedField(KeyOffset, n) }
+
+// Peer is the member or the address at the other end of a connection.
+func Peer(id string) Field { return textField(KeyPeer, id) }
+
+// Pool is the name of a pool.
+func Pool(name string) Field { return textField(KeyPool, name) }
+
+// Reason is the kind of a fault.
+func Reason(k cranfault.Kind) Field { return textField(KeyReason, string(k)) }
+
+// Revision is the revision of a configuration.
+func Revision(n uint64) Field { return unsignedField(KeyRevision, n) }
+
+// Service is the name of a service.
+func Service(name string) Field { return textField(KeyService, name) }
+
+// Stream is the name of a stream of the log.
+func Stream(name string) Field { return textField(KeyStream, name) }
+
+// ToPool is the pool that an instance moves to.
+func ToPool(name string) Field { return textField(KeyToPool, name) }
+
+// Wave is the id of a maintenance wave.
+func Wave(id string) Field { return textField(KeyWave, id) }
