--- /dev/null
+++ b/internal/crantraffic/request.go
@@ -0,0 +1,85 @@
+package crantraffic
+
+import (
+	"net/http"
+	"net/textproto"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Header fields of the protocol with callers and targets.
+const (
+	headerDeadline   = "X-Deadline-Ms"
+	headerIdempotent = "Idempotent"
+	headerKey        = "Idempotency-Key"
+	headerRequestID  = "X-Request-Id"
+	headerOutcome    = "X-Outcome"
+	headerReason     = "X-Reason"
+	headerRefused    = "X-Refused"
+	headerNever      = "X-Never"
+
+	refusedSlots = "slots" // value of X-Refused
+)
+
+// request is a caller's request, parsed and whole.
+type request struct {
+	route      Route
+	method     string
+	path       string // escaped, below /run/
+	query      string
+	header     http.Header // end to end
+	body       []byte
+	idempotent bool
+	key        string    // unique within the service; empty if idempotent
+	deadline   time.Time // the caller wants no answer after it
+}
+
+// claimKey is the key under which the request is claimed.
+func (r *request) claimKey() string { return r.route.service + ":" + r.key }
+
+// targetURL returns the address of the request at a target.
+func (r *request) targetURL(address string) *url.URL {
+	raw := "/run/" + r.path
+	plain, err := url.PathUnescape(raw)
+	if err != nil {
+		plain = raw
+	}
+	return &url.URL{Scheme: "http", Host: address, Path: plain, RawPath: raw, RawQuery: r.query}
+}
+
+// targetHeader returns the header that a target gets.
+func (r *request) targetHeader(id string) http.Header {
+	h := r.header.Clone()
+	h.Set(headerRequestID, id)
+	if !r.idempotent {
+		h.Set(headerKey, r.key)
+	}
+	left := min(time.Until(r.deadline), r.route.maxDuration)
+	h.Set(headerDeadline, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
+	return h
+}
+
+// hopByHop are the fields that concern one connection only, and those that the
+// front sets itself.
+var hopByHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+	"Content-Length", "Expect", headerDeadline, headerIdempotent, headerKey,
+	headerRequestID, headerOutcome, headerReason,
+}
+
+// endToEnd returns a copy of the header without what concerns the connection.
+func endToEnd(h http.Header) http.Header {
+	out := h.Clone()
+	for _, v := range h.Values("Connection") {
+		for name := range strings.SplitSeq(v, ",") {
+			out.Del(textproto.TrimString(name))
+		}
+	}
+	for _, name := range hopByHop {
+		out.Del(name)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/crantraffic/target.go
@@ -0,0 +1,87 @@
+package crantraffic
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+)
+
+// target holds the connections to one instance.
+//
+// It has two transports over one connection limit. The pooled transport keeps
+// connections alive for idempotent requests. The fresh transport opens a
+// connection for each exchange: net/http replays a request only on a
+// connection that an earlier one has used, and a connection that has just
+// answered the handshake hasn't gone silent.
+type target struct {
+	id          string
+	address     string
+	conns       *connLimit
+	dialer      net.Dialer
+	dialTimeout time.Duration
+	pooled      *http.Transport
+	fresh       *http.Transport
+	inFlight    atomic.Int64 // exchanges begun and not known to have ended
+}
+
+func newTarget(i Instance, dialTimeout time.Duration) *target {
+	t := &target{
+		id:          i.id,
+		address:     i.address,
+		conns:       newConnLimit(i.connections),
+		dialTimeout: dialTimeout,
+	}
+	t.pooled = t.newTransport(i.connections)
+	t.fresh = t.newTransport(i.connections)
+	t.fresh.DisableKeepAlives = true
+	return t
+}
+
+func (t *target) newTransport(connections int) *http.Transport {
+	return &http.Transport{
+		DialContext:         t.dial,
+		DisableCompression:  true,
+		MaxIdleConns:        connections,
+		MaxIdleConnsPerHost: connections,
+		IdleConnTimeout:     defaultIdleTimeout,
+		Protocols:           onlyHTTP1(),
+	}
+}
+
+func onlyHTTP1() *http.Protocols {
+	p := new(http.Protocols)
+	p.SetHTTP1(true)
+	return p
+}
+
+// dial opens a connection within the limit. The context is detached from the
+// request's, as net/http may hand the connection to another request.
+func (t *target) dial(ctx context.Context, _, _ string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, t.dialTimeout)
+	defer cancel()
+	if err := t.conns.acquire(ctx, t.pooled.CloseIdleConnections); err != nil {
+		return nil, err
+	}
+	c, err := t.dialer.DialContext(ctx, "tcp", t.address)
+	if err != nil {
+		t.conns.release()
+		return nil, err
+	}
+	return &trackedConn{Conn: c, release: t.conns.release}, nil
+}
+
+// transport returns the transport for an exchange.
+func (t *target) transport(fresh bool) *http.Transport {
+	if fresh {
+		return t.fresh
+	}
+	return t.pooled
+}
+
+// closeIdle closes the connections that no exchange uses.
+func (t *target) closeIdle() {
+	t.pooled.CloseIdleConnections()
+	t.fresh.CloseIdleConnections()
+}
