Put an entry instance together: control thread, peers, guard, effects, admin

Cause: the parts (state, log client, slots, traffic) need one owner of the control state and one place that decides whether this entry may serve. Ruled out: heartbeats to peers while the log answers (they cost a message a peer a second and say nothing new); serving on through any outage (an island would send to an instance that the rest reboots).

--- /dev/null
+++ b/internal/cranadmin/handler.go
@@ -0,0 +1,193 @@
+package cranadmin
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/cranberrypick/cranberrypick/internal/cranfault"
+	"github.com/cranberrypick/cranberrypick/internal/cranstate"
+)
+
+const (
+	// proposeTimeout bounds the wait for the reducer's decision.
+	proposeTimeout = 10 * time.Second
+	// maxProposal bounds the body of a proposal in bytes.
+	maxProposal = 1 << 20
+)
+
+// Entry is what an entry instance offers to operators.
+type Entry interface {
+	// Ready returns nil if the entry takes requests, else why not.
+	Ready() error
+	// Status returns what the entry knows of the fleet.
+	Status(ctx context.Context) (Status, error)
+	// Explain returns what instances and waves wait for.
+	Explain(ctx context.Context, subject string) ([]cranstate.Blocker, error)
+	// Propose appends an event and waits for the reducer's decision.
+	Propose(ctx context.Context, event cranstate.Event) (uint64, error)
+}
+
+// wireFault is the JSON form of a fault.
+type wireFault struct {
+	Kind    cranfault.Kind `json:"kind"`
+	Message string         `json:"message"`
+	Remedy  string         `json:"remedy"`
+}
+
+type wireAccepted struct {
+	Offset uint64 `json:"offset"`
+}
+
+type publishRequest struct {
+	Base   uint64 `json:"base"`
+	Config string `json:"config"`
+}
+
+type stopRequest struct {
+	Instance string             `json:"instance"`
+	Kind     cranstate.StopKind `json:"kind"`
+	Pool     string             `json:"pool,omitempty"`
+	Base     uint64             `json:"base,omitempty"`
+}
+
+type cancelRequest struct {
+	Instance string `json:"instance"`
+}
+
+type waveRequest struct {
+	Pools       []string `json:"pools"`
+	MaxFailures int      `json:"maxFailures"`
+}
+
+type waveChangeRequest struct {
+	Wave uint64 `json:"wave"`
+}
+
+// Handler returns the handler of the admin address. Metrics serves /metrics;
+// it may be nil.
+func Handler(entry Entry, metrics http.Handler) http.Handler {
+	h := &handler{entry: entry}
+	e := echo.New()
+	e.HideBanner = true
+	e.HidePort = true
+	e.HTTPErrorHandler = replyError
+	e.GET("/ready", h.ready)
+	e.GET("/status", h.status)
+	e.GET("/explain", h.explain)
+	e.POST("/publish", propose(h, func(q publishRequest) cranstate.Event {
+		return cranstate.ConfigPublished{Base: q.Base, Config: []byte(q.Config)}
+	}))
+	e.POST("/stop", propose(h, func(q stopRequest) cranstate.Event {
+		return cranstate.StopProposed{Instance: q.Instance, Kind: q.Kind, Pool: q.Pool, Base: q.Base}
+	}))
+	e.POST("/cancel", propose(h, func(q cancelRequest) cranstate.Event {
+		return cranstate.StopCancelled{Instance: q.Instance}
+	}))
+	e.POST("/wave", propose(h, func(q waveRequest) cranstate.Event {
+		return cranstate.WaveProposed{Pools: q.Pools, MaxFailures: q.MaxFailures}
+	}))
+	e.POST("/wave/resume", propose(h, func(q waveChangeRequest) cranstate.Event {
+		return cranstate.WaveResumed{Wave: q.Wave}
+	}))
+	e.POST("/wave/cancel", propose(h, func(q waveChangeRequest) cranstate.Event {
+		return cranstate.WaveCancelled{Wave: q.Wave}
+	}))
+	if metrics != nil {
+		e.GET("/metrics", echo.WrapHandler(metrics))
+	}
+	return e
+}
+
+type handler struct{ entry Entry }
+
+func (h *handler) ready(c echo.Context) error {
+	if err := h.entry.Ready(); err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, struct {
+		Ready bool `json:"ready"`
+	}{true})
+}
+
+func (h *handler) status(c echo.Context) error {
+	s, err := h.entry.Status(c.Request().Context())
+	if err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, s)
+}
+
+func (h *handler) explain(c echo.Context) error {
+	list, err := h.entry.Explain(c.Request().Context(), c.QueryParam("subject"))
+	if err != nil {
+		return err
+	}
+	if list == nil {
+		list = []cranstate.Blocker{}
+	}
+	return c.JSON(http.StatusOK, list)
+}
+
+// propose decodes a request strictly, proposes its event and answers with
+// the decision.
+func propose[Q any](h *handler, event func(Q) cranstate.Event) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		var q Q
+		d := json.NewDecoder(http.MaxBytesReader(c.Response(), c.Request().Body, maxProposal))
+		d.DisallowUnknownFields()
+		if err := d.Decode(&q); err != nil {
+			return cranfault.New(cranfault.Malformed, "send the JSON that the command line sends", "%v", err)
+		}
+		ctx, cancel := context.WithTimeout(c.Request().Context(), proposeTimeout)
+		defer cancel()
+		offset, err := h.entry.Propose(ctx, event(q))
+		if err != nil {
+			return err
+		}
+		return c.JSON(http.StatusOK, wireAccepted{Offset: offset})
+	}
+}
+
+// replyError answers with a typed fault.
+func replyError(err error, c echo.Context) {
+	if c.Response().Committed {
+		return
+	}
+	var h *echo.HTTPError
+	if errors.As(err, &h) {
+		err = cranfault.New(cranfault.Malformed, "see the operators' page for the paths", "%v", h.Message)
+		_ = c.JSON(h.Code, faultBody(err))
+		return
+	}
+	_ = c.JSON(statusOf(cranfault.KindOf(err)), faultBody(err))
+}
+
+func faultBody(err error) wireFault {
+	var f *cranfault.Fault
+	if !errors.As(err, &f) {
+		f = cranfault.New(cranfault.Invalid, "look at the entry's log", "%v", err)
+	}
+	return wireFault{Kind: f.Kind(), Message: f.Message(), Remedy: f.Remedy()}
+}
+
+func statusOf(kind cranfault.Kind) int {
+	switch kind {
+	case cranfault.Timeout:
+		return http.StatusGatewayTimeout
+	case cranfault.NotReady, cranfault.Isolated, cranfault.LogUnavailable, cranfault.Cancelled, cranfault.QueueFull:
+		return http.StatusServiceUnavailable
+	case cranfault.Malformed:
+		return http.StatusBadRequest
+	case cranfault.Invalid:
+		return http.StatusUnprocessableEntity
+	case cranfault.UnknownInstance, cranfault.UnknownPool, cranfault.UnknownService:
+		return http.StatusNotFound
+	default:
+		return http.StatusConflict
+	}
+}
--- /dev/null
+++ b/internal/cranentry/entry.go
@@ -0,0 +1,297 @@
+package cranentry
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/cranberrypick/cranberrypick/internal/cranfault"
+	"github.com/cranberrypick/cranberrypick/internal/cranlog"
+	"github.com/cranberrypick/cranberrypick/internal/cranpeer"
+	"github.com/cranberrypick/cranberrypick/internal/cranplatform"
+	"github.com/cranberrypick/cranberrypick/internal/cranslot"
+	"github.com/cranberrypick/cranberrypick/internal/cranstate"
+	"github.com/cranberrypick/cranberrypick/internal/crantraffic"
+)
+
+const (
+	// controlTick is how often the control thread looks at its timers.
+	controlTick = 20 * time.Millisecond
+	// slotTick is how often messages about slots are sent.
+	slotTick = 2 * time.Millisecond
+	// pollWait bounds one long poll of the log.
+	pollWait = 500 * time.Millisecond
+	// leaveTimeout bounds the farewell to the log at a planned stop.
+	leaveTimeout = 3 * time.Second
+	// effectsShard is the one shard of effects.
+	effectsShard = "effects"
+)
+
+// Entry is one incarnation of an entry instance.
+type Entry struct {
+	parts
+	incarnation string
+	log         cranplatform.Log
+	guard       *guard
+	control     *control
+	writer      *cranlog.Writer
+	tailer      *cranlog.Tailer
+	broker      *cranslot.Broker
+	front       *crantraffic.Front[cranslot.Slot]
+	client      *cranpeer.Client
+	server      *cranpeer.Server
+	beats       *beats
+	contact     *contact
+	waiters     *waiters
+	performer   *performer
+
+	// peersMu guards peers, the other members as of the last batch.
+	peersMu sync.Mutex
+	peers   []cranpeer.Peer
+
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+	// ended gets the first fault that ends the entry.
+	ended chan error
+}
+
+// New starts an entry: it reads the log, joins as a member and serves as soon
+// as it has caught up. The listener for peers is the entry's from then on.
+func New(log cranplatform.Log, fleet cranplatform.Fleet, peerListener net.Listener, options ...Option) *Entry {
+	p := newParts(options)
+	e := &Entry{
+		parts:       p,
+		incarnation: p.id + "-" + randomSuffix(),
+		log:         log,
+		guard:       newGuard(),
+		control:     newControl(cranstate.New(), controlTick),
+		beats:       newBeats(),
+		waiters:     newWaiters(),
+		ended:       make(chan error, 1),
+	}
+	e.client = cranpeer.NewClient(e.incarnation, p.maxPeerMessage)
+	relay := &relayLog{Log: log, client: e.client, peers: e.Peers, timeout: p.lease / 4}
+	e.writer = cranlog.NewWriter(relay, p.stream, e.incarnation, cranlog.WithBatchWindow(p.batchWindow))
+	e.contact = newContact(p.lease)
+	var notify func(group string)
+	e.broker = cranslot.NewBroker(e.incarnation, cranslot.WithSeed(randomSeed()),
+		cranslot.WithNotify(func(group string) { notify(group) }))
+	e.front = crantraffic.NewFront[cranslot.Slot](e.broker, p.claims, p.frontOptions...)
+	notify = e.front.SlotFreed
+	e.performer = newPerformer(e, fleet)
+	e.control.onEffects = e.onEffects
+	e.control.onBatch = e.onBatch
+	e.control.onTick = e.onTick
+	ctx, cancel := context.WithCancel(context.Background())
+	e.cancel = cancel
+	e.start(ctx, peerListener)
+	return e
+}
+
+func (e *Entry) start(ctx context.Context, peerListener net.Listener) {
+	e.publish(e.control.state)
+	e.spawn(func() { e.end(e.control.run(ctx)) })
+	e.tailer = cranlog.NewTailer(e.log, e.stream, e.control.state.Next(), e.control.post,
+		cranlog.WithPoll(pollWait, maxApplyBatch))
+	e.server = cranpeer.NewServer(peerListener, (*local)(e), e.maxPeerMessage, func(cranfault.Kind) {})
+	e.spawn(func() { e.watchTailer(ctx) })
+	e.spawn(func() { e.slotLoop(ctx) })
+	e.spawn(func() { e.peerLoop(ctx) })
+	e.spawn(func() { e.performer.run(ctx) })
+}
+
+func (e *Entry) spawn(f func()) {
+	e.done.Add(1)
+	go func() {
+		defer e.done.Done()
+		f()
+	}()
+}
+
+// end notes the first fault that ends the entry.
+func (e *Entry) end(err error) {
+	if err == nil {
+		return
+	}
+	select {
+	case e.ended <- err:
+	default:
+	}
+}
+
+// Ended gets a fault if the entry cannot go on as this incarnation: it was
+// written off, or the log no longer keeps what it has yet to read. The owner
+// closes it and starts another.
+func (e *Entry) Ended() <-chan error { return e.ended }
+
+// Incarnation returns the entry's unique name as a member.
+func (e *Entry) Incarnation() string { return e.incarnation }
+
+// Handler returns the handler for callers' requests.
+func (e *Entry) Handler() http.Handler { return e.front.Handler() }
+
+// Ready returns nil if the entry takes requests, else the fault that says why
+// not.
+func (e *Entry) Ready() error { return e.guard.mayServe() }
+
+// Peers returns the other members.
+func (e *Entry) Peers() []cranpeer.Peer {
+	e.peersMu.Lock()
+	defer e.peersMu.Unlock()
+	return e.peers
+}
+
+// Close stops the entry gracefully: no new request starts, those in progress
+// get their answers, leases are handed back and the membership ends. It
+// waits for all of that.
+func (e *Entry) Close() error {
+	e.guard.stopping.Store(true)
+	err := e.front.Close()
+	e.leave()
+	e.cancel()
+	err = errors.Join(err, e.tailer.Close(), e.server.Close(), e.client.Close(), e.writer.Close())
+	e.done.Wait()
+	return eris.Wrap(err, "close entry")
+}
+
+// leave says farewell; if the log is down the lease lapses instead.
+func (e *Entry) leave() {
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	if _, err := e.Propose(ctx, cranstate.MemberLeft{}); err != nil {
+		return
+	}
+}
+
+// watchTailer ends the entry when the log no longer keeps the next record.
+func (e *Entry) watchTailer(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-e.tailer.Done():
+		e.end(e.tailer.Err())
+	}
+}
+
+// slotLoop passes the broker's messages on.
+func (e *Entry) slotLoop(ctx context.Context) {
+	ticker := time.NewTicker(slotTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			e.broker.Tick(now)
+			for _, o := range e.broker.TakeOutgoing() {
+				e.sendSlots(ctx, o)
+			}
+		}
+	}
+}
+
+// sendSlots sends one message in the background; it may be lost.
+func (e *Entry) sendSlots(ctx context.Context, o cranslot.Outgoing) {
+	p, ok := e.peer(o.To)
+	if !ok {
+		return
+	}
+	e.spawn(func() {
+		bounded, cancel := context.WithTimeout(ctx, e.heartbeat)
+		defer cancel()
+		_ = e.client.Slots(bounded, p, o.Message)
+	})
+}
+
+func (e *Entry) peer(member string) (cranpeer.Peer, bool) {
+	for _, p := range e.Peers() {
+		if p.Member == member {
+			return p, true
+		}
+	}
+	return cranpeer.Peer{}, false
+}
+
+// publish hands views of the state to the traffic threads.
+func (e *Entry) publish(s *cranstate.State) {
+	e.front.SetView(trafficView(s, e.guard.mayServe))
+	e.broker.SetView(slotView(s))
+	e.setPeers(s)
+}
+
+func (e *Entry) setPeers(s *cranstate.State) {
+	var peers []cranpeer.Peer
+	keep := map[string]bool{}
+	for _, m := range s.Members() {
+		if m.Incarnation() == e.incarnation {
+			continue
+		}
+		keep[m.Incarnation()] = true
+		peers = append(peers, cranpeer.Peer{Member: m.Incarnation(), Address: m.Address()})
+	}
+	e.client.Keep(keep)
+	e.peersMu.Lock()
+	defer e.peersMu.Unlock()
+	e.peers = peers
+}
+
+// local is the entry as its peers see it.
+type local Entry
+
+// Admit lets members in from the address that they joined with.
+func (l *local) Admit(member string, from netip.Addr) error {
+	e := (*Entry)(l)
+	if p, ok := e.peer(member); ok {
+		if a, err := netip.ParseAddrPort(p.Address); err == nil && a.Addr() == from {
+			return nil
+		}
+	}
+	return cranfault.New(cranfault.Stranger, "join through the log first, with the address that is called from",
+		"%q at %s is no member here", member, from)
+}
+
+// Status says how far the entry is.
+func (l *local) Status() cranpeer.Status { return (*Entry)(l).contact.status((*Entry)(l).tailer) }
+
+// Records returns recent records.
+func (l *local) Records(from uint64) ([]cranplatform.Record, bool) {
+	return (*Entry)(l).tailer.Since(from)
+}
+
+// Append appends to the log on behalf of a peer, directly.
+func (l *local) Append(ctx context.Context, stream string, payloads [][]byte) (uint64, error) {
+	return (*Entry)(l).log.Append(ctx, stream, payloads)
+}
+
+// Snapshot returns the control state.
+func (l *local) Snapshot(ctx context.Context) (cranpeer.Snapshot, error) {
+	return (*Entry)(l).snapshot(ctx)
+}
+
+// Slots takes a message about slots.
+func (l *local) Slots(from string, m cranslot.Message) { (*Entry)(l).broker.Handle(from, m) }
+
+// Answer returns an answer kept here.
+func (l *local) Answer(key string) cranpeer.Answer {
+	a, ok := (*Entry)(l).front.Answer(key)
+	if !ok {
+		return cranpeer.Answer{}
+	}
+	return cranpeer.Answer{Found: true, Status: a.Status(), Header: a.Header(), Body: a.Body()}
+}
+
+// snapshot encodes the state on the control thread.
+func (e *Entry) snapshot(ctx context.Context) (cranpeer.Snapshot, error) {
+	var snap cranpeer.Snapshot
+	var failed error
+	err := e.control.do(ctx, func(s *cranstate.State) {
+		snap.Next = s.Next()
+		snap.State, failed = s.Encode()
+	})
+	return snap, errors.Join(err, failed)
+}
--- /dev/null
+++ b/internal/cranentry/options.go
@@ -0,0 +1,96 @@
+package cranentry
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"encoding/hex"
+	"time"
+
+	"github.com/cranberrypick/cranberrypick/internal/crantraffic"
+)
+
+// Defaults of an entry.
+const (
+	defaultLease          = 4 * time.Second
+	defaultHeartbeat      = time.Second
+	defaultStream         = "control"
+	defaultMaxPeerMessage = 16 << 20
+	defaultMaxParallel    = 4
+)
+
+// parts is what options set.
+type parts struct {
+	id             string
+	instance       string
+	advertise      string
+	dataCentre     string
+	stream         string
+	lease          time.Duration
+	heartbeat      time.Duration
+	batchWindow    time.Duration
+	maxPeerMessage int
+	maxParallel    int
+	claims         crantraffic.Claims
+	frontOptions   []crantraffic.Option
+}
+
+// Option sets one property of an entry.
+type Option func(*parts)
+
+func newParts(options []Option) parts {
+	p := parts{
+		id: "entry", stream: defaultStream, lease: defaultLease, heartbeat: defaultHeartbeat,
+		maxPeerMessage: defaultMaxPeerMessage, maxParallel: defaultMaxParallel,
+	}
+	for _, o := range options {
+		o(&p)
+	}
+	return p
+}
+
+// WithIdentity names the entry instance as the platform does, the address
+// where peers reach it (IP and port), and its data centre.
+func WithIdentity(instance, advertise, dataCentre string) Option {
+	return func(p *parts) {
+		p.id, p.instance, p.advertise, p.dataCentre = instance, instance, advertise, dataCentre
+	}
+}
+
+// WithStream names the control stream of the log.
+func WithStream(name string) Option { return func(p *parts) { p.stream = name } }
+
+// WithLease sets the membership lease and how often it is renewed.
+func WithLease(lease, heartbeat time.Duration) Option {
+	return func(p *parts) { p.lease, p.heartbeat = lease, heartbeat }
+}
+
+// WithBatchWindow lets control records wait for others before an append.
+func WithBatchWindow(d time.Duration) Option { return func(p *parts) { p.batchWindow = d } }
+
+// WithMaxPeerMessage bounds a message of a peer in bytes.
+func WithMaxPeerMessage(n int) Option { return func(p *parts) { p.maxPeerMessage = n } }
+
+// WithMaxParallel bounds the stops of a wave that are in progress at once.
+func WithMaxParallel(n int) Option { return func(p *parts) { p.maxParallel = n } }
+
+// WithClaims sets where non-idempotent requests are claimed.
+func WithClaims(c crantraffic.Claims) Option { return func(p *parts) { p.claims = c } }
+
+// WithFront passes options on to the traffic front.
+func WithFront(options ...crantraffic.Option) Option {
+	return func(p *parts) { p.frontOptions = append(p.frontOptions, options...) }
+}
+
+// randomSuffix makes an incarnation unique among all that ever were.
+func randomSuffix() string {
+	var b [8]byte
+	// Read never fails: crypto/rand ends the program instead.
+	_, _ = rand.Read(b[:])
+	return hex.EncodeToString(b[:])
+}
+
+func randomSeed() uint64 {
+	var b [8]byte
+	_, _ = rand.Read(b[:])
+	return binary.LittleEndian.Uint64(b[:])
+}
--- /dev/null
+++ b/internal/cranentry/performer.go
@@ -0,0 +1,315 @@
+package cranentry
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cranberrypick/cranberrypick/internal/cranplan"
+	"github.com/cranberrypick/cranberrypick/internal/cranplatform"
+	"github.com/cranberrypick/cranberrypick/internal/cranstate"
+)
+
+const (
+	// performInterval is how often the lease holder compares the state with
+	// the world.
+	performInterval = 200 * time.Millisecond
+	// probeInterval is how often a serving instance is probed.
+	probeInterval = 2 * time.Second
+	// probeTimeout bounds one probe.
+	probeTimeout = time.Second
+	// actInterval is how often an action is repeated that the platform does
+	// not know.
+	actInterval = time.Second
+	// maxProbes bounds the probes in progress.
+	maxProbes = 16
+	// probeFailures is how many probes in a row must fail before an instance
+	// counts as unhealthy.
+	probeFailures = 3
+	// maxObserved bounds the lines of the list in one record.
+	maxObserved = 200
+)
+
+// performer performs effects while this entry holds the effects lease.
+type performer struct {
+	e      *Entry
+	fleet  cranplatform.Fleet
+	client *http.Client
+	// probed holds when each instance was last probed.
+	probed map[string]time.Time
+	// failed counts probes failed in a row.
+	failed map[string]int
+	// acted holds when each action was last asked for.
+	acted map[string]time.Time
+	// proposed holds the stops proposed and not yet seen in the state.
+	proposed map[string]time.Time
+}
+
+func newPerformer(e *Entry, fleet cranplatform.Fleet) *performer {
+	return &performer{
+		e: e, fleet: fleet, client: &http.Client{Timeout: probeTimeout},
+		probed: map[string]time.Time{}, failed: map[string]int{},
+		acted: map[string]time.Time{}, proposed: map[string]time.Time{},
+	}
+}
+
+// target is what the performer needs to know of an instance.
+type target struct {
+	id          string
+	address     string
+	phase       cranstate.Phase
+	healthy     bool
+	boots       int
+	slots       int
+	connections int
+	hint        string
+}
+
+// work is what the control thread hands to the performer at each round.
+type work struct {
+	holds   bool
+	targets map[string]target
+	entries map[string]bool
+	actions []cranplatform.Action
+	stops   []cranstate.StopProposed
+}
+
+// run performs effects until ctx ends.
+func (p *performer) run(ctx context.Context) {
+	defer p.client.CloseIdleConnections()
+	ticker := time.NewTicker(performInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			p.round(ctx)
+		}
+	}
+}
+
+// holds reports whether the effects lease is held at this moment. It is
+// asked again right before each action.
+func (p *performer) holds(ctx context.Context) bool {
+	held, err := read(ctx, p.e.control, func(*cranstate.State) bool {
+		return time.Now().Before(p.e.beats.effectsUntil)
+	})
+	return err == nil && held
+}
+
+func (p *performer) round(ctx context.Context) {
+	w, err := read(ctx, p.e.control, p.gather)
+	if err != nil || !w.holds {
+		return
+	}
+	p.observe(ctx, w)
+	p.probe(ctx, w)
+	p.act(ctx, w)
+	p.stop(ctx, w)
+}
+
+// gather copies what a round needs, on the control thread.
+func (p *performer) gather(s *cranstate.State) work {
+	w := work{holds: time.Now().Before(p.e.beats.effectsUntil), targets: map[string]target{}, entries: map[string]bool{}}
+	if !w.holds {
+		return w
+	}
+	for _, in := range s.Instances() {
+		w.targets[in.ID()] = target{
+			id: in.ID(), address: in.Address(), phase: in.Phase(), healthy: in.Healthy(), boots: in.Boots(),
+			slots: in.Slots(), connections: in.Connections(), hint: in.Hint(),
+		}
+	}
+	for _, m := range s.Members() {
+		if m.Instance() != "" {
+			w.entries[m.Instance()] = !m.Gone()
+		}
+	}
+	w.actions = s.PendingActions()
+	w.stops = cranplan.NextStops(s, p.e.maxParallel)
+	return w
+}
+
+// submit appends an event from the performer's goroutine.
+func (p *performer) submit(ctx context.Context, event cranstate.Event) {
+	_ = p.e.control.do(ctx, func(*cranstate.State) { p.e.submit(event) })
+}
+
+// observe reports the lines of the platform's list that differ from the
+// state.
+func (p *performer) observe(ctx context.Context, w work) {
+	bounded, cancel := context.WithTimeout(ctx, p.e.lease/4)
+	defer cancel()
+	list, err := p.fleet.Instances(bounded)
+	if err != nil {
+		return
+	}
+	var changed []cranstate.Observation
+	seen := map[string]bool{}
+	for _, line := range list {
+		seen[line.ID] = true
+		if o, differs := p.compare(w, line); differs {
+			changed = append(changed, o)
+		}
+	}
+	changed = append(changed, missing(w, seen)...)
+	for len(changed) > 0 && p.holds(ctx) {
+		n := min(len(changed), maxObserved)
+		p.submit(ctx, cranstate.InstancesObserved{Instances: changed[:n]})
+		changed = changed[n:]
+	}
+}
+
+// compare turns a line into an observation and reports whether it is news.
+func (p *performer) compare(w work, line cranplatform.Instance) (cranstate.Observation, bool) {
+	o := cranstate.Observation{
+		ID: line.ID, Address: line.Address, Domain: line.Domain, DataCentre: line.DataCentre, Pool: line.Pool,
+		Phase: line.Phase, Boots: line.Boots, Slots: line.Slots, Connections: line.Connections,
+		Entry: line.Role == "entry",
+	}
+	if o.Entry {
+		present, known := w.entries[o.ID]
+		return o, known && present == (o.Phase == cranplatform.PhaseGone)
+	}
+	t, known := w.targets[o.ID]
+	if !known {
+		return o, o.Phase != cranplatform.PhaseGone
+	}
+	leaving := o.Phase == cranplatform.PhaseLeaving
+	return o, o.Phase == cranplatform.PhaseGone || o.Boots > t.boots || o.Address != t.address ||
+		o.Pool != t.hint || o.Slots != t.slots || o.Connections != t.connections ||
+		leaving != (t.phase == cranstate.PhaseLeaving)
+}
+
+// missing reports instances that the list no longer has.
+func missing(w work, seen map[string]bool) []cranstate.Observation {
+	var list []cranstate.Observation
+	for id := range w.targets {
+		if !seen[id] {
+			list = append(list, cranstate.Observation{ID: id, Phase: cranplatform.PhaseGone})
+		}
+	}
+	for id, present := range w.entries {
+		if !seen[id] && present {
+			list = append(list, cranstate.Observation{ID: id, Phase: cranplatform.PhaseGone, Entry: true})
+		}
+	}
+	return list
+}
+
+// probe asks instances for their health and reports what changed.
+func (p *performer) probe(ctx context.Context, w work) {
+	var mu sync.Mutex
+	var probes []cranstate.Probe
+	var running sync.WaitGroup
+	limit := make(chan struct{}, maxProbes)
+	for _, t := range w.targets {
+		if !p.probeDue(t) {
+			continue
+		}
+		p.probed[t.id] = time.Now()
+		limit <- struct{}{}
+		running.Go(func() {
+			defer func() { <-limit }()
+			healthy := p.healthy(ctx, t)
+			mu.Lock()
+			defer mu.Unlock()
+			if p.changed(t, healthy) {
+				probes = append(probes, cranstate.Probe{Instance: t.id, Boots: t.boots, Healthy: healthy})
+			}
+		})
+	}
+	running.Wait()
+	if len(probes) > 0 && p.holds(ctx) {
+		p.submit(ctx, cranstate.ProbesObserved{Probes: probes})
+	}
+}
+
+func (p *performer) probeDue(t target) bool {
+	if t.phase == cranstate.PhaseReturning {
+		return true
+	}
+	return t.phase == cranstate.PhaseServing && time.Since(p.probed[t.id]) >= probeInterval
+}
+
+// changed decides whether a probe is news: one success brings an instance
+// back, several failures in a row take it out.
+func (p *performer) changed(t target, healthy bool) bool {
+	if healthy {
+		p.failed[t.id] = 0
+		return !t.healthy || t.phase == cranstate.PhaseReturning
+	}
+	p.failed[t.id]++
+	return t.healthy && p.failed[t.id] >= probeFailures
+}
+
+func (p *performer) healthy(ctx context.Context, t target) bool {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+t.address+"/health", nil)
+	if err != nil {
+		return false
+	}
+	resp, err := p.client.Do(r)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return resp.StatusCode == http.StatusOK
+}
+
+// act asks the platform for the pending actions and reports those done.
+func (p *performer) act(ctx context.Context, w work) {
+	var done []string
+	for _, a := range w.actions {
+		status, err := p.fleet.ActionStatus(ctx, a.ID)
+		switch {
+		case err != nil:
+		case status.Done:
+			done = append(done, a.ID)
+		case !status.Known && time.Since(p.acted[a.ID]) >= actInterval && p.holds(ctx):
+			p.acted[a.ID] = time.Now()
+			// Whether an error means that nothing happened, the status tells.
+			_ = p.fleet.Act(ctx, a)
+		}
+	}
+	if len(done) > 0 {
+		p.submit(ctx, cranstate.ActionsObserved{Done: done})
+	}
+	p.forget(w)
+}
+
+// forget drops what is remembered of actions and instances that are gone.
+func (p *performer) forget(w work) {
+	pending := map[string]bool{}
+	for _, a := range w.actions {
+		pending[a.ID] = true
+	}
+	for id := range p.acted {
+		if !pending[id] {
+			delete(p.acted, id)
+		}
+	}
+	for id := range p.probed {
+		if _, ok := w.targets[id]; !ok {
+			delete(p.probed, id)
+			delete(p.failed, id)
+		}
+	}
+}
+
+// stop proposes the next stops of waves.
+func (p *performer) stop(ctx context.Context, w work) {
+	for id, at := range p.proposed {
+		if time.Since(at) > p.e.heartbeat {
+			delete(p.proposed, id)
+		}
+	}
+	for _, s := range w.stops {
+		if _, recent := p.proposed[s.Instance]; recent || !p.holds(ctx) {
+			continue
+		}
+		p.proposed[s.Instance] = time.Now()
+		p.submit(ctx, s)
+	}
+}
--- a/internal/cranstate/member.go
+++ b/internal/cranstate/member.go
@@ -18,10 +18,11 @@
 
 type member struct {
 	incarnation string
-	instance    string
-	address     string
-	dataCentre  string
-	leaseMs     int64
+	// instance is empty once another incarnation took the instance over.
+	instance   string
+	address    string
+	dataCentre string
+	leaseMs    int64
 	// expiryMs is in the platform's time and is put off by log outages.
 	expiryMs int64
 	// revision is the configuration that the member last reported.
@@ -42,7 +43,8 @@
 // another one.
 func (m Member) Incarnation() string { return m.m.incarnation }
 
-// Instance returns the platform's id of the entry instance.
+// Instance returns the platform's id of the entry instance, empty once
+// another incarnation has taken it over.
 func (m Member) Instance() string { return m.m.instance }
 
 // Address returns where peers reach the member, IP and port.
@@ -57,6 +59,10 @@
 // Revision returns the configuration that the member last reported.
 func (m Member) Revision() uint64 { return m.m.revision }
 
+// Gone reports whether the platform's list lacks the entry instance, or
+// another incarnation has taken its place.
+func (m Member) Gone() bool { return m.m.gone }
+
 // Live reports whether the lease had not lapsed at the last record.
 func (m Member) Live() bool { return m.live }
 
@@ -113,6 +119,7 @@
 	for _, m := range c.members {
 		if m.instance == instance {
 			m.gone = true
+			m.instance = ""
 		}
 	}
 }
