--- a/internal/cranevent/event_test.go
+++ b/internal/cranevent/event_test.go
@@ -29,7 +29,7 @@
 	Elapsed(1500 * time.Millisecond), Err(errors.New("a \"quoted\"\nerror")), File("entry.toml"),
 	Instance("office-1"), Member("entry-1-7f"), Offset(18446744073709551615), Peer("entry-2"),
 	Pool("office"), Reason(cranfault.BudgetSpent), Revision(7), Service("placement"),
-	Stream("control"), ToPool("vets"), Wave("wave-1"),
+	Stream("control"), ToPool("vets"), Wave(12),
 }
 
 func sampleFor(d Definition) []Field {
@@ -141,7 +141,7 @@
 	New(&b).Emit(Event(9999), Count(1))
 	require.Contains(t, b.String(), `"level":"error","event":9999,"name":"undefined","count":1`)
 	require.Panics(t, func() { New(io.Discard, WithStrict()).Emit(Event(9999)) })
-	require.Panics(t, func() { New(io.Discard, WithStrict()).Emit(EntryReady, Wave("w")) })
+	require.Panics(t, func() { New(io.Discard, WithStrict()).Emit(EntryReady, Wave(1)) })
 }
 
 func TestEmitFromManyGoroutines(t *testing.T) {
--- a/internal/cranevent/field.go
+++ b/internal/cranevent/field.go
@@ -130,5 +130,5 @@
 // ToPool is the pool that an instance moves to.
 func ToPool(name string) Field { return textField(KeyToPool, name) }
 
-// Wave is the id of a maintenance wave.
-func Wave(id string) Field { return textField(KeyWave, id) }
+// Wave is the number of a maintenance wave.
+func Wave(id uint64) Field { return unsignedField(KeyWave, id) }
--- /dev/null
+++ b/internal/cranmetric/metrics.go
@@ -0,0 +1,185 @@
+package cranmetric
+
+import (
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/cranberrypick/cranberrypick/internal/cranfault"
+)
+
+// namespace begins the name of every metric.
+const namespace = "cranberrypick"
+
+// RetryReason says why something was sent again.
+type RetryReason string
+
+// Reasons of a retry.
+const (
+	RetryNotSent      RetryReason = "notSent"
+	RetryRefused      RetryReason = "refused"
+	RetrySilent       RetryReason = "silent"
+	RetryLost         RetryReason = "lost"
+	RetryBrokenAnswer RetryReason = "brokenAnswer"
+	RetryTargetFailed RetryReason = "targetFailed"
+)
+
+// Direction is the way of bytes and messages.
+type Direction string
+
+// Directions, as this process sees them.
+const (
+	Sent     Direction = "sent"
+	Received Direction = "received"
+)
+
+// AppendResult is what became of an append to the log.
+type AppendResult string
+
+// Results of an append. Confirmed means that its record was read back.
+const (
+	AppendConfirmed AppendResult = "confirmed"
+	AppendUncertain AppendResult = "uncertain"
+	AppendFailed    AppendResult = "failed"
+)
+
+// Metrics holds every metric of one process. Its methods may be called from
+// any goroutine.
+type Metrics struct {
+	registry *prometheus.Registry
+	refusals closedCounters[cranfault.Kind]
+	retries  closedCounters[RetryReason]
+	requests *requestMetrics
+	log      logMetrics
+	peers    peerMetrics
+	state    stateMetrics
+	// moves is the number of moves in the control state.
+	moves atomic.Uint64
+}
+
+type options struct {
+	retryReasons []RetryReason
+	phases       []string
+	runtime      bool
+}
+
+// Option changes what a Metrics holds.
+type Option func(*options)
+
+// WithRetryReasons sets the reasons that are counted each on their own.
+func WithRetryReasons[R ~string](reasons ...R) Option {
+	return func(o *options) {
+		o.retryReasons = o.retryReasons[:0:0]
+		for _, r := range reasons {
+			o.retryReasons = append(o.retryReasons, RetryReason(r))
+		}
+	}
+}
+
+// WithPhases sets the phases of instances that are shown each on their own.
+func WithPhases[P ~string](phases ...P) Option {
+	return func(o *options) {
+		o.phases = o.phases[:0:0]
+		for _, p := range phases {
+			o.phases = append(o.phases, string(p))
+		}
+	}
+}
+
+// WithRuntime adds the metrics of the Go runtime and of the process, such as
+// memory and processor time.
+func WithRuntime() Option { return func(o *options) { o.runtime = true } }
+
+// New returns the metrics of one process, all at zero.
+func New(opts ...Option) *Metrics {
+	o := options{
+		retryReasons: []RetryReason{
+			RetryNotSent, RetryRefused, RetrySilent, RetryLost, RetryBrokenAnswer, RetryTargetFailed,
+		},
+		phases: []string{"returning", "serving", "cordoned", "stopping", "leaving"},
+	}
+	for _, set := range opts {
+		set(&o)
+	}
+	m := &Metrics{registry: prometheus.NewRegistry()}
+	b := builder{registry: m.registry}
+	m.refusals = newClosedCounters(b.counters("refusals_total", "Refusals by kind of fault.", "reason"), cranfault.Kinds())
+	m.retries = newClosedCounters(b.counters("retries_total", "Requests sent again, by reason.", "reason"), o.retryReasons)
+	m.requests = newRequestMetrics(b)
+	m.log = newLogMetrics(b)
+	m.peers = newPeerMetrics(b)
+	m.state = newStateMetrics(b, o.phases)
+	b.counterFunc("instance_moves_total", "Instances moved between pools, in the control state.",
+		func() float64 { return float64(m.moves.Load()) })
+	if o.runtime {
+		m.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	}
+	return m
+}
+
+// Handler serves the metrics in the formats of Prometheus.
+func (m *Metrics) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{Registry: m.registry})
+}
+
+// Refused counts one refusal.
+func (m *Metrics) Refused(kind cranfault.Kind) { m.refusals.add(kind, 1) }
+
+// Retried counts one more send of a request.
+func (m *Metrics) Retried(reason RetryReason) { m.retries.add(reason, 1) }
+
+// Outcome counts what a caller was told, and how long the caller waited. A
+// service that isn't in force is counted as "other".
+func (m *Metrics) Outcome(service string, outcome Outcome, duration time.Duration) {
+	m.requests.observe(service, outcome, duration)
+}
+
+// SetServices sets the services in force. Series of services that are no
+// longer in force are dropped.
+func (m *Metrics) SetServices(names ...string) { m.requests.setServices(names) }
+
+// builder makes and registers metrics.
+type builder struct {
+	registry *prometheus.Registry
+}
+
+func (b builder) counters(name, help string, labels ...string) *prometheus.CounterVec {
+	v := prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
+	b.registry.MustRegister(v)
+	return v
+}
+
+func (b builder) counter(name, help string) prometheus.Counter {
+	c := prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help})
+	b.registry.MustRegister(c)
+	return c
+}
+
+func (b builder) counterFunc(name, help string, value func() float64) {
+	b.registry.MustRegister(prometheus.NewCounterFunc(
+		prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, value))
+}
+
+func (b builder) gauges(name, help string, labels ...string) *prometheus.GaugeVec {
+	v := prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, labels)
+	b.registry.MustRegister(v)
+	return v
+}
+
+func (b builder) gauge(name, help string) prometheus.Gauge {
+	g := prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help})
+	b.registry.MustRegister(g)
+	return g
+}
+
+func (b builder) histograms(name, help string, buckets []float64, labels ...string) *prometheus.HistogramVec {
+	v := prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Namespace: namespace, Name: name, Help: help, Buckets: buckets,
+	}, labels)
+	b.registry.MustRegister(v)
+	return v
+}
--- /dev/null
+++ b/internal/cranmetric/metrics_test.go
@@ -0,0 +1,151 @@
+package cranmetric
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"regexp"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+	"github.com/sebdah/goldie/v2"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cranberrypick/cranberrypick/internal/cranfault"
+)
+
+// page returns what the handler serves of this package's metrics.
+func page(t *testing.T, m *Metrics) string {
+	w := httptest.NewRecorder()
+	m.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	require.Equal(t, 200, w.Code)
+	var b strings.Builder
+	for line := range strings.Lines(w.Body.String()) {
+		if strings.Contains(line, namespace+"_") {
+			b.WriteString(line)
+		}
+	}
+	return b.String()
+}
+
+func TestEveryKindStartsAtZero(t *testing.T) {
+	p := page(t, New())
+	for _, k := range cranfault.Kinds() {
+		require.Contains(t, p, fmt.Sprintf("cranberrypick_refusals_total{reason=%q} 0\n", k))
+	}
+}
+
+// TestPage keeps what the handler serves after one call of each method.
+func TestPage(t *testing.T) {
+	m := New(WithRuntime())
+	m.SetServices("placement", "booking")
+	m.Refused(cranfault.BudgetSpent)
+	m.Refused("made up")
+	m.Retried(RetrySilent)
+	m.Retried("made up")
+	m.Outcome("placement", Answered, 20*time.Millisecond)
+	m.Outcome("booking", NotRun, 2*time.Second)
+	m.Outcome("../etc", Unknown, time.Hour)
+	m.Outcome("placement", "made up", 0)
+	m.LogAppend(AppendConfirmed, 3, 900, 4*time.Millisecond)
+	m.LogAppend(AppendUncertain, 1, 300, time.Minute)
+	m.LogRetry()
+	m.LogRead(7, 2100)
+	m.MalformedRecord()
+	m.PeerMessage(Sent, 100)
+	m.PeerMessage(Received, 50)
+	m.SetReady(true)
+	m.SetAppliedOffset(1200)
+	m.SetRevision(9)
+	m.SetMembers(6)
+	m.SetInstances("serving", 48)
+	m.SetInstances("made up", 2)
+	m.SetSlots(5, 2, 1)
+	m.SetMoves(11)
+	m.SetRollout(250 * time.Millisecond)
+	m.SetIdle(4, 0)
+	m.SetIdle(3, 1500*time.Millisecond)
+	m.SetIdle(3, -time.Second)
+	goldie.New(t, goldie.WithNameSuffix(".golden")).Assert(t, "metrics", []byte(page(t, m)))
+}
+
+// TestServicesBoundTheLabels checks that only services in force have series.
+func TestServicesBoundTheLabels(t *testing.T) {
+	m := New()
+	count := func() int { return testutil.CollectAndCount(m.requests.total) }
+	require.Equal(t, 3, count())
+	m.SetServices("placement", "booking", "other")
+	require.Equal(t, 9, count())
+	late := (*m.requests.inForce.Load())["booking"]
+	m.Outcome("placement", Answered, time.Second)
+	m.SetServices("placement")
+	for i := range 1000 {
+		m.Outcome(fmt.Sprint("stranger", i), NotRun, time.Second)
+	}
+	late.total[Answered].Inc()
+	require.Equal(t, 6, count())
+	require.Equal(t, 2, testutil.CollectAndCount(m.requests.seconds))
+	require.Contains(t, page(t, m), `requests_total{outcome="answered",service="placement"} 1`)
+	require.Contains(t, page(t, m), `requests_total{outcome="notRun",service="other"} 1000`)
+}
+
+func TestConcurrentUse(t *testing.T) {
+	m := New()
+	var wg sync.WaitGroup
+	for i := range 8 {
+		wg.Go(func() {
+			for j := range 200 {
+				m.SetServices("a", fmt.Sprint("s", (i+j)%3))
+				m.Outcome("a", Answered, time.Millisecond)
+				m.Refused(cranfault.Busy)
+			}
+		})
+	}
+	wg.Wait()
+	require.Contains(t, page(t, m), `requests_total{outcome="answered",service="a"} 1600`)
+}
+
+func TestNames(t *testing.T) {
+	m := New()
+	problems, err := testutil.GatherAndLint(m.registry)
+	require.NoError(t, err)
+	require.Empty(t, problems)
+}
+
+// TestOperatorsPage checks that docs/operators.md lists the metrics of the
+// code, no more and no less.
+func TestOperatorsPage(t *testing.T) {
+	text, err := os.ReadFile("../../docs/operators.md")
+	require.NoError(t, err)
+	var listed []string
+	for _, r := range regexp.MustCompile("(?m)^\\| `(cranberrypick_\\w+)(?:\\{[^`]*\\})?` \\|").FindAllStringSubmatch(string(text), -1) {
+		listed = append(listed, r[1])
+	}
+	slices.Sort(listed)
+	require.Equal(t, names(t, New().registry), listed)
+}
+
+func names(t *testing.T, g prometheus.Gatherer) []string {
+	families, err := g.Gather()
+	require.NoError(t, err)
+	var list []string
+	for _, f := range families {
+		list = append(list, f.GetName())
+	}
+	return list
+}
+
+func BenchmarkOutcome(b *testing.B) {
+	m := New()
+	m.SetServices("placement")
+	b.ReportAllocs()
+	for b.Loop() {
+		m.Outcome("placement", Answered, 20*time.Millisecond)
+	}
+}
--- /dev/null
+++ b/internal/cranmetric/state.go
@@ -0,0 +1,81 @@
+package cranmetric
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+type slotUse string
+
+const (
+	slotFree slotUse = "free"
+	slotUsed slotUse = "used"
+	slotLent slotUse = "lent"
+)
+
+// stateMetrics shows the control state as this process sees it.
+type stateMetrics struct {
+	ready, offset, revision, members prometheus.Gauge
+	rollout, idleInstances           prometheus.Gauge
+	idleSeconds                      prometheus.Counter
+	instances                        closedGauges[string]
+	slots                            closedGauges[slotUse]
+}
+
+func newStateMetrics(b builder, phases []string) stateMetrics {
+	return stateMetrics{
+		ready:         b.gauge("ready", "1 if this process takes requests, else 0."),
+		offset:        b.gauge("applied_offset", "Offset after the last record of the control stream that was applied."),
+		revision:      b.gauge("configuration_revision", "Revision of the configuration in force."),
+		members:       b.gauge("members", "Entry instances in the control state."),
+		rollout:       b.gauge("configuration_rollout_seconds", "Time from the last configuration's acceptance until it was in force here."),
+		idleInstances: b.gauge("idle_instances", "Instances that serve and have no request in progress: the buffer held in reserve."),
+		idleSeconds:   b.counter("idle_instance_seconds_total", "Idle instances added up over time: the cost of the buffer."),
+		instances:     newClosedGauges(b.gauges("instances", "Instances in the control state by phase.", "phase"), phases),
+		slots: newClosedGauges(b.gauges("slots", "Slots of targets that this process holds, by use.", "use"),
+			[]slotUse{slotFree, slotUsed, slotLent}),
+	}
+}
+
+// SetReady shows whether this process takes requests.
+func (m *Metrics) SetReady(ready bool) {
+	value := 0.0
+	if ready {
+		value = 1
+	}
+	m.state.ready.Set(value)
+}
+
+// SetAppliedOffset shows how far the control stream was applied.
+func (m *Metrics) SetAppliedOffset(offset uint64) { m.state.offset.Set(float64(offset)) }
+
+// SetRevision shows the revision of the configuration in force.
+func (m *Metrics) SetRevision(revision uint64) { m.state.revision.Set(float64(revision)) }
+
+// SetMembers shows the number of entry instances.
+func (m *Metrics) SetMembers(n int) { m.state.members.Set(float64(n)) }
+
+// SetInstances shows the number of instances in a phase.
+func (m *Metrics) SetInstances(phase string, n int) { m.state.instances.set(phase, float64(n)) }
+
+// SetSlots shows how the slots that this process holds are used.
+func (m *Metrics) SetSlots(free, used, lent int) {
+	m.state.slots.set(slotFree, float64(free))
+	m.state.slots.set(slotUsed, float64(used))
+	m.state.slots.set(slotLent, float64(lent))
+}
+
+// SetMoves shows the number of moves in the control state.
+func (m *Metrics) SetMoves(total uint64) { m.moves.Store(total) }
+
+// SetRollout shows how long the last configuration took from its acceptance
+// until it was in force here.
+func (m *Metrics) SetRollout(d time.Duration) { m.state.rollout.Set(d.Seconds()) }
+
+// SetIdle shows the number of idle instances, which held for the duration
+// since the last call; their product is added to the cost of the buffer.
+func (m *Metrics) SetIdle(instances int, held time.Duration) {
+	m.state.idleInstances.Set(float64(instances))
+	m.state.idleSeconds.Add(float64(instances) * max(held, 0).Seconds())
+}
--- a/internal/cransettings/keys.go
+++ b/internal/cransettings/keys.go
@@ -78,7 +78,7 @@
 	number("limits.maxHeader", "bytes", 64*kib, 4*kib, mib, func(s *Settings) *int { return &s.limits.maxHeader },
 		"Largest request header."),
 	number("limits.maxAnswerBuffer", "bytes", 8*mib, 1*kib, 64*mib, func(s *Settings) *int { return &s.limits.maxAnswerBuffer },
-		"Largest answer that is held until it is whole."),
+		"Answers up to this size are held until they are whole; a longer one is passed on as it comes, and broken off visibly if it is cut short."),
 	number("limits.maxConnections", "connections", 4096, 1, 65536, func(s *Settings) *int { return &s.limits.maxConnections },
 		"Callers' connections that may be open."),
 	number("limits.maxPeerMessage", "bytes", mib, 4*kib, 16*mib, func(s *Settings) *int { return &s.limits.maxPeerMessage },
--- a/internal/cransettings/settings.go
+++ b/internal/cransettings/settings.go
@@ -94,7 +94,7 @@
 func (l Limits) MaxHeader() int { return l.maxHeader }
 
 // MaxAnswerBuffer returns the largest answer, in bytes, that is held until
-// it is whole.
+// it is whole. A longer one is passed on as it comes.
 func (l Limits) MaxAnswerBuffer() int { return l.maxAnswerBuffer }
 
 // MaxConnections returns how many callers' connections may be open.
