Prove the log and the client against a slice oracle

Cause: everything that is agreed rests on the log's offsets, stamps and expiry, and on the client never sending an append twice by itself. Ruled out: trusting GetBody=nil alone without a broken-connection test; the transport replays a POST that has an Idempotency-Key header and a body that can be rewound, so both are checked, the behaviour over a real socket too.

--- a/internal/cranplatform/client_calls.go
+++ b/internal/cranplatform/client_calls.go
@@ -6,6 +6,8 @@
 	"net/url"
 	"strconv"
 	"time"
+
+	"github.com/cranberrypick/cranberrypick/internal/cranfault"
 )
 
 // appendRequest is the body of an append.
@@ -33,7 +35,14 @@
 		timeout: c.timeout,
 	}
 	answer, err := exchange[appendAnswer](ctx, c, call, appendRequest{Payloads: payloads})
-	return answer.First, err
+	if err != nil {
+		return 0, err
+	}
+	if answer.Next-answer.First != uint64(len(payloads)) {
+		return 0, cranfault.New(cranfault.Malformed, "learn the outcome by reading; report it to the platform",
+			"the append of %d payloads was answered by the offsets %d to %d", len(payloads), answer.First, answer.Next)
+	}
+	return answer.First, nil
 }
 
 // Read implements Log.
@@ -48,7 +57,25 @@
 		path:    recordsPath(stream) + "?" + query.Encode(),
 		timeout: c.timeout + time.Duration(waitMs)*time.Millisecond,
 	}
-	return exchange[Batch](ctx, c, call, nil)
+	batch, err := exchange[Batch](ctx, c, call, nil)
+	if err != nil {
+		return Batch{}, err
+	}
+	if err := checkBatch(batch, from); err != nil {
+		return Batch{}, err
+	}
+	return batch, nil
+}
+
+// checkBatch refuses an answer with a gap, which would skip records.
+func checkBatch(batch Batch, from uint64) error {
+	for n, r := range batch.Records {
+		if r.Offset != from+uint64(n) {
+			return cranfault.New(cranfault.Malformed, "read again; report it to the platform",
+				"the read from offset %d was answered by offset %d in place of %d", from, r.Offset, from+uint64(n))
+		}
+	}
+	return nil
 }
 
 // Instances implements Fleet.
--- a/internal/cranplatform/client_exchange.go
+++ b/internal/cranplatform/client_exchange.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cranberrypick/cranberrypick/internal/cranfault"
@@ -36,6 +37,18 @@
 	Remedy  string         `json:"remedy"`
 }
 
+// refusalKinds are the kinds that a platform refuses calls with; any other is
+// taken as malformed, since kinds label the refusal counters.
+var refusalKinds = []cranfault.Kind{
+	cranfault.Invalid,
+	cranfault.Malformed,
+	cranfault.UnknownInstance,
+	cranfault.Busy,
+	cranfault.Conflict,
+	cranfault.TooLarge,
+	cranfault.Cancelled,
+}
+
 // exchange sends body, unless it is nil, and decodes the answer.
 func exchange[A any](ctx context.Context, c *Client, call call, body any) (A, error) {
 	var answer A
@@ -116,7 +129,7 @@
 		r.Kind = cranfault.RecordsExpired
 	case status >= http.StatusInternalServerError:
 		r.Kind = c.unavailable()
-	case r.Kind == "":
+	case !slices.Contains(refusalKinds, r.Kind):
 		r.Kind = cranfault.Malformed
 	}
 	return cranfault.New(r.Kind, r.Remedy, "%s", r.Message)
--- a/internal/cranstandin/faults.go
+++ b/internal/cranstandin/faults.go
@@ -1,10 +1,12 @@
 package cranstandin
 
 import (
+	"context"
 	"slices"
 	"sync"
 
 	"github.com/cranberrypick/cranberrypick/internal/cranfault"
+	"github.com/cranberrypick/cranberrypick/internal/cranplatform"
 )
 
 // Faults are the platform's settable misbehaviours. The zero value is a
@@ -27,6 +29,9 @@
 	// ExpireRecords drops every kept record at the moment when the fault is
 	// set; records that are appended later are kept as usual.
 	ExpireRecords bool `json:"expireRecords,omitempty"`
+	// OutageHangs lets the calls that an outage or a cut fails hang first,
+	// until the faults are set anew or the caller gives up.
+	OutageHangs bool `json:"outageHangs,omitempty"`
 	// FleetOutage makes every call of the fleet fail.
 	FleetOutage bool `json:"fleetOutage,omitempty"`
 	// ListFrozen keeps the list as it was when the fault was set.
@@ -35,6 +40,8 @@
 	ListLagMs int `json:"listLagMs,omitempty"`
 	// ShowLive lists these instances as live, also when they are gone.
 	ShowLive []string `json:"showLive,omitempty"`
+	// ShowGone lists these instances as gone, also when they are live.
+	ShowGone []string `json:"showGone,omitempty"`
 	// LoseActionAnswers loses the answers of the next actions, after effect.
 	LoseActionAnswers int `json:"loseActionAnswers,omitempty"`
 	// LoseEveryActionAnswer loses the answer of every k-th action; zero
@@ -61,15 +68,30 @@
 // clone copies the faults, so that no slice is shared.
 func (f Faults) clone() Faults {
 	f.ShowLive = slices.Clone(f.ShowLive)
+	f.ShowGone = slices.Clone(f.ShowGone)
 	f.CutFromLog = slices.Clone(f.CutFromLog)
 	f.CutFromFleet = slices.Clone(f.CutFromFleet)
 	return f
 }
 
+// phase returns the phase that the faults show of a listed instance.
+func (f Faults) phase(i cranplatform.Instance) cranplatform.Phase {
+	switch {
+	case slices.Contains(f.ShowLive, i.ID):
+		return cranplatform.PhaseLive
+	case slices.Contains(f.ShowGone, i.ID):
+		return cranplatform.PhaseGone
+	default:
+		return i.Phase
+	}
+}
+
 // injector holds the faults in force and decides the fate of each call.
 type injector struct {
-	mu     sync.Mutex
-	faults Faults
+	// setting is held while the faults are replaced, around mu.
+	setting sync.Mutex
+	mu      sync.Mutex
+	faults  Faults
 	// appends and actions count the calls since the faults were set.
 	appends int
 	actions int
@@ -81,8 +103,17 @@
 	return &injector{changed: make(chan struct{})}
 }
 
-// set replaces the faults and wakes every waiting call.
-func (i *injector) set(f Faults) {
+// set replaces the faults, after prepare performed those that strike once,
+// and wakes every waiting call.
+func (i *injector) set(f Faults, prepare ...func(*Faults)) error {
+	if err := f.validate(); err != nil {
+		return err
+	}
+	i.setting.Lock()
+	defer i.setting.Unlock()
+	for _, p := range prepare {
+		p(&f)
+	}
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.faults = f.clone()
@@ -90,6 +121,7 @@
 	i.actions = 0
 	close(i.changed)
 	i.changed = make(chan struct{})
+	return nil
 }
 
 // get returns the faults in force; counts of next calls are what is left.
@@ -106,6 +138,22 @@
 	return i.changed
 }
 
+// refuse returns the error of a call that an outage or a cut fails, after
+// the call hung if it is to hang.
+func (i *injector) refuse(ctx context.Context, check func() error) error {
+	changed := i.watch()
+	err := check()
+	if err == nil || !i.get().OutageHangs {
+		return err
+	}
+	select {
+	case <-changed:
+		return err
+	case <-ctx.Done():
+		return gaveUp(ctx)
+	}
+}
+
 // logCall fails if the client can't reach the log.
 func (i *injector) logCall(client string) error {
 	i.mu.Lock()
--- a/internal/cranstandin/fleet.go
+++ b/internal/cranstandin/fleet.go
@@ -131,12 +131,7 @@
 
 // SetFaults replaces the faults in force.
 func (f *Fleet) SetFaults(faults Faults) error {
-	if err := faults.validate(); err != nil {
-		return err
-	}
-	f.prepare(&faults)
-	f.faults.set(faults)
-	return nil
+	return f.faults.set(faults, f.prepare)
 }
 
 // prepare freezes or thaws the list.
@@ -229,6 +224,7 @@
 		instance.Phase = cranplatform.PhaseLeaving
 	}
 	m.generation++
+	m.removing = false
 	m.set(f.now(), instance)
 	return nil
 }
--- a/internal/cranstandin/fleet_actions.go
+++ b/internal/cranstandin/fleet_actions.go
@@ -72,9 +72,7 @@
 		shown = c.fleet.list(faults)
 	}
 	for n := range shown {
-		if slices.Contains(faults.ShowLive, shown[n].ID) {
-			shown[n].Phase = cranplatform.PhaseLive
-		}
+		shown[n].Phase = faults.phase(shown[n])
 	}
 	return shown, nil
 }
@@ -112,7 +110,9 @@
 	if ctx.Err() != nil {
 		return gaveUp(ctx)
 	}
-	return c.fleet.faults.fleetCall(c.client)
+	ctx, cancel := c.fleet.timers.bound(ctx)
+	defer cancel()
+	return c.fleet.faults.refuse(ctx, func() error { return c.fleet.faults.fleetCall(c.client) })
 }
 
 // Ledger returns what the platform did, in order.
--- a/internal/cranstandin/log.go
+++ b/internal/cranstandin/log.go
@@ -81,12 +81,7 @@
 
 // SetFaults replaces the faults in force.
 func (l *Log) SetFaults(f Faults) error {
-	if err := f.validate(); err != nil {
-		return err
-	}
-	l.prepare(&f)
-	l.faults.set(f)
-	return nil
+	return l.faults.set(f, l.prepare)
 }
 
 // prepare performs the faults that strike once.
@@ -305,7 +300,9 @@
 	case <-c.log.timers.closed():
 		return closedFault()
 	default:
-		return c.log.faults.logCall(c.client)
+		ctx, cancel := c.log.timers.bound(ctx)
+		defer cancel()
+		return c.log.faults.refuse(ctx, func() error { return c.log.faults.logCall(c.client) })
 	}
 }
 
--- a/internal/cranstandin/platform.go
+++ b/internal/cranstandin/platform.go
@@ -72,13 +72,7 @@
 
 // SetFaults replaces the faults in force.
 func (p *Platform) SetFaults(f Faults) error {
-	if err := f.validate(); err != nil {
-		return err
-	}
-	p.log.prepare(&f)
-	p.fleet.prepare(&f)
-	p.log.faults.set(f)
-	return nil
+	return p.log.faults.set(f, p.log.prepare, p.fleet.prepare)
 }
 
 // ServeHTTP implements http.Handler.
--- a/internal/cranstandin/platform_test.go
+++ b/internal/cranstandin/platform_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"github.com/cranberrypick/cranberrypick/internal/cranfault"
 	"github.com/cranberrypick/cranberrypick/internal/cranplatform"
@@ -61,3 +62,18 @@
 	_, err = p.LogFor("entry2").Append(ctx, "s", [][]byte{{1}})
 	require.NoError(t, err)
 }
+
+func TestClientAgainstOracle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		o := newOracle(t)
+		p := NewPlatform(o.options())
+		s := httptest.NewServer(p)
+		c := cranplatform.NewClient(s.URL)
+		defer func() {
+			require.NoError(t, c.Close())
+			require.NoError(t, p.Close())
+			s.Close()
+		}()
+		checkLog(t, c, p, o)
+	})
+}
--- a/internal/cranstandin/timers.go
+++ b/internal/cranstandin/timers.go
@@ -1,6 +1,7 @@
 package cranstandin
 
 import (
+	"context"
 	"sync"
 	"time"
 )
@@ -8,28 +9,38 @@
 // timers runs work after a delay, until it is closed.
 type timers struct {
 	mu      sync.Mutex
-	done    chan struct{}
+	life    context.Context
+	end     context.CancelFunc
 	pending map[*time.Timer]struct{}
 	// running counts the work that has begun or may begin.
 	running sync.WaitGroup
 }
 
 func newTimers() *timers {
-	return &timers{done: make(chan struct{}), pending: map[*time.Timer]struct{}{}}
+	life, end := context.WithCancel(context.Background())
+	return &timers{life: life, end: end, pending: map[*time.Timer]struct{}{}}
 }
 
 // closed returns a channel that is closed by close.
-func (t *timers) closed() <-chan struct{} { return t.done }
+func (t *timers) closed() <-chan struct{} { return t.life.Done() }
+
+// bound returns a context that also ends when the timers are closed.
+func (t *timers) bound(ctx context.Context) (context.Context, func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(t.life, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
 
 // start runs work after a delay, or at once without one, and reports whether
 // it was taken; it isn't after close.
 func (t *timers) start(delay time.Duration, work func()) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	select {
-	case <-t.done:
+	if t.life.Err() != nil {
 		return false
-	default:
 	}
 	t.running.Add(1)
 	var timer *time.Timer
@@ -62,11 +73,7 @@
 // called more than once.
 func (t *timers) close() {
 	t.mu.Lock()
-	select {
-	case <-t.done:
-	default:
-		close(t.done)
-	}
+	t.end()
 	for timer := range t.pending {
 		if timer.Stop() {
 			delete(t.pending, timer)
