--- a/internal/cranlog/fake_test.go
+++ b/internal/cranlog/fake_test.go
@@ -41,7 +41,9 @@
 	faults  []appendFault
 	appends int
 	note    func(format string, args ...any)
-	changed chan struct{}
+	// readDelay is how long an answer with records is under way.
+	readDelay time.Duration
+	changed   chan struct{}
 }
 
 func newFakeLog() *fakeLog {
@@ -107,6 +109,7 @@
 	for {
 		batch, changed, err := f.look(from, limit)
 		if err != nil || len(batch.Records) > 0 {
+			time.Sleep(f.readDelay)
 			return batch, err
 		}
 		select {
