--- a/internal/cranentry/entry.go
+++ b/internal/cranentry/entry.go
@@ -62,9 +62,11 @@
 }
 
 // New starts an entry: it reads the log, joins as a member and serves as soon
-// as it has caught up. The listener for peers is the entry's from then on.
-func New(log cranplatform.Log, fleet cranplatform.Fleet, peerListener net.Listener, options ...Option) *Entry {
+// as it has caught up. The listener for peers is the entry's from then on;
+// peers reach it at the address advertise.
+func New(log cranplatform.Log, fleet cranplatform.Fleet, peerListener net.Listener, advertise string, options ...Option) *Entry {
 	p := newParts(options)
+	p.advertise = advertise
 	e := &Entry{
 		parts:       p,
 		incarnation: p.id + "-" + randomSuffix(),
--- /dev/null
+++ b/internal/cranentry/host.go
@@ -0,0 +1,121 @@
+package cranentry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/cranberrypick/cranberrypick/internal/cranadmin"
+	"github.com/cranberrypick/cranberrypick/internal/cranfault"
+	"github.com/cranberrypick/cranberrypick/internal/cranplatform"
+	"github.com/cranberrypick/cranberrypick/internal/cranstate"
+)
+
+// Host runs one incarnation after another in the same process: an entry that
+// was written off, or that fell behind what the log keeps, is closed and
+// another takes its place.
+type Host struct {
+	log     cranplatform.Log
+	fleet   cranplatform.Fleet
+	peers   PeerAddress
+	options []Option
+
+	mu      sync.Mutex
+	current *Entry
+}
+
+// PeerAddress says where an entry listens for peers.
+type PeerAddress struct {
+	Listen netip.AddrPort
+	// Advertise is the IP number that peers use; that of Listen if invalid.
+	Advertise netip.Addr
+}
+
+// NewHost starts the first incarnation.
+func NewHost(log cranplatform.Log, fleet cranplatform.Fleet, peers PeerAddress, options ...Option) (*Host, error) {
+	h := &Host{log: log, fleet: fleet, peers: peers, options: options}
+	return h, h.begin()
+}
+
+// begin starts an incarnation. Later ones keep the port of the first.
+func (h *Host) begin() error {
+	listener, err := net.Listen("tcp", h.peers.Listen.String())
+	if err != nil {
+		return eris.Wrapf(err, "listen on %s for peers; free the address or set another", h.peers.Listen)
+	}
+	bound := netip.MustParseAddrPort(listener.Addr().String())
+	h.peers.Listen = bound
+	address := bound
+	if h.peers.Advertise.IsValid() {
+		address = netip.AddrPortFrom(h.peers.Advertise, bound.Port())
+	}
+	e := New(h.log, h.fleet, listener, address.String(), h.options...)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.current = e
+	return nil
+}
+
+func (h *Host) entry() *Entry {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.current
+}
+
+// Run replaces incarnations until ctx ends, and then stops gracefully.
+func (h *Host) Run(ctx context.Context) error {
+	for {
+		e := h.entry()
+		select {
+		case <-ctx.Done():
+			return e.Close()
+		case err := <-e.Ended():
+			if !replaceable(err) {
+				_ = e.Close()
+				return err
+			}
+		}
+		if err := e.Close(); err != nil {
+			return err
+		}
+		if err := h.begin(); err != nil {
+			return err
+		}
+	}
+}
+
+// replaceable reports whether another incarnation can go on.
+func replaceable(err error) bool {
+	kind := cranfault.KindOf(err)
+	return kind == cranfault.UnknownMember || kind == cranfault.RecordsExpired
+}
+
+// Handler returns the handler for callers' requests.
+func (h *Host) Handler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		h.entry().Handler().ServeHTTP(w, r)
+	})
+}
+
+// PeerAddress returns where peers reach this process.
+func (h *Host) PeerAddress() netip.AddrPort { return h.peers.Listen }
+
+// Ready returns nil if requests are taken.
+func (h *Host) Ready() error { return h.entry().Ready() }
+
+// Status returns what the entry knows of the fleet.
+func (h *Host) Status(ctx context.Context) (cranadmin.Status, error) { return h.entry().Status(ctx) }
+
+// Explain returns what an instance or a wave waits for.
+func (h *Host) Explain(ctx context.Context, subject string) ([]cranstate.Blocker, error) {
+	return h.entry().Explain(ctx, subject)
+}
+
+// Propose appends an event and waits for the reducer's decision.
+func (h *Host) Propose(ctx context.Context, event cranstate.Event) (uint64, error) {
+	return h.entry().Propose(ctx, event)
+}
--- a/internal/cranentry/options.go
+++ b/internal/cranentry/options.go
@@ -48,12 +48,10 @@
 	return p
 }
 
-// WithIdentity names the entry instance as the platform does, the address
-// where peers reach it (IP and port), and its data centre.
-func WithIdentity(instance, advertise, dataCentre string) Option {
-	return func(p *parts) {
-		p.id, p.instance, p.advertise, p.dataCentre = instance, instance, advertise, dataCentre
-	}
+// WithIdentity names the entry instance as the platform does, and its data
+// centre.
+func WithIdentity(instance, dataCentre string) Option {
+	return func(p *parts) { p.id, p.instance, p.dataCentre = instance, instance, dataCentre }
 }
 
 // WithStream names the control stream of the log.
--- a/internal/cranentry/performer.go
+++ b/internal/cranentry/performer.go
@@ -27,6 +27,8 @@
 	// probeFailures is how many probes in a row must fail before an instance
 	// counts as unhealthy.
 	probeFailures = 3
+	// roleEntry is the platform's word for an entry instance.
+	roleEntry = "entry"
 	// maxObserved bounds the lines of the list in one record.
 	maxObserved = 200
 )
@@ -40,6 +42,8 @@
 	probed map[string]time.Time
 	// failed counts probes failed in a row.
 	failed map[string]int
+	// listed holds the entry instances that the list has shown.
+	listed map[string]bool
 	// acted holds when each action was last asked for.
 	acted map[string]time.Time
 	// proposed holds the stops proposed and not yet seen in the state.
@@ -50,7 +54,7 @@
 	return &performer{
 		e: e, fleet: fleet, client: &http.Client{Timeout: probeTimeout},
 		probed: map[string]time.Time{}, failed: map[string]int{},
-		acted: map[string]time.Time{}, proposed: map[string]time.Time{},
+		listed: map[string]bool{}, acted: map[string]time.Time{}, proposed: map[string]time.Time{},
 	}
 }
 
@@ -150,11 +154,12 @@
 	seen := map[string]bool{}
 	for _, line := range list {
 		seen[line.ID] = true
+		p.listed[line.ID] = p.listed[line.ID] || line.Role == roleEntry
 		if o, differs := p.compare(w, line); differs {
 			changed = append(changed, o)
 		}
 	}
-	changed = append(changed, missing(w, seen)...)
+	changed = append(changed, p.missing(w, seen)...)
 	for len(changed) > 0 && p.holds(ctx) {
 		n := min(len(changed), maxObserved)
 		p.submit(ctx, cranstate.InstancesObserved{Instances: changed[:n]})
@@ -167,7 +172,7 @@
 	o := cranstate.Observation{
 		ID: line.ID, Address: line.Address, Domain: line.Domain, DataCentre: line.DataCentre, Pool: line.Pool,
 		Phase: line.Phase, Boots: line.Boots, Slots: line.Slots, Connections: line.Connections,
-		Entry: line.Role == "entry",
+		Entry: line.Role == roleEntry,
 	}
 	if o.Entry {
 		present, known := w.entries[o.ID]
@@ -177,14 +182,15 @@
 	if !known {
 		return o, o.Phase != cranplatform.PhaseGone
 	}
-	leaving := o.Phase == cranplatform.PhaseLeaving
+	leaving := o.Phase == cranplatform.PhaseLeaving && t.phase != cranstate.PhaseStopping
 	return o, o.Phase == cranplatform.PhaseGone || o.Boots > t.boots || o.Address != t.address ||
 		o.Pool != t.hint || o.Slots != t.slots || o.Connections != t.connections ||
 		leaving != (t.phase == cranstate.PhaseLeaving)
 }
 
-// missing reports instances that the list no longer has.
-func missing(w work, seen map[string]bool) []cranstate.Observation {
+// missing reports instances that the list no longer has. An entry instance
+// that it never had was not taken away.
+func (p *performer) missing(w work, seen map[string]bool) []cranstate.Observation {
 	var list []cranstate.Observation
 	for id := range w.targets {
 		if !seen[id] {
@@ -192,7 +198,7 @@
 		}
 	}
 	for id, present := range w.entries {
-		if !seen[id] && present {
+		if !seen[id] && present && p.listed[id] {
 			list = append(list, cranstate.Observation{ID: id, Phase: cranplatform.PhaseGone, Entry: true})
 		}
 	}
--- a/internal/cranstate/instance.go
+++ b/internal/cranstate/instance.go
@@ -224,12 +224,13 @@
 	rebooted := o.Boots > in.boots
 	in.boots = o.Boots
 	switch {
+	case in.phase == PhaseStopping:
+		// The list shows an instance as leaving while it reboots.
+		c.completeStopped(in)
 	case o.Phase == cranplatform.PhaseLeaving:
 		c.observeLeaving(in)
 	case in.phase == PhaseLeaving:
 		c.enter(in, PhaseReturning, "staying")
-	case in.phase == PhaseStopping:
-		c.completeStopped(in)
 	case rebooted:
 		c.observeRestart(in)
 	}
--- a/internal/cranstate/stop_test.go
+++ b/internal/cranstate/stop_test.go
@@ -19,6 +19,10 @@
 	s.beat("e2-a")
 	require.Equal(t, PhaseStopping, s.phase("r1"))
 	action := s.state.PendingActions()[0]
+	away := observed("r1", "roster", 1)
+	away.Phase = "leaving"
+	s.must("e1-a", InstancesObserved{Instances: []Observation{away}})
+	require.Equal(t, PhaseStopping, s.phase("r1"), "the list shows it as leaving while it reboots")
 	s.must("e1-a", InstancesObserved{Instances: []Observation{observed("r1", "roster", 2)}})
 	require.Equal(t, PhaseStopping, s.phase("r1"), "a restart by chance completes nothing")
 	s.must("e1-a", ActionsObserved{Done: []string{action.ID}})
