Front: no replay by net/http, connections within the limit as the target sees them

Cause: net/http replays a GET, and any request with an Idempotency-Key, on a reused connection that breaks. Ruled out: releasing a connection's place at our own close. The target still had it open: 6 connections seen at a limit of 3. A place now comes back once the target has closed its end. Also ruled out: letting CloseIdleConnections cancel a dial midway, which left a fourth connection open at a limit of 3 (seen under -race -count=5 each time).

--- a/internal/crantraffic/conn.go
+++ b/internal/crantraffic/conn.go
@@ -2,28 +2,71 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"sync"
-	"sync/atomic"
+	"time"
 
 	"github.com/rotisserie/eris"
 )
 
-// errUnowned refuses a write to a connection that no exchange owns.
+// errUnowned refuses a write to a connection that no exchange owns, or that is
+// being closed.
 var errUnowned = eris.New("crantraffic: write to a connection that no exchange owns")
 
+// lingerTime bounds how long the target's end of a closed connection is waited
+// for.
+const lingerTime = time.Second
+
 // trackedConn is a connection to a target. Each write is first allowed by the
 // exchange that owns the connection at that moment.
 type trackedConn struct {
 	net.Conn
-	owner   atomic.Pointer[exchange]
 	release func() // gives the place in the connLimit back
 	once    sync.Once
+
+	mu    sync.Mutex
+	owner *exchange // the latest that got the connection from its transport
+	spent bool      // true: no exchange may own it any more
+}
+
+// take makes x the owner, unless the connection is spent.
+func (c *trackedConn) take(x *exchange) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.owner = x
+	if c.spent {
+		c.owner = nil
+	}
+}
+
+// spend forbids owners after x. It reports whether x is the owner still; if
+// not, another exchange has the connection and it must be left alone.
+func (c *trackedConn) spend(x *exchange) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.owner != x {
+		return false
+	}
+	c.spent = true
+	return true
+}
+
+// closeSpent closes the connection if x is its last owner.
+func (c *trackedConn) closeSpent(x *exchange) {
+	c.mu.Lock()
+	last := c.spent && c.owner == x
+	c.mu.Unlock()
+	if last {
+		_ = c.Close()
+	}
 }
 
 // Write writes if the owner allows it.
 func (c *trackedConn) Write(p []byte) (int, error) {
-	x := c.owner.Load()
+	c.mu.Lock()
+	x := c.owner
+	c.mu.Unlock()
 	if x == nil {
 		return 0, errUnowned
 	}
@@ -33,11 +76,30 @@
 	return c.Conn.Write(p)
 }
 
-// Close closes the connection and gives its place back.
+// Close says goodbye and returns. The connection's place is given back once
+// the target has closed its end too, so that the target never sees more
+// connections than the limit; a target that doesn't is given lingerTime.
 func (c *trackedConn) Close() error {
-	err := c.Conn.Close()
-	c.once.Do(c.release)
-	return err
+	c.once.Do(func() {
+		c.closeWrite()
+		_ = c.SetReadDeadline(time.Now().Add(lingerTime))
+		go c.linger()
+	})
+	return nil
+}
+
+// linger waits for the target's end of a connection that is being closed.
+func (c *trackedConn) linger() {
+	_, _ = io.Copy(io.Discard, c.Conn)
+	_ = c.Conn.Close()
+	c.release()
+}
+
+// abort closes a connection that nothing more is expected from.
+func (c *trackedConn) abort() {
+	_ = c.SetReadDeadline(time.Now())
+	_ = c.Close()
+	_ = c.SetReadDeadline(time.Now())
 }
 
 // closeWrite tells the target that the caller is gone and leaves the way back
@@ -104,6 +166,21 @@
 	l.signal()
 }
 
+// empty waits until no place is taken, or until the time is over. It calls
+// makeRoom before each look.
+func (l *connLimit) empty(limit time.Duration, makeRoom func()) {
+	const pause = 5 * time.Millisecond
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(pause) {
+		makeRoom()
+		l.mu.Lock()
+		used := l.used
+		l.mu.Unlock()
+		if used == 0 {
+			return
+		}
+	}
+}
+
 func (l *connLimit) signal() {
 	select {
 	case l.freed <- struct{}{}:
--- a/internal/crantraffic/exchange.go
+++ b/internal/crantraffic/exchange.go
@@ -31,14 +31,13 @@
 	done   chan struct{} // closed once result is set
 	result result
 
-	mu        sync.Mutex
-	conn      *trackedConn // the connection that carries it, nil before
-	writer    *trackedConn // the only connection it may write to, nil before the first write
-	sentAt    time.Time    // the first write; zero before
-	sealed    bool         // true: it may not begin to write
-	cancelled bool         // true: the caller is gone
-	refusal   error        // what the guard said
-	expiry    *time.Timer  // ends it maxDuration after the first write
+	mu      sync.Mutex
+	conn    *trackedConn // the connection that carries it, nil before
+	writer  *trackedConn // the only connection it may write to, nil before the first write
+	sentAt  time.Time    // the first write; zero before
+	sealed  bool         // true: it may not begin to write
+	refusal error        // what the guard said
+	expiry  *time.Timer  // ends it maxDuration after the first write
 }
 
 // result is what one exchange brought. Either answer or stream is set, or err.
@@ -89,8 +88,7 @@
 	written = x.seal()
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.cancelled = true
-	if x.conn != nil {
+	if x.conn != nil && x.conn.spend(x) {
 		x.conn.closeWrite()
 	}
 	return written
@@ -99,9 +97,11 @@
 // expire ends the exchange when the longest run of its route is over.
 func (x *exchange) expire() {
 	x.mu.Lock()
-	c := x.conn
+	c := x.writer
 	x.mu.Unlock()
-	_ = c.Close()
+	if c.spend(x) {
+		c.abort()
+	}
 }
 
 // own makes the exchange the owner of its connection.
@@ -113,7 +113,7 @@
 	x.mu.Lock()
 	x.conn = c
 	x.mu.Unlock()
-	c.owner.Store(x)
+	c.take(x)
 }
 
 // run sends the request and gathers the answer. It returns once the target has
@@ -187,10 +187,11 @@
 	if x.expiry != nil {
 		x.expiry.Stop()
 	}
-	if x.cancelled && x.conn != nil {
-		_ = x.conn.Close()
-	}
+	c := x.conn
 	x.mu.Unlock()
+	if c != nil {
+		c.closeSpent(x)
+	}
 	x.ended()
 }
 
--- a/internal/crantraffic/front.go
+++ b/internal/crantraffic/front.go
@@ -182,7 +182,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, t := range f.targets {
-		t.closeIdle()
+		t.conns.empty(f.dialTimeout+lingerTime, t.closeIdle)
 	}
 	return nil
 }
--- a/internal/crantraffic/target.go
+++ b/internal/crantraffic/target.go
@@ -56,14 +56,17 @@
 	return p
 }
 
-// dial opens a connection within the limit. The context is detached from the
-// request's, as net/http may hand the connection to another request.
+// dial opens a connection within the limit. Once it has a place it goes on
+// when the transport cancels the dial: a handshake that is cancelled midway can
+// leave a connection open at the target that no place counts.
 func (t *target) dial(ctx context.Context, _, _ string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, t.dialTimeout)
 	defer cancel()
 	if err := t.conns.acquire(ctx, t.pooled.CloseIdleConnections); err != nil {
 		return nil, err
 	}
+	ctx, stop := context.WithTimeout(context.WithoutCancel(ctx), t.dialTimeout)
+	defer stop()
 	c, err := t.dialer.DialContext(ctx, "tcp", t.address)
 	if err != nil {
 		t.conns.release()
