--- a/internal/cranlog/commit.go
+++ b/internal/cranlog/commit.go
@@ -103,8 +103,7 @@
 			return
 		}
 		w.settings.count(failureReason(err, ReasonAppendFailed, ReasonAppendTimeout))
-		pause(ctx, w.settings.backoff.delay(failures, w.settings.random()))
-		if ctx.Err() != nil {
+		if w.settings.backoff.Wait(ctx, failures) != nil {
 			return
 		}
 	}
@@ -194,13 +193,3 @@
 		w.flight.cancel()
 	}
 }
-
-// pause waits for d or the end of ctx.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/cranlog/envelope.go
+++ b/internal/cranlog/envelope.go
@@ -134,14 +134,25 @@
 // DecodeBody reads the body of an entry. A body of another form, or of a
 // malformed entry, gives a fault of kind cranfault.Malformed.
 func DecodeBody[T any](entry Entry) (T, error) {
-	var value T
 	if entry.malformed {
-		return value, malformed(entry.offset, "it has no envelope")
+		var zero T
+		return zero, malformed(entry.offset, "it has no envelope")
+	}
+	value, err := DecodePayload[T](entry.body)
+	if err != nil {
+		return value, malformed(entry.offset, err.Error())
 	}
-	err := decodeMode.Unmarshal(entry.body, &value)
+	return value, nil
+}
+
+// DecodePayload reads what EncodeBody wrote, for streams whose records carry
+// no envelope. It gives the zero value with each error.
+func DecodePayload[T any](payload []byte) (T, error) {
+	var value T
+	err := decodeMode.Unmarshal(payload, &value)
 	if err != nil {
 		var zero T
-		return zero, malformed(entry.offset, err.Error())
+		return zero, eris.Wrap(err, "decode a log record")
 	}
 	return value, nil
 }
--- a/internal/cranlog/options.go
+++ b/internal/cranlog/options.go
@@ -1,9 +1,6 @@
 package cranlog
 
-import (
-	"math/rand/v2"
-	"time"
-)
+import "time"
 
 // Reason says why a writer or a tailer tried again or refused something. Its
 // text is a label value of the counters.
@@ -65,8 +62,7 @@
 	readRecords     int
 	ringRecords     int
 	ringBytes       int
-	backoff         backoff
-	random          func() float64
+	backoff         Backoff
 	count           func(Reason)
 }
 
@@ -117,12 +113,15 @@
 
 // WithBackoff sets the first and the longest pause between attempts.
 func WithBackoff(base, longest time.Duration) Option {
-	return func(s *settings) { s.backoff = backoff{base: base, longest: longest} }
+	return func(s *settings) {
+		s.backoff.base = base
+		s.backoff.longest = longest
+	}
 }
 
 // WithRandom injects the source of jitter, which returns numbers in [0, 1).
 func WithRandom(random func() float64) Option {
-	return func(s *settings) { s.random = random }
+	return func(s *settings) { s.backoff.random = random }
 }
 
 // WithCounter calls count once for each retry and refusal. The function must
@@ -141,8 +140,7 @@
 		readRecords:     defaultReadRecords,
 		ringRecords:     defaultRingRecords,
 		ringBytes:       defaultRingBytes,
-		backoff:         backoff{base: defaultBackoffBase, longest: defaultBackoffCap},
-		random:          rand.Float64,
+		backoff:         NewBackoff(defaultBackoffBase, defaultBackoffCap, nil),
 		count:           func(Reason) {},
 	}
 	for _, option := range options {
@@ -150,21 +148,3 @@
 	}
 	return s
 }
-
-// backoff is a capped exponential pause between attempts.
-type backoff struct {
-	base    time.Duration
-	longest time.Duration
-}
-
-// delay returns the pause after the given number of failed attempts: between
-// half and the whole of the capped exponential.
-func (b backoff) delay(failures int, random float64) time.Duration {
-	d := b.base
-	for i := 1; i < failures && d < b.longest; i++ {
-		d *= 2
-	}
-	d = min(d, b.longest)
-	half := d / 2
-	return half + time.Duration(random*float64(d-half))
-}
--- a/internal/cranlog/poll.go
+++ b/internal/cranlog/poll.go
@@ -24,7 +24,7 @@
 			continue
 		}
 		failures++
-		pause(ctx, t.settings.backoff.delay(failures, t.settings.random()))
+		pause(ctx, t.settings.backoff.Delay(failures))
 	}
 }
 
--- /dev/null
+++ b/internal/cransnapshot/chunk.go
@@ -0,0 +1,93 @@
+package cransnapshot
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cranberrypick/cranberrypick/internal/cranfault"
+	"github.com/cranberrypick/cranberrypick/internal/cranlog"
+)
+
+// Bounds of a snapshot that a reader accepts.
+const (
+	maxChunks     = 1 << 14
+	maxStateBytes = 1 << 30
+)
+
+// identity names a snapshot by its content.
+type identity struct {
+	Offset uint64 `cbor:"offset"`
+	Digest uint64 `cbor:"digest"`
+	// Count is the number of chunks, at least one.
+	Count uint32 `cbor:"count"`
+}
+
+// chunk is one record of the snapshot stream.
+type chunk struct {
+	ID identity `cbor:"id"`
+	// Index is below the number of chunks.
+	Index uint32 `cbor:"index"`
+	// Sum is the xxhash of Data.
+	Sum  uint64 `cbor:"sum"`
+	Data []byte `cbor:"data"`
+}
+
+// split cuts a snapshot into chunks of at most size bytes of state.
+func split(s Snapshot, size int) ([]chunk, error) {
+	count := max(1, (len(s.state)+size-1)/size)
+	if count > maxChunks || len(s.state) > maxStateBytes {
+		return nil, cranfault.New(cranfault.TooLarge, "take larger chunks or keep less state",
+			"a state of %d bytes makes %d chunks, more than %d", len(s.state), count, maxChunks)
+	}
+	id := identity{Offset: s.offset, Digest: s.digest, Count: uint32(count)}
+	chunks := make([]chunk, count)
+	for i := range chunks {
+		first := i * size
+		data := s.state[first:min(first+size, len(s.state))]
+		chunks[i] = chunk{ID: id, Index: uint32(i), Sum: xxhash.Sum64(data), Data: data}
+	}
+	return chunks, nil
+}
+
+// decodeChunk returns the chunk of a record, or false if it isn't a sound one.
+func decodeChunk(data []byte) (chunk, bool) {
+	c, err := cranlog.DecodePayload[chunk](data)
+	if err != nil {
+		return chunk{}, false
+	}
+	sound := c.ID.Count > 0 && c.ID.Count <= maxChunks && c.Index < c.ID.Count
+	return c, sound && c.Sum == xxhash.Sum64(c.Data)
+}
+
+// assembly gathers the chunks of one snapshot.
+type assembly struct {
+	id    identity
+	parts map[uint32][]byte
+	bytes int
+}
+
+func newAssembly(id identity) *assembly {
+	return &assembly{id: id, parts: map[uint32][]byte{}}
+}
+
+// add takes a sound chunk; a repeat changes nothing.
+func (a *assembly) add(c chunk) {
+	_, known := a.parts[c.Index]
+	if known {
+		return
+	}
+	a.parts[c.Index] = c.Data
+	a.bytes += len(c.Data)
+}
+
+// whole returns the snapshot once all chunks are there and the digest agrees.
+func (a *assembly) whole() (Snapshot, bool) {
+	if len(a.parts) < int(a.id.Count) || a.bytes > maxStateBytes {
+		return Snapshot{}, false
+	}
+	state := make([]byte, 0, a.bytes)
+	for i := range a.id.Count {
+		state = append(state, a.parts[i]...)
+	}
+	s, err := Verify(a.id.Offset, state, a.id.Digest)
+	return s, err == nil
+}
--- /dev/null
+++ b/internal/cransnapshot/write.go
@@ -0,0 +1,119 @@
+package cransnapshot
+
+import (
+	"context"
+	"time"
+
+	"github.com/cranberrypick/cranberrypick/internal/cranfault"
+	"github.com/cranberrypick/cranberrypick/internal/cranlog"
+	"github.com/cranberrypick/cranberrypick/internal/cranplatform"
+)
+
+// Defaults of the options.
+const (
+	defaultChunkBytes     = 64 << 10
+	defaultWindowRecords  = 64
+	defaultBackoffBase    = 50 * time.Millisecond
+	defaultBackoffCap     = 5 * time.Second
+	defaultAttemptTimeout = 2 * time.Second
+)
+
+// settings holds what the options set.
+type settings struct {
+	chunkBytes     int
+	windowRecords  uint64
+	attemptTimeout time.Duration
+	backoff        cranlog.Backoff
+	count          func(cranlog.Reason)
+}
+
+// Option sets how snapshots are written, loaded and looked for.
+type Option func(*settings)
+
+// WithChunkBytes bounds the state in one record.
+func WithChunkBytes(n int) Option {
+	return func(s *settings) { s.chunkBytes = n }
+}
+
+// WithWindow sets how many records are read at a time, from the end of the
+// snapshot stream backwards, until a whole snapshot is found.
+func WithWindow(records int) Option {
+	return func(s *settings) { s.windowRecords = uint64(records) }
+}
+
+// WithAttemptTimeout bounds each append, each read, and each question to a
+// peer.
+func WithAttemptTimeout(d time.Duration) Option {
+	return func(s *settings) { s.attemptTimeout = d }
+}
+
+// WithBackoff sets the pauses between attempts.
+func WithBackoff(b cranlog.Backoff) Option {
+	return func(s *settings) { s.backoff = b }
+}
+
+// WithCounter calls count once for each retry. The function must be quick.
+func WithCounter(count func(cranlog.Reason)) Option {
+	return func(s *settings) { s.count = count }
+}
+
+func newSettings(options []Option) settings {
+	s := settings{
+		chunkBytes:     defaultChunkBytes,
+		windowRecords:  defaultWindowRecords,
+		attemptTimeout: defaultAttemptTimeout,
+		backoff:        cranlog.NewBackoff(defaultBackoffBase, defaultBackoffCap, nil),
+		count:          func(cranlog.Reason) {},
+	}
+	for _, option := range options {
+		option(&s)
+	}
+	return s
+}
+
+// Write appends a snapshot to its stream, chunk by chunk, and repeats each
+// append until the log has confirmed it. When ctx ends first it fails with
+// cranfault.Timeout, and the snapshot may be there in part. A state that makes
+// too many chunks is refused with cranfault.TooLarge.
+func Write(ctx context.Context, log cranplatform.Log, stream string, s Snapshot, options ...Option) error {
+	set := newSettings(options)
+	chunks, err := split(s, set.chunkBytes)
+	if err != nil {
+		return err
+	}
+	for _, c := range chunks {
+		payload, err := cranlog.EncodeBody(c)
+		if err != nil {
+			return err
+		}
+		err = set.append(ctx, log, stream, payload)
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s settings) append(ctx context.Context, log cranplatform.Log, stream string, payload []byte) error {
+	for failures := 1; ; failures++ {
+		err := s.appendOnce(ctx, log, stream, payload)
+		if err == nil {
+			return nil
+		}
+		if ctx.Err() == nil {
+			s.count(cranlog.ReasonAppendFailed)
+			err = s.backoff.Wait(ctx, failures)
+		}
+		if ctx.Err() != nil {
+			return cranfault.New(cranfault.Timeout, "write a new snapshot when the log answers",
+				"a snapshot to %s was not finished: %v", stream, err)
+		}
+	}
+}
+
+func (s settings) appendOnce(ctx context.Context, log cranplatform.Log, stream string, payload []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, s.attemptTimeout)
+	defer cancel()
+	_, err := log.Append(ctx, stream, [][]byte{payload})
+	return err
+}
