--- a/internal/cranstandin/faults.go
+++ b/internal/cranstandin/faults.go
@@ -4,11 +4,15 @@
 	"context"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/cranberrypick/cranberrypick/internal/cranfault"
 	"github.com/cranberrypick/cranberrypick/internal/cranplatform"
 )
 
+// maxSetMs bounds a time that is set from outside, in milliseconds.
+const maxSetMs = int64(24 * time.Hour / time.Millisecond)
+
 // Faults are the platform's settable misbehaviours. The zero value is a
 // platform that works.
 type Faults struct {
@@ -56,11 +60,22 @@
 // validate reports a value that makes no sense.
 func (f Faults) validate() error {
 	counts := []int{
-		f.LogDelayMs, f.LoseAppendAnswers, f.LoseEveryAppendAnswer, f.DuplicateAppends,
-		f.DuplicateEveryAppend, f.ListLagMs, f.LoseActionAnswers, f.LoseEveryActionAnswer,
+		f.LoseAppendAnswers, f.LoseEveryAppendAnswer, f.DuplicateAppends,
+		f.DuplicateEveryAppend, f.LoseActionAnswers, f.LoseEveryActionAnswer,
 	}
 	if slices.Min(counts) < 0 {
-		return cranfault.New(cranfault.Invalid, "use zero or more", "a fault's count or time is negative")
+		return cranfault.New(cranfault.Invalid, "use zero or more", "a fault's count is negative")
+	}
+	if err := checkMilliseconds("logDelayMs", int64(f.LogDelayMs)); err != nil {
+		return err
+	}
+	return checkMilliseconds("listLagMs", int64(f.ListLagMs))
+}
+
+// checkMilliseconds refuses a time that is negative or longer than a day.
+func checkMilliseconds(name string, ms int64) error {
+	if ms < 0 || ms > maxSetMs {
+		return cranfault.New(cranfault.Invalid, "use milliseconds from zero to a day", "%s is %d", name, ms)
 	}
 	return nil
 }
--- a/internal/cranstandin/fleet.go
+++ b/internal/cranstandin/fleet.go
@@ -1,6 +1,7 @@
 package cranstandin
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -194,7 +195,7 @@
 			out = append(out, instance)
 		}
 	}
-	slices.SortFunc(out, func(a, b cranplatform.Instance) int { return compareNames(a.ID, b.ID) })
+	slices.SortFunc(out, func(a, b cranplatform.Instance) int { return cmp.Compare(a.ID, b.ID) })
 	return out
 }
 
--- a/internal/cranstandin/fleet_member.go
+++ b/internal/cranstandin/fleet_member.go
@@ -1,7 +1,6 @@
 package cranstandin
 
 import (
-	"cmp"
 	"time"
 
 	"github.com/cranberrypick/cranberrypick/internal/cranfault"
@@ -73,5 +72,3 @@
 	}
 	return nil
 }
-
-func compareNames(a, b string) int { return cmp.Compare(a, b) }
--- a/internal/cranstandin/log.go
+++ b/internal/cranstandin/log.go
@@ -1,9 +1,11 @@
 package cranstandin
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -145,6 +147,18 @@
 	return total
 }
 
+// Counters returns the traffic of every stream, in order of name.
+func (l *Log) Counters() []StreamCounters {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make([]StreamCounters, 0, len(l.streams))
+	for _, s := range l.streams {
+		out = append(out, s.counters)
+	}
+	slices.SortFunc(out, func(a, b StreamCounters) int { return cmp.Compare(a.Stream, b.Stream) })
+	return out
+}
+
 // append adds payloads to a stream, twice if the append is duplicated, and
 // returns the first offset.
 func (l *Log) append(name string, payloads [][]byte, duplicate bool) (uint64, error) {
@@ -172,7 +186,7 @@
 	if len(l.streams) >= maxStreams {
 		return nil, cranfault.New(cranfault.TooLarge, "use fewer streams", "the log holds %d streams", maxStreams)
 	}
-	s := newStream()
+	s := newStream(name)
 	l.streams[name] = s
 	close(l.created)
 	l.created = make(chan struct{})
--- a/internal/cranstandin/platform.go
+++ b/internal/cranstandin/platform.go
@@ -15,6 +15,7 @@
 //	POST     /instances              add an instance, or bring it back
 //	DELETE   /instances/{id}         remove it; ?abrupt=true loses it at once
 //	POST     /expire                 {"stream", "before"} drops records
+//	GET      /counters               {"streams": [StreamCounters]}
 //	GET      /health                 answers while the process runs
 type Platform struct {
 	log     *Log
--- a/internal/cranstandin/platform_http.go
+++ b/internal/cranstandin/platform_http.go
@@ -35,6 +35,11 @@
 	Entries []LedgerEntry `json:"entries"`
 }
 
+// countersAnswer is the answer to a call for the log's traffic.
+type countersAnswer struct {
+	Streams []StreamCounters `json:"streams"`
+}
+
 // expireRequest drops the records of a stream below an offset.
 type expireRequest struct {
 	Stream string `json:"stream"`
@@ -59,6 +64,7 @@
 	e.GET("/ledger", handle(p.serveLedger))
 	e.GET("/truth", handle(p.serveTruth))
 	e.POST("/expire", handle(p.serveExpire))
+	e.GET("/counters", handle(p.serveCounters))
 	e.GET("/health", handle(serveHealth))
 	return e
 }
@@ -160,6 +166,10 @@
 	return emptyAnswer{}, nil
 }
 
+func (p *Platform) serveCounters(echo.Context) (countersAnswer, error) {
+	return countersAnswer{Streams: p.log.Counters()}, nil
+}
+
 func serveHealth(echo.Context) (emptyAnswer, error) { return emptyAnswer{}, nil }
 
 // clientOf returns the caller's name, or the empty one.
--- a/internal/cranstandin/stream.go
+++ b/internal/cranstandin/stream.go
@@ -6,6 +6,18 @@
 	"github.com/cranberrypick/cranberrypick/internal/cranplatform"
 )
 
+// StreamCounters tell of a stream's traffic since it was made. Bytes are those
+// of the records' content, without the protocol around them.
+type StreamCounters struct {
+	Stream  string `json:"stream"`
+	Appends int    `json:"appends"`
+	Records int    `json:"records"`
+	BytesIn int    `json:"bytesIn"`
+	// Reads counts the answers that carried records.
+	Reads    int `json:"reads"`
+	BytesOut int `json:"bytesOut"`
+}
+
 // stream is one sequence of records; the log's mutex guards it.
 type stream struct {
 	// records holds the kept records; their offsets are consecutive and
@@ -15,12 +27,14 @@
 	oldest uint64
 	// lastMs is the newest stamp; stamps never decrease.
 	lastMs int64
+	// counters tell of the stream's traffic since it was made.
+	counters StreamCounters
 	// changed is closed and replaced at every append.
 	changed chan struct{}
 }
 
-func newStream() *stream {
-	return &stream{changed: make(chan struct{})}
+func newStream(name string) *stream {
+	return &stream{counters: StreamCounters{Stream: name}, changed: make(chan struct{})}
 }
 
 // next returns the offset of the next append.
@@ -33,7 +47,10 @@
 	for n, p := range payloads {
 		r := cranplatform.Record{Offset: first + uint64(n), TimeMs: s.lastMs, Data: bytes.Clone(p)}
 		s.records = append(s.records, r)
+		s.counters.BytesIn += len(p)
 	}
+	s.counters.Appends++
+	s.counters.Records += len(payloads)
 	close(s.changed)
 	s.changed = make(chan struct{})
 	return first
@@ -85,6 +102,8 @@
 		}
 		r.Data = bytes.Clone(r.Data)
 		out = append(out, r)
+		s.counters.BytesOut += len(r.Data)
 	}
+	s.counters.Reads++
 	return out
 }
--- a/internal/cranstandin/target_faults.go
+++ b/internal/cranstandin/target_faults.go
@@ -1,9 +1,5 @@
 package cranstandin
 
-import (
-	"github.com/cranberrypick/cranberrypick/internal/cranfault"
-)
-
 // TargetFaults are a target's settable misbehaviours. The zero value is a
 // target that works.
 type TargetFaults struct {
@@ -27,10 +23,7 @@
 
 // validate reports a value that makes no sense.
 func (f TargetFaults) validate() error {
-	if f.LateMs < 0 {
-		return cranfault.New(cranfault.Invalid, "use zero or more", "lateMs is negative")
-	}
-	return nil
+	return checkMilliseconds("lateMs", int64(f.LateMs))
 }
 
 // Faults returns the faults in force.
--- a/internal/cranstandin/target_http.go
+++ b/internal/cranstandin/target_http.go
@@ -85,12 +85,13 @@
 	down := t.downTime
 	if c.Request().ContentLength != 0 {
 		body, err := decodeBody[rebootRequest](c, maxSmallBody)
+		if err == nil && body.DownMs != nil {
+			down = milliseconds(*body.DownMs)
+			err = checkMilliseconds("downMs", *body.DownMs)
+		}
 		if err != nil {
 			return inProgressAnswer{}, err
 		}
-		if body.DownMs != nil {
-			down = milliseconds(*body.DownMs)
-		}
 	}
 	cut, err := t.Reboot(c.Request().Context(), down)
 	return inProgressAnswer{InProgress: cut}, err
