Refuse a bad configuration with all faults and their places

Decode took repeated and misspelt fields (encoding/json takes the last of two names and any case), dropped the size of a spare and made up a spare that no pool had; a duration under a millisecond was printed as another one. Ruled out: DisallowUnknownFields alone (case, repeats, first fault only); accepting canonical bytes only (a reformatted file would be refused for no reason). A walk over encoding/json's tokens along a shape gives every fault with line and column. Kept: the exported names and signatures. Option is now a function on an unexported builder, so that faults name the option. Diff(old, new) lists changes for people.

--- a/pkg/cranfleet/build.go
+++ b/pkg/cranfleet/build.go
@@ -1,9 +1,9 @@
 package cranfleet
 
 import (
-	"errors"
+	"cmp"
 	"fmt"
-	"sort"
+	"slices"
 	"time"
 )
 
@@ -15,35 +15,95 @@
 )
 
 // Option adds one part to a configuration under construction.
-type Option func(*Config)
+type Option func(*builder)
 
 // ServiceOption sets one property of a service.
 type ServiceOption func(*Service)
 
-// New builds a configuration and reports every fault of its parts at once.
+// builder gathers the parts of a configuration with their places.
+type builder struct {
+	// at is the place of the part that is being added.
+	at Place
+	// The parts are in order of addition.
+	name     placed[string]
+	pools    []placed[Pool]
+	spares   []placed[string]
+	services []placed[Service]
+	prices   []placed[Prices]
+	faults   faultList
+}
+
+// placed is a part with its place.
+type placed[T any] struct {
+	value T
+	at    Place
+}
+
+// part is an option with its place.
+type part struct {
+	add Option
+	at  Place
+}
+
+// New builds a configuration and reports every fault of its parts at once,
+// as a *Faults.
 func New(name string, options ...Option) (*Config, error) {
-	c := &Config{name: name}
-	for _, o := range options {
-		o(c)
+	parts := make([]part, 0, len(options))
+	for i, o := range options {
+		parts = append(parts, part{add: o, at: Place{part: fmt.Sprintf("option %d", i+1), order: i + 1}})
+	}
+	b := &builder{name: placed[string]{name, Place{part: "name"}}}
+	return b.build(parts)
+}
+
+func (b *builder) build(parts []part) (*Config, error) {
+	for _, p := range parts {
+		if p.add == nil {
+			b.faults.add(p.at, "remove it", "the option is nil")
+			continue
+		}
+		b.at = p.at
+		p.add(b)
 	}
-	sort.SliceStable(c.pools, func(i, j int) bool { return c.pools[i].name < c.pools[j].name })
-	sort.SliceStable(c.services, func(i, j int) bool { return c.services[i].name < c.services[j].name })
-	if err := c.validate(); err != nil {
+	b.validate()
+	if err := b.faults.err(); err != nil {
 		return nil, err
 	}
-	return c, nil
+	return b.finish(), nil
+}
+
+// finish moves the checked parts into a configuration, in order of name.
+func (b *builder) finish() *Config {
+	c := &Config{name: b.name.value}
+	for _, p := range b.pools {
+		c.pools = append(c.pools, p.value)
+	}
+	for _, s := range b.services {
+		c.services = append(c.services, s.value)
+	}
+	for _, s := range b.spares {
+		c.spare = s.value
+	}
+	for _, p := range b.prices {
+		c.prices = p.value
+	}
+	slices.SortFunc(c.pools, func(x, y Pool) int { return cmp.Compare(x.name, y.name) })
+	slices.SortFunc(c.services, func(x, y Service) int { return cmp.Compare(x.name, y.name) })
+	return c
 }
 
 // WithPool adds a pool of the wanted number of instances.
 func WithPool(name string, instances int) Option {
-	return func(c *Config) { c.pools = append(c.pools, Pool{name: name, instances: instances}) }
+	return func(b *builder) {
+		b.pools = append(b.pools, placed[Pool]{Pool{name: name, instances: instances}, b.at})
+	}
 }
 
 // WithSpare adds the pool that takes unclaimed instances.
 func WithSpare(name string) Option {
-	return func(c *Config) {
-		c.pools = append(c.pools, Pool{name: name})
-		c.spare = name
+	return func(b *builder) {
+		b.pools = append(b.pools, placed[Pool]{Pool{name: name}, b.at})
+		b.spares = append(b.spares, placed[string]{name, b.at})
 	}
 }
 
@@ -56,77 +116,33 @@
 		maxQueue:       DefaultMaxQueue,
 	}
 	for _, o := range options {
-		o(&s)
+		if o != nil {
+			o(&s)
+		}
+	}
+	hasNil := slices.ContainsFunc(options, func(o ServiceOption) bool { return o == nil })
+	return func(b *builder) {
+		if hasNil {
+			b.faults.add(b.at, "remove it", "service %.80q: an option is nil", name)
+		}
+		b.services = append(b.services, placed[Service]{s, b.at})
 	}
-	return func(c *Config) { c.services = append(c.services, s) }
 }
 
 // WithPrices sets the weights of a move, an idle instance-second and a late
-// or refused request.
+// or refused request. They are zero when not set.
 func WithPrices(move, idleSecond, lateRequest float64) Option {
-	return func(c *Config) {
-		c.prices = Prices{move: move, idleSecond: idleSecond, lateRequest: lateRequest}
-	}
+	// Adding zero turns a negative zero into zero, which prints differently.
+	p := Prices{move: move + 0, idleSecond: idleSecond + 0, lateRequest: lateRequest + 0}
+	return func(b *builder) { b.prices = append(b.prices, placed[Prices]{p, b.at}) }
 }
 
 // MaxUnavailable sets the availability budget in instances.
 func MaxUnavailable(n int) ServiceOption { return func(s *Service) { s.maxUnavailable = n } }
 
-// MaxDuration sets the longest time a request may take.
+// MaxDuration sets the longest time a request may take, in whole
+// milliseconds.
 func MaxDuration(d time.Duration) ServiceOption { return func(s *Service) { s.maxDuration = d } }
 
 // MaxQueue sets how many requests may wait at one entry instance.
 func MaxQueue(n int) ServiceOption { return func(s *Service) { s.maxQueue = n } }
-
-func (c *Config) validate() error {
-	var errs []error
-	add := func(format string, args ...any) { errs = append(errs, fmt.Errorf(format, args...)) }
-	if c.name == "" {
-		add("configuration: the name is empty; give the deployment a name")
-	}
-	if c.spare == "" {
-		add("configuration: no spare pool; add one with WithSpare")
-	}
-	for i, p := range c.pools {
-		if i > 0 && c.pools[i-1].name == p.name {
-			add("pool %q: declared twice; keep one", p.name)
-		}
-		if p.name == "" {
-			add("pool: the name is empty; name it")
-		}
-		if p.instances < 0 {
-			add("pool %q: %d instances; give zero or more", p.name, p.instances)
-		}
-	}
-	for i, s := range c.services {
-		if i > 0 && c.services[i-1].name == s.name {
-			add("service %q: declared twice; keep one", s.name)
-		}
-		c.validateService(s, add)
-	}
-	return errors.Join(errs...)
-}
-
-func (c *Config) validateService(s Service, add func(string, ...any)) {
-	if s.name == "" {
-		add("service: the name is empty; name it")
-	}
-	p, ok := c.Pool(s.pool)
-	if !ok {
-		add("service %q: unknown pool %q; declare it with WithPool", s.name, s.pool)
-		return
-	}
-	if s.pool == c.spare {
-		add("service %q: runs on the spare pool %q; give it a pool of its own", s.name, s.pool)
-		return
-	}
-	if s.maxUnavailable < 1 || s.maxUnavailable > p.instances {
-		add("service %q: maxUnavailable %d; give 1 to %d, the size of pool %q", s.name, s.maxUnavailable, p.instances, s.pool)
-	}
-	if s.maxDuration <= 0 {
-		add("service %q: maxDuration %s; give a positive duration", s.name, s.maxDuration)
-	}
-	if s.maxQueue < 0 {
-		add("service %q: maxQueue %d; give zero or more", s.name, s.maxQueue)
-	}
-}
--- a/pkg/cranfleet/doc.go
+++ b/pkg/cranfleet/doc.go
@@ -8,7 +8,11 @@
 // it. Prices tell the planner what an operator weighs: a move of an instance
 // against a second of idle capacity against a late or refused request.
 //
-// A Config is immutable. Its printed form is canonical JSON in camel case:
-// equal configurations print the same bytes, whatever the order in which
-// they were built.
+// A Config is immutable and valid. Its printed form is canonical JSON in camel
+// case: equal configurations print the same bytes, whatever the order in
+// which they were built. Diff lists what one changes against another.
+//
+// New and Decode refuse bad input with a *Faults, which holds everything that
+// is wrong at once: each Fault says which option, or which place of the
+// printed form, what is wrong there, and the remedy.
 package cranfleet
--- a/pkg/cranfleet/encode.go
+++ b/pkg/cranfleet/encode.go
@@ -1,7 +1,6 @@
 package cranfleet
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"time"
@@ -59,29 +58,74 @@
 	return append(data, '\n')
 }
 
-// Decode reads a printed configuration. It refuses unknown fields and
-// reports every fault of the parts at once.
+// MaxBytes bounds a printed configuration.
+const MaxBytes = 4 << 20
+
+// Decode reads a printed configuration. White space and the order of fields
+// and parts don't matter. It refuses unknown, repeated and missing fields and
+// anything behind the configuration, and reports every fault at once, as a
+// *Faults.
 func Decode(data []byte) (*Config, error) {
+	if len(data) > MaxBytes {
+		var faults faultList
+		faults.add(Place{part: "configuration", line: 1, column: 1},
+			"split the fleet; 4 MiB is the most", "the configuration has %d bytes", len(data))
+		return nil, faults.err()
+	}
+	r := newReader(data)
+	if err := r.read(); err != nil {
+		return nil, err
+	}
 	var w wireConfig
-	d := json.NewDecoder(bytes.NewReader(data))
-	d.DisallowUnknownFields()
-	if err := d.Decode(&w); err != nil {
-		return nil, fmt.Errorf("configuration: %w; print it again with the library", err)
+	if err := json.Unmarshal(data, &w); err != nil {
+		r.faults.add(Place{part: "configuration", line: 1, column: 1},
+			"print the configuration again with the library", "%v", err)
+		return nil, r.faults.err()
 	}
-	options := []Option{WithPrices(w.Prices.Move, w.Prices.IdleSecond, w.Prices.LateRequest)}
-	for _, p := range w.Pools {
-		if p.Name != w.Spare {
-			options = append(options, WithPool(p.Name, p.Instances))
+	return w.build(r.places)
+}
+
+// build makes a configuration of the parts, each with its place.
+func (w wireConfig) build(places map[string]Place) (*Config, error) {
+	b := &builder{name: placed[string]{w.Name, places["name"]}}
+	parts := []part{{
+		add: WithPrices(w.Prices.Move, w.Prices.IdleSecond, w.Prices.LateRequest),
+		at:  places["prices"],
+	}}
+	found := false
+	for i, p := range w.Pools {
+		at := places[fmt.Sprintf("pools[%d]", i)]
+		if p.Name != w.Spare || found {
+			parts = append(parts, part{add: WithPool(p.Name, p.Instances), at: at})
+			continue
+		}
+		found = true
+		parts = append(parts, part{add: WithSpare(p.Name), at: at})
+		if p.Instances != 0 {
+			b.faults.add(at, "give 0; the spare takes what no other pool claims", "pool %.80q: the spare has %d instances", p.Name, p.Instances)
 		}
 	}
-	if w.Spare != "" {
-		options = append(options, WithSpare(w.Spare))
+	if !found {
+		b.faults.add(places["spare"], "name one of the pools", "there is no pool %.80q", w.Spare)
+		parts = append(parts, part{add: withMissingSpare(), at: places["spare"]})
 	}
-	for _, s := range w.Services {
-		options = append(options, WithService(s.Name, s.Pool,
-			MaxUnavailable(s.MaxUnavailable),
-			MaxDuration(time.Duration(s.MaxDurationMs)*time.Millisecond),
-			MaxQueue(s.MaxQueue)))
+	for i, s := range w.Services {
+		parts = append(parts, part{add: s.option(), at: places[fmt.Sprintf("services[%d]", i)]})
 	}
-	return New(w.Name, options...)
+	return b.build(parts)
+}
+
+// withMissingSpare keeps a spare that is not among the pools from being
+// reported a second time.
+func withMissingSpare() Option {
+	return func(b *builder) { b.spares = append(b.spares, placed[string]{"", b.at}) }
+}
+
+func (s wireService) option() Option {
+	// A number of milliseconds beyond the bound could overflow a duration.
+	ms := min(max(s.MaxDurationMs, -1), MaxMaxDuration.Milliseconds()+1)
+	return WithService(s.Name, s.Pool,
+		MaxUnavailable(s.MaxUnavailable),
+		MaxDuration(time.Duration(ms)*time.Millisecond),
+		MaxQueue(s.MaxQueue))
 }
--- /dev/null
+++ b/pkg/cranfleet/fault.go
@@ -0,0 +1,116 @@
+package cranfleet
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/cranberrypick/cranberrypick/internal/cranfault"
+)
+
+// Place says where a part of a configuration stands.
+type Place struct {
+	part string
+	// line and column count from one in a printed configuration; both are
+	// zero in one that is built from options.
+	line, column int
+	// order sorts the places of one configuration.
+	order int
+}
+
+// Part returns the option of New, such as "option 3", or the path in a
+// printed configuration, such as "services[2].pool".
+func (p Place) Part() string { return p.part }
+
+// Line returns the line in a printed configuration, else zero.
+func (p Place) Line() int { return p.line }
+
+// Column returns the column in bytes in a printed configuration, else zero.
+func (p Place) Column() int { return p.column }
+
+// String joins position and part.
+func (p Place) String() string {
+	if p.line == 0 {
+		return p.part
+	}
+	return fmt.Sprintf("%d:%d: %s", p.line, p.column, p.part)
+}
+
+// Fault is one thing that is wrong in a configuration.
+type Fault struct {
+	place Place
+	fault *cranfault.Fault
+}
+
+// Place returns where the fault is.
+func (f *Fault) Place() Place { return f.place }
+
+// Message returns what is wrong.
+func (f *Fault) Message() string { return f.fault.Message() }
+
+// Remedy returns what the reader can do.
+func (f *Fault) Remedy() string { return f.fault.Remedy() }
+
+// Error joins place, message and remedy on one line.
+func (f *Fault) Error() string {
+	return fmt.Sprintf("%s: %s; remedy: %s", f.place, f.Message(), f.Remedy())
+}
+
+// Unwrap returns the fault without its place; its kind is invalid.
+func (f *Fault) Unwrap() error { return f.fault }
+
+// Faults is everything that is wrong in a configuration, in order of place.
+type Faults struct {
+	// list has at least one fault.
+	list []*Fault
+}
+
+// List returns the faults in order of place.
+func (f *Faults) List() []*Fault { return slices.Clone(f.list) }
+
+// Error prints one fault a line.
+func (f *Faults) Error() string {
+	lines := make([]string, 0, len(f.list))
+	for _, one := range f.list {
+		lines = append(lines, one.Error())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Unwrap returns the faults for errors.Is and errors.As.
+func (f *Faults) Unwrap() []error {
+	errs := make([]error, 0, len(f.list))
+	for _, one := range f.list {
+		errs = append(errs, one)
+	}
+	return errs
+}
+
+// FaultsOf returns the faults in the chain of err, or nil.
+func FaultsOf(err error) []*Fault {
+	var f *Faults
+	if errors.As(err, &f) {
+		return f.List()
+	}
+	return nil
+}
+
+// faultList gathers faults.
+type faultList struct {
+	list []*Fault
+}
+
+func (l *faultList) add(at Place, remedy, format string, args ...any) {
+	l.list = append(l.list, &Fault{place: at, fault: cranfault.New(cranfault.Invalid, remedy, format, args...)})
+}
+
+// err returns nil or the faults in order of place.
+func (l *faultList) err() error {
+	if len(l.list) == 0 {
+		return nil
+	}
+	slices.SortStableFunc(l.list, func(a, b *Fault) int { return cmp.Compare(a.place.order, b.place.order) })
+	return &Faults{list: l.list}
+}
