--- a/internal/crancli/serve.go
+++ b/internal/crancli/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -14,8 +15,11 @@
 
 	"github.com/cranberrypick/cranberrypick/internal/cranadmin"
 	"github.com/cranberrypick/cranberrypick/internal/cranentry"
+	"github.com/cranberrypick/cranberrypick/internal/cranevent"
+	"github.com/cranberrypick/cranberrypick/internal/cranmetric"
 	"github.com/cranberrypick/cranberrypick/internal/cranplatform"
 	"github.com/cranberrypick/cranberrypick/internal/cransettings"
+	"github.com/cranberrypick/cranberrypick/internal/cransnapshot"
 	"github.com/cranberrypick/cranberrypick/internal/crantraffic"
 )
 
@@ -36,8 +40,12 @@
 	if err != nil {
 		return usageError{err}
 	}
+	logger := newLogger(settings, o.err)
+	metrics := cranmetric.New(cranmetric.WithRuntime())
+	logger.Emit(cranevent.SettingsLoaded, cranevent.File(c.Settings))
 	platform := cranplatform.NewClient(settings.Platform(), cranplatform.WithName(settings.ID()))
-	host, err := cranentry.NewHost(platform, platform, peerAddress(settings), entryOptions(settings)...)
+	host, err := cranentry.NewHost(platform, platform, peerAddress(settings),
+		append(entryOptions(settings), cranentry.WithReports(logger, metrics))...)
 	if err != nil {
 		return err
 	}
@@ -46,7 +54,7 @@
 	if err != nil {
 		return err
 	}
-	admin, err := addServer(&group, settings.AdminListen(), cranadmin.Handler(host, nil), settings.Limits().MaxHeader())
+	admin, err := addServer(&group, settings.AdminListen(), cranadmin.Handler(host, metrics.Handler()), settings.Limits().MaxHeader())
 	if err != nil {
 		return err
 	}
@@ -57,6 +65,18 @@
 	return eris.Wrap(errors.Join(err, platform.Close()), "serve")
 }
 
+// newLogger returns the logger that the settings ask for.
+func newLogger(s *cransettings.Settings, w io.Writer) *cranevent.Logger {
+	options := []cranevent.Option{
+		cranevent.WithLevel(cranevent.Level(s.Output().Level())),
+		cranevent.WithProcess(s.ID()),
+	}
+	if s.Output().Format() == cransettings.FormatConsole {
+		options = append(options, cranevent.WithConsole())
+	}
+	return cranevent.New(w, options...)
+}
+
 // peerAddress returns where this entry listens for peers.
 func peerAddress(s *cransettings.Settings) cranentry.PeerAddress {
 	return cranentry.PeerAddress{Listen: s.PeerListen(), Advertise: s.Advertise()}
@@ -70,6 +90,9 @@
 		cranentry.WithBatchWindow(s.Log().BatchWindow()),
 		cranentry.WithMaxPeerMessage(s.Limits().MaxPeerMessage()),
 		cranentry.WithMaxParallel(s.Wave().MaxParallel()),
+		cranentry.WithSnapshotPolicy(cransnapshot.NewPolicy(
+			cransnapshot.WithMaxRecords(uint64(s.Snapshot().EveryRecords())),
+			cransnapshot.WithInterval(s.Snapshot().Every()))),
 		cranentry.WithFront(
 			crantraffic.WithBodyLimit(int64(s.Limits().MaxBody())),
 			crantraffic.WithAnswerLimit(int64(s.Limits().MaxAnswerBuffer())),
--- a/internal/cranentry/contact.go
+++ b/internal/cranentry/contact.go
@@ -19,17 +19,18 @@
 
 func newContact(lease time.Duration) *contact { return &contact{lease: lease} }
 
-// observe notes how old the last contact is.
-func (c *contact) observe(now, last time.Time) {
+// observe notes how old the last contact is and reports whether there is one.
+func (c *contact) observe(now, last time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if last.IsZero() || now.Sub(last) >= c.lease/2 {
 		c.since = time.Time{}
-		return
+		return false
 	}
 	if c.since.IsZero() {
 		c.since = now
 	}
+	return true
 }
 
 func (c *contact) status(t *cranlog.Tailer) cranpeer.Status {
@@ -54,23 +55,29 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			last := e.tailer.LastContact()
-			e.contact.observe(now, last)
-			if now.Sub(last) >= e.heartbeat+pollWait {
-				e.consultPeers(ctx)
+			if t := e.tailer.Load(); t != nil {
+				e.watchContact(ctx, t, now)
 			}
 		}
 	}
 }
 
+func (e *Entry) watchContact(ctx context.Context, t *cranlog.Tailer, now time.Time) {
+	last := t.LastContact()
+	if lost := now.Sub(last) >= e.heartbeat+pollWait; lost {
+		e.consultPeers(ctx, t)
+	}
+	e.report.contact(e.contact.observe(now, last))
+}
+
 // consultPeers asks every peer for its contact with the log, takes over the
 // records of the one that is furthest, and goes on serving if the log is down
 // for everybody.
-func (e *Entry) consultPeers(ctx context.Context) {
+func (e *Entry) consultPeers(ctx context.Context, t *cranlog.Tailer) {
 	peers := e.Peers()
-	reports, best := e.askPeers(ctx, peers)
+	reports, best := e.askPeers(ctx, peers, t.Next())
 	if best != nil {
-		e.pull(ctx, *best)
+		e.pull(ctx, t, *best)
 	}
 	if !e.guard.ready.Load() {
 		return
@@ -82,12 +89,11 @@
 
 // askPeers returns the peers' reports and the one furthest ahead of this
 // entry, if any.
-func (e *Entry) askPeers(ctx context.Context, peers []cranpeer.Peer) (reports []peerReport, best *cranpeer.Peer) {
+func (e *Entry) askPeers(ctx context.Context, peers []cranpeer.Peer, furthest uint64) (reports []peerReport, best *cranpeer.Peer) {
 	bounded, cancel := context.WithTimeout(ctx, e.heartbeat/2)
 	defer cancel()
 	var mu sync.Mutex
 	var asked sync.WaitGroup
-	furthest := e.tailer.Next()
 	for _, p := range peers {
 		asked.Go(func() {
 			sent := time.Now()
@@ -112,13 +118,13 @@
 }
 
 // pull takes over a peer's recent records.
-func (e *Entry) pull(ctx context.Context, p cranpeer.Peer) {
+func (e *Entry) pull(ctx context.Context, t *cranlog.Tailer, p cranpeer.Peer) {
 	bounded, cancel := context.WithTimeout(ctx, e.heartbeat)
 	defer cancel()
-	records, whole, err := e.client.Records(bounded, p, e.tailer.Next())
+	records, whole, err := e.client.Records(bounded, p, t.Next())
 	if err != nil || !whole {
 		return
 	}
 	// A gap is refused and the next round asks again from where it stands.
-	_, _ = e.tailer.Offer(records)
+	_, _ = t.Offer(records)
 }
--- a/internal/cranentry/entry.go
+++ b/internal/cranentry/entry.go
@@ -7,10 +7,12 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
 
+	"github.com/cranberrypick/cranberrypick/internal/cranevent"
 	"github.com/cranberrypick/cranberrypick/internal/cranfault"
 	"github.com/cranberrypick/cranberrypick/internal/cranlog"
 	"github.com/cranberrypick/cranberrypick/internal/cranpeer"
@@ -41,15 +43,20 @@
 	guard       *guard
 	control     *control
 	writer      *cranlog.Writer
-	tailer      *cranlog.Tailer
-	broker      *cranslot.Broker
-	front       *crantraffic.Front[cranslot.Slot]
-	client      *cranpeer.Client
-	server      *cranpeer.Server
-	beats       *beats
-	contact     *contact
-	waiters     *waiters
-	performer   *performer
+	// tailer is nil until the entry has found a state to start from.
+	tailer    atomic.Pointer[cranlog.Tailer]
+	broker    *cranslot.Broker
+	front     *crantraffic.Front[cranslot.Slot]
+	client    *cranpeer.Client
+	server    *cranpeer.Server
+	beats     *beats
+	contact   *contact
+	waiters   *waiters
+	performer *performer
+
+	// published is the offset after the record that the last views show.
+	published uint64
+	report    *reporter
 
 	// peersMu guards peers, the other members as of the last batch.
 	peersMu sync.Mutex
@@ -86,6 +93,7 @@
 		cranslot.WithNotify(func(group string) { notify(group) }))
 	e.front = crantraffic.NewFront[cranslot.Slot](e.broker, p.claims, p.frontOptions...)
 	notify = e.front.SlotFreed
+	e.report = newReporter(p.logger, p.metrics, e.incarnation)
 	e.performer = newPerformer(e, fleet)
 	e.control.onEffects = e.onEffects
 	e.control.onBatch = e.onBatch
@@ -97,15 +105,15 @@
 }
 
 func (e *Entry) start(ctx context.Context, peerListener net.Listener) {
+	e.report.emit(cranevent.EntryStarting, cranevent.Member(e.incarnation), cranevent.DataCentre(e.dataCentre))
 	e.publish(e.control.state)
 	e.spawn(func() { e.end(e.control.run(ctx)) })
-	e.tailer = cranlog.NewTailer(e.log, e.stream, e.control.state.Next(), e.control.post,
-		cranlog.WithPoll(pollWait, maxApplyBatch))
-	e.server = cranpeer.NewServer(peerListener, (*local)(e), e.maxPeerMessage, func(cranfault.Kind) {})
-	e.spawn(func() { e.watchTailer(ctx) })
+	e.server = cranpeer.NewServer(peerListener, (*local)(e), e.maxPeerMessage, e.report.peerRefused)
+	e.spawn(func() { e.boot(ctx) })
 	e.spawn(func() { e.slotLoop(ctx) })
 	e.spawn(func() { e.peerLoop(ctx) })
 	e.spawn(func() { e.performer.run(ctx) })
+	e.spawn(func() { e.snapshotLoop(ctx) })
 }
 
 func (e *Entry) spawn(f func()) {
@@ -153,12 +161,14 @@
 // get their answers, leases are handed back and the membership ends. It
 // waits for all of that.
 func (e *Entry) Close() error {
+	e.report.emit(cranevent.EntryStopping, cranevent.Member(e.incarnation))
 	e.guard.stopping.Store(true)
 	err := e.front.Close()
 	e.leave()
 	e.cancel()
-	err = errors.Join(err, e.tailer.Close(), e.server.Close(), e.client.Close(), e.writer.Close())
+	err = errors.Join(err, e.closeTailer(), e.server.Close(), e.client.Close(), e.writer.Close())
 	e.done.Wait()
+	e.report.emit(cranevent.EntryStopped, cranevent.Member(e.incarnation))
 	return eris.Wrap(err, "close entry")
 }
 
@@ -166,18 +176,7 @@
 func (e *Entry) leave() {
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
-	if _, err := e.Propose(ctx, cranstate.MemberLeft{}); err != nil {
-		return
-	}
-}
-
-// watchTailer ends the entry when the log no longer keeps the next record.
-func (e *Entry) watchTailer(ctx context.Context) {
-	select {
-	case <-ctx.Done():
-	case <-e.tailer.Done():
-		e.end(e.tailer.Err())
-	}
+	_, _ = e.Propose(ctx, cranstate.MemberLeft{})
 }
 
 // slotLoop passes the broker's messages on.
@@ -221,6 +220,7 @@
 
 // publish hands views of the state to the traffic threads.
 func (e *Entry) publish(s *cranstate.State) {
+	e.published = s.Routed()
 	e.front.SetView(trafficView(s, e.guard.mayServe))
 	e.broker.SetView(slotView(s))
 	e.setPeers(s)
@@ -245,7 +245,8 @@
 // local is the entry as its peers see it.
 type local Entry
 
-// Admit lets members in from the address that they joined with.
+// Admit lets members in from the address that they joined with, and those
+// that the settings name.
 func (l *local) Admit(member string, from netip.Addr) error {
 	e := (*Entry)(l)
 	if p, ok := e.peer(member); ok {
@@ -253,16 +254,32 @@
 			return nil
 		}
 	}
+	for _, p := range e.seeds {
+		if a, err := netip.ParseAddrPort(p.Address); err == nil && a.Addr() == from {
+			return nil
+		}
+	}
 	return cranfault.New(cranfault.Stranger, "join through the log first, with the address that is called from",
 		"%q at %s is no member here", member, from)
 }
 
 // Status says how far the entry is.
-func (l *local) Status() cranpeer.Status { return (*Entry)(l).contact.status((*Entry)(l).tailer) }
+func (l *local) Status() cranpeer.Status {
+	e := (*Entry)(l)
+	t := e.tailer.Load()
+	if t == nil {
+		return cranpeer.Status{}
+	}
+	return e.contact.status(t)
+}
 
 // Records returns recent records.
 func (l *local) Records(from uint64) ([]cranplatform.Record, bool) {
-	return (*Entry)(l).tailer.Since(from)
+	t := (*Entry)(l).tailer.Load()
+	if t == nil {
+		return nil, false
+	}
+	return t.Since(from)
 }
 
 // Append appends to the log on behalf of a peer, directly.
@@ -272,7 +289,8 @@
 
 // Snapshot returns the control state.
 func (l *local) Snapshot(ctx context.Context) (cranpeer.Snapshot, error) {
-	return (*Entry)(l).snapshot(ctx)
+	snap, err := (*Entry)(l).snapshot(ctx)
+	return cranpeer.Snapshot{Next: snap.Offset(), State: snap.State(), Digest: snap.Digest()}, err
 }
 
 // Slots takes a message about slots.
@@ -286,14 +304,3 @@
 	}
 	return cranpeer.Answer{Found: true, Status: a.Status(), Header: a.Header(), Body: a.Body()}
 }
-
-// snapshot encodes the state on the control thread.
-func (e *Entry) snapshot(ctx context.Context) (cranpeer.Snapshot, error) {
-	var snap cranpeer.Snapshot
-	var failed error
-	err := e.control.do(ctx, func(s *cranstate.State) {
-		snap.Next = s.Next()
-		snap.State, failed = s.Encode()
-	})
-	return snap, errors.Join(err, failed)
-}
--- a/internal/cranentry/heartbeat.go
+++ b/internal/cranentry/heartbeat.go
@@ -35,6 +35,9 @@
 
 // onTick runs the control thread's timers.
 func (e *Entry) onTick() {
+	if e.tailer.Load() == nil {
+		return
+	}
 	if !e.beats.joined {
 		e.join()
 	}
@@ -43,9 +46,10 @@
 	}
 	e.beat()
 	e.seekEffects()
-	if e.tailer.Position().CaughtUp() {
-		e.guard.ready.Store(true)
+	if t := e.tailer.Load(); t.Position().CaughtUp() && !e.guard.ready.Swap(true) {
+		e.report.caughtUp(e.control.state)
 	}
+	e.report.state(e.control.state)
 }
 
 func (e *Entry) join() {
@@ -126,6 +130,7 @@
 // onEffects notes what the reducer made of a record.
 func (e *Entry) onEffects(entry cranlog.Entry, effects []cranstate.Effect) {
 	e.writer.Observe(entry)
+	e.report.effects(e.control.state, entry, effects)
 	for _, f := range effects {
 		switch f := f.(type) {
 		case cranstate.Accepted:
@@ -175,5 +180,9 @@
 	e.end(cranfault.New(cranfault.UnknownMember, "start as a new incarnation", "this entry was written off after it fell silent"))
 }
 
-// onBatch publishes views of the state.
-func (e *Entry) onBatch() { e.publish(e.control.state) }
+// onBatch publishes views of the state if they have changed.
+func (e *Entry) onBatch() {
+	if e.control.state.Routed() != e.published {
+		e.publish(e.control.state)
+	}
+}
--- a/internal/cranentry/options.go
+++ b/internal/cranentry/options.go
@@ -6,6 +6,10 @@
 	"encoding/hex"
 	"time"
 
+	"github.com/cranberrypick/cranberrypick/internal/cranevent"
+	"github.com/cranberrypick/cranberrypick/internal/cranmetric"
+	"github.com/cranberrypick/cranberrypick/internal/cranpeer"
+	"github.com/cranberrypick/cranberrypick/internal/cransnapshot"
 	"github.com/cranberrypick/cranberrypick/internal/crantraffic"
 )
 
@@ -14,6 +18,7 @@
 	defaultLease          = 4 * time.Second
 	defaultHeartbeat      = time.Second
 	defaultStream         = "control"
+	defaultSnapshots      = "snapshots"
 	defaultMaxPeerMessage = 16 << 20
 	defaultMaxParallel    = 4
 )
@@ -30,7 +35,12 @@
 	batchWindow    time.Duration
 	maxPeerMessage int
 	maxParallel    int
+	snapshots      string
+	policy         cransnapshot.Policy
+	seeds          []cranpeer.Peer
 	claims         crantraffic.Claims
+	logger         *cranevent.Logger
+	metrics        *cranmetric.Metrics
 	frontOptions   []crantraffic.Option
 }
 
@@ -40,6 +50,8 @@
 func newParts(options []Option) parts {
 	p := parts{
 		id: "entry", stream: defaultStream, lease: defaultLease, heartbeat: defaultHeartbeat,
+		snapshots: defaultSnapshots, policy: cransnapshot.NewPolicy(),
+		logger: cranevent.Discard(), metrics: cranmetric.New(),
 		maxPeerMessage: defaultMaxPeerMessage, maxParallel: defaultMaxParallel,
 	}
 	for _, o := range options {
@@ -71,6 +83,27 @@
 // WithMaxParallel bounds the stops of a wave that are in progress at once.
 func WithMaxParallel(n int) Option { return func(p *parts) { p.maxParallel = n } }
 
+// WithSnapshotPolicy says when the holder of the effects lease writes a
+// snapshot.
+func WithSnapshotPolicy(policy cransnapshot.Policy) Option {
+	return func(p *parts) { p.policy = policy }
+}
+
+// WithSeeds names peers, by IP and port, of which a newcomer asks a snapshot
+// when the log has none, and which may ask this entry.
+func WithSeeds(addresses ...string) Option {
+	return func(p *parts) {
+		for _, a := range addresses {
+			p.seeds = append(p.seeds, cranpeer.Peer{Member: a, Address: a})
+		}
+	}
+}
+
+// WithReports sets where events are logged and what is counted.
+func WithReports(logger *cranevent.Logger, metrics *cranmetric.Metrics) Option {
+	return func(p *parts) { p.logger, p.metrics = logger, metrics }
+}
+
 // WithClaims sets where non-idempotent requests are claimed.
 func WithClaims(c crantraffic.Claims) Option { return func(p *parts) { p.claims = c } }
 
--- /dev/null
+++ b/internal/cranentry/report.go
@@ -0,0 +1,231 @@
+package cranentry
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cranberrypick/cranberrypick/internal/cranevent"
+	"github.com/cranberrypick/cranberrypick/internal/cranfault"
+	"github.com/cranberrypick/cranberrypick/internal/cranlog"
+	"github.com/cranberrypick/cranberrypick/internal/cranmetric"
+	"github.com/cranberrypick/cranberrypick/internal/cranstate"
+)
+
+// stateInterval is how often the gauges of the control state are set.
+const stateInterval = time.Second
+
+// reporter turns what happens into log events and metrics.
+type reporter struct {
+	logger  *cranevent.Logger
+	metrics *cranmetric.Metrics
+	self    string
+	// live is set once the entry has caught up: older records are history.
+	// The control thread alone uses it, accepted, shownAt and idleAt.
+	live    bool
+	shownAt time.Time
+	// mu guards isolated, which is set while the log is out of reach.
+	mu       sync.Mutex
+	isolated bool
+	// accepted is when the configuration in force was accepted, by the
+	// platform's clock; zero once it is known to be in force everywhere.
+	accepted int64
+	idleAt   time.Time
+}
+
+func newReporter(logger *cranevent.Logger, metrics *cranmetric.Metrics, self string) *reporter {
+	return &reporter{logger: logger, metrics: metrics, self: self, idleAt: time.Now()}
+}
+
+func (r *reporter) emit(event cranevent.Event, fields ...cranevent.Field) {
+	r.logger.Emit(event, fields...)
+}
+
+// peerRefused counts a refusal at the peer address.
+func (r *reporter) peerRefused(kind cranfault.Kind) {
+	r.metrics.Refused(kind)
+	if kind == cranfault.Malformed || kind == cranfault.TooLarge {
+		r.emit(cranevent.PeerMalformed, cranevent.Reason(kind))
+		return
+	}
+	r.emit(cranevent.PeerRefused, cranevent.Reason(kind))
+}
+
+// logReason counts what the log client ran into.
+func (r *reporter) logReason(reason cranlog.Reason) {
+	switch reason {
+	case cranlog.ReasonAppendFailed, cranlog.ReasonAppendTimeout:
+		r.metrics.LogRetry()
+	case cranlog.ReasonMalformed:
+		r.metrics.MalformedRecord()
+	}
+}
+
+// contact logs the loss and the return of the log.
+func (r *reporter) contact(reached bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if reached != r.isolated {
+		return
+	}
+	r.isolated = !reached
+	if reached {
+		r.emit(cranevent.LogBack)
+		return
+	}
+	r.emit(cranevent.LogUnavailable)
+}
+
+// effects logs what the reducer decided.
+func (r *reporter) effects(s *cranstate.State, entry cranlog.Entry, effects []cranstate.Effect) {
+	if !r.live {
+		return
+	}
+	for _, f := range effects {
+		r.effect(s, entry, f)
+	}
+}
+
+func (r *reporter) effect(s *cranstate.State, entry cranlog.Entry, f cranstate.Effect) {
+	switch f := f.(type) {
+	case cranstate.Refused:
+		r.refused(f)
+	case cranstate.ConfigInForce:
+		r.accepted = entry.TimeMs()
+		r.metrics.SetRevision(f.Revision)
+		r.emit(cranevent.ConfigurationInForce, cranevent.Revision(f.Revision))
+		r.setServices(s)
+	case cranstate.InstanceChanged:
+		r.instance(f)
+	case cranstate.BarrierPassed:
+		r.emit(cranevent.StopBarrierPassed, cranevent.Instance(f.Instance))
+	case cranstate.MemberChanged:
+		r.member(f)
+	case cranstate.LeaseTaken:
+		r.emit(cranevent.LeaseTaken, cranevent.Member(f.Holder), cranevent.Offset(f.Token))
+	case cranstate.WaveChanged:
+		r.wave(f)
+	case cranstate.MalformedSkipped:
+		r.metrics.MalformedRecord()
+		r.emit(cranevent.MalformedRecord, cranevent.Offset(f.Offset))
+	}
+}
+
+func (r *reporter) setServices(s *cranstate.State) {
+	if s.Config() == nil {
+		return
+	}
+	var names []string
+	for _, svc := range s.Config().Services() {
+		names = append(names, svc.Name())
+	}
+	r.metrics.SetServices(names...)
+}
+
+// refused counts and logs refusals of this entry's own records: every entry
+// sees every record, and each refusal counts once.
+func (r *reporter) refused(f cranstate.Refused) {
+	if f.Writer != r.self {
+		return
+	}
+	r.metrics.Refused(f.Fault.Kind())
+	event := cranevent.StopRefused
+	if f.Fault.Kind() == cranfault.StaleRevision || f.Fault.Kind() == cranfault.Invalid {
+		event = cranevent.ConfigurationRefused
+	}
+	r.emit(event, cranevent.Reason(f.Fault.Kind()), cranevent.Err(f.Fault))
+}
+
+func (r *reporter) instance(f cranstate.InstanceChanged) {
+	fields := []cranevent.Field{cranevent.Instance(f.Instance), cranevent.Pool(f.Pool)}
+	switch f.To {
+	case cranstate.PhaseCordoned:
+		r.emit(cranevent.StopCordoned, fields...)
+	case cranstate.PhaseServing:
+		r.emit(cranevent.StopBack, fields...)
+	case cranstate.PhaseGone:
+		r.emit(cranevent.InstanceLost, fields...)
+	case cranstate.PhaseReturning:
+		if f.From == cranstate.PhaseStopping {
+			r.emit(cranevent.StopRebooted, fields...)
+		}
+	}
+}
+
+func (r *reporter) member(f cranstate.MemberChanged) {
+	events := map[cranstate.MemberChange]cranevent.Event{
+		cranstate.MemberAdded:      cranevent.MemberJoined,
+		cranstate.MemberRemoved:    cranevent.MemberLeft,
+		cranstate.MemberWrittenOff: cranevent.MemberWrittenOff,
+	}
+	r.emit(events[f.Change], cranevent.Member(f.Member))
+}
+
+func (r *reporter) wave(f cranstate.WaveChanged) {
+	switch f.Phase {
+	case cranstate.WaveActive:
+		r.emit(cranevent.WaveStarted, cranevent.Wave(f.Wave))
+	case cranstate.WaveHalted:
+		r.emit(cranevent.WaveHalted, cranevent.Wave(f.Wave))
+	default:
+		r.emit(cranevent.WaveDone, cranevent.Wave(f.Wave))
+	}
+}
+
+// caughtUp begins the reports of what happens from now on.
+func (r *reporter) caughtUp(s *cranstate.State) {
+	r.live = true
+	r.metrics.SetReady(true)
+	r.metrics.SetRevision(s.Revision())
+	r.setServices(s)
+	r.emit(cranevent.EntryReady, cranevent.Member(r.self), cranevent.Offset(s.Next()))
+}
+
+// state shows, once a second, the measures of the brief and where the control
+// state stands.
+func (r *reporter) state(s *cranstate.State) {
+	if time.Since(r.shownAt) < stateInterval {
+		return
+	}
+	r.shownAt = time.Now()
+	r.metrics.SetAppliedOffset(s.Next())
+	r.metrics.SetMoves(s.Moves())
+	members := s.Members()
+	r.metrics.SetMembers(len(members))
+	r.rollout(s, members)
+	r.instances(s)
+}
+
+// rollout shows how long the last configuration took to reach every member.
+func (r *reporter) rollout(s *cranstate.State, members []cranstate.Member) {
+	if r.accepted == 0 {
+		return
+	}
+	for _, m := range members {
+		if m.Revision() != s.Revision() {
+			return
+		}
+	}
+	r.metrics.SetRollout(time.Duration(s.NowMs()-r.accepted) * time.Millisecond)
+	r.accepted = 0
+}
+
+// instances shows the phases, and the idle buffer: the available instances
+// above what the budgets ask for.
+func (r *reporter) instances(s *cranstate.State) {
+	phases := map[cranstate.Phase]int{}
+	for _, in := range s.Instances() {
+		phases[in.Phase()]++
+	}
+	for phase, n := range phases {
+		r.metrics.SetInstances(string(phase), n)
+	}
+	idle := 0
+	if config := s.Config(); config != nil {
+		for _, p := range config.Pools() {
+			idle += max(s.Available(p.Name())-p.Instances(), 0)
+		}
+	}
+	now := time.Now()
+	r.metrics.SetIdle(idle, now.Sub(r.idleAt))
+	r.idleAt = now
+}
--- a/internal/cranpeer/message.go
+++ b/internal/cranpeer/message.go
@@ -58,6 +58,8 @@
 	Next uint64 `json:"next"`
 	// State is the encoded state.
 	State []byte `json:"state"`
+	// Digest is that of a snapshot of the state at the offset.
+	Digest uint64 `json:"digest"`
 }
 
 type slotsRequest struct {
--- a/internal/cranstate/apply.go
+++ b/internal/cranstate/apply.go
@@ -42,6 +42,9 @@
 	return c.effects, nil
 }
 
+// reroute notes that views of the state are out of date.
+func (c *change) reroute() { c.routed = c.in.Offset + 1 }
+
 func (c *change) emit(e Effect) { c.effects = append(c.effects, e) }
 
 // dispatch decodes the record, drops repeats, and tells the writer the
--- a/internal/cranstate/configuration.go
+++ b/internal/cranstate/configuration.go
@@ -21,6 +21,7 @@
 	c.config = config
 	c.revision = c.in.Offset + 1
 	c.placeUnassigned()
+	c.reroute()
 	c.emit(ConfigInForce{Revision: c.revision})
 	return nil
 }
--- a/internal/cranstate/home.go
+++ b/internal/cranstate/home.go
@@ -6,6 +6,7 @@
 
 // rehome gives every slot a member as its home.
 func (c *change) rehome() {
+	c.reroute()
 	members := sortedKeys(c.members)
 	for _, in := range c.sortedInstances() {
 		in.homes = rebalance(in, members, c.in.Offset+1)
--- a/internal/cranstate/instance.go
+++ b/internal/cranstate/instance.go
@@ -132,6 +132,7 @@
 	in.phase = to
 	in.version = c.in.Offset + 1
 	in.sinceMs = c.nowMs
+	c.reroute()
 	c.emit(InstanceChanged{Instance: in.id, From: from, To: to, Pool: in.pool, Cause: cause})
 }
 
@@ -205,6 +206,7 @@
 		c.failInWave(in)
 	}
 	delete(c.instances, in.id)
+	c.reroute()
 	c.emit(InstanceChanged{Instance: in.id, From: in.phase, To: PhaseGone, Pool: in.pool, Cause: "gone"})
 }
 
@@ -214,6 +216,9 @@
 	if o.Boots < in.boots {
 		return
 	}
+	if in.address != o.Address || in.slots != o.Slots || in.connections != o.Connections {
+		c.reroute()
+	}
 	in.address = o.Address
 	in.hint = o.Pool
 	if o.Slots != in.slots {
--- a/internal/cranstate/snapshot.go
+++ b/internal/cranstate/snapshot.go
@@ -27,6 +27,7 @@
 	Waves     []wireWave           `cbor:"waves"`
 	Marks     map[string]wireMark  `cbor:"marks"`
 	Malformed uint64               `cbor:"malformed"`
+	Routed    uint64               `cbor:"routed"`
 	Moves     uint64               `cbor:"moves"`
 }
 
@@ -100,7 +101,7 @@
 	w := wireState{
 		Version: snapshotVersion, Next: s.next, NowMs: s.nowMs, Revision: s.revision,
 		Leases: map[string]wireLease{}, Marks: map[string]wireMark{},
-		Malformed: s.malformed, Moves: s.moves,
+		Malformed: s.malformed, Moves: s.moves, Routed: s.routed,
 	}
 	if s.config != nil {
 		w.Config = s.config.Encode()
@@ -145,7 +146,7 @@
 	}
 	s := New()
 	s.next, s.nowMs, s.revision = w.Next, w.NowMs, w.Revision
-	s.malformed, s.moves = w.Malformed, w.Moves
+	s.malformed, s.moves, s.routed = w.Malformed, w.Moves, w.Routed
 	if len(w.Config) > 0 {
 		config, err := cranfleet.Decode(w.Config)
 		if err != nil {
--- a/internal/cranstate/state.go
+++ b/internal/cranstate/state.go
@@ -30,6 +30,9 @@
 	malformed uint64
 	// moves counts completed moves.
 	moves uint64
+	// routed is the offset after the last record that changed what traffic
+	// and slots need to know.
+	routed uint64
 }
 
 // mark remembers a writer so that repeats of its records are dropped.
@@ -68,6 +71,11 @@
 // Moves returns how many moves were completed.
 func (s *State) Moves() uint64 { return s.moves }
 
+// Routed returns the offset after the last record that changed routes,
+// instances, pools, homes or members; views of the state that were made since
+// are up to date.
+func (s *State) Routed() uint64 { return s.routed }
+
 // Members returns the members in order of incarnation.
 func (s *State) Members() []Member {
 	list := make([]Member, 0, len(s.members))
--- a/internal/cranwhole/harness_test.go
+++ b/internal/cranwhole/harness_test.go
@@ -21,6 +21,9 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cranberrypick/cranberrypick/internal/cranadmin"
+	// The programs under test are built from this package; the import lets
+	// the test cache see its changes.
+	_ "github.com/cranberrypick/cranberrypick/internal/crancli"
 	"github.com/cranberrypick/cranberrypick/internal/cranstandin"
 	"github.com/cranberrypick/cranberrypick/pkg/cranfleet"
 )
