Front: silent connections, retry budget, ejection, admission, whole answers

Cause: an idempotent request must survive a connection that went silent, a retry must not multiply load, and a target that fails fast must not attract requests. Policies (retryBudget, latency, ejector, admission) are pure and told the time; locked shares them among threads. A slot whose request failed faster than usual is kept for the usual time. Dropping a joined caller's stream unread left its exchange waiting for good; depart drains it.

--- a/internal/crantraffic/claimed.go
+++ b/internal/crantraffic/claimed.go
@@ -12,22 +12,37 @@
 const grantTime = 5 * time.Second
 
 // runClaimed runs a non-idempotent request, or joins its run.
-func (f *Front[S]) runClaimed(ctx context.Context, st *state[S], r *request) outcome {
-	if a, ok := f.kept.get(r.claimKey()); ok {
-		return answeredBy(a)
+func (j *job[S]) runClaimed(ctx context.Context) outcome {
+	f, r := j.front, j.request
+	if kept := f.kept.get(r.claimKey()); kept != nil {
+		return kept.outcomeFor(r)
 	}
 	c, first := f.keyed.join(r)
-	if !first && c.request.fingerprint() != r.fingerprint() {
-		_, _ = c.leave(ctx, false)
-		return notRun(cranfault.New(cranfault.Conflict, "use a new key for a new request",
-			"the %s belongs to another request", headerKey))
-	}
 	if first {
-		f.threads.Go(func() { f.execute(ctx, st, c) })
+		f.threads.Go(func() { j.execute(ctx, c) })
+	} else if c.request.fingerprint() != r.fingerprint() {
+		f.depart(ctx, c, false)
+		return notRun(conflict())
 	}
 	return f.waitFor(ctx, c, first)
 }
 
+// outcomeFor returns the outcome of a request whose key has a kept answer.
+func (k *keptAnswer) outcomeFor(r *request) outcome {
+	switch {
+	case k.fingerprint != r.fingerprint():
+		return notRun(conflict())
+	case k.answer == nil:
+		return unknown(notKept())
+	}
+	return answeredBy(k.answer)
+}
+
+func conflict() *cranfault.Fault {
+	return cranfault.New(cranfault.Conflict, "use a new key for a new request",
+		"the %s belongs to another request", headerKey)
+}
+
 // waitFor returns the outcome of the call for one caller.
 func (f *Front[S]) waitFor(ctx context.Context, c *call, first bool) outcome {
 	select {
@@ -35,6 +50,11 @@
 		return c.take()
 	case <-ctx.Done():
 	}
+	return f.depart(ctx, c, first)
+}
+
+// depart takes a caller out of the call and returns its outcome.
+func (f *Front[S]) depart(ctx context.Context, c *call, first bool) outcome {
 	o, unread := c.leave(ctx, first)
 	if unread != nil {
 		f.threads.Go(unread.drain)
@@ -43,16 +63,21 @@
 }
 
 // execute runs the call to its end.
-func (f *Front[S]) execute(ctx context.Context, st *state[S], c *call) {
+func (j *job[S]) execute(ctx context.Context, c *call) {
+	f := j.front
 	defer f.keyed.remove(c)
+	if fault := j.group.queue.admit(j.admission()); fault != nil {
+		c.finish(notRun(fault))
+		return
+	}
 	grant, o, ok := f.claim(ctx, c.request)
 	if !ok {
 		c.finish(o)
 		return
 	}
-	o = f.sendClaimed(ctx, st, c, grant)
-	if o.answer != nil {
-		f.kept.put(c.request.claimKey(), o.answer)
+	o = j.sendClaimed(ctx, c, grant)
+	if o.verdict == Answered {
+		f.kept.put(c.request.claimKey(), c.request.fingerprint(), o.answer)
 	}
 	if c.finish(o) {
 		o.stream.drain()
@@ -99,27 +124,28 @@
 }
 
 // sendClaimed sends the claimed request until it is answered or may have run.
-func (f *Front[S]) sendClaimed(ctx context.Context, st *state[S], c *call, grant Grant) outcome {
-	r := c.request
-	q := st.queues[r.route.group]
+func (j *job[S]) sendClaimed(ctx context.Context, c *call, grant Grant) outcome {
 	var tried []string
 	for {
-		slot, fault := q.acquire(ctx, r.route, f.avoiding(r.route.group, tried))
+		slot, fault := j.group.queue.acquire(ctx, j.admission(), j.group.avoiding(tried))
 		if fault != nil {
 			return notRun(fault)
 		}
-		x := c.begin(func() *exchange { return f.start(r, slot, grant, true) })
+		x := c.begin(func() *exchange { return j.start(slot, grant, true) })
 		if x == nil {
-			f.slots.Release(slot)
-			q.pump()
+			j.front.slots.Release(slot)
+			j.group.queue.pump()
 			return notRun(stopped(ctx))
 		}
 		<-x.done
-		j := judge(x)
+		end := judge(x)
 		tried = append(tried, x.target.id)
-		if j.outcome.verdict != NotRun || j.retry == "" || len(tried) >= maxAttempts {
-			return j.outcome
+		if end.retry == RetryRefused {
+			j.front.counters.Refused(j.route.service, SlotsRefused)
+		}
+		if end.outcome.verdict != NotRun || end.retry == "" || len(tried) >= maxAttempts {
+			return end.outcome
 		}
-		f.counters.Retried(r.route.service, j.retry)
+		j.front.counters.Retried(j.route.service, end.retry)
 	}
 }
--- a/internal/crantraffic/exchange.go
+++ b/internal/crantraffic/exchange.go
@@ -6,7 +6,9 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -24,9 +26,13 @@
 	request *request
 	id      string       // X-Request-Id of this attempt
 	fresh   bool         // over a connection that no earlier exchange has used
+	probe   bool         // it tries an instance that was ejected
 	limit   int64        // bytes of the answer that are buffered
 	guard   func() error // asked right before the first write
+	settled func()       // called once the result is set
 	ended   func()       // called once the target has ended the run
+	started time.Time    // when run began
+	blamed  atomic.Bool  // true: the instance's health has been told of it
 
 	done   chan struct{} // closed once result is set
 	result result
@@ -119,6 +125,7 @@
 // run sends the request and gathers the answer. It returns once the target has
 // ended the run, or once maxDuration has passed since the first write.
 func (x *exchange) run() {
+	x.started = time.Now()
 	res, err := x.target.transport(x.fresh).RoundTrip(x.outgoing())
 	if err != nil {
 		x.fail(err, false)
@@ -137,21 +144,24 @@
 		return
 	}
 	header := endToEnd(res.Header)
+	if x.request.method == http.MethodHead && res.ContentLength >= 0 {
+		header.Set("Content-Length", strconv.FormatInt(res.ContentLength, 10))
+	}
 	if n > x.limit {
 		x.passOn(res, header, body.Bytes())
 		return
 	}
 	_ = res.Body.Close()
-	x.end()
 	x.result = result{answer: NewAnswer(res.StatusCode, header, body.Bytes()), written: true}
+	x.settled()
+	x.end()
 	close(x.done)
 }
 
 // passOn hands a long answer to the caller's thread and waits for its end.
 func (x *exchange) passOn(res *http.Response, header http.Header, head []byte) {
 	s := newStream(res, header, head)
-	x.result = result{stream: s, written: true}
-	close(x.done)
+	x.publish(result{stream: s, written: true})
 	<-s.closed
 	if s.whole {
 		x.end()
@@ -168,14 +178,19 @@
 	if x.refusal != nil {
 		err = x.refusal
 	}
-	x.result = result{err: err, broken: broken, written: written}
-	close(x.done)
+	x.publish(result{err: err, broken: broken, written: written})
 	if written {
 		x.hold()
 	}
 	x.end()
 }
 
+func (x *exchange) publish(r result) {
+	x.result = r
+	x.settled()
+	close(x.done)
+}
+
 // hold waits until the longest run of the route must be over.
 func (x *exchange) hold() {
 	time.Sleep(time.Until(x.sentAt.Add(x.request.route.maxDuration)))
--- a/internal/crantraffic/fakes_test.go
+++ b/internal/crantraffic/fakes_test.go
@@ -160,6 +160,25 @@
 	}))
 }
 
+// job returns a request as the handler would build it.
+func (g *rig) job(method string) *job[testSlot] {
+	st := g.front.state.Load()
+	route, _ := st.view.Route(testService)
+	return &job[testSlot]{
+		request: &request{
+			route:      route,
+			method:     method,
+			header:     http.Header{},
+			idempotent: method == http.MethodGet,
+			key:        "k",
+			deadline:   time.Now().Add(time.Minute),
+		},
+		front:   g.front,
+		group:   st.groups[testGroup],
+		service: st.services[testService],
+	}
+}
+
 func (g *rig) setServe(err error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/crantraffic/front.go
+++ b/internal/crantraffic/front.go
@@ -32,9 +32,10 @@
 // state is a view with what the traffic threads need beside it. It is never
 // changed once published.
 type state[S Slot] struct {
-	view    *View
-	targets map[string]*target
-	queues  map[string]*queue[S]
+	view     *View
+	targets  map[string]*target
+	groups   map[string]*group[S]
+	services map[string]*service
 }
 
 // NewFront returns a front. It refuses every request until the first SetView.
@@ -63,23 +64,28 @@
 	defer f.mu.Unlock()
 	old := f.state.Load()
 	next := &state[S]{
-		view:    v,
-		targets: make(map[string]*target, len(v.instances)),
-		queues:  make(map[string]*queue[S], len(v.groupSize)),
+		view:     v,
+		targets:  make(map[string]*target, len(v.instances)),
+		groups:   make(map[string]*group[S]),
+		services: make(map[string]*service, len(v.routes)),
 	}
 	for _, i := range v.instances {
 		next.targets[i.id] = f.targetFor(old, i)
 	}
 	for _, r := range v.routes {
-		next.queues[r.group] = f.queueFor(old, r.group)
+		next.groups[r.group] = f.groupFor(old, r.group)
+		next.services[r.service] = f.serviceFor(old, r.service)
 	}
 	f.state.Store(next)
+	for _, g := range next.groups {
+		g.setMembers(v)
+	}
 	f.prune(next)
 	if f.closed {
 		return
 	}
-	for _, q := range next.queues {
-		q.pumpSoon(&f.threads)
+	for _, g := range next.groups {
+		g.queue.pumpSoon(&f.threads)
 	}
 }
 
@@ -97,19 +103,22 @@
 	return t
 }
 
-func (f *Front[S]) queueFor(old *state[S], group string) *queue[S] {
+func (f *Front[S]) groupFor(old *state[S], name string) *group[S] {
 	if old != nil {
-		if q, ok := old.queues[group]; ok {
-			return q
+		if g, ok := old.groups[name]; ok {
+			return g
 		}
 	}
-	return newQueue(f.slots, group, f.closedTo(group))
+	return newGroup(f, name)
 }
 
-// closedTo returns the filter of instances to which no new send of the group
-// may go.
-func (f *Front[S]) closedTo(group string) func(string) bool {
-	return func(id string) bool { return !f.state.Load().view.accepts(group, id) }
+func (f *Front[S]) serviceFor(old *state[S], name string) *service {
+	if old != nil {
+		if s, ok := old.services[name]; ok {
+			return s
+		}
+	}
+	return newService(f.now())
 }
 
 // prune forgets the targets that the state doesn't know and on which nothing
@@ -152,21 +161,27 @@
 	if s == nil {
 		return
 	}
-	q, ok := s.queues[group]
-	if !ok || q.length.Load() == 0 {
+	g, ok := s.groups[group]
+	if !ok || g.queue.length.Load() == 0 {
 		return
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if !f.closed {
-		q.pumpSoon(&f.threads)
+		g.queue.pumpSoon(&f.threads)
 	}
 }
 
 // Answer returns the kept answer to the non-idempotent request with the key,
 // for another entry that was asked for it. The key is the one that was given
 // to Claims.
-func (f *Front[S]) Answer(key string) (*Answer, bool) { return f.kept.get(key) }
+func (f *Front[S]) Answer(key string) (*Answer, bool) {
+	kept := f.kept.get(key)
+	if kept == nil || kept.answer == nil {
+		return nil, false
+	}
+	return kept.answer, true
+}
 
 // Close refuses new requests with notRun, waits until those in progress have
 // their outcome and every exchange has ended, and closes the connections.
--- a/internal/crantraffic/handler.go
+++ b/internal/crantraffic/handler.go
@@ -43,10 +43,16 @@
 	}
 	ctx, cancel := context.WithDeadline(c.Request().Context(), r.deadline)
 	defer cancel()
+	j := &job[S]{
+		request: r,
+		front:   f,
+		group:   st.groups[r.route.group],
+		service: st.services[r.route.service],
+	}
 	if r.idempotent {
-		return f.tell(c, r, f.runIdempotent(ctx, st, r))
+		return f.tell(c, r, j.runIdempotent(ctx))
 	}
-	return f.tell(c, r, f.runClaimed(ctx, st, r))
+	return f.tell(c, r, j.runClaimed(ctx))
 }
 
 // notFound refuses what isn't under the services' prefix.
--- a/internal/crantraffic/idempotent.go
+++ b/internal/crantraffic/idempotent.go
@@ -2,64 +2,126 @@
 
 import (
 	"context"
+	"time"
 )
 
 // runIdempotent runs a request that may be sent more than once.
-func (f *Front[S]) runIdempotent(ctx context.Context, st *state[S], r *request) outcome {
-	q := st.queues[r.route.group]
-	slot, fault := q.acquire(ctx, r.route, q.avoid)
+func (j *job[S]) runIdempotent(ctx context.Context) outcome {
+	j.service.budget.with((*retryBudget).earn)
+	slot, fault := j.group.queue.acquire(ctx, j.admission(), j.group.avoid)
 	if fault != nil {
 		return notRun(fault)
 	}
-	run := &idempotentRun[S]{front: f, queue: q, request: r}
-	return run.loop(ctx, slot)
+	n := &idempotentRun[S]{job: j}
+	return n.loop(ctx, slot)
 }
 
 // idempotentRun is the state of one request over its attempts.
 type idempotentRun[S Slot] struct {
-	front   *Front[S]
-	queue   *queue[S]
-	request *request
-	tried   []string // instances of earlier attempts
-	sent    bool     // an earlier attempt may have run
+	*job[S]
+	tried []string // instances of earlier attempts
+	sent  bool     // an earlier attempt may have run
+}
+
+// step is what follows an attempt: an outcome, or another attempt on a slot.
+type step[S Slot] struct {
+	outcome outcome
+	again   bool
+	slot    S
 }
 
 func (n *idempotentRun[S]) loop(ctx context.Context, slot S) outcome {
 	fresh := false
 	for {
-		x := n.front.start(n.request, slot, nil, fresh)
-		j := n.await(ctx, x)
+		x := n.start(slot, nil, fresh)
 		n.tried = append(n.tried, x.target.id)
-		next, ok := n.retrySlot(ctx, j)
-		if !ok {
-			return n.truth(j.outcome)
+		s := n.await(ctx, x)
+		if !s.again {
+			return n.truth(s.outcome)
 		}
-		n.front.counters.Retried(n.request.route.service, j.retry)
-		n.sent = n.sent || j.outcome.verdict != NotRun
-		slot, fresh = next, true
+		slot, fresh = s.slot, true
 	}
 }
 
-// await returns what the exchange brought, or gives it up when the caller's
-// time is over.
-func (n *idempotentRun[S]) await(ctx context.Context, x *exchange) judgement {
-	select {
-	case <-x.done:
-		return judge(x)
-	case <-ctx.Done():
+// await waits for the end of an attempt: its result, its silence while another
+// attempt can be made, or the end of the caller's time.
+func (n *idempotentRun[S]) await(ctx context.Context, x *exchange) step[S] {
+	silent := time.NewTicker(n.service.estimate().silentAfter(n.route.maxDuration))
+	defer silent.Stop()
+	for {
+		select {
+		case <-x.done:
+			return n.afterResult(ctx, judge(x))
+		case <-ctx.Done():
+			return step[S]{outcome: n.giveUp(ctx, x)}
+		case <-silent.C:
+			if s, ok := n.afterSilence(ctx, x); ok {
+				return s
+			}
+		}
 	}
+}
+
+// giveUp abandons the attempt at the end of the caller's time.
+func (n *idempotentRun[S]) giveUp(ctx context.Context, x *exchange) outcome {
+	n.blame(x, healthNeutral)
 	if n.front.abandon(x) {
-		return judgement{outcome: unknown(stopped(ctx))}
+		return unknown(stopped(ctx))
 	}
-	return judgement{outcome: notRun(stopped(ctx))}
+	return notRun(stopped(ctx))
 }
 
-// retrySlot returns the slot for another attempt, if there should be one.
-func (n *idempotentRun[S]) retrySlot(ctx context.Context, j judgement) (slot S, ok bool) {
-	if j.retry == "" || len(n.tried) >= maxAttempts || ctx.Err() != nil {
+// afterResult decides on another attempt after a result.
+func (n *idempotentRun[S]) afterResult(ctx context.Context, j judgement) step[S] {
+	if j.retry == "" {
+		return step[S]{outcome: j.outcome}
+	}
+	if j.retry == RetryRefused {
+		n.front.counters.Refused(n.route.service, SlotsRefused)
+	}
+	ran := j.outcome.verdict != NotRun
+	slot, ok := n.retrySlot(ctx, j.retry, ran)
+	if !ok {
+		return step[S]{outcome: j.outcome}
+	}
+	n.sent = n.sent || ran
+	return step[S]{again: true, slot: slot}
+}
+
+// afterSilence gives a silent connection up if another attempt can be made. The
+// other connections to the target that are idle now may be silent as well.
+func (n *idempotentRun[S]) afterSilence(ctx context.Context, x *exchange) (s step[S], ok bool) {
+	slot, ok := n.retrySlot(ctx, RetrySilent, true)
+	if !ok {
+		return s, false
+	}
+	n.blame(x, healthBad)
+	if n.front.abandon(x) {
+		n.sent = true
+		n.service.learn(silentTimeGrows*time.Since(x.started), n.front.now())
+	}
+	x.target.closeIdle()
+	return step[S]{again: true, slot: slot}, true
+}
+
+// retrySlot returns a slot for another attempt, if there may be one. An attempt
+// that provably didn't run costs no budget, as repeating it adds no load.
+func (n *idempotentRun[S]) retrySlot(ctx context.Context, why RetryReason, ran bool) (slot S, ok bool) {
+	if len(n.tried) >= maxAttempts || ctx.Err() != nil {
+		return slot, false
+	}
+	if ran && !ask(n.service.budget, (*retryBudget).spend) {
+		n.front.counters.Refused(n.route.service, RetriesSpent)
 		return slot, false
 	}
-	return n.queue.try(n.front.avoiding(n.request.route.group, n.tried))
+	slot, ok = n.group.retrySlot(n.tried)
+	switch {
+	case ok:
+		n.front.counters.Retried(n.route.service, why)
+	case ran:
+		n.service.budget.with((*retryBudget).refund)
+	}
+	return slot, ok
 }
 
 // truth returns the outcome as it holds for all attempts together: a request
--- a/internal/crantraffic/judge.go
+++ b/internal/crantraffic/judge.go
@@ -1,6 +1,7 @@
 package crantraffic
 
 import (
+	"errors"
 	"net/http"
 
 	"github.com/cranberrypick/cranberrypick/internal/cranfault"
@@ -51,6 +52,35 @@
 	return j
 }
 
+// healthOf returns what an exchange whose result is set says of its instance.
+// That a request can't run anywhere says nothing of it.
+func healthOf(x *exchange) health {
+	res := x.result
+	switch {
+	case res.stream != nil:
+		return healthGood
+	case res.answer == nil:
+		return healthOfError(x)
+	case isRefused(res.answer):
+		return healthRefused
+	case res.answer.status >= http.StatusInternalServerError:
+		return healthBad
+	case res.answer.header.Get(headerNever) != "":
+		return healthNeutral
+	}
+	return healthGood
+}
+
+// healthOfError blames the instance unless the front itself kept the request
+// from being sent, or gave it up.
+func healthOfError(x *exchange) health {
+	_, byGuard := faultOf(x.result.err)
+	if byGuard || errors.Is(x.result.err, errSealed) || errors.Is(x.result.err, errUnowned) {
+		return healthNeutral
+	}
+	return healthBad
+}
+
 // retryOfStatus returns why an answered idempotent request could be sent again.
 func retryOfStatus(a *Answer) RetryReason {
 	switch a.status {
--- a/internal/crantraffic/outcome.go
+++ b/internal/crantraffic/outcome.go
@@ -27,6 +27,8 @@
 	Unreachable cranfault.Kind = "unreachable"
 	// SlotsRefused says that the target refused a request over its slots.
 	SlotsRefused cranfault.Kind = "slotsRefused"
+	// RetriesSpent says that a request wasn't retried for want of budget.
+	RetriesSpent cranfault.Kind = "retriesSpent"
 	// NotKept says that an answer is too large to be kept for its key.
 	NotKept cranfault.Kind = "notKept"
 )
--- a/internal/crantraffic/queue.go
+++ b/internal/crantraffic/queue.go
@@ -42,16 +42,17 @@
 	return q.slots.TryAcquire(q.group, avoid)
 }
 
-// acquire waits for a slot until the context ends.
-func (q *queue[S]) acquire(ctx context.Context, r Route, avoid func(string) bool) (S, *cranfault.Fault) {
+// acquire waits for a slot until the context ends. The admission says whether
+// it waits at all.
+func (q *queue[S]) acquire(ctx context.Context, a admission, avoid func(string) bool) (S, *cranfault.Fault) {
 	var none S
 	if s, ok := q.try(avoid); ok {
 		return s, nil
 	}
-	w := &waiter[S]{service: r.service, slot: make(chan S, 1)}
-	place, ok := q.push(w, r.maxQueue)
-	if !ok {
-		return none, queueFull(r)
+	w := &waiter[S]{service: a.route.service, slot: make(chan S, 1)}
+	place, fault := q.push(w, a)
+	if fault != nil {
+		return none, fault
 	}
 	q.pump()
 	select {
@@ -62,22 +63,28 @@
 	}
 }
 
-func queueFull(r Route) *cranfault.Fault {
-	return cranfault.New(cranfault.QueueFull, "try again later or through another entry",
-		"%d requests of service %s wait already", r.maxQueue, r.service)
+// admit reports why a request would not be let in now. A request that finds
+// nobody waiting is let in.
+func (q *queue[S]) admit(a admission) *cranfault.Fault {
+	if q.length.Load() == 0 {
+		return nil
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return a.check(q.count[a.route.service], q.waiters.Len())
 }
 
-// push adds a waiter unless its service has too many.
-func (q *queue[S]) push(w *waiter[S], limit int) (*list.Element, bool) {
+// push adds a waiter if it is admitted.
+func (q *queue[S]) push(w *waiter[S], a admission) (*list.Element, *cranfault.Fault) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if q.count[w.service] >= limit {
-		return nil, false
+	if f := a.check(q.count[w.service], q.waiters.Len()); f != nil {
+		return nil, f
 	}
 	q.count[w.service]++
 	e := q.waiters.PushBack(w)
 	q.changed()
-	return e, true
+	return e, nil
 }
 
 // giveUp takes a waiter out. A slot that it was given meanwhile is its own.
--- a/internal/crantraffic/send.go
+++ b/internal/crantraffic/send.go
@@ -4,43 +4,88 @@
 	"context"
 	"crypto/rand"
 	"errors"
-	"slices"
+	"net/http"
+	"time"
 
 	"github.com/cranberrypick/cranberrypick/internal/cranfault"
 )
 
+// job is a request with what the front knows of its service and pool.
+type job[S Slot] struct {
+	*request
+	front   *Front[S]
+	group   *group[S]
+	service *service
+}
+
+// admission returns what decides now whether the request may wait.
+func (j *job[S]) admission() admission {
+	return admission{
+		route:    j.route,
+		left:     j.deadline.Sub(j.front.now()),
+		inUse:    int(j.group.inUse.Load()),
+		estimate: j.service.estimate(),
+	}
+}
+
 // start begins an exchange on a slot. The slot is released when the exchange
 // has ended.
-func (f *Front[S]) start(r *request, slot S, grant Grant, fresh bool) *exchange {
+func (j *job[S]) start(slot S, grant Grant, fresh bool) *exchange {
+	f := j.front
 	t := f.state.Load().targets[slot.Instance()]
 	if t == nil {
-		t = newTarget(NewInstance(slot.Instance(), "", r.route.group, 1, false), f.dialTimeout)
+		t = newTarget(NewInstance(slot.Instance(), "", j.group.name, 1, false), f.dialTimeout)
 	}
 	t.inFlight.Add(1)
 	x := &exchange{
 		target:  t,
-		request: r,
+		request: j.request,
 		id:      rand.Text(),
 		fresh:   fresh,
+		probe:   j.group.begin(t.id),
 		limit:   f.answerLimit,
-		guard:   func() error { return f.mayWrite(r, t.id, grant) },
+		guard:   func() error { return f.mayWrite(j.request, t.id, grant) },
 		done:    make(chan struct{}),
 	}
+	x.settled = func() { j.settled(x) }
 	x.ended = func() {
 		t.inFlight.Add(-1)
-		f.slots.Release(slot)
-		f.pump(r.route.group)
+		j.free(x, slot)
 	}
 	f.threads.Go(x.run)
 	return x
 }
 
-func (f *Front[S]) pump(group string) {
-	if q, ok := f.state.Load().queues[group]; ok {
-		q.pump()
+// settled learns from an exchange whose result is set.
+func (j *job[S]) settled(x *exchange) {
+	j.blame(x, healthOf(x))
+	if a := x.result.answer; a != nil && a.status < http.StatusInternalServerError {
+		j.service.learn(time.Since(x.sentAt), j.front.now())
 	}
 }
 
+// blame tells the ejector about an exchange, once.
+func (j *job[S]) blame(x *exchange, h health) {
+	if x.blamed.CompareAndSwap(false, true) {
+		j.group.observe(x.target.id, h, x.probe)
+	}
+}
+
+// free releases the slot of an exchange that has ended. The slot of one that
+// failed faster than requests usually run is kept for the usual time, so that a
+// target that fails fast gets no more requests than one that works.
+func (j *job[S]) free(x *exchange, slot S) {
+	left := j.service.estimate().median - time.Since(x.started)
+	if healthOf(x) != healthBad || left <= 0 {
+		j.group.release(slot)
+		return
+	}
+	j.front.threads.Go(func() {
+		time.Sleep(left)
+		j.group.release(slot)
+	})
+}
+
 // mayWrite is the guard of an exchange: whether its first write may begin.
 func (f *Front[S]) mayWrite(r *request, instance string, grant Grant) error {
 	v := f.state.Load().view
@@ -61,12 +106,6 @@
 	return nil
 }
 
-// avoiding returns the filter of the group that leaves out instances besides.
-func (f *Front[S]) avoiding(group string, instances []string) func(string) bool {
-	closed := f.closedTo(group)
-	return func(id string) bool { return slices.Contains(instances, id) || closed(id) }
-}
-
 // faultOf returns the typed fault in the chain of err.
 func faultOf(err error) (*cranfault.Fault, bool) {
 	var f *cranfault.Fault
--- a/internal/crantraffic/stream.go
+++ b/internal/crantraffic/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"net/http"
 	"sync"
@@ -30,16 +31,33 @@
 	}
 }
 
-// copyTo copies the whole body. Its error is the target's or the writer's.
+// copyTo copies the whole body. If the writer fails, the body is still read to
+// its end, so that the end of the run is seen. The error is the target's or the
+// writer's.
 func (s *stream) copyTo(w io.Writer) error {
-	_, err := io.Copy(w, s.rest)
+	out := &sink{to: w}
+	_, err := io.Copy(out, s.rest)
 	s.close(err == nil)
-	return err
+	return errors.Join(err, out.err)
 }
 
 // drain reads the rest for nobody.
 func (s *stream) drain() { _ = s.copyTo(io.Discard) }
 
+// sink writes until the first error and drops what follows.
+type sink struct {
+	to  io.Writer
+	err error
+}
+
+// Write never fails; the error is kept.
+func (k *sink) Write(p []byte) (int, error) {
+	if k.err == nil {
+		_, k.err = k.to.Write(p)
+	}
+	return len(p), nil
+}
+
 func (s *stream) close(whole bool) {
 	s.once.Do(func() {
 		s.whole = whole
--- a/internal/crantraffic/transport_test.go
+++ b/internal/crantraffic/transport_test.go
@@ -18,18 +18,19 @@
 
 // rawTarget reads whole requests from raw connections. For each it calls
 // serve with the number of the connection and of the request on it, both from
-// one; serve returns what is written back, and the connection is closed if it
-// is empty.
+// one; serve returns what is written back, and the connection is closed after
+// anything but wholeAnswer.
 type rawTarget struct {
 	address string
 	reads   atomic.Int64 // requests read, over all connections
+	ends    chan int     // numbers of the connections that the other end closed
 }
 
 func newRawTarget(t *testing.T, serve func(conn, n int) string) *rawTarget {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
-	r := &rawTarget{address: l.Addr().String()}
+	r := &rawTarget{address: l.Addr().String(), ends: make(chan int, 100)}
 	go func() {
 		for i := 1; ; i++ {
 			c, err := l.Accept()
@@ -48,15 +49,16 @@
 	for n := 1; ; n++ {
 		req, err := http.ReadRequest(in)
 		if err != nil {
+			r.ends <- conn
 			return
 		}
 		_, _ = io.Copy(io.Discard, req.Body)
 		r.reads.Add(1)
 		out := serve(conn, n)
-		if out == "" {
+		_, _ = io.WriteString(c, out)
+		if out != wholeAnswer {
 			return
 		}
-		_, _ = io.WriteString(c, out)
 	}
 }
 
@@ -98,7 +100,7 @@
 		return ""
 	})
 	for _, method := range []string{"GET", "OPTIONS", "PUT", "DELETE"} {
-		g := newRig(t, newFakeSlots(2, "a"), map[string]string{"a": target.address})
+		g := newRig(t, newFakeSlots(1, "a"), map[string]string{"a": target.address})
 		g.view(map[string]string{"a": target.address}, 50*time.Millisecond, nil)
 		before := target.reads.Load()
 		require.Equal(t, "ok", g.call("GET", "/s/bookings/a", "").body)
@@ -108,6 +110,31 @@
 	}
 }
 
+// TestOnlyTheOwnerEndsItsConnection gives an exchange up that has ended and
+// whose connection carries another by now.
+func TestOnlyTheOwnerEndsItsConnection(t *testing.T) {
+	entered, proceed := make(chan struct{}), make(chan struct{})
+	target := newRawTarget(t, func(_, n int) string {
+		if n == 2 {
+			close(entered)
+			<-proceed
+		}
+		return wholeAnswer
+	})
+	g := newRig(t, newFakeSlots(2, "a"), map[string]string{"a": target.address})
+	j := g.job("GET")
+	first := j.start("a", nil, false)
+	<-first.done
+	second := j.start("a", nil, false)
+	<-entered
+	require.Same(t, first.conn, second.conn)
+	first.cancel()
+	first.expire()
+	close(proceed)
+	<-second.done
+	require.Equal(t, "ok", string(second.result.answer.Body()))
+}
+
 // TestSealedWhileItWaitsForAConnection lets a request's deadline pass before
 // it has a connection. Nothing of it may be sent then or later.
 func TestSealedWhileItWaitsForAConnection(t *testing.T) {
--- a/internal/crantraffic/view.go
+++ b/internal/crantraffic/view.go
@@ -64,26 +64,26 @@
 type View struct {
 	routes    map[string]Route
 	instances map[string]Instance
-	groupSize map[string]int
 	mayServe  func() error
 }
 
 // NewView returns a view. The front calls mayServe right before each send, on
 // any traffic thread; it returns nil or a typed fault that says why this entry
-// must not start work.
+// must not start work. A nil mayServe always allows.
 func NewView(routes []Route, instances []Instance, mayServe func() error) *View {
 	v := &View{
 		routes:    make(map[string]Route, len(routes)),
 		instances: make(map[string]Instance, len(instances)),
-		groupSize: make(map[string]int),
 		mayServe:  mayServe,
 	}
+	if mayServe == nil {
+		v.mayServe = func() error { return nil }
+	}
 	for _, r := range routes {
 		v.routes[r.service] = r
 	}
 	for _, i := range instances {
 		v.instances[i.id] = i
-		v.groupSize[i.group]++
 	}
 	return v
 }
