Measure slot sharing by discrete events on the real broker

Cause: the lending policy is to be chosen by figures beside the pooled queue and three other schemes. Tests seen failing with the mechanism broken, on a copy: no slot limit in pooled and in choices, wrong variation of heavy service, wrong rate between surges, events out of order (engine test), loss of 1 accepted, an unseeded random source.

--- /dev/null
+++ b/cmd/cranmeasure/main.go
@@ -0,0 +1,16 @@
+// Command cranmeasure measures the decisions of the system: each subcommand
+// runs the real decision code on a seeded workload in virtual time and prints
+// figures beside their baselines.
+package main
+
+import "github.com/alecthomas/kong"
+
+// commands are the subcommands, one file each.
+type commands struct {
+	Slots slotsCommand `cmd:"" help:"Measure how entries share the slots of targets."`
+}
+
+func main() {
+	ctx := kong.Parse(&commands{}, kong.Name("cranmeasure"), kong.UsageOnError())
+	ctx.FatalIfErrorf(ctx.Run())
+}
--- /dev/null
+++ b/cmd/cranmeasure/slots.go
@@ -0,0 +1,76 @@
+package main
+
+import (
+	"encoding/json"
+	"os"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/cranberrypick/cranberrypick/internal/cranslotsim"
+)
+
+// slotsCommand runs every combination of its lists. Times are in mean service
+// times.
+type slotsCommand struct {
+	Load     []float64 `default:"0.5,0.8,0.9,0.95" help:"Loads as parts of all slots."`
+	Entries  []int     `default:"9" help:"Numbers of entries."`
+	Service  []string  `default:"exponential,heavy" help:"Service time distributions: exponential, heavy."`
+	Scheme   []string  `default:"pooled,own,forward,choices,lending" help:"Schemes: pooled, own, forward, choices, lending."`
+	Targets  int       `default:"10" help:"Number of targets."`
+	Slots    int       `default:"8" help:"Slots of each target."`
+	Hop      float64   `default:"0.01" help:"Delay of a message between entries."`
+	Loss     float64   `default:"0" help:"Share of messages between entries that are lost."`
+	Interval float64   `default:"0.1" help:"Time between two batches of messages of an entry."`
+	Stale    float64   `default:"1" help:"Time between two exchanges of counts in the forward scheme."`
+	Duration float64   `default:"2000" help:"Time in which requests arrive."`
+	FailFast bool      `help:"Let the first target fail every request at once."`
+	Surge    bool      `help:"Let requests arrive in surges of five times the mean."`
+	Seed     uint64    `default:"1" help:"Seed of the workload."`
+	Parallel int       `default:"3" help:"Runs at a time."`
+	Report   string    `default:"text" enum:"text,json" help:"Form of the report: text or json."`
+}
+
+// Run measures and prints.
+func (c *slotsCommand) Run() error {
+	list := c.settings()
+	results := make([]cranslotsim.Result, len(list))
+	var g errgroup.Group
+	g.SetLimit(c.Parallel)
+	for i, s := range list {
+		g.Go(func() (err error) {
+			results[i], err = cranslotsim.Run(s)
+			return err
+		})
+	}
+	if err := g.Wait(); err != nil {
+		return err
+	}
+	if c.Report == "json" {
+		e := json.NewEncoder(os.Stdout)
+		e.SetIndent("", "  ")
+		return e.Encode(results)
+	}
+	return cranslotsim.Print(os.Stdout, results)
+}
+
+// settings returns the settings of all runs, in the order of the report.
+func (c *slotsCommand) settings() []cranslotsim.Settings {
+	base := cranslotsim.Settings{
+		Targets: c.Targets, Slots: c.Slots, Hop: c.Hop, Loss: c.Loss,
+		Interval: c.Interval, Stale: c.Stale, Duration: c.Duration,
+		FailFast: c.FailFast, Surge: c.Surge, Seed: c.Seed,
+	}
+	var list []cranslotsim.Settings
+	for _, service := range c.Service {
+		for _, load := range c.Load {
+			for _, entries := range c.Entries {
+				for _, scheme := range c.Scheme {
+					s := base
+					s.Service, s.Load, s.Entries, s.Scheme = service, load, entries, scheme
+					list = append(list, s)
+				}
+			}
+		}
+	}
+	return list
+}
--- a/internal/cranslot/view.go
+++ b/internal/cranslot/view.go
@@ -58,3 +58,7 @@
 	_, found := slices.BinarySearch(v.members, entry)
 	return found
 }
+
+// Instances returns the instances in the order given. The caller must not
+// change their homes.
+func (v View) Instances() []InstanceView { return slices.Clone(v.instances) }
--- /dev/null
+++ b/internal/cranslotsim/result.go
@@ -0,0 +1,71 @@
+package cranslotsim
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"slices"
+	"text/tabwriter"
+)
+
+// Result is what one run measured. Waits are from a request's arrival until
+// its last attempt starts, in mean service times.
+type Result struct {
+	Settings Settings `json:"settings"`
+	Requests int      `json:"requests"`
+	// Started is the number of requests that started before the end.
+	Started  int     `json:"started"`
+	Attempts int     `json:"attempts"`
+	MeanWait float64 `json:"meanWait"`
+	P99Wait  float64 `json:"p99Wait"`
+	// Messages and Bytes are those between entries, bytes as CBOR.
+	Messages int `json:"messages"`
+	Bytes    int `json:"bytes"`
+	// MostInProgress is the highest count seen on any target.
+	MostInProgress int `json:"mostInProgress"`
+
+	waits []float64
+}
+
+// MessagesPerRequest returns the messages between entries for each request.
+func (r Result) MessagesPerRequest() float64 {
+	return float64(r.Messages) / float64(max(r.Requests, 1))
+}
+
+// BytesPerRequest returns the bytes between entries for each request.
+func (r Result) BytesPerRequest() float64 {
+	return float64(r.Bytes) / float64(max(r.Requests, 1))
+}
+
+// summarise computes the mean and the 99th percentile of the waits.
+func (r *Result) summarise() {
+	if len(r.waits) == 0 {
+		return
+	}
+	slices.Sort(r.waits)
+	sum := 0.0
+	for _, w := range r.waits {
+		sum += w
+	}
+	r.MeanWait = sum / float64(len(r.waits))
+	at := int(math.Ceil(0.99*float64(len(r.waits)))) - 1
+	r.P99Wait = r.waits[at]
+}
+
+// Print writes the results as a table. The ratio is that of the 99th
+// percentile to the one of the pooled scheme above it.
+func Print(w io.Writer, results []Result) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	_, _ = fmt.Fprintln(t, "load\tservice\tentries\tscheme\tmean wait\tp99 wait\tp99 ratio\tmessages/request\tbytes/request\tattempts/request\tmost in progress\tunstarted\t")
+	pooled := math.NaN()
+	for _, r := range results {
+		if r.Settings.Scheme == Pooled {
+			pooled = r.P99Wait
+		}
+		_, _ = fmt.Fprintf(t, "%.2f\t%s\t%d\t%s\t%.3f\t%.3f\t%.2f\t%.3f\t%.1f\t%.3f\t%d\t%d\t\n",
+			r.Settings.Load, r.Settings.Service, r.Settings.Entries, r.Settings.Scheme,
+			r.MeanWait, r.P99Wait, r.P99Wait/pooled, r.MessagesPerRequest(), r.BytesPerRequest(),
+			float64(r.Attempts)/float64(max(r.Started, 1)), r.MostInProgress, r.Requests-r.Started)
+	}
+	return t.Flush()
+}
--- /dev/null
+++ b/internal/cranslotsim/run.go
@@ -0,0 +1,37 @@
+package cranslotsim
+
+// Run simulates one setting. It returns a cranfault.Invalid fault if the
+// settings can't be run.
+func Run(s Settings) (Result, error) {
+	if err := s.check(); err != nil {
+		return Result{}, err
+	}
+	f := newFleet(s)
+	sc := newScheme(f)
+	sc.start()
+	list := jobs(s)
+	f.result.Requests = len(list)
+	for _, j := range list {
+		for f.next(j.arrival) {
+			continue
+		}
+		f.now = j.arrival
+		sc.arrive(j)
+	}
+	for f.result.Started < len(list) && f.next(s.Duration+drain) {
+		continue
+	}
+	f.result.summarise()
+	return f.result, nil
+}
+
+func newScheme(f *fleet) scheme {
+	switch f.settings.Scheme {
+	case Pooled:
+		return newPooled(f)
+	case Choices:
+		return newChoices(f)
+	default:
+		return newBrokered(f)
+	}
+}
