Count the reasons of the traffic threads and of the log client

Cause: with the traffic front and the log client merged, their own kinds and reasons (targetLost, appendTimeout and others) would have been counted as "other", and nothing said so. Ruled out: importing crantraffic and cranlog in the code of cranmetric (a metric would pull in everything it measures). A generic adapter fits crantraffic.Counters; a test reads the constants of the other packages and fails when one isn't counted on its own. Changed in cransettings: wave.haltFailures is now wave.maxFailures, as the reducer counts it (one more halts); wave.pauseMs is gone, as nothing has it. Test seen failing, then passing: six mutations of the lists, the timing and the service, and a lost row of the page, each failed TestReasonsOfOtherPackages, TestPage, TestTraffic or TestTrafficKinds.

--- a/internal/cranmetric/flow.go
+++ b/internal/cranmetric/flow.go
@@ -12,6 +12,10 @@
 var (
 	directions    = []Direction{Sent, Received}
 	appendResults = []AppendResult{AppendConfirmed, AppendUncertain, AppendFailed}
+	logReasons    = []LogReason{
+		LogAppendFailed, LogAppendTimeout, LogQueueFull, LogTooLarge, LogOwnRepeat, LogForeignSeq,
+		LogReadFailed, LogReadTimeout, LogReadGap, LogBehind, LogMalformed, LogRelayGap, LogExpired,
+	}
 )
 
 // logMetrics counts what goes to and comes from the log.
@@ -19,7 +23,7 @@
 	appends   closedCounters[AppendResult]
 	records   closedCounters[Direction]
 	bytes     closedCounters[Direction]
-	retries   prometheus.Counter
+	retries   closedCounters[LogReason]
 	malformed prometheus.Counter
 	seconds   prometheus.Observer
 }
@@ -29,7 +33,7 @@
 		appends:   newClosedCounters(b.counters("log_appends_total", "Appends to the log by result.", "result"), appendResults),
 		records:   newClosedCounters(b.counters("log_records_total", "Records appended and read.", "direction"), directions),
 		bytes:     newClosedCounters(b.counters("log_bytes_total", "Bytes of records appended and read.", "direction"), directions),
-		retries:   b.counter("log_append_retries_total", "Appends tried again."),
+		retries:   newClosedCounters(b.counters("log_retries_total", "Retries and refusals of the log client, by reason.", "reason"), logReasons),
 		malformed: b.counter("log_malformed_records_total", "Records skipped because they could not be decoded."),
 		seconds:   b.histograms("log_append_seconds", "Time of one append.", appendSeconds).WithLabelValues(),
 	}
@@ -43,8 +47,8 @@
 	m.log.seconds.Observe(duration.Seconds())
 }
 
-// LogRetry counts one append that is tried again.
-func (m *Metrics) LogRetry() { m.log.retries.Inc() }
+// LogRetried counts one retry or refusal of the log client.
+func (m *Metrics) LogRetried(reason LogReason) { m.log.retries.add(reason, 1) }
 
 // LogRead counts records that were read.
 func (m *Metrics) LogRead(records, bytes int) {
--- a/internal/cranmetric/metrics.go
+++ b/internal/cranmetric/metrics.go
@@ -28,6 +28,26 @@
 	RetryTargetFailed RetryReason = "targetFailed"
 )
 
+// LogReason says why the log client tried again or refused something.
+type LogReason string
+
+// Reasons of the log client.
+const (
+	LogAppendFailed  LogReason = "appendFailed"
+	LogAppendTimeout LogReason = "appendTimeout"
+	LogQueueFull     LogReason = "queueFull"
+	LogTooLarge      LogReason = "tooLarge"
+	LogOwnRepeat     LogReason = "ownRepeat"
+	LogForeignSeq    LogReason = "foreignSeq"
+	LogReadFailed    LogReason = "readFailed"
+	LogReadTimeout   LogReason = "readTimeout"
+	LogReadGap       LogReason = "readGap"
+	LogBehind        LogReason = "logBehind"
+	LogMalformed     LogReason = "malformed"
+	LogRelayGap      LogReason = "relayGap"
+	LogExpired       LogReason = "expired"
+)
+
 // Direction is the way of bytes and messages.
 type Direction string
 
@@ -107,7 +127,7 @@
 	}
 	m := &Metrics{registry: prometheus.NewRegistry()}
 	b := builder{registry: m.registry}
-	m.refusals = newClosedCounters(b.counters("refusals_total", "Refusals by kind of fault.", "reason"), cranfault.Kinds())
+	m.refusals = newClosedCounters(b.counters("refusals_total", "Refusals by kind of fault.", "reason"), append(cranfault.Kinds(), trafficKinds...))
 	m.retries = newClosedCounters(b.counters("retries_total", "Requests sent again, by reason.", "reason"), o.retryReasons)
 	m.requests = newRequestMetrics(b)
 	m.log = newLogMetrics(b)
@@ -135,7 +155,8 @@
 // Outcome counts what a caller was told, and how long the caller waited. A
 // service that isn't in force is counted as "other".
 func (m *Metrics) Outcome(service string, outcome Outcome, duration time.Duration) {
-	m.requests.observe(service, outcome, duration)
+	m.requests.count(service, outcome)
+	m.requests.observe(service, duration)
 }
 
 // SetServices sets the services in force. Series of services that are no
--- a/internal/cranmetric/metrics_test.go
+++ b/internal/cranmetric/metrics_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"path/filepath"
 	"regexp"
 	"slices"
 	"strings"
@@ -18,6 +19,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cranberrypick/cranberrypick/internal/cranfault"
+	"github.com/cranberrypick/cranberrypick/internal/crantraffic"
 )
 
 // page returns what the handler serves of this package's metrics.
@@ -55,7 +57,7 @@
 	m.Outcome("placement", "made up", 0)
 	m.LogAppend(AppendConfirmed, 3, 900, 4*time.Millisecond)
 	m.LogAppend(AppendUncertain, 1, 300, time.Minute)
-	m.LogRetry()
+	m.LogRetried(LogAppendTimeout)
 	m.LogRead(7, 2100)
 	m.MalformedRecord()
 	m.PeerMessage(Sent, 100)
@@ -95,6 +97,82 @@
 	require.Contains(t, page(t, m), `requests_total{outcome="notRun",service="other"} 1000`)
 }
 
+// TestReasonsOfOtherPackages reads the reasons and kinds that other packages
+// declare, so that none of them is counted as other.
+func TestReasonsOfOtherPackages(t *testing.T) {
+	p := page(t, New())
+	for _, c := range []struct{ files, pattern, series string }{
+		{"../crantraffic/*.go", `(?m)^\t\w+ +cranfault\.Kind += "(\w+)"`, "refusals_total"},
+		{"../*/*.go", `(?m)^\t\w+ +cranfault\.Kind += "(\w+)"`, "refusals_total"},
+		{"../crantraffic/*.go", `(?m)^\t\w+ +RetryReason += "(\w+)"`, "retries_total"},
+		{"../cranlog/*.go", `(?m)^\t\w+ +Reason += "(\w+)"`, "log_retries_total"},
+		{"../cranstate/*.go", `(?m)^\t\w+ +Phase += "(\w+)"`, "instances"},
+	} {
+		found := declared(t, c.files, c.pattern)
+		require.NotEmpty(t, found, c.pattern)
+		for _, reason := range found {
+			if c.series == "instances" && reason == "gone" {
+				continue // an instance that is gone is no longer counted
+			}
+			require.Regexp(t, `cranberrypick_`+c.series+`\{\w+="`+reason+`"\} 0\n`, p)
+		}
+	}
+}
+
+// declared returns the first groups of the pattern in the files.
+func declared(t *testing.T, files, pattern string) []string {
+	paths, err := filepath.Glob(files)
+	require.NoError(t, err)
+	var found []string
+	for _, path := range paths {
+		source, err := os.ReadFile(path)
+		require.NoError(t, err)
+		for _, m := range regexp.MustCompile(pattern).FindAllStringSubmatch(string(source), -1) {
+			found = append(found, m[1])
+		}
+	}
+	return found
+}
+
+var _ crantraffic.Counters = TrafficCounters[crantraffic.RetryReason, crantraffic.Verdict]{}
+
+func TestTraffic(t *testing.T) {
+	m := New()
+	m.SetServices("placement")
+	c := NewTrafficCounters[crantraffic.RetryReason, crantraffic.Verdict](m)
+	c.Refused("placement", crantraffic.TargetLost)
+	c.Retried("placement", crantraffic.RetrySilent)
+	c.Outcome("placement", crantraffic.NotRun, cranfault.Busy)
+	abort := http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+	h := m.Timed("/services/", abort)
+	for _, path := range []string{"/services/placement/x", "/services/placement", "/services/stranger/x", "/"} {
+		require.Panics(t, func() { h.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, path, nil)) })
+	}
+	p := page(t, m)
+	for _, line := range []string{
+		`refusals_total{reason="targetLost"} 1`, `retries_total{reason="silent"} 1`,
+		`requests_total{outcome="notRun",service="placement"} 1`,
+		`request_seconds_count{service="placement"} 2`, `request_seconds_count{service="other"} 2`,
+	} {
+		require.Contains(t, p, "cranberrypick_"+line+"\n")
+	}
+}
+
+// TestTrafficKinds checks that docs/operators.md explains the kinds that only
+// the traffic threads know.
+func TestTrafficKinds(t *testing.T) {
+	text, err := os.ReadFile("../../docs/operators.md")
+	require.NoError(t, err)
+	_, section, found := strings.Cut(string(text), "\n## Refusals of traffic\n")
+	require.True(t, found)
+	section, _, _ = strings.Cut(section, "\n## ")
+	var listed []cranfault.Kind
+	for _, row := range regexp.MustCompile("(?m)^\\| `(\\w+)` \\|[^|]+\\|[^|]+\\|$").FindAllStringSubmatch(section, -1) {
+		listed = append(listed, cranfault.Kind(row[1]))
+	}
+	require.Equal(t, trafficKinds, listed)
+}
+
 func TestConcurrentUse(t *testing.T) {
 	m := New()
 	var wg sync.WaitGroup
--- a/internal/cranmetric/request.go
+++ b/internal/cranmetric/request.go
@@ -61,18 +61,25 @@
 	return s
 }
 
-// observe counts an outcome; one outside the three is counted as unknown.
-func (r *requestMetrics) observe(service string, outcome Outcome, duration time.Duration) {
-	s, ok := (*r.inForce.Load())[service]
-	if !ok {
-		s = r.rest
+func (r *requestMetrics) of(service string) *serviceMetrics {
+	if s, ok := (*r.inForce.Load())[service]; ok {
+		return s
 	}
+	return r.rest
+}
+
+// count counts an outcome; one outside the three is counted as unknown.
+func (r *requestMetrics) count(service string, outcome Outcome) {
+	s := r.of(service)
 	counter, ok := s.total[outcome]
 	if !ok {
 		counter = s.total[Unknown]
 	}
 	counter.Inc()
-	s.seconds.Observe(duration.Seconds())
+}
+
+func (r *requestMetrics) observe(service string, duration time.Duration) {
+	r.of(service).seconds.Observe(duration.Seconds())
 }
 
 func (r *requestMetrics) setServices(names []string) {
--- a/internal/cransettings/keys.go
+++ b/internal/cransettings/keys.go
@@ -105,10 +105,8 @@
 
 	number("wave.maxParallel", "instances", 4, 1, 1000, func(s *Settings) *int { return &s.wave.maxParallel },
 		"Instances that one wave stops at once at most; budgets may allow fewer."),
-	number("wave.haltFailures", "instances", 2, 1, 1000, func(s *Settings) *int { return &s.wave.haltFailures },
-		"Failed instances that halt a wave."),
-	millis("wave.pauseMs", 0, 0, 3_600_000, func(s *Settings) *time.Duration { return &s.wave.pause },
-		"Rest between an instance's return and the next stop."),
+	number("wave.maxFailures", "instances", 1, 0, 1000, func(s *Settings) *int { return &s.wave.maxFailures },
+		"Failures inside a wave that it bears; one more halts it."),
 
 	number("retry.budgetPercent", "percent", 10, 0, 100, func(s *Settings) *int { return &s.retry.budgetPercent },
 		"Retries allowed per hundred requests."),
--- a/internal/cransettings/settings.go
+++ b/internal/cransettings/settings.go
@@ -151,19 +151,16 @@
 
 // Wave holds the defaults of a maintenance wave.
 type Wave struct {
-	maxParallel, haltFailures int
-	pause                     time.Duration
+	maxParallel, maxFailures int
 }
 
 // MaxParallel returns how many instances one wave stops at once at most; the
 // services' availability budgets may allow fewer.
 func (w Wave) MaxParallel() int { return w.maxParallel }
 
-// HaltFailures returns the number of failed instances that halts a wave.
-func (w Wave) HaltFailures() int { return w.haltFailures }
-
-// Pause returns the rest between an instance's return and the next stop.
-func (w Wave) Pause() time.Duration { return w.pause }
+// MaxFailures returns how many failures inside it a wave bears; one more
+// halts it.
+func (w Wave) MaxFailures() int { return w.maxFailures }
 
 // Retry holds the budget of retries.
 type Retry struct {
