Add events for cancelled stops and waves and for every change of phase

Cause: the reducer's effects name cancelled stops and waves, leases on shards and changes of phase, which the catalogue had no number for. Ruled out: one event for all effects (an operator filters by number).

--- a/internal/cranevent/event.go
+++ b/internal/cranevent/event.go
@@ -57,7 +57,9 @@
 	StopBlocked       Event = 505
 	StopRebooted      Event = 506
 	StopBack          Event = 507
+	StopCancelled     Event = 508
 	InstanceLost      Event = 510
+	InstanceChanged   Event = 511
 )
 
 // Events of moves between pools.
@@ -69,10 +71,11 @@
 
 // Events of maintenance waves.
 const (
-	WaveStarted Event = 701
-	WaveHalted  Event = 702
-	WaveResumed Event = 703
-	WaveDone    Event = 704
+	WaveStarted   Event = 701
+	WaveHalted    Event = 702
+	WaveResumed   Event = 703
+	WaveDone      Event = 704
+	WaveCancelled Event = 705
 )
 
 // Events between entry instances.
--- a/internal/cranevent/field.go
+++ b/internal/cranevent/field.go
@@ -18,6 +18,7 @@
 	KeyAddress    Key = "address"
 	KeyBlockedBy  Key = "blockedBy"
 	KeyBytes      Key = "bytes"
+	KeyCause      Key = "cause"
 	KeyCount      Key = "count"
 	KeyDataCentre Key = "dataCentre"
 	KeyDigest     Key = "digest"
@@ -25,6 +26,7 @@
 	KeyElapsedMs  Key = "elapsedMs"
 	KeyError      Key = "error"
 	KeyFile       Key = "file"
+	KeyFromPhase  Key = "fromPhase"
 	KeyInstance   Key = "instance"
 	KeyMember     Key = "member"
 	KeyOffset     Key = "offset"
@@ -33,7 +35,9 @@
 	KeyReason     Key = "reason"
 	KeyRevision   Key = "revision"
 	KeyService    Key = "service"
+	KeyShard      Key = "shard"
 	KeyStream     Key = "stream"
+	KeyToPhase    Key = "toPhase"
 	KeyToPool     Key = "toPool"
 	KeyWave       Key = "wave"
 )
@@ -73,6 +77,9 @@
 // Bytes is a size in bytes.
 func Bytes(n int) Field { return integerField(KeyBytes, int64(n)) }
 
+// Cause says in a word why an instance changed its phase.
+func Cause(word string) Field { return textField(KeyCause, word) }
+
 // Count is a number of things; the event's text says of which.
 func Count(n int) Field { return integerField(KeyCount, int64(n)) }
 
@@ -100,6 +107,9 @@
 // File is the path of a file.
 func File(path string) Field { return textField(KeyFile, path) }
 
+// FromPhase is the phase that an instance has left.
+func FromPhase[P ~string](phase P) Field { return textField(KeyFromPhase, string(phase)) }
+
 // Instance is the id of a target instance.
 func Instance(id string) Field { return textField(KeyInstance, id) }
 
@@ -124,9 +134,15 @@
 // Service is the name of a service.
 func Service(name string) Field { return textField(KeyService, name) }
 
+// Shard is the part of the fleet's planned work that a lease is for.
+func Shard(name string) Field { return textField(KeyShard, name) }
+
 // Stream is the name of a stream of the log.
 func Stream(name string) Field { return textField(KeyStream, name) }
 
+// ToPhase is the phase that an instance has entered.
+func ToPhase[P ~string](phase P) Field { return textField(KeyToPhase, string(phase)) }
+
 // ToPool is the pool that an instance moves to.
 func ToPool(name string) Field { return textField(KeyToPool, name) }
 
--- a/internal/cranmetric/metrics_test.go
+++ b/internal/cranmetric/metrics_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -143,16 +144,20 @@
 	c.Refused("placement", crantraffic.TargetLost)
 	c.Retried("placement", crantraffic.RetrySilent)
 	c.Outcome("placement", crantraffic.NotRun, cranfault.Busy)
-	abort := http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
-	h := m.Timed("/services/", abort)
-	for _, path := range []string{"/services/placement/x", "/services/placement", "/services/stranger/x", "/"} {
-		require.Panics(t, func() { h.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, path, nil)) })
-	}
+	h := m.Timed("/services/", http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		time.Sleep(2 * time.Second)
+		panic(http.ErrAbortHandler)
+	}))
+	synctest.Test(t, func(t *testing.T) {
+		for _, path := range []string{"/services/placement/x", "/services/placement", "/services/stranger/x", "/"} {
+			require.Panics(t, func() { h.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, path, nil)) })
+		}
+	})
 	p := page(t, m)
 	for _, line := range []string{
 		`refusals_total{reason="targetLost"} 1`, `retries_total{reason="silent"} 1`,
 		`requests_total{outcome="notRun",service="placement"} 1`,
-		`request_seconds_count{service="placement"} 2`, `request_seconds_count{service="other"} 2`,
+		`request_seconds_sum{service="placement"} 4`, `request_seconds_count{service="placement"} 2`, `request_seconds_count{service="other"} 2`,
 	} {
 		require.Contains(t, p, "cranberrypick_"+line+"\n")
 	}
