--- a/internal/cranentry/entry.go
+++ b/internal/cranentry/entry.go
@@ -15,6 +15,7 @@
 	"github.com/cranberrypick/cranberrypick/internal/cranevent"
 	"github.com/cranberrypick/cranberrypick/internal/cranfault"
 	"github.com/cranberrypick/cranberrypick/internal/cranlog"
+	"github.com/cranberrypick/cranberrypick/internal/cranmetric"
 	"github.com/cranberrypick/cranberrypick/internal/cranpeer"
 	"github.com/cranberrypick/cranberrypick/internal/cranplatform"
 	"github.com/cranberrypick/cranberrypick/internal/cranslot"
@@ -91,6 +92,8 @@
 	var notify func(group string)
 	e.broker = cranslot.NewBroker(e.incarnation, cranslot.WithSeed(randomSeed()),
 		cranslot.WithNotify(func(group string) { notify(group) }))
+	counters := cranmetric.NewTrafficCounters[crantraffic.RetryReason, crantraffic.Verdict](p.metrics)
+	p.frontOptions = append(p.frontOptions, crantraffic.WithCounters(counters))
 	e.front = crantraffic.NewFront[cranslot.Slot](e.broker, p.claims, p.frontOptions...)
 	notify = e.front.SlotFreed
 	e.report = newReporter(p.logger, p.metrics, e.incarnation)
--- a/internal/cranentry/report.go
+++ b/internal/cranentry/report.go
@@ -52,12 +52,7 @@
 
 // logReason counts what the log client ran into.
 func (r *reporter) logReason(reason cranlog.Reason) {
-	switch reason {
-	case cranlog.ReasonAppendFailed, cranlog.ReasonAppendTimeout:
-		r.metrics.LogRetry()
-	case cranlog.ReasonMalformed:
-		r.metrics.MalformedRecord()
-	}
+	r.metrics.LogRetried(cranmetric.LogReason(reason))
 }
 
 // contact logs the loss and the return of the log.
@@ -137,17 +132,20 @@
 
 func (r *reporter) instance(f cranstate.InstanceChanged) {
 	fields := []cranevent.Field{cranevent.Instance(f.Instance), cranevent.Pool(f.Pool)}
-	switch f.To {
-	case cranstate.PhaseCordoned:
+	switch {
+	case f.To == cranstate.PhaseCordoned:
 		r.emit(cranevent.StopCordoned, fields...)
-	case cranstate.PhaseServing:
+	case f.From == cranstate.PhaseCordoned && f.To != cranstate.PhaseStopping:
+		r.emit(cranevent.StopCancelled, fields...)
+	case f.From == cranstate.PhaseStopping && f.To == cranstate.PhaseReturning:
+		r.emit(cranevent.StopRebooted, fields...)
+	case f.To == cranstate.PhaseServing:
 		r.emit(cranevent.StopBack, fields...)
-	case cranstate.PhaseGone:
+	case f.To == cranstate.PhaseGone:
 		r.emit(cranevent.InstanceLost, fields...)
-	case cranstate.PhaseReturning:
-		if f.From == cranstate.PhaseStopping {
-			r.emit(cranevent.StopRebooted, fields...)
-		}
+	default:
+		r.emit(cranevent.InstanceChanged, append(fields,
+			cranevent.FromPhase(f.From), cranevent.ToPhase(f.To), cranevent.Cause(f.Cause))...)
 	}
 }
 
@@ -166,6 +164,8 @@
 		r.emit(cranevent.WaveStarted, cranevent.Wave(f.Wave))
 	case cranstate.WaveHalted:
 		r.emit(cranevent.WaveHalted, cranevent.Wave(f.Wave))
+	case cranstate.WaveEnded:
+		r.emit(cranevent.WaveCancelled, cranevent.Wave(f.Wave))
 	default:
 		r.emit(cranevent.WaveDone, cranevent.Wave(f.Wave))
 	}
--- a/internal/cranwhole/harness_test.go
+++ b/internal/cranwhole/harness_test.go
@@ -119,13 +119,15 @@
 	mu sync.Mutex
 	// told holds what each caller was told, by key.
 	told map[string][]string
+	// once holds the keys of non-idempotent requests.
+	once map[string]bool
 }
 
 func newSystem(t *testing.T) *system {
 	p := start(t, "cranstandin", "platform", "--listen", "127.0.0.1:0")
 	return &system{
 		t: t, dir: t.TempDir(), platform: "http://" + lastField(p.first),
-		targets: map[string]string{}, entries: map[string]*entryProcess{}, told: map[string][]string{},
+		targets: map[string]string{}, entries: map[string]*entryProcess{}, told: map[string][]string{}, once: map[string]bool{},
 	}
 }
 
@@ -140,15 +142,13 @@
 	s.targets[id] = "http://" + lastField(p.first)
 }
 
-func (s *system) startEntry(id string) *entryProcess {
+func (s *system) startEntry(id string) {
 	file := filepath.Join(s.dir, id+".toml")
 	settings := fmt.Sprintf("id = %q\ndataCentre = \"dc1\"\ndomain = \"rack1\"\nlisten = \"127.0.0.1:0\"\npeerListen = \"127.0.0.1:0\"\nadminListen = \"127.0.0.1:0\"\nplatform = %q\n", id, s.platform)
 	require.NoError(s.t, os.WriteFile(file, []byte(settings), 0o600))
 	p := start(s.t, "cranberrypick", "serve", "--settings", file)
 	f := strings.Fields(p.first)
-	e := &entryProcess{process: p, callers: "http://" + f[1], admin: cranadmin.NewClient("http://" + f[3])}
-	s.entries[id] = e
-	return e
+	s.entries[id] = &entryProcess{process: p, callers: "http://" + f[1], admin: cranadmin.NewClient("http://" + f[3])}
 }
 
 // testConfig is a fleet with one pool of the given size and a spare.
@@ -177,12 +177,13 @@
 	return st
 }
 
-// available waits until every entry sees that many available instances.
-func (s *system) available(pool string, n int) {
+// available waits until every entry sees that many available instances in the
+// pool that serves.
+func (s *system) available(n int) {
 	for id := range s.entries {
 		s.eventually("available", func() bool {
 			for _, p := range s.status(id).Pools {
-				if p.Name == pool {
+				if p.Name == "roster" {
 					return p.Available == n
 				}
 			}
@@ -220,6 +221,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.told[key] = append(s.told[key], told)
+	s.once[key] = method == http.MethodPost
 	return told
 }
 
@@ -248,7 +250,7 @@
 // checkLedgers asserts what must hold of every session: nobody was told a
 // falsehood, nothing non-idempotent ran twice, no stop cut a request off and
 // no target was ever over its slots.
-func (s *system) checkLedgers(nonIdempotent bool) {
+func (s *system) checkLedgers() {
 	runs := map[string]int{}
 	for id := range s.targets {
 		l := s.targetLedger(id)
@@ -265,12 +267,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for key, told := range s.told {
-		s.checkCaller(key, told, runs[key], nonIdempotent)
+		s.checkCaller(key, told, runs[key])
 	}
 }
 
-func (s *system) checkCaller(key string, told []string, runs int, nonIdempotent bool) {
-	if nonIdempotent {
+func (s *system) checkCaller(key string, told []string, runs int) {
+	if s.once[key] {
 		require.LessOrEqual(s.t, runs, 1, "%s ran twice", key)
 	}
 	answered := false
