--- a/internal/cranlog/commit.go
+++ b/internal/cranlog/commit.go
@@ -180,11 +180,9 @@
 
 func (w *Writer) advance(seq uint64, r result) {
 	w.observed = seq
-	waiter, ok := w.waiters[seq]
-	if !ok {
-		return
+	for _, waiter := range w.waiters[seq] {
+		waiter <- r
 	}
-	waiter <- r
 	delete(w.waiters, seq)
 }
 
--- a/internal/cranlog/writer.go
+++ b/internal/cranlog/writer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -62,8 +63,8 @@
 	// observed is the mark up to which all records were read back; it never
 	// exceeds assigned.
 	observed uint64
-	// waiters holds the callers of Append, by sequence number.
-	waiters map[uint64]chan result
+	// waiters holds those who wait for a record, by sequence number.
+	waiters map[uint64][]chan result
 	flight  flight
 	closed  bool
 }
@@ -100,7 +101,7 @@
 		wake:        make(chan struct{}, 1),
 		cancel:      cancel,
 		done:        make(chan struct{}),
-		waiters:     map[uint64]chan result{},
+		waiters:     map[uint64][]chan result{},
 	}
 	go w.run(ctx)
 	return w
@@ -126,6 +127,30 @@
 	if err != nil {
 		return Outcome{}, err
 	}
+	return w.await(ctx, seq, waiter)
+}
+
+// Flush waits until every record accepted so far was read back. Its errors
+// are those of Append.
+func (w *Writer) Flush(ctx context.Context) error {
+	waiter := make(chan result, 1)
+	w.mu.Lock()
+	seq := w.assigned
+	flushed := seq == w.observed
+	if !flushed {
+		w.waiters[seq] = append(w.waiters[seq], waiter)
+	}
+	w.mu.Unlock()
+	if flushed {
+		return nil
+	}
+	_, err := w.await(ctx, seq, waiter)
+	return err
+}
+
+// await waits for the outcome of a record.
+func (w *Writer) await(ctx context.Context, seq uint64, waiter chan result) (Outcome, error) {
+	var err error
 	select {
 	case r := <-waiter:
 		return r.outcome, r.err
@@ -185,7 +210,7 @@
 	w.queue = append(w.queue, item{seq: seq, payload: payload})
 	w.queueBytes += len(payload)
 	if waiter != nil {
-		w.waiters[seq] = waiter
+		w.waiters[seq] = append(w.waiters[seq], waiter)
 	}
 	w.signal()
 	return seq, nil
@@ -202,7 +227,10 @@
 func (w *Writer) abandon(seq uint64, waiter chan result, err error) (Outcome, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	delete(w.waiters, seq)
+	w.waiters[seq] = slices.DeleteFunc(w.waiters[seq], func(c chan result) bool { return c == waiter })
+	if len(w.waiters[seq]) == 0 {
+		delete(w.waiters, seq)
+	}
 	select {
 	case r := <-waiter:
 		return r.outcome, r.err
--- a/internal/cranlog/writer_test.go
+++ b/internal/cranlog/writer_test.go
@@ -186,3 +186,24 @@
 		require.Len(t, log.all(), 1)
 	})
 }
+
+func TestFlushWaitsForAllRecords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := newFakeLog()
+		p := newPair(log)
+		defer p.close()
+		require.NoError(t, p.writer.Flush(context.Background()))
+		log.setDown(true)
+		for range 3 {
+			_, err := p.writer.Submit(context.Background(), []byte("x"))
+			require.NoError(t, err)
+		}
+		ctx, cancel := within(time.Second)
+		defer cancel()
+		require.ErrorIs(t, p.writer.Flush(ctx), cranfault.Of(cranfault.Timeout))
+		time.AfterFunc(time.Second, func() { log.setDown(false) })
+		require.NoError(t, p.writer.Flush(context.Background()))
+		require.Len(t, log.all(), 3)
+		require.Empty(t, p.writer.waiters)
+	})
+}
