--- a/internal/cranslot/broker.go
+++ b/internal/cranslot/broker.go
@@ -12,6 +12,8 @@
 	mutex  sync.Mutex
 	table  *table
 	notify func(group string)
+	// outgoing is called without the lock when messages are to be sent.
+	outgoing func()
 	// interval is the length of a step.
 	interval time.Duration
 	// start is the time of the first tick, from which steps are counted.
@@ -21,7 +23,12 @@
 // NewBroker returns the broker of the member self. It owns no slot until
 // SetView brings a view of which self is a member.
 func NewBroker(self string, options ...Option) *Broker {
-	b := &Broker{table: newTable(self), notify: func(string) {}, interval: DefaultInterval}
+	b := &Broker{
+		table:    newTable(self),
+		notify:   func(string) {},
+		outgoing: func() {},
+		interval: DefaultInterval,
+	}
 	for _, o := range options {
 		o(b)
 	}
@@ -64,7 +71,7 @@
 
 // Tick lets the time pass: it asks for slots where requests wait, returns
 // borrowed slots that aren't used, and repeats what was not answered. The
-// owner calls it about once an interval, and TakeOutgoing after it.
+// owner calls it about once an interval.
 func (b *Broker) Tick(now time.Time) {
 	b.do(func(t *table) {
 		if b.start.IsZero() {
@@ -75,6 +82,8 @@
 }
 
 // TakeOutgoing returns the messages to send now, at most one for each peer.
+// It is called after every Tick and, so that slots aren't unused for long,
+// soon after the call that WithOutgoing announces.
 func (b *Broker) TakeOutgoing() []Outgoing {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
@@ -89,18 +98,23 @@
 }
 
 // do applies an event under the lock and then notifies of slots that it
-// freed.
+// freed and of messages to send.
 func (b *Broker) do(event func(*table)) {
-	for _, g := range b.apply(event) {
+	freed, send := b.apply(event)
+	for _, g := range freed {
 		b.notify(g)
 	}
+	if send {
+		b.outgoing()
+	}
 }
 
-// apply applies an event under the lock and returns the groups with requests
-// waiting for which it freed a slot.
-func (b *Broker) apply(event func(*table)) []string {
+// apply applies an event under the lock. It returns the groups with requests
+// waiting for which the event freed a slot, and whether there are messages to
+// send.
+func (b *Broker) apply(event func(*table)) ([]string, bool) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	event(b.table)
-	return b.table.takeFreed()
+	return b.table.takeFreed(), len(b.table.outbox) > 0
 }
--- a/internal/cranslot/option.go
+++ b/internal/cranslot/option.go
@@ -18,6 +18,13 @@
 	return func(b *Broker) { b.notify = notify }
 }
 
+// WithOutgoing sets the function that is called, outside the Broker's lock,
+// after each call that left messages for TakeOutgoing. It is called on the
+// goroutine of that call.
+func WithOutgoing(outgoing func()) Option {
+	return func(b *Broker) { b.outgoing = outgoing }
+}
+
 // WithSeed sets the seed of the random choices among equals. The default is
 // 1; members of one fleet should have different seeds.
 func WithSeed(seed uint64) Option {
--- a/internal/cranslotsim/brokered.go
+++ b/internal/cranslotsim/brokered.go
@@ -49,7 +49,8 @@
 		n.broker = cranslot.NewBroker(name,
 			cranslot.WithSeed(f.settings.Seed+uint64(i)),
 			cranslot.WithInterval(duration(f.settings.Interval)),
-			cranslot.WithNotify(func(string) { b.drain(n) }))
+			cranslot.WithNotify(func(string) { b.drain(n) }),
+			cranslot.WithOutgoing(func() { b.flush(n) }))
 		n.broker.SetView(view)
 		b.nodes[name] = n
 	}
@@ -90,12 +91,14 @@
 // tick is what an entry does every interval.
 func (b *brokered) tick(n *node) {
 	n.broker.Tick(time.Unix(0, 0).Add(duration(b.now)))
-	b.flush(n)
 	b.after(b.settings.Interval, func() { b.tick(n) })
 }
 
 // flush sends the messages of an entry.
 func (b *brokered) flush(n *node) {
+	if b.settings.Scheme != Lending {
+		return
+	}
 	for _, o := range n.broker.TakeOutgoing() {
 		data, err := cbor.Marshal(o.Message)
 		if err != nil {
