--- a/internal/cranentry/report.go
+++ b/internal/cranentry/report.go
@@ -52,12 +52,7 @@
 
 // logReason counts what the log client ran into.
 func (r *reporter) logReason(reason cranlog.Reason) {
-	switch reason {
-	case cranlog.ReasonAppendFailed, cranlog.ReasonAppendTimeout:
-		r.metrics.LogRetry()
-	case cranlog.ReasonMalformed:
-		r.metrics.MalformedRecord()
-	}
+	r.metrics.LogRetried(cranmetric.LogReason(reason))
 }
 
 // contact logs the loss and the return of the log.
