Claim before every non-idempotent request, proved through several entries

Cause: a doubled order is the users' worst call; the claim streams are now in front of the traffic threads, and kept answers are asked of the claimer. Ruled out: nothing new; the weighing is in docs/design-claims.md. Before/after: TestOnceThroughSeveralEntries and TestOnceUnderFaults (lost and doubled appends, a pause past the lease, an outage, a kill) pass.

--- a/internal/cranentry/entry.go
+++ b/internal/cranentry/entry.go
@@ -6,12 +6,14 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
 
+	"github.com/cranberrypick/cranberrypick/internal/cranclaim"
 	"github.com/cranberrypick/cranberrypick/internal/cranevent"
 	"github.com/cranberrypick/cranberrypick/internal/cranfault"
 	"github.com/cranberrypick/cranberrypick/internal/cranlog"
@@ -49,6 +51,7 @@
 	broker    *cranslot.Broker
 	front     *crantraffic.Front[cranslot.Slot]
 	client    *cranpeer.Client
+	claims    *cranclaim.Shards
 	server    *cranpeer.Server
 	beats     *beats
 	contact   *contact
@@ -72,7 +75,7 @@
 // New starts an entry: it reads the log, joins as a member and serves as soon
 // as it has caught up. The listener for peers is the entry's from then on;
 // peers reach it at the address advertise.
-func New(log cranplatform.Log, fleet cranplatform.Fleet, peerListener net.Listener, advertise string, options ...Option) *Entry {
+func New(log cranplatform.Log, fleet cranplatform.Fleet, peerListener net.Listener, advertise string, options ...Option) (*Entry, error) {
 	p := newParts(options)
 	p.advertise = advertise
 	e := &Entry{
@@ -87,14 +90,19 @@
 	}
 	e.client = cranpeer.NewClient(e.incarnation, p.maxPeerMessage)
 	relay := &relayLog{Log: log, client: e.client, peers: e.Peers, timeout: p.lease / 4}
+	shards, err := cranclaim.NewShards(log, claimShards, e.incarnation)
+	if err != nil {
+		return nil, eris.Wrap(err, "start the claim keepers")
+	}
+	e.claims = shards
 	e.writer = cranlog.NewWriter(relay, p.stream, e.incarnation, cranlog.WithBatchWindow(p.batchWindow))
 	e.contact = newContact(p.lease)
 	var notify func(group string)
 	e.broker = cranslot.NewBroker(e.incarnation, cranslot.WithSeed(randomSeed()),
 		cranslot.WithNotify(func(group string) { notify(group) }))
 	counters := cranmetric.NewTrafficCounters[crantraffic.RetryReason, crantraffic.Verdict](p.metrics)
-	p.frontOptions = append(p.frontOptions, crantraffic.WithCounters(counters))
-	e.front = crantraffic.NewFront[cranslot.Slot](e.broker, p.claims, p.frontOptions...)
+	frontOptions := append(slices.Clone(p.frontOptions), crantraffic.WithCounters(counters), crantraffic.WithPeerAnswers(e))
+	e.front = crantraffic.NewFront[cranslot.Slot](e.broker, claims{shards}, frontOptions...)
 	notify = e.front.SlotFreed
 	e.report = newReporter(p.logger, p.metrics, e.incarnation)
 	e.performer = newPerformer(e, fleet)
@@ -104,7 +112,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	e.cancel = cancel
 	e.start(ctx, peerListener)
-	return e
+	return e, nil
 }
 
 func (e *Entry) start(ctx context.Context, peerListener net.Listener) {
@@ -169,7 +177,7 @@
 	err := e.front.Close()
 	e.leave()
 	e.cancel()
-	err = errors.Join(err, e.closeTailer(), e.server.Close(), e.client.Close(), e.writer.Close())
+	err = errors.Join(err, e.closeTailer(), e.server.Close(), e.client.Close(), e.writer.Close(), e.claims.Close())
 	e.done.Wait()
 	e.report.emit(cranevent.EntryStopped, cranevent.Member(e.incarnation))
 	return eris.Wrap(err, "close entry")
@@ -179,6 +187,7 @@
 func (e *Entry) leave() {
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
+	_ = e.claims.Flush(ctx)
 	_, _ = e.Propose(ctx, cranstate.MemberLeft{})
 }
 
--- a/internal/cranentry/host.go
+++ b/internal/cranentry/host.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"net/netip"
@@ -53,7 +54,10 @@
 	if h.peers.Advertise.IsValid() {
 		address = netip.AddrPortFrom(h.peers.Advertise, bound.Port())
 	}
-	e := New(h.log, h.fleet, listener, address.String(), h.options...)
+	e, err := New(h.log, h.fleet, listener, address.String(), h.options...)
+	if err != nil {
+		return errors.Join(err, listener.Close())
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.current = e
--- a/internal/cranentry/options.go
+++ b/internal/cranentry/options.go
@@ -38,7 +38,6 @@
 	snapshots      string
 	policy         cransnapshot.Policy
 	seeds          []cranpeer.Peer
-	claims         crantraffic.Claims
 	logger         *cranevent.Logger
 	metrics        *cranmetric.Metrics
 	frontOptions   []crantraffic.Option
@@ -104,9 +103,6 @@
 	return func(p *parts) { p.logger, p.metrics = logger, metrics }
 }
 
-// WithClaims sets where non-idempotent requests are claimed.
-func WithClaims(c crantraffic.Claims) Option { return func(p *parts) { p.claims = c } }
-
 // WithFront passes options on to the traffic front.
 func WithFront(options ...crantraffic.Option) Option {
 	return func(p *parts) { p.frontOptions = append(p.frontOptions, options...) }
