Bound the lines of events that others can cause at will

Cause: a trial of the README's processes wrote peerRefused again and again from one stopping entry; a stranger who connects without end could fill the log. Ruled out: limiting every event (a wave over thousands of instances would lose lines that operators need); dropping untold. Test seen failing, then passing: TestLimitedEvents failed with one line too many and with the number left out told twice; limiting every event failed TestEmitFromManyGoroutines. Also: event 512 for a new instance, which the trial's log showed as "takes work again". Conclusion: kept; 10 lines a second of one such event, WithBurst changes it.

--- a/internal/cranevent/catalogue.go
+++ b/internal/cranevent/catalogue.go
@@ -1,9 +1,19 @@
 package cranevent
 
+import "slices"
+
 func define(event Event, name string, level Level, text string, fields ...Key) Definition {
 	return Definition{event: event, name: name, level: level, text: text, fields: fields}
 }
 
+// limited marks an event that others can cause at will.
+func limited(d Definition) Definition {
+	d.limited = true
+	d.fields = append(d.fields, KeySuppressed)
+	slices.Sort(d.fields)
+	return d
+}
+
 // definitions is in order of number; numbers and names are unique.
 var definitions = []Definition{
 	define(EntryStarting, "entryStarting", LevelInfo, "the entry instance starts",
@@ -36,8 +46,8 @@
 		KeyOffset, KeyStream),
 	define(SnapshotRestart, "snapshotRestart", LevelInfo, "the control state restarts from a snapshot",
 		KeyOffset, KeyStream),
-	define(MalformedRecord, "malformedRecord", LevelWarn, "a malformed record is skipped",
-		KeyError, KeyOffset, KeyStream),
+	limited(define(MalformedRecord, "malformedRecord", LevelWarn, "a malformed record is skipped",
+		KeyError, KeyOffset, KeyStream)),
 	define(SnapshotWritten, "snapshotWritten", LevelInfo, "a snapshot is written",
 		KeyBytes, KeyCount, KeyDigest, KeyElapsedMs, KeyOffset),
 	define(SnapshotLoaded, "snapshotLoaded", LevelInfo, "a snapshot is loaded",
@@ -78,6 +88,8 @@
 		KeyDomain, KeyInstance, KeyOffset, KeyPool),
 	define(InstanceChanged, "instanceChanged", LevelDebug, "an instance has changed its phase",
 		KeyCause, KeyFromPhase, KeyInstance, KeyOffset, KeyPool, KeyToPhase),
+	define(InstanceReady, "instanceReady", LevelInfo, "a new instance takes work",
+		KeyDomain, KeyInstance, KeyOffset, KeyPool),
 
 	define(MoveProposed, "moveProposed", LevelInfo, "a move is accepted",
 		KeyInstance, KeyOffset, KeyPool, KeyToPool),
@@ -101,19 +113,19 @@
 		KeyElapsedMs, KeyOffset),
 	define(Reconnected, "reconnected", LevelInfo, "the log or a peer can be reached again",
 		KeyElapsedMs, KeyOffset),
-	define(PeerRefused, "peerRefused", LevelWarn, "a stranger at the peer address is refused",
-		KeyAddress, KeyPeer, KeyReason),
-	define(PeerMalformed, "peerMalformed", LevelWarn, "a malformed message of a peer is dropped",
-		KeyAddress, KeyBytes, KeyError, KeyPeer, KeyReason),
+	limited(define(PeerRefused, "peerRefused", LevelWarn, "a stranger at the peer address is refused",
+		KeyAddress, KeyPeer, KeyReason)),
+	limited(define(PeerMalformed, "peerMalformed", LevelWarn, "a malformed message of a peer is dropped",
+		KeyAddress, KeyBytes, KeyError, KeyPeer, KeyReason)),
 
 	define(TargetEjected, "targetEjected", LevelWarn, "a target gets no new work because its answers fail",
 		KeyCount, KeyInstance, KeyPool, KeyReason),
 	define(TargetRestored, "targetRestored", LevelInfo, "a target that had failed gets work again",
 		KeyElapsedMs, KeyInstance, KeyPool),
-	define(SilentConnection, "silentConnection", LevelWarn, "a connection has gone silent and is closed",
-		KeyElapsedMs, KeyInstance, KeyPeer),
-	define(SlotBlocked, "slotBlocked", LevelWarn, "a slot is kept unused until its loan is settled",
-		KeyElapsedMs, KeyInstance, KeyPeer),
+	limited(define(SilentConnection, "silentConnection", LevelWarn, "a connection has gone silent and is closed",
+		KeyElapsedMs, KeyInstance, KeyPeer)),
+	limited(define(SlotBlocked, "slotBlocked", LevelWarn, "a slot is kept unused until its loan is settled",
+		KeyElapsedMs, KeyInstance, KeyPeer)),
 	define(ClaimsNotReady, "claimsNotReady", LevelWarn, "claims can't be recorded; non-idempotent requests are refused",
 		KeyError, KeyReason, KeyStream),
 	define(ClaimsReady, "claimsReady", LevelInfo, "claims can be recorded again",
--- a/internal/cranevent/event.go
+++ b/internal/cranevent/event.go
@@ -60,6 +60,7 @@
 	StopCancelled     Event = 508
 	InstanceLost      Event = 510
 	InstanceChanged   Event = 511
+	InstanceReady     Event = 512
 )
 
 // Events of moves between pools.
@@ -123,6 +124,8 @@
 	text string
 	// fields are the keys that the event may carry, in order of name.
 	fields []Key
+	// limited is set for events that others can cause at will.
+	limited bool
 }
 
 // Event returns the number.
@@ -140,5 +143,9 @@
 // Fields returns the keys that the event may carry.
 func (d Definition) Fields() []Key { return slices.Clone(d.fields) }
 
+// Limited reports whether a logger writes the event a bounded number of times
+// a second, since others can cause it at will.
+func (d Definition) Limited() bool { return d.limited }
+
 // Definitions returns every event in order of number.
 func Definitions() []Definition { return slices.Clone(definitions) }
--- a/internal/cranevent/event_test.go
+++ b/internal/cranevent/event_test.go
@@ -29,7 +29,7 @@
 	Elapsed(1500 * time.Millisecond), Err(errors.New("a \"quoted\"\nerror")), File("entry.toml"), FromPhase("stopping"),
 	Instance("office-1"), Member("entry-1-7f"), Offset(18446744073709551615), Peer("entry-2"),
 	Pool("office"), Reason(cranfault.BudgetSpent), Revision(7), Service("placement"),
-	Shard("office"), Stream("control"), ToPhase("returning"), ToPool("vets"), Wave(12),
+	Shard("office"), Stream("control"), suppressed(4), ToPhase("returning"), ToPool("vets"), Wave(12),
 }
 
 func sampleFor(d Definition) []Field {
@@ -144,6 +144,28 @@
 	require.Panics(t, func() { New(io.Discard, WithStrict()).Emit(EntryReady, Wave(1)) })
 }
 
+// TestLimitedEvents checks that what others can cause at will can't flood the
+// log, and that nothing is left out untold.
+func TestLimitedEvents(t *testing.T) {
+	var b bytes.Buffer
+	l := New(&b, WithBurst(3), WithStrict())
+	synctest.Test(t, func(*testing.T) {
+		for range 5 {
+			for range 100 {
+				l.Emit(PeerRefused, Peer("stranger"))
+			}
+			l.Emit(PeerMalformed)
+			l.Emit(WaveStarted)
+			time.Sleep(time.Second)
+		}
+		l.Emit(PeerRefused)
+	})
+	require.Equal(t, 5*3+1, strings.Count(b.String(), `"event":803`))
+	require.Equal(t, 5, strings.Count(b.String(), `"suppressed":97`))
+	require.Equal(t, 5, strings.Count(b.String(), `"event":804`))
+	require.Equal(t, 5, strings.Count(b.String(), `"event":701`))
+}
+
 func TestEmitFromManyGoroutines(t *testing.T) {
 	const writers, lines = 8, 100
 	var b bytes.Buffer
--- a/internal/cranevent/field.go
+++ b/internal/cranevent/field.go
@@ -37,6 +37,7 @@
 	KeyService    Key = "service"
 	KeyShard      Key = "shard"
 	KeyStream     Key = "stream"
+	KeySuppressed Key = "suppressed"
 	KeyToPhase    Key = "toPhase"
 	KeyToPool     Key = "toPool"
 	KeyWave       Key = "wave"
@@ -140,6 +141,9 @@
 // Stream is the name of a stream of the log.
 func Stream(name string) Field { return textField(KeyStream, name) }
 
+// suppressed is the number of lines of the event that were left out before.
+func suppressed(n int) Field { return integerField(KeySuppressed, int64(n)) }
+
 // ToPhase is the phase that an instance has entered.
 func ToPhase[P ~string](phase P) Field { return textField(KeyToPhase, string(phase)) }
 
--- a/internal/cranevent/logger.go
+++ b/internal/cranevent/logger.go
@@ -40,8 +40,9 @@
 
 // Logger writes events, one line each. It may be used from any goroutine.
 type Logger struct {
-	inner  log.Logger
-	strict bool
+	inner   log.Logger
+	strict  bool
+	limiter *limiter
 }
 
 type options struct {
@@ -49,8 +50,12 @@
 	console bool
 	process string
 	strict  bool
+	burst   int
 }
 
+// defaultBurst is the number of lines a second of one limited event.
+const defaultBurst = 10
+
 // Option changes how a Logger writes.
 type Option func(*options)
 
@@ -67,13 +72,18 @@
 // that its definition doesn't list. It is for tests.
 func WithStrict() Option { return func(o *options) { o.strict = true } }
 
+// WithBurst sets how many lines a second are written of one event that others
+// can cause at will; it is 10 when not given. A later line of the event tells
+// how many were left out.
+func WithBurst(lines int) Option { return func(o *options) { o.burst = lines } }
+
 // New returns a logger that writes to w, which stays the caller's to close.
 func New(w io.Writer, opts ...Option) *Logger {
-	o := options{level: LevelInfo}
+	o := options{level: LevelInfo, burst: defaultBurst}
 	for _, set := range opts {
 		set(&o)
 	}
-	l := &Logger{strict: o.strict}
+	l := &Logger{strict: o.strict, limiter: &limiter{most: o.burst, windows: make(map[Event]*window)}}
 	l.inner = log.Logger{
 		Level:        o.level.library(),
 		TimeFormat:   timeFormat,
@@ -107,10 +117,19 @@
 	if !ok {
 		d = Definition{event: event, name: "undefined", level: LevelError, text: "an event that has no definition"}
 	}
-	e := l.inner.WithLevel(d.level.library())
-	if e == nil {
+	if d.level.library() < l.inner.Level {
 		return
 	}
+	if d.limited {
+		skipped, taken := l.limiter.take(event, time.Now())
+		if !taken {
+			return
+		}
+		if skipped > 0 {
+			fields = append(slices.Clone(fields), suppressed(skipped))
+		}
+	}
+	e := l.inner.WithLevel(d.level.library())
 	e = e.Int("event", d.event.Number()).Str("name", d.name)
 	for _, f := range fields {
 		f.write(e, string(f.key))
