--- a/internal/cranentry/entry.go
+++ b/internal/cranentry/entry.go
@@ -58,6 +58,8 @@
 	waiters   *waiters
 	performer *performer
 
+	// peerBytes counts the bytes exchanged with peers.
+	peerBytes atomic.Int64
 	// published is the offset after the record that the last views show.
 	published uint64
 	report    *reporter
@@ -88,7 +90,8 @@
 		waiters:     newWaiters(),
 		ended:       make(chan error, 1),
 	}
-	e.client = cranpeer.NewClient(e.incarnation, p.maxPeerMessage)
+	e.report = newReporter(p.logger, p.metrics, e.incarnation)
+	e.client = cranpeer.NewClient(e.incarnation, p.maxPeerMessage, e.countPeer)
 	relay := &relayLog{Log: log, client: e.client, peers: e.Peers, timeout: p.lease / 4}
 	shards, err := cranclaim.NewShards(log, claimShards, e.incarnation)
 	if err != nil {
@@ -104,7 +107,6 @@
 	frontOptions := append(slices.Clone(p.frontOptions), crantraffic.WithCounters(counters), crantraffic.WithPeerAnswers(e))
 	e.front = crantraffic.NewFront[cranslot.Slot](e.broker, claims{shards}, frontOptions...)
 	notify = e.front.SlotFreed
-	e.report = newReporter(p.logger, p.metrics, e.incarnation)
 	e.performer = newPerformer(e, fleet)
 	e.control.onEffects = e.onEffects
 	e.control.onBatch = e.onBatch
@@ -119,7 +121,7 @@
 	e.report.emit(cranevent.EntryStarting, cranevent.Member(e.incarnation), cranevent.DataCentre(e.dataCentre))
 	e.publish(e.control.state)
 	e.spawn(func() { e.end(e.control.run(ctx)) })
-	e.server = cranpeer.NewServer(peerListener, (*local)(e), e.maxPeerMessage, e.report.peerRefused)
+	e.server = cranpeer.NewServer(peerListener, (*local)(e), e.maxPeerMessage, e.report.peerRefused, e.countPeer)
 	e.spawn(func() { e.boot(ctx) })
 	e.spawn(func() { e.slotLoop(ctx) })
 	e.spawn(func() { e.peerLoop(ctx) })
@@ -161,6 +163,14 @@
 // not.
 func (e *Entry) Ready() error { return e.guard.mayServe() }
 
+// PeerBytes returns how many bytes the entry exchanged with its peers.
+func (e *Entry) PeerBytes() int64 { return e.peerBytes.Load() }
+
+func (e *Entry) countPeer(direction cranpeer.Direction, n int) {
+	e.peerBytes.Add(int64(n))
+	e.metrics.PeerMessage(cranmetric.Direction(direction), n)
+}
+
 // Peers returns the other members.
 func (e *Entry) Peers() []cranpeer.Peer {
 	e.peersMu.Lock()
@@ -183,6 +193,16 @@
 	return eris.Wrap(err, "close entry")
 }
 
+// Abort ends the entry at once, as the death of its process would: it starts
+// nothing more, and nobody hears of it. What was sent to targets runs on. It
+// is for demonstrations and tests within one process.
+func (e *Entry) Abort() {
+	e.guard.stopping.Store(true)
+	e.cancel()
+	_ = errors.Join(e.closeTailer(), e.server.Close(), e.client.Close(), e.writer.Close(), e.claims.Close())
+	e.done.Wait()
+}
+
 // leave says farewell; if the log is down the lease lapses instead.
 func (e *Entry) leave() {
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
--- a/internal/cranentry/host.go
+++ b/internal/cranentry/host.go
@@ -92,6 +92,10 @@
 	}
 }
 
+// Abort ends the present incarnation at once, without a farewell. Run must
+// not be running.
+func (h *Host) Abort() { h.entry().Abort() }
+
 // replaceable reports whether another incarnation can go on.
 func replaceable(err error) bool {
 	kind := cranfault.KindOf(err)
@@ -108,6 +112,10 @@
 // PeerAddress returns where peers reach this process.
 func (h *Host) PeerAddress() netip.AddrPort { return h.peers.Listen }
 
+// PeerBytes returns how many bytes the present incarnation exchanged with its
+// peers.
+func (h *Host) PeerBytes() int64 { return h.entry().PeerBytes() }
+
 // Ready returns nil if requests are taken.
 func (h *Host) Ready() error { return h.entry().Ready() }
 
--- a/internal/cranpeer/client.go
+++ b/internal/cranpeer/client.go
@@ -20,6 +20,7 @@
 type Client struct {
 	self  string
 	bound int
+	count Count
 
 	mu sync.Mutex
 	// conns is keyed by member.
@@ -29,8 +30,8 @@
 
 // NewClient returns a client of the member self. An answer over bound bytes
 // ends its connection.
-func NewClient(self string, bound int) *Client {
-	return &Client{self: self, bound: bound, conns: map[string]*jsonrpc2.Conn{}}
+func NewClient(self string, bound int, count Count) *Client {
+	return &Client{self: self, bound: bound, count: count, conns: map[string]*jsonrpc2.Conn{}}
 }
 
 // Peer names a member and where it listens.
@@ -130,7 +131,7 @@
 	if err != nil {
 		return nil, cranfault.New(cranfault.Timeout, "nothing was sent; try another peer", "peer %s at %s: %v", p.Member, p.Address, err)
 	}
-	conn := jsonrpc2.NewConn(context.Background(), newStream(raw, c.bound), refuser{}, jsonrpc2.SetLogger(silent{}))
+	conn := jsonrpc2.NewConn(context.Background(), newStream(raw, c.bound, c.count), refuser{}, jsonrpc2.SetLogger(silent{}))
 	if err := conn.Call(ctx, methodHello, helloRequest{Member: c.self}, nil); err != nil {
 		_ = conn.Close()
 		return nil, decodeFault(err, p.Member)
--- a/internal/cranpeer/codec.go
+++ b/internal/cranpeer/codec.go
@@ -15,9 +15,22 @@
 // codeFault is the JSON-RPC error code of a typed fault.
 const codeFault = 1
 
+// Count is called with the bytes that went over a connection in one call.
+type Count func(direction Direction, bytes int)
+
+// Direction is the way that bytes went, as this process sees it.
+type Direction string
+
+// Directions of bytes.
+const (
+	Sent     Direction = "sent"
+	Received Direction = "received"
+)
+
 // boundedConn refuses to read on once a message has grown over the bound.
 type boundedConn struct {
 	net.Conn
+	count Count
 	// left is how many bytes may still be read; the codec resets it before
 	// each message, and one goroutine reads.
 	left  int
@@ -31,6 +44,14 @@
 	}
 	n, err := c.Conn.Read(p[:min(len(p), c.left)])
 	c.left -= n
+	c.count(Received, n)
+	return n, err
+}
+
+// Write counts what is sent.
+func (c *boundedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.count(Sent, n)
 	return n, err
 }
 
@@ -46,8 +67,8 @@
 	return c.VSCodeObjectCodec.ReadObject(stream, v)
 }
 
-func newStream(conn net.Conn, bound int) jsonrpc2.ObjectStream {
-	b := &boundedConn{Conn: conn, left: bound, bound: bound}
+func newStream(conn net.Conn, bound int, count Count) jsonrpc2.ObjectStream {
+	b := &boundedConn{Conn: conn, count: count, left: bound, bound: bound}
 	return jsonrpc2.NewBufferedStream(b, boundedCodec{conn: b})
 }
 
--- a/internal/cranpeer/server.go
+++ b/internal/cranpeer/server.go
@@ -41,6 +41,7 @@
 	listener net.Listener
 	bound    int
 	refused  func(cranfault.Kind)
+	count    Count
 
 	mu     sync.Mutex
 	conns  map[*jsonrpc2.Conn]bool
@@ -50,8 +51,8 @@
 
 // NewServer starts to accept calls on the listener, which it owns. A message
 // over bound bytes ends its connection. Refused is called for every refusal.
-func NewServer(listener net.Listener, local Local, bound int, refused func(cranfault.Kind)) *Server {
-	s := &Server{local: local, listener: listener, bound: bound, refused: refused, conns: map[*jsonrpc2.Conn]bool{}}
+func NewServer(listener net.Listener, local Local, bound int, refused func(cranfault.Kind), count Count) *Server {
+	s := &Server{local: local, listener: listener, bound: bound, refused: refused, count: count, conns: map[*jsonrpc2.Conn]bool{}}
 	s.done.Add(1)
 	go s.accept()
 	return s
@@ -89,7 +90,7 @@
 		return
 	}
 	se := &session{server: s, from: remoteAddr(conn)}
-	c := jsonrpc2.NewConn(context.Background(), newStream(conn, s.bound), se, jsonrpc2.SetLogger(silent{}))
+	c := jsonrpc2.NewConn(context.Background(), newStream(conn, s.bound, s.count), se, jsonrpc2.SetLogger(silent{}))
 	s.conns[c] = true
 	s.done.Add(1)
 	go func() {
