--- a/cmd/cranmeasure/main.go
+++ b/cmd/cranmeasure/main.go
@@ -7,7 +7,8 @@
 
 // commands are the subcommands, one file each.
 type commands struct {
-	Slots slotsCommand `cmd:"" help:"Measure how entries share the slots of targets."`
+	Slots    slotsCommand    `cmd:"" help:"Measure how entries share the slots of targets."`
+	Capacity capacityCommand `cmd:"" help:"Measure the slopes of docs/CAPACITY.md; takes some minutes of real time."`
 }
 
 func main() {
--- /dev/null
+++ b/internal/crancapacity/report.go
@@ -0,0 +1,90 @@
+package crancapacity
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+)
+
+// Report is every figure of the capacity page.
+type Report struct {
+	Reducer []ReducerCost `json:"reducer"`
+	Control []ControlCost `json:"control"`
+	Claims  []ClaimCost   `json:"claims"`
+	Rollout []RolloutCost `json:"rollout"`
+}
+
+// Measure measures everything; it takes some minutes.
+func Measure() (Report, error) {
+	var r Report
+	for _, n := range []int{50, 500, 7900} {
+		c, err := MeasureReducer(n, 9)
+		if err != nil {
+			return r, err
+		}
+		r.Reducer = append(r.Reducer, c)
+	}
+	for _, n := range []int{3, 6, 9, 20} {
+		c, err := MeasureControl(n, 10*time.Second)
+		if err != nil {
+			return r, err
+		}
+		r.Control = append(r.Control, c...)
+	}
+	for _, rate := range []int{50, 200, 800} {
+		c, err := MeasureClaims(rate, 9, 5, 5*time.Second)
+		if err != nil {
+			return r, err
+		}
+		r.Claims = append(r.Claims, c)
+	}
+	return r, r.rollouts()
+}
+
+func (r *Report) rollouts() error {
+	for _, entries := range []int{3, 9, 20} {
+		for _, delay := range []int{0, 20, 100} {
+			c, err := MeasureRollout(entries, delay, 20)
+			if err != nil {
+				return err
+			}
+			r.Rollout = append(r.Rollout, c)
+		}
+	}
+	return nil
+}
+
+// Print writes the report as tables.
+func (r Report) Print(out io.Writer) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	line := func(format string, args ...any) { _, _ = fmt.Fprintf(w, format+"\t\n", args...) }
+	line("instances\tmembers\theap bytes\tsnapshot bytes\tencode ms\tdecode ms\tconfig bytes")
+	for _, c := range r.Reducer {
+		line("%d\t%d\t%d\t%d\t%.1f\t%.1f\t%d", c.Instances, c.Members, c.HeapBytes, c.SnapshotBytes, c.EncodeMs, c.DecodeMs, c.ConfigBytes)
+	}
+	line("")
+	line("instances\tevent\tbytes\tns")
+	for _, c := range r.Reducer {
+		for _, e := range c.Events {
+			line("%d\t%s\t%d\t%.0f", c.Instances, e.Kind, e.Bytes, e.Nanos)
+		}
+	}
+	line("")
+	line("entries\tphase\ts\trecords/s\tread B/s\tappends/s\tappended B/s\tpeer B/s\tcore %%\treboots")
+	for _, c := range r.Control {
+		line("%d\t%s\t%.1f\t%.1f\t%.0f\t%.2f\t%.0f\t%.0f\t%.2f\t%d", c.Entries, c.Phase, c.Seconds, c.RecordsPerSecond,
+			c.ReadBytesPerSecond, c.AppendsPerSecond, c.AppendBytesPerSecond, c.PeerBytesPerSecond, c.CorePercent, c.Reboots)
+	}
+	line("")
+	line("claims/s offered\tclaimers\tlog delay ms\tgranted/s\tappends/s\tB/claim\tmean ms")
+	for _, c := range r.Claims {
+		line("%d\t%d\t%d\t%.0f\t%.0f\t%.0f\t%.1f", c.Offered, c.Claimers, c.DelayMs, c.GrantedPerSecond, c.AppendsPerSecond, c.BytesPerClaim, c.MeanMs)
+	}
+	line("")
+	line("entries\tlog delay ms\trounds\troll-out median ms\tmax ms")
+	for _, c := range r.Rollout {
+		line("%d\t%d\t%d\t%.1f\t%.1f", c.Entries, c.DelayMs, c.Rounds, c.MedianMs, c.MaxMs)
+	}
+	return w.Flush()
+}
--- a/internal/cranembed/fleet.go
+++ b/internal/cranembed/fleet.go
@@ -180,14 +180,15 @@
 // Await waits until the condition holds for the status of every entry.
 func (f *Fleet) Await(ctx context.Context, ok func(cranadmin.Status) bool) error {
 	for _, e := range f.entries {
-		if err := e.await(ctx, ok); err != nil {
+		if err := e.Await(ctx, ok); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func (e *Entry) await(ctx context.Context, ok func(cranadmin.Status) bool) error {
+// Await waits until the condition holds for the status of the entry.
+func (e *Entry) Await(ctx context.Context, ok func(cranadmin.Status) bool) error {
 	for {
 		s, err := e.Status(ctx)
 		if err == nil && ok(s) {
