Say of the idle gauge what the entry counts

Cause: the help text spoke of instances without requests; the entry counts available instances beyond the wanted sizes. Ruled out: changing the count here, which is the entry's to decide. Test seen failing, then passing: TestPage holds the help text.

--- a/internal/cranmetric/state.go
+++ b/internal/cranmetric/state.go
@@ -30,7 +30,7 @@
 		revision:      b.gauge("configuration_revision", "Revision of the configuration in force."),
 		members:       b.gauge("members", "Entry instances in the control state."),
 		rollout:       b.gauge("configuration_rollout_seconds", "Time from the last configuration's acceptance until it was in force here."),
-		idleInstances: b.gauge("idle_instances", "Instances that serve and have no request in progress: the buffer held in reserve."),
+		idleInstances: b.gauge("idle_instances", "Instances available beyond what the pools want: the buffer held in reserve."),
 		idleSeconds:   b.counter("idle_instance_seconds_total", "Idle instances added up over time: the cost of the buffer."),
 		instances:     newClosedGauges(b.gauges("instances", "Instances in the control state by phase.", "phase"), phases),
 		slots: newClosedGauges(b.gauges("slots", "Slots of targets that this process holds, by use.", "use"),
