--- a/internal/crantraffic/main_test.go
+++ b/internal/crantraffic/main_test.go
@@ -6,14 +6,14 @@
 	"testing"
 )
 
-// TestMain fixes the seed of the stateful tests, unless the command line gives
-// one.
+// TestMain fixes the seed and the length of the stateful tests, unless the
+// command line gives them.
 func TestMain(m *testing.M) {
 	flag.Parse()
-	given := false
-	flag.Visit(func(f *flag.Flag) { given = given || f.Name == "rapid.seed" })
-	if !given {
-		_ = flag.Set("rapid.seed", "1")
+	defaults := map[string]string{"rapid.seed": "1", "rapid.steps": "100"}
+	flag.Visit(func(f *flag.Flag) { delete(defaults, f.Name) })
+	for name, value := range defaults {
+		_ = flag.Set(name, value)
 	}
 	os.Exit(m.Run())
 }
