--- a/internal/crantraffic/fakes_test.go
+++ b/internal/crantraffic/fakes_test.go
@@ -128,8 +128,9 @@
 	slots  *fakeSlots
 	claims *fakeClaims
 	server *httptest.Server
-	serve  error // what mayServe returns
-	mu     sync.Mutex
+	mu     sync.Mutex // guards what follows
+	allow  int        // calls of mayServe that are still allowed
+	serve  error      // what mayServe returns after these
 }
 
 // newRig serves the targets' addresses, by instance id.
@@ -156,6 +157,10 @@
 	g.front.SetView(NewView(routes, instances, func() error {
 		g.mu.Lock()
 		defer g.mu.Unlock()
+		if g.allow > 0 {
+			g.allow--
+			return nil
+		}
 		return g.serve
 	}))
 }
@@ -179,10 +184,11 @@
 	}
 }
 
-func (g *rig) setServe(err error) {
+// setServe makes mayServe return err, once it has allowed some calls.
+func (g *rig) setServe(err error, allow int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.serve = err
+	g.serve, g.allow = err, allow
 }
 
 // reply is what a caller got.
--- a/internal/crantraffic/front_test.go
+++ b/internal/crantraffic/front_test.go
@@ -59,8 +59,8 @@
 		{"idempotent", "POST", "/s/bookings/a", "", []string{headerIdempotent, "perhaps"}, 400, cranfault.Malformed},
 		{"key", "POST", "/s/bookings/a", "", []string{headerKey, "a b"}, 400, cranfault.Malformed},
 		{"body", "PUT", "/s/bookings/a", "eleven byte", nil, 413, cranfault.TooLarge},
-		{"no slot", "GET", "/s/bookings/a", "", []string{headerDeadline, "20"}, 503, cranfault.Timeout},
-		{"no slot, claimed", "POST", "/s/bookings/a", "", []string{headerDeadline, "20", headerKey, "k"}, 503, cranfault.Timeout},
+		{"no slot", "GET", "/s/bookings/a", "", []string{headerDeadline, "200"}, 503, cranfault.Timeout},
+		{"no slot, claimed", "POST", "/s/bookings/a", "", []string{headerDeadline, "200", headerKey, "k"}, 503, cranfault.Timeout},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -108,20 +108,24 @@
 	addresses := map[string]string{"a": target}
 	g := newRig(t, newFakeSlots(1, "a"), addresses)
 
-	g.setServe(cranfault.New(cranfault.Isolated, "ask another entry", "cut off"))
+	isolated := cranfault.New(cranfault.Isolated, "ask another entry", "cut off")
 	for _, method := range []string{"GET", "POST"} {
-		got := g.call(method, "/s/bookings/a", "", headerKey, "k1")
-		require.Equal(t, "notRun isolated", got.outcome+" "+got.reason)
+		for allow := range 2 { // at arrival, and right before the send
+			require.Empty(t, g.claims.of("k1"))
+			g.setServe(isolated, allow)
+			got := g.call(method, "/s/bookings/a", "", headerKey, "k1")
+			require.Equal(t, "notRun isolated", got.outcome+" "+got.reason)
+		}
 	}
 	require.Eventually(t, func() bool { return g.claims.of("k1") == "released" }, time.Second, time.Millisecond)
 
-	g.setServe(nil)
+	g.setServe(nil, 0)
 	g.claims.dead = true
 	got := g.call("POST", "/s/bookings/a", "", headerKey, "k2")
 	require.Equal(t, "notRun leaseLost", got.outcome+" "+got.reason)
 
 	g.view(addresses, time.Second, map[string]bool{"a": true})
-	got = g.call("GET", "/s/bookings/a", "", headerDeadline, "20")
+	got = g.call("GET", "/s/bookings/a", "", headerDeadline, "200")
 	require.Equal(t, "notRun timeout", got.outcome+" "+got.reason)
 	require.Zero(t, runs)
 }
--- a/internal/crantraffic/handler.go
+++ b/internal/crantraffic/handler.go
@@ -43,6 +43,9 @@
 	}
 	ctx, cancel := context.WithDeadline(c.Request().Context(), r.deadline)
 	defer cancel()
+	if err := st.view.mayServe(); err != nil {
+		return f.tell(c, r, notRun(asFault(err)))
+	}
 	j := &job[S]{
 		request: r,
 		front:   f,
--- a/internal/crantraffic/retry_test.go
+++ b/internal/crantraffic/retry_test.go
@@ -95,6 +95,7 @@
 			require.Equal(t, "unknown", got.outcome)
 			require.NotEqual(t, http.StatusOK, got.status)
 			require.Eventually(t, func() bool { return slots.freeOf("a") == 1 }, time.Second, time.Millisecond)
+			g.view(addresses, time.Second, nil)
 			got = g.call("GET", "/s/bookings/a", "")
 			require.Equal(t, "GET /run/a ", got.body)
 		})
@@ -212,7 +213,7 @@
 		_, _ = io.WriteString(w, long[2<<16:])
 	})
 	g := newRig(t, newFakeSlots(8, "a"), map[string]string{"a": target}, WithAnswerLimit(1<<10))
-	g.view(map[string]string{"a": target}, 50*time.Millisecond, nil)
+	g.view(map[string]string{"a": target}, time.Second, nil)
 	for _, path := range []string{"sized", "chunked"} {
 		for _, method := range []string{"GET", "POST"} {
 			got := g.call(method, "/s/bookings/"+path, "")
--- a/internal/crantraffic/send.go
+++ b/internal/crantraffic/send.go
@@ -93,7 +93,7 @@
 		return cranfault.New(cranfault.NoTarget, "try again", "instance %s takes no new work", instance)
 	}
 	if err := v.mayServe(); err != nil {
-		return err
+		return asFault(err)
 	}
 	if grant != nil && !grant.Usable() {
 		return cranfault.New(cranfault.LeaseLost, "try again with the same key",
@@ -106,6 +106,14 @@
 	return nil
 }
 
+// asFault returns the typed fault in the chain of an error of mayServe.
+func asFault(err error) *cranfault.Fault {
+	if f, ok := faultOf(err); ok {
+		return f
+	}
+	return cranfault.New(cranfault.NotReady, "send the request to another entry", "%v", err)
+}
+
 // faultOf returns the typed fault in the chain of err.
 func faultOf(err error) (*cranfault.Fault, bool) {
 	var f *cranfault.Fault
--- /dev/null
+++ b/internal/crantraffic/session_test.go
@@ -0,0 +1,132 @@
+package crantraffic
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cranberrypick/cranberrypick/internal/cranfault"
+)
+
+// session writes down what callers and targets saw.
+type session struct {
+	rig *rig
+	out strings.Builder
+	mu  sync.Mutex // guards runs
+	// runs is the targets' ledger of this step.
+	runs []string
+}
+
+// target runs requests as their path says.
+func (s *session) target(id string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		s.mu.Lock()
+		s.runs = append(s.runs, fmt.Sprintf("%s runs %s %s %q key %q", id, r.Method, r.URL, body, r.Header.Get(headerKey)))
+		s.mu.Unlock()
+		switch r.URL.Path {
+		case "/run/failsAtA":
+			if id == "a" {
+				http.Error(w, "failed", http.StatusInternalServerError)
+				return
+			}
+		case "/run/cut":
+			panic(http.ErrAbortHandler)
+		case "/run/never":
+			w.Header().Set(headerNever, "needs 4 accelerators")
+			w.WriteHeader(http.StatusUnprocessableEntity)
+			return
+		}
+		_, _ = fmt.Fprintf(w, "done by %s", id)
+	}
+}
+
+func (s *session) title(text string) { s.out.WriteString("# " + text + "\n\n") }
+
+// call sends a request and writes down what was seen of it.
+func (s *session) call(method, path, body string, header ...string) {
+	_, _ = fmt.Fprintf(&s.out, "> %s %s %q %q\n", method, path, body, header)
+	got := s.rig.call(method, path, body, header...)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range s.runs {
+		_, _ = fmt.Fprintf(&s.out, "  %s\n", r)
+	}
+	s.runs = nil
+	_, _ = fmt.Fprintf(&s.out, "< %d", got.status)
+	for _, name := range []string{headerOutcome, headerReason, "Retry-After", headerNever} {
+		if v := got.header.Get(name); v != "" {
+			_, _ = fmt.Fprintf(&s.out, " %s: %s", name, v)
+		}
+	}
+	_, _ = fmt.Fprintf(&s.out, "\n%s\n\n", strings.TrimSpace(got.body))
+}
+
+// TestSession is a whole session of one entry as callers and targets see it.
+func TestSession(t *testing.T) {
+	s := &session{}
+	addresses := map[string]string{
+		"a": newTargetServer(t, s.target("a")),
+		"b": newTargetServer(t, s.target("b")),
+	}
+	slots := newFakeSlots(1, "a", "b")
+	s.rig = newRig(t, slots, addresses)
+	free := func() {
+		require.Eventually(t, func() bool { return slots.freeOf("a")+slots.freeOf("b") == 2 }, time.Second, time.Millisecond)
+	}
+
+	s.title("Requests are answered; a key's answer is kept")
+	s.call("GET", "/s/bookings/pups?age=8", "")
+	s.call("POST", "/s/bookings/place", "pup 7", headerKey, "k1")
+	s.call("POST", "/s/bookings/place", "pup 7", headerKey, "k1")
+	s.call("POST", "/s/bookings/place", "pup 8", headerKey, "k1")
+
+	s.title("Requests that can't be understood")
+	s.call("GET", "/s/outings/", "")
+	s.call("GET", "/s/bookings/../admin", "")
+	s.call("POST", "/s/bookings/place", "", headerDeadline, "-1")
+
+	s.title("Instance a fails: an idempotent request is retried, another isn't")
+	s.call("PUT", "/s/bookings/failsAtA", "walk")
+	s.call("POST", "/s/bookings/failsAtA", "walk", headerKey, "k2")
+	s.call("POST", "/s/bookings/failsAtA", "walk", headerIdempotent, "true")
+
+	s.title("The connection is lost after the request was sent")
+	s.rig.view(addresses, 20*time.Millisecond, nil)
+	s.call("POST", "/s/bookings/cut", "pup 9", headerKey, "k3")
+	free()
+	s.rig.view(addresses, 2*time.Second, nil)
+	s.call("POST", "/s/bookings/cut", "pup 9", headerKey, "k3")
+
+	s.title("A request that no instance can run")
+	s.call("GET", "/s/bookings/never", "")
+
+	s.title("Both instances are closed")
+	s.rig.view(addresses, 2*time.Second, map[string]bool{"a": true, "b": true})
+	s.call("GET", "/s/bookings/pups", "", headerDeadline, "200")
+	s.rig.view(addresses, 2*time.Second, nil)
+
+	s.title("The log is down")
+	s.rig.claims.fail = cranfault.New(cranfault.LogUnavailable, "try again later with the same key", "the log can't be reached")
+	s.call("POST", "/s/bookings/place", "pup 10", headerKey, "k4")
+	s.call("GET", "/s/bookings/pups", "")
+
+	s.title("The entry may not serve")
+	s.rig.setServe(cranfault.New(cranfault.Isolated, "ask another entry", "neither the log nor a peer can be reached"), 0)
+	s.call("GET", "/s/bookings/pups", "")
+	s.rig.setServe(nil, 0)
+
+	s.title("The entry stops")
+	free()
+	require.NoError(t, s.rig.front.Close())
+	s.call("GET", "/s/bookings/pups", "")
+
+	goldie.New(t).Assert(t, "session", []byte(s.out.String()))
+}
--- a/internal/crantraffic/transport_test.go
+++ b/internal/crantraffic/transport_test.go
@@ -75,8 +75,8 @@
 		})
 		slots := newFakeSlots(2, "a")
 		g := newRig(t, slots, map[string]string{"a": target.address})
-		g.view(map[string]string{"a": target.address}, 50*time.Millisecond, nil)
 		require.Equal(t, "ok", g.call("GET", "/s/bookings/a", "").body)
+		g.view(map[string]string{"a": target.address}, 50*time.Millisecond, nil)
 
 		got := g.call("POST", "/s/bookings/a", body, headerKey, "k")
 		require.Equal(t, "unknown targetLost", got.outcome+" "+got.reason)
@@ -101,9 +101,9 @@
 	})
 	for _, method := range []string{"GET", "OPTIONS", "PUT", "DELETE"} {
 		g := newRig(t, newFakeSlots(1, "a"), map[string]string{"a": target.address})
-		g.view(map[string]string{"a": target.address}, 50*time.Millisecond, nil)
 		before := target.reads.Load()
 		require.Equal(t, "ok", g.call("GET", "/s/bookings/a", "").body)
+		g.view(map[string]string{"a": target.address}, 50*time.Millisecond, nil)
 		got := g.call(method, "/s/bookings/a", "")
 		require.Equal(t, "unknown targetLost", got.outcome+" "+got.reason, method)
 		require.EqualValues(t, 2, target.reads.Load()-before, method)
@@ -152,7 +152,7 @@
 		first := make(chan reply)
 		go func() { first <- g.call("GET", "/s/bookings/a", "") }()
 		<-entered
-		got := g.call(method, "/s/bookings/b", "", headerDeadline, "30", headerKey, "k")
+		got := g.call(method, "/s/bookings/b", "", headerDeadline, "200", headerKey, "k")
 		require.Equal(t, "notRun timeout", got.outcome+" "+got.reason)
 		close(proceed)
 		require.Equal(t, "answered", (<-first).outcome)
