Claims: keeper's tests of outages, cancels, newcomers, expiry

Cause: the keeper had no test of its own. Conclusion: the keeper refuses truly in an outage and frees what it gave up.

--- /dev/null
+++ b/internal/cranclaim/keeper_test.go
@@ -0,0 +1,364 @@
+package cranclaim
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cranberrypick/cranberrypick/internal/cranfault"
+	"github.com/cranberrypick/cranberrypick/internal/cranlog"
+	"github.com/cranberrypick/cranberrypick/internal/cranstandin"
+)
+
+func steady() float64 { return 0.5 }
+
+// counts gathers the reasons of refusals.
+type counts struct {
+	mu sync.Mutex
+	by map[Reason]int
+}
+
+func (c *counts) add(r Reason) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.by[r]++
+}
+
+func (c *counts) of(r Reason) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.by[r]
+}
+
+// bench is a log with some keepers on one stream, in virtual time.
+type bench struct {
+	t       *testing.T
+	log     *cranstandin.Log
+	keepers []*Keeper
+	counts  *counts
+}
+
+func newBench(t *testing.T, keepers int, options ...Option) *bench {
+	b := &bench{t: t, log: cranstandin.NewLog(), counts: &counts{by: map[Reason]int{}}}
+	t.Cleanup(func() {
+		for _, k := range b.keepers {
+			require.NoError(t, k.Close())
+		}
+		require.NoError(t, b.log.Close())
+	})
+	for range keepers {
+		b.start(options...)
+	}
+	return b
+}
+
+// start adds a keeper and lets it read the stream.
+func (b *bench) start(options ...Option) *Keeper {
+	name := fmt.Sprintf("entry%d", len(b.keepers)+1)
+	options = append([]Option{WithCounter(b.counts.add), WithLogOptions(cranlog.WithRandom(steady))}, options...)
+	k := NewKeeper(b.log.For(name), StreamName(0), name, options...)
+	b.keepers = append(b.keepers, k)
+	time.Sleep(time.Second)
+	return k
+}
+
+func (b *bench) faults(f cranstandin.Faults) {
+	require.NoError(b.t, b.log.SetFaults(f))
+}
+
+// claim claims a key with the first keeper but for others named.
+func (b *bench) claim(k *Keeper, key string) (*Grant, error) {
+	return k.Claim(context.Background(), KeyOf(key), 1)
+}
+
+func (b *bench) granted(k *Keeper, key string) *Grant {
+	b.t.Helper()
+	g, err := b.claim(k, key)
+	require.NoError(b.t, err)
+	require.True(b.t, g.Usable(time.Now()))
+	return g
+}
+
+func (b *bench) refused(k *Keeper, key string, kind cranfault.Kind) {
+	b.t.Helper()
+	_, err := b.claim(k, key)
+	require.ErrorIs(b.t, err, cranfault.Of(kind))
+}
+
+// holder claims a key that is held and returns by whom.
+func (b *bench) holder(k *Keeper, key string) Holder {
+	b.t.Helper()
+	_, err := b.claim(k, key)
+	require.ErrorIs(b.t, err, cranfault.Of(cranfault.AlreadyClaimed))
+	var claimed *ClaimedError
+	require.ErrorAs(b.t, err, &claimed)
+	require.ErrorContains(b.t, err, string(claimed.Holder().Outcome()))
+	return claimed.Holder()
+}
+
+// virtual runs a test with a virtual clock.
+func virtual(name string, t *testing.T, test func(t *testing.T)) {
+	t.Run(name, func(t *testing.T) { synctest.Test(t, test) })
+}
+
+func TestClaim(t *testing.T) {
+	virtual("the first claim wins, also against itself", t, func(t *testing.T) {
+		b := newBench(t, 2)
+		b.granted(b.keepers[0], "k")
+		h := b.holder(b.keepers[1], "k")
+		require.Equal(t, "entry1", h.Claimer())
+		require.Equal(t, OutcomeUnknown, h.Outcome())
+		b.refused(b.keepers[0], "k", cranfault.AlreadyClaimed)
+		require.Equal(t, 2, b.counts.of(ReasonClaimed))
+	})
+	virtual("of claims made at once one wins", t, func(t *testing.T) {
+		b := newBench(t, 5)
+		var wg sync.WaitGroup
+		granted := make(chan *Grant, 20)
+		for i := range 20 {
+			wg.Go(func() {
+				g, err := b.claim(b.keepers[i%5], "k")
+				if err == nil {
+					granted <- g
+				}
+			})
+		}
+		wg.Wait()
+		require.Len(t, granted, 1)
+		require.Equal(t, 19, b.counts.of(ReasonClaimed))
+	})
+	virtual("done tells those who ask later", t, func(t *testing.T) {
+		b := newBench(t, 2)
+		g := b.granted(b.keepers[0], "k")
+		b.keepers[0].Done(g)
+		require.False(t, g.Usable(time.Now()))
+		time.Sleep(time.Second)
+		require.Equal(t, OutcomeRan, b.holder(b.keepers[1], "k").Outcome())
+		b.keepers[0].Release(g)
+		time.Sleep(time.Second)
+		b.refused(b.keepers[1], "k", cranfault.AlreadyClaimed)
+	})
+	virtual("a released key is claimed anew, once", t, func(t *testing.T) {
+		b := newBench(t, 2)
+		g := b.granted(b.keepers[0], "k")
+		b.keepers[0].Release(g)
+		require.False(t, g.Usable(time.Now()))
+		time.Sleep(time.Second)
+		b.granted(b.keepers[1], "k")
+		b.refused(b.keepers[0], "k", cranfault.AlreadyClaimed)
+	})
+	virtual("another request under the key is a conflict", t, func(t *testing.T) {
+		b := newBench(t, 1)
+		b.granted(b.keepers[0], "k")
+		_, err := b.keepers[0].Claim(context.Background(), KeyOf("k"), 2)
+		require.ErrorIs(t, err, cranfault.Of(cranfault.Conflict))
+		require.Equal(t, 1, b.counts.of(ReasonConflict))
+	})
+	virtual("a key is free again after the window", t, func(t *testing.T) {
+		b := newBench(t, 2)
+		b.granted(b.keepers[0], "k")
+		time.Sleep(time.Hour - 5*time.Second)
+		b.refused(b.keepers[1], "k", cranfault.AlreadyClaimed)
+		time.Sleep(10 * time.Second)
+		b.granted(b.keepers[1], "k")
+	})
+	virtual("a full index refuses", t, func(t *testing.T) {
+		b := newBench(t, 1, WithMaxKeys(1))
+		b.granted(b.keepers[0], "k")
+		b.refused(b.keepers[0], "other", cranfault.QueueFull)
+		require.Equal(t, 1, b.counts.of(ReasonIndexFull))
+	})
+}
+
+func TestGrantEndsWithItsTime(t *testing.T) {
+	start := time.Now()
+	g := &Grant{start: start, bound: time.Second}
+	require.True(t, g.Usable(start.Add(time.Second-1)))
+	require.False(t, g.Usable(start.Add(time.Second)))
+	require.Equal(t, start.Add(time.Second), g.Deadline())
+	// The wall clock alone went on, as while a machine is suspended.
+	suspended := &Grant{start: start.Round(0).Add(-time.Minute), bound: time.Second}
+	require.False(t, suspended.Usable(start))
+}
+
+func TestClaimInAnOutage(t *testing.T) {
+	virtual("refused late at first, then at once, and free afterwards", t, func(t *testing.T) {
+		b := newBench(t, 2)
+		b.faults(cranstandin.Faults{LogOutage: true})
+		start := time.Now()
+		b.refused(b.keepers[0], "k", cranfault.LogUnavailable)
+		require.Equal(t, 5*time.Second, time.Since(start))
+		require.Equal(t, 1, b.counts.of(ReasonTooLate))
+		start = time.Now()
+		b.refused(b.keepers[0], "other", cranfault.LogUnavailable)
+		require.Zero(t, time.Since(start))
+		require.Equal(t, 1, b.counts.of(ReasonLogDown))
+		require.ErrorIs(t, b.keepers[0].Ready(), cranfault.Of(cranfault.LogUnavailable))
+		b.faults(cranstandin.Faults{})
+		time.Sleep(10 * time.Second)
+		require.NoError(t, b.keepers[0].Ready())
+		b.granted(b.keepers[1], "k")
+	})
+	virtual("a claim that lands long after its caller left is void", t, func(t *testing.T) {
+		b := newBench(t, 2)
+		b.faults(cranstandin.Faults{LogOutage: true})
+		b.refused(b.keepers[0], "k", cranfault.LogUnavailable)
+		time.Sleep(time.Hour)
+		b.faults(cranstandin.Faults{})
+		time.Sleep(10 * time.Second)
+		_, held := b.keepers[1].Lookup(KeyOf("k"))
+		require.False(t, held)
+		b.granted(b.keepers[1], "k")
+	})
+	virtual("a lost answer is no outage", t, func(t *testing.T) {
+		b := newBench(t, 2)
+		b.faults(cranstandin.Faults{LoseAppendAnswers: 1, DuplicateAppends: 1})
+		b.granted(b.keepers[0], "k")
+		b.refused(b.keepers[1], "k", cranfault.AlreadyClaimed)
+	})
+	virtual("an entry that is cut off alone refuses, the others go on", t, func(t *testing.T) {
+		b := newBench(t, 2)
+		b.faults(cranstandin.Faults{CutFromLog: []string{"entry1"}})
+		time.Sleep(5 * time.Second)
+		b.refused(b.keepers[0], "k", cranfault.LogUnavailable)
+		b.granted(b.keepers[1], "k")
+	})
+	virtual("a slow log that takes the claim after its bound", t, func(t *testing.T) {
+		slow := WithLogOptions(cranlog.WithAttemptTimeout(time.Minute), cranlog.WithPoll(time.Millisecond, 10))
+		b := newBench(t, 2, slow, WithContact(time.Minute))
+		b.faults(cranstandin.Faults{LogDelayMs: 6000})
+		b.refused(b.keepers[0], "k", cranfault.LogUnavailable)
+		b.faults(cranstandin.Faults{})
+		time.Sleep(10 * time.Second)
+		_, held := b.keepers[1].Lookup(KeyOf("k"))
+		require.False(t, held, "the late grant was released")
+		b.granted(b.keepers[1], "k")
+	})
+}
+
+func TestClaimCancelled(t *testing.T) {
+	virtual("by its caller", t, func(t *testing.T) {
+		b := newBench(t, 2)
+		b.faults(cranstandin.Faults{LogDelayMs: 500})
+		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		defer cancel()
+		_, err := b.keepers[0].Claim(ctx, KeyOf("k"), 1)
+		require.ErrorIs(t, err, cranfault.Of(cranfault.Cancelled))
+		b.faults(cranstandin.Faults{})
+		time.Sleep(5 * time.Second)
+		b.granted(b.keepers[1], "k")
+	})
+	virtual("by the keeper's close", t, func(t *testing.T) {
+		b := newBench(t, 1)
+		b.faults(cranstandin.Faults{LogOutage: true})
+		time.AfterFunc(time.Second, func() { _ = b.keepers[0].Close() })
+		b.refused(b.keepers[0], "k", cranfault.Cancelled)
+		b.refused(b.keepers[0], "k", cranfault.Cancelled)
+	})
+}
+
+func TestReleasesSurviveAFullQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 2, WithLogOptions(cranlog.WithMaxPending(2)))
+		first, second := b.granted(b.keepers[0], "1"), b.granted(b.keepers[0], "2")
+		third := b.granted(b.keepers[0], "3")
+		b.faults(cranstandin.Faults{LogOutage: true})
+		for _, g := range []*Grant{first, second, third} {
+			b.keepers[0].Release(g)
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		require.ErrorIs(t, b.keepers[0].Flush(ctx), cranfault.Of(cranfault.Timeout))
+		b.refused(b.keepers[0], "4", cranfault.QueueFull)
+		b.faults(cranstandin.Faults{})
+		require.NoError(t, b.keepers[0].Flush(context.Background()))
+		for _, key := range []string{"1", "2", "3"} {
+			b.granted(b.keepers[1], key)
+		}
+	})
+}
+
+func TestNewcomer(t *testing.T) {
+	virtual("reads the stream first", t, func(t *testing.T) {
+		b := newBench(t, 1)
+		b.granted(b.keepers[0], "k")
+		b.faults(cranstandin.Faults{LogOutage: true})
+		k := b.start()
+		b.refused(k, "k", cranfault.NotReady)
+		b.faults(cranstandin.Faults{})
+		time.Sleep(5 * time.Second)
+		b.refused(k, "k", cranfault.AlreadyClaimed)
+	})
+	virtual("grants nothing until it has read a whole window", t, func(t *testing.T) {
+		b := newBench(t, 1)
+		b.granted(b.keepers[0], "k")
+		time.Sleep(time.Second)
+		b.granted(b.keepers[0], "j")
+		b.log.Expire(StreamName(0), 1)
+		k := b.start()
+		b.refused(k, "k", cranfault.NotReady)
+		time.Sleep(time.Hour + time.Minute + 5*time.Second)
+		b.granted(k, "k")
+	})
+	virtual("takes expired records for a window of their own", t, func(t *testing.T) {
+		b := newBench(t, 1)
+		b.granted(b.keepers[0], "k")
+		time.Sleep(30 * time.Minute)
+		b.log.ExpireAll()
+		k := b.start()
+		time.Sleep(time.Hour)
+		b.refused(k, "k", cranfault.NotReady)
+		time.Sleep(time.Minute + 5*time.Second)
+		b.granted(k, "k")
+	})
+	virtual("a reader that records expired under starts again", t, func(t *testing.T) {
+		b := newBench(t, 2)
+		b.faults(cranstandin.Faults{CutFromLog: []string{"entry2"}})
+		time.Sleep(time.Minute)
+		b.granted(b.keepers[0], "k")
+		b.granted(b.keepers[0], "j")
+		b.log.Expire(StreamName(0), 2)
+		b.faults(cranstandin.Faults{})
+		time.Sleep(5 * time.Second)
+		b.refused(b.keepers[1], "k", cranfault.NotReady)
+		time.Sleep(time.Hour + time.Minute + 5*time.Second)
+		b.granted(b.keepers[1], "k")
+	})
+}
+
+func TestShardsRouteByKey(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := cranstandin.NewLog()
+		_, err := NewShards(log, 0, "entry1")
+		require.ErrorIs(t, err, cranfault.Of(cranfault.Invalid))
+		s, err := NewShards(log, 4, "entry1")
+		require.NoError(t, err)
+		time.Sleep(time.Second)
+		require.NoError(t, s.Ready())
+		for i := range 64 {
+			g, err := s.Claim(context.Background(), KeyOf(fmt.Sprint(i)), 1)
+			require.NoError(t, err)
+			if i%2 == 0 {
+				s.Release(g)
+			} else {
+				s.Done(g)
+			}
+		}
+		require.NoError(t, s.Flush(context.Background()))
+		for _, k := range s.keepers {
+			require.Positive(t, k.Len())
+		}
+		_, held := s.Lookup(KeyOf("0"))
+		require.False(t, held)
+		h, held := s.Lookup(KeyOf("1"))
+		require.True(t, held)
+		require.Equal(t, OutcomeRan, h.Outcome())
+		require.NoError(t, s.Close())
+		require.NoError(t, log.Close())
+	})
+}
--- a/internal/cranlog/poll.go
+++ b/internal/cranlog/poll.go
@@ -13,9 +13,11 @@
 func (t *Tailer) run(ctx context.Context) {
 	defer close(t.done)
 	failures := 0
+	wait := time.Duration(0)
 	for ctx.Err() == nil {
 		from := t.Next()
-		err := t.poll(ctx, from)
+		err := t.poll(ctx, from, wait)
+		wait = t.nextWait(err)
 		if isExpired(err) && t.expire(from) {
 			return
 		}
@@ -28,10 +30,20 @@
 	}
 }
 
+// nextWait returns how long the next read waits for records. The first read,
+// and the first after a failure, don't wait, so that the owner learns at once
+// that the log answers and where it ends.
+func (t *Tailer) nextWait(err error) time.Duration {
+	if err != nil {
+		return 0
+	}
+	return t.settings.pollWait
+}
+
 // poll reads once from the log and delivers what it got.
-func (t *Tailer) poll(ctx context.Context, from uint64) error {
+func (t *Tailer) poll(ctx context.Context, from uint64, wait time.Duration) error {
 	sent := time.Now()
-	batch, err := t.read(ctx, from)
+	batch, err := t.read(ctx, from, wait)
 	if err != nil {
 		t.countReadFailure(ctx, err)
 		return err
@@ -41,12 +53,13 @@
 		return err
 	}
 	t.accept(batch, sent)
-	t.pace(ctx, batch, sent)
+	if wait == t.settings.pollWait {
+		t.pace(ctx, batch, sent)
+	}
 	return nil
 }
 
-func (t *Tailer) read(ctx context.Context, from uint64) (cranplatform.Batch, error) {
-	wait := t.settings.pollWait
+func (t *Tailer) read(ctx context.Context, from uint64, wait time.Duration) (cranplatform.Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+t.settings.attemptTimeout)
 	defer cancel()
 	return t.log.Read(ctx, t.stream, from, t.settings.readRecords, int(wait.Milliseconds()))
