--- a/internal/cranslot/borrow.go
+++ b/internal/cranslot/borrow.go
@@ -3,11 +3,13 @@
 import "slices"
 
 const (
-	// askPeers is the number of peers asked at a time.
-	askPeers = 2
-	// askEverySteps is the least number of steps between two asks for a
-	// group.
-	askEverySteps uint64 = 1
+	// askPeersMost is the most peers asked at a time.
+	askPeersMost = 4
+	// needPerPeer is the number of missing slots for which one peer is asked.
+	needPerPeer = 2
+	// patienceSteps is how long requests wait for a release here before a
+	// peer is asked for less than needPerPeer slots.
+	patienceSteps = 3
 	// keepSteps is how long a borrowed slot is kept unused while requests
 	// wait.
 	keepSteps uint64 = 3
@@ -24,30 +26,46 @@
 func (t *table) ask(name string) {
 	g := t.groups[name]
 	need := g.waiting - g.idle()
-	if need <= 0 || t.step < g.nextAsk {
+	if need <= 0 {
+		g.shortSteps = 0
 		return
 	}
-	g.nextAsk = t.step + askEverySteps
-	for _, peer := range t.choosePeers(g) {
+	g.shortSteps++
+	peers := t.choosePeers(g, g.peersToAsk(need))
+	for _, peer := range peers {
 		w := t.to(peer)
-		w.Asks = append(w.Asks, wireAsk{Group: name, Slots: need})
+		share := (need + len(peers) - 1) / len(peers)
+		w.Asks = append(w.Asks, wireAsk{Group: name, Slots: share})
 	}
 }
 
-// choosePeers returns the peers to ask: the one that last lent, which is then
-// forgotten until it lends again, and others at random.
-func (t *table) choosePeers(g *groupState) []string {
+// peersToAsk returns how many peers to ask when slots are missing. A short
+// queue is soon served by the releases here, so that asking for it costs
+// messages and gains little.
+func (g *groupState) peersToAsk(need int) int {
+	if need < needPerPeer && g.shortSteps >= patienceSteps {
+		return 1
+	}
+	return min(need/needPerPeer, askPeersMost)
+}
+
+// choosePeers returns up to n peers to ask: the one that last lent, which is
+// then forgotten until it lends again, and others at random.
+func (t *table) choosePeers(g *groupState, n int) []string {
+	if n == 0 {
+		return nil
+	}
 	peers := slices.DeleteFunc(slices.Clone(t.view.members), func(m string) bool { return m == t.self })
-	chosen := min(askPeers, len(peers))
-	for i := range chosen {
+	n = min(n, len(peers))
+	for i := range n {
 		j := i + t.random.IntN(len(peers)-i)
 		peers[i], peers[j] = peers[j], peers[i]
 	}
-	if at := slices.Index(peers, g.lender); at >= chosen {
+	if at := slices.Index(peers, g.lender); at >= n {
 		peers[0], peers[at] = peers[at], peers[0]
 	}
 	g.lender = ""
-	return peers[:chosen]
+	return peers[:n]
 }
 
 // handleLoan accepts a slot from its home, or answers that it was returned.
--- a/internal/cranslot/scenario_test.go
+++ b/internal/cranslot/scenario_test.go
@@ -19,7 +19,9 @@
 func borrow(t *testing.T, home, borrower *Broker) Message {
 	t.Helper()
 	borrower.SetWaiting("web", 1)
-	borrower.Tick(time.Unix(1, 0))
+	for i := range patienceSteps {
+		borrower.Tick(time.Unix(1, 0).Add(time.Duration(i) * DefaultInterval))
+	}
 	home.Handle("b", sentTo(t, borrower, "a"))
 	return sentTo(t, home, "b")
 }
--- a/internal/cranslot/table.go
+++ b/internal/cranslot/table.go
@@ -38,8 +38,8 @@
 	asks []peerAsk
 	// lender is the member that last lent a slot of the group.
 	lender string
-	// nextAsk is the first step at which to ask peers again.
-	nextAsk uint64
+	// shortSteps is the number of steps for which slots have been missing.
+	shortSteps int
 }
 
 func newTable(self string) *table {
--- a/internal/cranslot/world_property_test.go
+++ b/internal/cranslot/world_property_test.go
@@ -47,7 +47,7 @@
 }
 
 func (w *world) waitAny(t *rapid.T) {
-	n := rapid.SampledFrom([]int{0, 1, 5}).Draw(t, "waiting")
+	n := rapid.SampledFrom([]int{0, 2, 5, 9}).Draw(t, "waiting")
 	w.processes[w.any(w.living())].broker.SetWaiting(worldGroup, n)
 }
 
