--- a/internal/cranslot/borrow.go
+++ b/internal/cranslot/borrow.go
@@ -35,7 +35,7 @@
 	for _, peer := range peers {
 		w := t.to(peer)
 		share := (need + len(peers) - 1) / len(peers)
-		w.Asks = append(w.Asks, wireAsk{Group: name, Slots: share})
+		w.Asks = append(w.Asks, wireAsk{Group: name, Slots: share, Waiting: g.waiting})
 	}
 }
 
--- a/internal/cranslot/lend.go
+++ b/internal/cranslot/lend.go
@@ -12,10 +12,17 @@
 // askSteps is how long a peer's ask counts at the home unless it is renewed.
 const askSteps uint64 = 4
 
+// longerQueue is how many times longer than the queue here a peer's must be
+// for a slot to go there although requests wait here.
+const longerQueue = 2
+
 // peerAsk is the wish of a peer for slots of a group.
 type peerAsk struct {
 	from  string
 	slots int
+	// waiting is the number of requests that wait there, less the slots lent
+	// for them since.
+	waiting int
 	// until is the last step at which the ask counts.
 	until uint64
 }
@@ -27,31 +34,49 @@
 	}
 	g.asks = slices.DeleteFunc(g.asks, func(p peerAsk) bool { return p.from == from })
 	if a.Slots > 0 {
-		g.asks = append(g.asks, peerAsk{from: from, slots: a.Slots, until: t.step + askSteps})
+		g.asks = append(g.asks, peerAsk{from: from, slots: a.Slots, waiting: a.Waiting, until: t.step + askSteps})
 	}
 	t.serve(a.Group)
 }
 
-// serve lends what isn't needed here to the peers that asked, one slot each
-// in turn.
+// serve lends slots to the peers that asked, the one with the longest queue
+// first.
 func (t *table) serve(name string) {
 	g := t.group(name)
 	g.asks = slices.DeleteFunc(g.asks, func(a peerAsk) bool { return a.until < t.step })
-	for len(g.asks) > 0 && g.idle() > g.waiting {
+	for len(g.asks) > 0 {
+		first := g.longestAsk()
 		in := t.pickLendable(g)
-		if in == nil {
+		if in == nil || !g.mayLend(g.asks[first]) {
 			return
 		}
-		a := g.asks[0]
-		g.asks = g.asks[1:]
-		t.lend(in, a.from)
-		a.slots--
-		if a.slots > 0 {
-			g.asks = append(g.asks, a)
+		t.lend(in, g.asks[first].from)
+		g.asks[first].slots--
+		g.asks[first].waiting--
+		if g.asks[first].slots <= 0 {
+			g.asks = slices.Delete(g.asks, first, first+1)
 		}
 	}
 }
 
+// longestAsk returns the index of the ask with the most requests waiting, the
+// oldest of those that are equal.
+func (g *groupState) longestAsk() int {
+	first := 0
+	for i, a := range g.asks {
+		if a.waiting > g.asks[first].waiting {
+			first = i
+		}
+	}
+	return first
+}
+
+// mayLend reports whether a slot may go to the peer: it isn't needed here, or
+// the queue there is much longer than the one here.
+func (g *groupState) mayLend(a peerAsk) bool {
+	return g.idle() > g.waiting || a.waiting > longerQueue*g.waiting+1
+}
+
 // pickLendable returns the open instance with the most slots to lend, the
 // first of those that are equal.
 func (t *table) pickLendable(g *groupState) *instanceState {
--- a/internal/cranslot/message.go
+++ b/internal/cranslot/message.go
@@ -27,11 +27,12 @@
 	Answers []wireAnswer `json:"answers,omitempty"`
 }
 
-// wireAsk asks for up to Slots slots of a group. A later ask of the same
-// member for the group replaces it.
+// wireAsk asks for up to Slots slots of a group, for which Waiting requests
+// wait. A later ask of the same member for the group replaces it.
 type wireAsk struct {
-	Group string `json:"group"`
-	Slots int    `json:"slots"`
+	Group   string `json:"group"`
+	Slots   int    `json:"slots"`
+	Waiting int    `json:"waiting"`
 }
 
 // wireLoan hands a slot to a borrower, or back to its home.
