Choose the peers to ask by what they told of their spare slots

Cause: a random peer has no spare slot in about half of the cases, and the request then waits for the next step.

--- a/internal/cranslot/borrow.go
+++ b/internal/cranslot/borrow.go
@@ -1,7 +1,5 @@
 package cranslot
 
-import "slices"
-
 const (
 	// askPeersMost is the most peers asked at a time.
 	askPeersMost = 4
@@ -35,6 +33,7 @@
 	for _, peer := range peers {
 		w := t.to(peer)
 		share := (need + len(peers) - 1) / len(peers)
+		t.hint(peer, name, t.hinted(g, peer)-share)
 		w.Asks = append(w.Asks, wireAsk{Group: name, Slots: share, Waiting: g.waiting})
 	}
 }
@@ -49,25 +48,6 @@
 	return min(need/needPerPeer, askPeersMost)
 }
 
-// choosePeers returns up to n peers to ask: the one that last lent, which is
-// then forgotten until it lends again, and others at random.
-func (t *table) choosePeers(g *groupState, n int) []string {
-	if n == 0 {
-		return nil
-	}
-	peers := slices.DeleteFunc(slices.Clone(t.view.members), func(m string) bool { return m == t.self })
-	n = min(n, len(peers))
-	for i := range n {
-		j := i + t.random.IntN(len(peers)-i)
-		peers[i], peers[j] = peers[j], peers[i]
-	}
-	if at := slices.Index(peers, g.lender); at >= n {
-		peers[0], peers[at] = peers[at], peers[0]
-	}
-	g.lender = ""
-	return peers[:n]
-}
-
 // handleLoan accepts a slot from its home, or answers that it was returned.
 // Loans of an epoch that isn't in force here are ignored; the home repeats
 // them if they matter.
@@ -102,7 +82,6 @@
 		t.giveBack(in, l.Index)
 		return
 	}
-	t.group(in.group).lender = s.home.Entry
 	t.idled(in, l.Index)
 }
 
@@ -121,6 +100,7 @@
 func (t *table) giveBack(in *instanceState, index int) {
 	s := &in.slots[index]
 	in.setHold(index, holdNone)
+	t.to(s.home.Entry).mention(in.group)
 	t.sendReturn(s.home.Entry, wireLoan{Instance: in.id, Index: index, Epoch: s.home.Epoch, ID: s.loan})
 }
 
--- a/internal/cranslot/exchange.go
+++ b/internal/cranslot/exchange.go
@@ -14,6 +14,9 @@
 	if from == t.self || !t.view.has(from) {
 		return
 	}
+	for _, sp := range m.wire.Spares {
+		t.hint(from, sp.Group, sp.Slots)
+	}
 	for _, r := range m.wire.Returns {
 		t.handleReturn(from, r)
 	}
@@ -56,14 +59,28 @@
 	return in
 }
 
+// draft is a message that is being put together.
+type draft struct {
+	wireMessage
+	// groups are those of which the message tells the spare slots.
+	groups []string
+}
+
+// mention lets the message tell the spare slots of a group.
+func (d *draft) mention(group string) {
+	if !slices.Contains(d.groups, group) {
+		d.groups = append(d.groups, group)
+	}
+}
+
 // to returns the message that is being put together for a peer.
-func (t *table) to(peer string) *wireMessage {
-	w, ok := t.outbox[peer]
+func (t *table) to(peer string) *draft {
+	d, ok := t.outbox[peer]
 	if !ok {
-		w = &wireMessage{}
-		t.outbox[peer] = w
+		d = &draft{}
+		t.outbox[peer] = d
 	}
-	return w
+	return d
 }
 
 // takeOutgoing returns the messages to send, in the order of the peers.
@@ -73,7 +90,11 @@
 	}
 	out := make([]Outgoing, 0, len(t.outbox))
 	for _, peer := range slices.Sorted(maps.Keys(t.outbox)) {
-		out = append(out, Outgoing{To: peer, Message: Message{wire: *t.outbox[peer]}})
+		d := t.outbox[peer]
+		for _, name := range d.groups {
+			d.Spares = append(d.Spares, wireSpare{Group: name, Slots: t.group(name).spare()})
+		}
+		out = append(out, Outgoing{To: peer, Message: Message{wire: d.wireMessage}})
 	}
 	clear(t.outbox)
 	return out
--- a/internal/cranslot/lend.go
+++ b/internal/cranslot/lend.go
@@ -32,6 +32,7 @@
 	if !ok {
 		return
 	}
+	t.hint(from, a.Group, -a.Waiting)
 	g.asks = slices.DeleteFunc(g.asks, func(p peerAsk) bool { return p.from == from })
 	if a.Slots > 0 {
 		g.asks = append(g.asks, peerAsk{from: from, slots: a.Slots, waiting: a.Waiting, until: t.step + askSteps})
@@ -106,6 +107,7 @@
 func (t *table) sendLoan(in *instanceState, index int) {
 	s := &in.slots[index]
 	w := t.to(s.borrower)
+	w.mention(in.group)
 	w.Loans = append(w.Loans, wireLoan{Instance: in.id, Index: index, Epoch: s.home.Epoch, ID: s.loan})
 	t.after(s.backoff(), timerRepeat, in, index)
 }
--- a/internal/cranslot/message.go
+++ b/internal/cranslot/message.go
@@ -25,6 +25,7 @@
 	Returns []wireLoan   `json:"returns,omitempty"`
 	Queries []wireQuery  `json:"queries,omitempty"`
 	Answers []wireAnswer `json:"answers,omitempty"`
+	Spares  []wireSpare  `json:"spares,omitempty"`
 }
 
 // wireAsk asks for up to Slots slots of a group, for which Waiting requests
@@ -60,6 +61,14 @@
 	Held     bool   `json:"held,omitempty"`
 }
 
+// wireSpare tells how many slots of a group the sender could lend, less the
+// requests that wait there. It is a hint and goes along with loans and
+// returns.
+type wireSpare struct {
+	Group string `json:"group"`
+	Slots int    `json:"slots"`
+}
+
 // MarshalJSON encodes the message.
 func (m Message) MarshalJSON() ([]byte, error) { return json.Marshal(m.wire) }
 
--- a/internal/cranslot/scenario_test.go
+++ b/internal/cranslot/scenario_test.go
@@ -19,10 +19,16 @@
 func borrow(t *testing.T, home, borrower *Broker) Message {
 	t.Helper()
 	borrower.SetWaiting("web", 1)
-	for i := range patienceSteps {
+	asked := false
+	for i := 0; i < 50 && !asked; i++ {
 		borrower.Tick(time.Unix(1, 0).Add(time.Duration(i) * DefaultInterval))
+		for _, o := range borrower.TakeOutgoing() {
+			if o.To == "a" {
+				home.Handle("b", o.Message)
+				asked = true
+			}
+		}
 	}
-	home.Handle("b", sentTo(t, borrower, "a"))
 	return sentTo(t, home, "b")
 }
 
--- a/internal/cranslot/table.go
+++ b/internal/cranslot/table.go
@@ -23,7 +23,7 @@
 	names []string
 	// serial is that of the last slot handed out.
 	serial uint64
-	outbox map[string]*wireMessage
+	outbox map[string]*draft
 	// freed are the groups to notify of, each at most once.
 	freed []string
 }
@@ -36,8 +36,8 @@
 	waiting int
 	// asks are those of peers, the first to serve first, at most one each.
 	asks []peerAsk
-	// lender is the member that last lent a slot of the group.
-	lender string
+	// hints are what peers told of their slots.
+	hints map[string]peerHint
 	// shortSteps is the number of steps for which slots have been missing.
 	shortSteps int
 }
@@ -48,7 +48,7 @@
 		random:    rand.New(rand.NewPCG(1, 1)),
 		instances: make(map[string]*instanceState),
 		groups:    make(map[string]*groupState),
-		outbox:    make(map[string]*wireMessage),
+		outbox:    make(map[string]*draft),
 	}
 }
 
@@ -56,7 +56,7 @@
 func (t *table) group(name string) *groupState {
 	g, ok := t.groups[name]
 	if !ok {
-		g = &groupState{}
+		g = &groupState{hints: make(map[string]peerHint)}
 		t.groups[name] = g
 		at, _ := slices.BinarySearch(t.names, name)
 		t.names = slices.Insert(t.names, at, name)
--- a/internal/cranslot/tableview.go
+++ b/internal/cranslot/tableview.go
@@ -14,6 +14,7 @@
 	for _, g := range t.groups {
 		g.instances = nil
 		g.asks = slices.DeleteFunc(g.asks, func(a peerAsk) bool { return !v.has(a.from) })
+		maps.DeleteFunc(g.hints, func(peer string, _ peerHint) bool { return !v.has(peer) })
 	}
 	for _, in := range t.instances {
 		in.listed = false
