--- a/internal/cranslot/borrow.go
+++ b/internal/cranslot/borrow.go
@@ -1,13 +1,13 @@
 package cranslot
 
-import "slices"
-
 const (
-	// askPeers is the number of peers asked at a time.
-	askPeers = 2
-	// askEverySteps is the least number of steps between two asks for a
-	// group.
-	askEverySteps uint64 = 1
+	// askPeersMost is the most peers asked at a time.
+	askPeersMost = 4
+	// needPerPeer is the number of missing slots for which one peer is asked.
+	needPerPeer = 2
+	// patienceSteps is how long requests wait for a release here before a
+	// peer is asked for less than needPerPeer slots.
+	patienceSteps = 3
 	// keepSteps is how long a borrowed slot is kept unused while requests
 	// wait.
 	keepSteps uint64 = 3
@@ -24,30 +24,28 @@
 func (t *table) ask(name string) {
 	g := t.groups[name]
 	need := g.waiting - g.idle()
-	if need <= 0 || t.step < g.nextAsk {
+	if need <= 0 {
+		g.shortSteps = 0
 		return
 	}
-	g.nextAsk = t.step + askEverySteps
-	for _, peer := range t.choosePeers(g) {
+	g.shortSteps++
+	peers := t.choosePeers(g, g.peersToAsk(need))
+	for _, peer := range peers {
 		w := t.to(peer)
-		w.Asks = append(w.Asks, wireAsk{Group: name, Slots: need})
+		share := (need + len(peers) - 1) / len(peers)
+		t.hint(peer, name, t.hinted(g, peer)-share)
+		w.Asks = append(w.Asks, wireAsk{Group: name, Slots: share, Waiting: g.waiting})
 	}
 }
 
-// choosePeers returns the peers to ask: the one that last lent, which is then
-// forgotten until it lends again, and others at random.
-func (t *table) choosePeers(g *groupState) []string {
-	peers := slices.DeleteFunc(slices.Clone(t.view.members), func(m string) bool { return m == t.self })
-	chosen := min(askPeers, len(peers))
-	for i := range chosen {
-		j := i + t.random.IntN(len(peers)-i)
-		peers[i], peers[j] = peers[j], peers[i]
-	}
-	if at := slices.Index(peers, g.lender); at >= chosen {
-		peers[0], peers[at] = peers[at], peers[0]
+// peersToAsk returns how many peers to ask when slots are missing. A short
+// queue is soon served by the releases here, so that asking for it costs
+// messages and gains little.
+func (g *groupState) peersToAsk(need int) int {
+	if need < needPerPeer && g.shortSteps >= patienceSteps {
+		return 1
 	}
-	g.lender = ""
-	return peers[:chosen]
+	return min(need/needPerPeer, askPeersMost)
 }
 
 // handleLoan accepts a slot from its home, or answers that it was returned.
@@ -84,7 +82,6 @@
 		t.giveBack(in, l.Index)
 		return
 	}
-	t.group(in.group).lender = s.home.Entry
 	t.idled(in, l.Index)
 }
 
@@ -103,6 +100,7 @@
 func (t *table) giveBack(in *instanceState, index int) {
 	s := &in.slots[index]
 	in.setHold(index, holdNone)
+	t.to(s.home.Entry).mention(in.group)
 	t.sendReturn(s.home.Entry, wireLoan{Instance: in.id, Index: index, Epoch: s.home.Epoch, ID: s.loan})
 }
 
