--- a/internal/crancapacity/reducer.go
+++ b/internal/crancapacity/reducer.go
@@ -5,6 +5,7 @@
 	"runtime"
 	"time"
 
+	"github.com/cranberrypick/cranberrypick/internal/cranpack"
 	"github.com/cranberrypick/cranberrypick/internal/cranplatform"
 	"github.com/cranberrypick/cranberrypick/internal/cranstate"
 	"github.com/cranberrypick/cranberrypick/pkg/cranfleet"
@@ -32,7 +33,9 @@
 	Members       int         `json:"members"`
 	HeapBytes     uint64      `json:"heapBytes"`
 	SnapshotBytes int         `json:"snapshotBytes"`
+	PackedBytes   int         `json:"packedBytes"`
 	EncodeMs      float64     `json:"encodeMs"`
+	PackMs        float64     `json:"packMs"`
 	DecodeMs      float64     `json:"decodeMs"`
 	ConfigBytes   int         `json:"configBytes"`
 	Events        []EventCost `json:"events"`
@@ -167,6 +170,13 @@
 	c.EncodeMs = millis(time.Since(start))
 	c.SnapshotBytes = len(data)
 	start = time.Now()
+	packed, err := cranpack.Pack(data)
+	if err != nil {
+		return err
+	}
+	c.PackMs = millis(time.Since(start))
+	c.PackedBytes = len(packed)
+	start = time.Now()
 	_, err = cranstate.Decode(data)
 	c.DecodeMs = millis(time.Since(start))
 	return err
--- a/internal/crancapacity/report.go
+++ b/internal/crancapacity/report.go
@@ -59,9 +59,9 @@
 func (r Report) Print(out io.Writer) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
 	line := func(format string, args ...any) { _, _ = fmt.Fprintf(w, format+"\t\n", args...) }
-	line("instances\tmembers\theap bytes\tsnapshot bytes\tencode ms\tdecode ms\tconfig bytes")
+	line("instances\tmembers\theap bytes\tsnapshot bytes\tpacked bytes\tencode ms\tpack ms\tdecode ms\tconfig bytes")
 	for _, c := range r.Reducer {
-		line("%d\t%d\t%d\t%d\t%.1f\t%.1f\t%d", c.Instances, c.Members, c.HeapBytes, c.SnapshotBytes, c.EncodeMs, c.DecodeMs, c.ConfigBytes)
+		line("%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t%.1f\t%d", c.Instances, c.Members, c.HeapBytes, c.SnapshotBytes, c.PackedBytes, c.EncodeMs, c.PackMs, c.DecodeMs, c.ConfigBytes)
 	}
 	line("")
 	line("instances\tevent\tbytes\tns")
--- a/internal/cranentry/boot.go
+++ b/internal/cranentry/boot.go
@@ -7,11 +7,15 @@
 	"github.com/cranberrypick/cranberrypick/internal/cranevent"
 	"github.com/cranberrypick/cranberrypick/internal/cranfault"
 	"github.com/cranberrypick/cranberrypick/internal/cranlog"
+	"github.com/cranberrypick/cranberrypick/internal/cranpack"
 	"github.com/cranberrypick/cranberrypick/internal/cranpeer"
 	"github.com/cranberrypick/cranberrypick/internal/cransnapshot"
 	"github.com/cranberrypick/cranberrypick/internal/cranstate"
 )
 
+// maxState bounds an encoded control state in bytes.
+const maxState = 64 << 20
+
 // boot finds a state to start from and follows the log from there, until the
 // log no longer keeps the next record or ctx ends.
 func (e *Entry) boot(ctx context.Context) {
@@ -40,7 +44,11 @@
 
 // adopt makes a snapshot the control state.
 func (e *Entry) adopt(ctx context.Context, snap cransnapshot.Snapshot) error {
-	s, err := cranstate.Decode(snap.State())
+	data, err := cranpack.Unpack(snap.State(), maxState)
+	if err != nil {
+		return err
+	}
+	s, err := cranstate.Decode(data)
 	if err != nil {
 		return err
 	}
@@ -93,12 +101,16 @@
 	if e.tailer.Load() == nil {
 		return cransnapshot.Snapshot{}, cranfault.New(cranfault.NotReady, "ask another entry", "this entry has no state yet")
 	}
-	var snap cransnapshot.Snapshot
+	var next uint64
+	var data []byte
 	var failed error
 	err := e.control.do(ctx, func(s *cranstate.State) {
-		var data []byte
+		next = s.Next()
 		data, failed = s.Encode()
-		snap = cransnapshot.New(s.Next(), data)
 	})
-	return snap, errors.Join(err, failed)
+	if err = errors.Join(err, failed); err != nil {
+		return cransnapshot.Snapshot{}, err
+	}
+	packed, err := cranpack.Pack(data)
+	return cransnapshot.New(next, packed), err
 }
--- a/internal/cranentry/heartbeat.go
+++ b/internal/cranentry/heartbeat.go
@@ -95,7 +95,7 @@
 // has been published before: both are done by the control thread.
 func (e *Entry) drained() []uint64 {
 	var list []uint64
-	for _, in := range e.control.state.Instances() {
+	for _, in := range e.control.state.Stopped() {
 		st, ok := in.Stop()
 		if !ok || in.Phase() != cranstate.PhaseCordoned || !slices.Contains(st.Waiting(), e.incarnation) {
 			continue
--- a/internal/cranstate/instance.go
+++ b/internal/cranstate/instance.go
@@ -190,7 +190,7 @@
 		hint: o.Pool, pool: c.poolFor(o.Pool),
 		boots: o.Boots, slots: o.Slots, connections: o.Connections,
 	}
-	c.instances[o.ID] = in
+	c.keep(in)
 	in.homes = rebalance(in, sortedKeys(c.members), c.in.Offset+1)
 	c.enter(in, PhaseReturning, "arrived")
 	if o.Phase == cranplatform.PhaseLeaving {
@@ -205,7 +205,7 @@
 	if in.phase != PhaseLeaving {
 		c.failInWave(in)
 	}
-	delete(c.instances, in.id)
+	c.drop(in)
 	c.reroute()
 	c.emit(InstanceChanged{Instance: in.id, From: in.phase, To: PhaseGone, Pool: in.pool, Cause: "gone"})
 }
@@ -246,7 +246,7 @@
 		return
 	}
 	c.dropFromWaves(in)
-	in.stop = nil
+	c.setStop(in, nil)
 	c.enter(in, PhaseLeaving, "leaving")
 }
 
--- a/internal/cranstate/machine_test.go
+++ b/internal/cranstate/machine_test.go
@@ -339,6 +339,7 @@
 			require.NoError(t, err)
 			whole, err := Decode(data)
 			require.NoError(t, err)
+			require.Equal(t, twin.Instances(), whole.Instances())
 			require.Equal(t, twin, whole, "the snapshot lost something")
 			twin = whole
 		}
--- a/internal/cranstate/member.go
+++ b/internal/cranstate/member.go
@@ -198,10 +198,8 @@
 			delete(c.leases, shard)
 		}
 	}
-	for _, in := range c.instances {
-		if in.stop != nil {
-			delete(in.stop.waiting, id)
-		}
+	for _, in := range c.stops {
+		delete(in.stop.waiting, id)
 	}
 	c.rehome()
 	c.emit(MemberChanged{Member: id, Change: why})
--- a/internal/cranstate/snapshot.go
+++ b/internal/cranstate/snapshot.go
@@ -158,7 +158,7 @@
 		s.members[m.Incarnation] = decodeMember(m)
 	}
 	for _, in := range w.Instances {
-		s.instances[in.ID] = decodeInstance(in)
+		s.keep(decodeInstance(in))
 	}
 	for shard, l := range w.Leases {
 		s.leases[shard] = Lease{holder: l.Holder, token: l.Token, expiryMs: l.ExpiryMs}
--- a/internal/cranstate/state.go
+++ b/internal/cranstate/state.go
@@ -20,6 +20,10 @@
 	members map[string]*member
 	// instances is keyed by the platform's id.
 	instances map[string]*instance
+	// ordered is instances in order of id, or nil if that is not known.
+	ordered []*instance
+	// stops holds exactly the instances with a stop, keyed as instances.
+	stops map[string]*instance
 	// leases is keyed by shard.
 	leases map[string]Lease
 	// waves is keyed by id and holds those not ended, and the last ended.
@@ -46,6 +50,7 @@
 	return &State{
 		members:   map[string]*member{},
 		instances: map[string]*instance{},
+		stops:     map[string]*instance{},
 		leases:    map[string]Lease{},
 		waves:     map[uint64]*wave{},
 		marks:     map[string]mark{},
@@ -97,8 +102,18 @@
 // Instances returns the instances in order of id.
 func (s *State) Instances() []Instance {
 	list := make([]Instance, 0, len(s.instances))
-	for _, id := range sortedKeys(s.instances) {
-		list = append(list, Instance{in: s.instances[id]})
+	for _, in := range s.sortedInstances() {
+		list = append(list, Instance{in: in})
+	}
+	return list
+}
+
+// Stopped returns the instances with a planned stop in progress, in order of
+// id.
+func (s *State) Stopped() []Instance {
+	var list []Instance
+	for _, in := range s.stoppedInstances() {
+		list = append(list, Instance{in: in})
 	}
 	return list
 }
@@ -128,9 +143,49 @@
 // sortedInstances returns the instances in order of id, so that every
 // reducer walks them alike.
 func (s *State) sortedInstances() []*instance {
-	list := make([]*instance, 0, len(s.instances))
-	for _, id := range sortedKeys(s.instances) {
-		list = append(list, s.instances[id])
+	if s.ordered == nil {
+		s.ordered = make([]*instance, 0, len(s.instances))
+		for _, id := range sortedKeys(s.instances) {
+			s.ordered = append(s.ordered, s.instances[id])
+		}
+	}
+	return s.ordered
+}
+
+// stoppedInstances returns the instances with a stop, in order of id.
+func (s *State) stoppedInstances() []*instance {
+	if len(s.stops) == 0 {
+		return nil
+	}
+	list := make([]*instance, 0, len(s.stops))
+	for _, id := range sortedKeys(s.stops) {
+		list = append(list, s.stops[id])
 	}
 	return list
 }
+
+// keep adds an instance.
+func (s *State) keep(in *instance) {
+	s.instances[in.id] = in
+	s.ordered = nil
+	if in.stop != nil {
+		s.stops[in.id] = in
+	}
+}
+
+// drop removes an instance.
+func (s *State) drop(in *instance) {
+	delete(s.instances, in.id)
+	delete(s.stops, in.id)
+	s.ordered = nil
+}
+
+// setStop gives an instance a stop, or none.
+func (s *State) setStop(in *instance, st *stop) {
+	in.stop = st
+	if st == nil {
+		delete(s.stops, in.id)
+		return
+	}
+	s.stops[in.id] = in
+}
--- a/internal/cranstate/stop.go
+++ b/internal/cranstate/stop.go
@@ -47,7 +47,7 @@
 // list shows the outcome; their ids make repeats harmless.
 func (s *State) PendingActions() []cranplatform.Action {
 	var list []cranplatform.Action
-	for _, in := range s.sortedInstances() {
+	for _, in := range s.stoppedInstances() {
 		if in.phase == PhaseStopping {
 			list = append(list, in.action())
 		}
@@ -142,7 +142,7 @@
 	if fault := c.startInWave(in, e.Wave); fault != nil {
 		return fault
 	}
-	in.stop = &stop{id: c.in.Offset + 1, kind: e.Kind, pool: e.Pool, wave: e.Wave, waiting: map[string]bool{}}
+	c.setStop(in, &stop{id: c.in.Offset + 1, kind: e.Kind, pool: e.Pool, wave: e.Wave, waiting: map[string]bool{}})
 	for id := range c.members {
 		in.stop.waiting[id] = true
 	}
@@ -193,7 +193,7 @@
 // restarted meanwhile.
 func (c *change) uncordon(in *instance, cause string) {
 	c.postponeInWave(in)
-	in.stop = nil
+	c.setStop(in, nil)
 	if in.healthy {
 		c.enter(in, PhaseServing, cause)
 		return
@@ -204,8 +204,8 @@
 // drained notes that a member has no request in progress on the instance of
 // a stop.
 func (c *change) drained(member string, id uint64) {
-	for _, in := range c.instances {
-		if in.stop != nil && in.stop.id == id {
+	for _, in := range c.stops {
+		if in.stop.id == id {
 			delete(in.stop.waiting, member)
 			return
 		}
@@ -216,7 +216,7 @@
 // since the cordon may have spent the budget: the stop is then given up while
 // that is still possible.
 func (c *change) passBarriers() {
-	for _, in := range c.sortedInstances() {
+	for _, in := range c.stoppedInstances() {
 		if in.phase != PhaseCordoned || len(in.stop.waiting) > 0 {
 			continue
 		}
@@ -236,7 +236,7 @@
 		return fault
 	}
 	for _, id := range e.Done {
-		for _, in := range c.sortedInstances() {
+		for _, in := range c.stoppedInstances() {
 			if in.phase == PhaseStopping && in.actionID() == id {
 				in.stop.acted = true
 				c.completeStopped(in)
@@ -268,7 +268,7 @@
 		c.moves++
 	}
 	in.wave = in.stop.wave
-	in.stop = nil
+	c.setStop(in, nil)
 	in.healthy = false
 	c.enter(in, PhaseReturning, "stopped")
 }
--- a/pkg/cranfleet/config.go
+++ b/pkg/cranfleet/config.go
@@ -1,6 +1,10 @@
 package cranfleet
 
-import "time"
+import (
+	"slices"
+	"strings"
+	"time"
+)
 
 // Config is a complete, immutable description of a fleet's pools and
 // services.
@@ -59,22 +63,20 @@
 
 // Pool returns the pool of that name.
 func (c *Config) Pool(name string) (Pool, bool) {
-	for _, p := range c.pools {
-		if p.name == name {
-			return p, true
-		}
+	i, ok := slices.BinarySearchFunc(c.pools, name, func(p Pool, name string) int { return strings.Compare(p.name, name) })
+	if !ok {
+		return Pool{}, false
 	}
-	return Pool{}, false
+	return c.pools[i], true
 }
 
 // Service returns the service of that name.
 func (c *Config) Service(name string) (Service, bool) {
-	for _, s := range c.services {
-		if s.name == name {
-			return s, true
-		}
+	i, ok := slices.BinarySearchFunc(c.services, name, func(s Service, name string) int { return strings.Compare(s.name, name) })
+	if !ok {
+		return Service{}, false
 	}
-	return Service{}, false
+	return c.services[i], true
 }
 
 // Name returns the pool's name.
