Prove the right to serve, and the waking of an entry that was written off

Cause: an entry that lost its lease must start nothing more; the process tests did not notice the guard's absence, since claims and slots held on their own.

--- /dev/null
+++ b/internal/cranentry/guard_test.go
@@ -0,0 +1,79 @@
+package cranentry
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/cranberrypick/cranberrypick/internal/cranfault"
+)
+
+// TestMain fixes the seed of the stateful tests unless the command line gives
+// one.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	given := false
+	flag.Visit(func(f *flag.Flag) { given = given || f.Name == "rapid.seed" })
+	if !given {
+		for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
+			if err := flag.Set(name, value); err != nil {
+				panic(err)
+			}
+		}
+	}
+	os.Exit(m.Run())
+}
+
+func TestGuardEndsWithTheLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGuard()
+		require.ErrorIs(t, g.mayServe(), cranfault.Of(cranfault.NotReady))
+		g.ready.Store(true)
+		require.ErrorIs(t, g.mayServe(), cranfault.Of(cranfault.Isolated))
+		g.extend(localEnd(time.Now(), 4*time.Second))
+		require.NoError(t, g.mayServe())
+		g.extend(time.Now())
+		require.NoError(t, g.mayServe(), "a later, shorter right takes nothing away")
+		time.Sleep(4 * time.Second)
+		require.ErrorIs(t, g.mayServe(), cranfault.Of(cranfault.Isolated))
+		g.extend(localEnd(time.Now(), 4*time.Second))
+		g.stopping.Store(true)
+		require.ErrorIs(t, g.mayServe(), cranfault.Of(cranfault.NotReady))
+	})
+}
+
+// TestOutageEndNeedsAMajorityWithoutTheLog draws peers' reports and checks
+// the rule against its plain wording.
+func TestOutageEndNeedsAMajorityWithoutTheLog(t *testing.T) {
+	const lease = 4 * time.Second
+	now := time.Now()
+	rapid.Check(t, func(t *rapid.T) {
+		members := rapid.IntRange(1, 9).Draw(t, "members")
+		draw := func(name string) time.Duration {
+			return time.Duration(rapid.IntRange(0, 8000).Draw(t, name)) * time.Millisecond
+		}
+		var reports []peerReport
+		fresh, logIsUp := 0, false
+		for range rapid.IntRange(0, members-1).Draw(t, "reports") {
+			age := draw("heard")
+			r := peerReport{heard: now.Add(-age), contactFor: draw("contactFor"), contactAge: draw("contactAge")}
+			reports = append(reports, r)
+			if age <= lease/2 {
+				fresh++
+				logIsUp = logIsUp || (r.contactAge < lease/2 && r.contactFor > lease/2)
+			}
+		}
+		end := outageEnd(now, lease, members, reports)
+		majority := 2*(fresh+1) > members
+		require.Equal(t, majority && !logIsUp, !end.IsZero())
+		if !end.IsZero() {
+			require.True(t, end.Before(now.Add(lease)), "no longer than a lease from now")
+			require.True(t, end.After(now), "the right has not ended already")
+		}
+	})
+}
--- a/internal/cranwhole/failure_test.go
+++ b/internal/cranwhole/failure_test.go
@@ -144,3 +144,22 @@
 	}
 	s.checkLedgers()
 }
+
+// TestPausedPastWriteOff freezes an entry for so long that the others write it
+// off, reboot an instance and share its slots anew. When it wakes with callers
+// waiting, nothing may run over a slot or be cut off, and it serves again as a
+// new incarnation.
+func TestPausedPastWriteOff(t *testing.T) {
+	s := newFleet(t)
+	stop := s.load(100 * time.Millisecond)
+	s.entries["e3"].signal(syscall.SIGSTOP)
+	_, err := s.entries["e1"].admin.Drain(context.Background(), "r1")
+	require.NoError(t, err)
+	s.eventually("written off", func() bool { return len(s.status("e1").Members) == 2 })
+	s.eventually("rebooted", func() bool { return s.targetLedger("r1").Boots == 1 })
+	s.entries["e3"].signal(syscall.SIGCONT)
+	s.eventually("joined again", func() bool { return len(s.status("e1").Members) == 3 })
+	s.eventually("answered", func() bool { return s.call("e3", http.MethodGet, "after") == "answered" })
+	stop()
+	s.checkLedgers()
+}
