--- a/cmd/cranstandin/server.go
+++ b/cmd/cranstandin/server.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os/signal"
 	"syscall"
 	"time"
 
@@ -43,17 +43,19 @@
 	if s.configure != nil {
 		s.configure(web)
 	}
+	signals, release := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer release()
 	_, _ = fmt.Fprintln(out, "listening", listener.Addr())
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancel(signals)
 	defer cancel()
 	var group run.Group
-	group.Add(run.SignalHandler(ctx, syscall.SIGTERM, syscall.SIGINT))
+	group.Add(run.ContextHandler(signals))
 	group.Add(func() error { return web.Serve(listener) }, func(error) { s.stop(web) })
 	if s.started != nil {
 		group.Add(s.announce(ctx, listener.Addr().String(), cancel))
 	}
 	err = group.Run()
-	if errors.Is(err, run.ErrSignal) {
+	if signals.Err() != nil {
 		return nil
 	}
 	return err
--- a/internal/cranstandin/log.go
+++ b/internal/cranstandin/log.go
@@ -235,9 +235,14 @@
 	if err := c.reach(ctx); err != nil {
 		return 0, err
 	}
-	outcome, err := c.log.timers.after(c.log.delay(), func() appendOutcome { return c.perform(name, payloads) })
-	if err != nil {
-		return 0, err
+	delay := c.log.delay()
+	if delay == 0 {
+		o := c.perform(name, payloads)
+		return o.first, o.err
+	}
+	outcome := make(chan appendOutcome, 1)
+	if !c.log.timers.start(delay, func() { outcome <- c.perform(name, payloads) }) {
+		return 0, closedFault()
 	}
 	select {
 	case o := <-outcome:
--- a/internal/cranstandin/timers.go
+++ b/internal/cranstandin/timers.go
@@ -55,20 +55,6 @@
 	return true
 }
 
-// after runs an append after a delay and returns where its outcome arrives;
-// without a delay it runs in the caller.
-func (t *timers) after(delay time.Duration, work func() appendOutcome) (<-chan appendOutcome, error) {
-	outcome := make(chan appendOutcome, 1)
-	if delay == 0 {
-		outcome <- work()
-		return outcome, nil
-	}
-	if !t.start(delay, func() { outcome <- work() }) {
-		return nil, closedFault()
-	}
-	return outcome, nil
-}
-
 // close drops the work that hasn't begun and waits for the rest. It may be
 // called more than once.
 func (t *timers) close() {
