Free a writer whose confirmed records expired unread

Ruled out: the marks of the index; an order of first occurrences; the test's own time to settle (the log's content at the failure was printed). The writer now keeps what the log confirmed, and ObserveSkip resolves what lies below the offset from which its owner goes on. Also: the keeper's pauses take the injected source of jitter.

--- a/internal/cranclaim/follow.go
+++ b/internal/cranclaim/follow.go
@@ -25,7 +25,7 @@
 		defer close(followed)
 		k.payOwed(ctx)
 	}()
-	pauses := cranlog.NewBackoff(originBackoffBase, originBackoffCap, nil)
+	pauses := cranlog.NewBackoff(originBackoffBase, originBackoffCap, k.settings.random)
 	failures := 0
 	for ctx.Err() == nil {
 		o, err := k.findOrigin(ctx)
@@ -79,6 +79,7 @@
 	k.mu.Lock()
 	k.index = k.newIndex(o)
 	k.readTo = o.end
+	k.writer.ObserveSkip(o.oldest)
 	k.forgetPending()
 	k.tailer = cranlog.NewTailer(k.log, k.stream, o.oldest, k.apply, k.settings.log...)
 	tailer := k.tailer
@@ -181,7 +182,7 @@
 		case <-k.wake:
 		}
 		for !k.paid() && ctx.Err() == nil {
-			_ = cranlog.NewBackoff(owedInterval, owedInterval, nil).Wait(ctx, 1)
+			_ = k.owedPause(ctx)
 		}
 	}
 }
@@ -199,3 +200,8 @@
 	}
 	return true
 }
+
+// owedPause waits until the queue may have room again.
+func (k *Keeper) owedPause(ctx context.Context) error {
+	return cranlog.NewBackoff(owedInterval, owedInterval, k.settings.random).Wait(ctx, 1)
+}
--- a/internal/cranclaim/grant.go
+++ b/internal/cranclaim/grant.go
@@ -12,11 +12,21 @@
 	offset  uint64
 	// start is when the claim was made, before its append.
 	start time.Time
-	bound time.Duration
+	// startWall is the same moment by the wall clock alone.
+	startWall time.Time
+	bound     time.Duration
 	// ended is set by the first release or report.
 	ended atomic.Bool
 }
 
+// newGrant returns the grant of a claim that was made at start.
+func newGrant(key Key, attempt, offset uint64, start time.Time, bound time.Duration) *Grant {
+	return &Grant{
+		key: key, attempt: attempt, offset: offset,
+		start: start, startWall: start.Round(0), bound: bound,
+	}
+}
+
 // Key returns the key that is held.
 func (g *Grant) Key() Key { return g.key }
 
@@ -35,6 +45,6 @@
 		return false
 	}
 	monotonic := now.Sub(g.start)
-	wall := now.Round(0).Sub(g.start.Round(0))
+	wall := now.Round(0).Sub(g.startWall)
 	return monotonic < g.bound && wall < g.bound
 }
--- a/internal/cranclaim/keeper.go
+++ b/internal/cranclaim/keeper.go
@@ -142,7 +142,7 @@
 // cranlog.Writer.Flush.
 func (k *Keeper) Flush(ctx context.Context) error {
 	for !k.paid() {
-		err := cranlog.NewBackoff(owedInterval, owedInterval, nil).Wait(ctx, 1)
+		err := k.owedPause(ctx)
 		if err != nil {
 			return cranfault.New(cranfault.Timeout, "give it more time, or let the keys stay held",
 				"%s has records left that the log has not taken", k.stream)
@@ -196,7 +196,7 @@
 func (k *Keeper) settle(a *attempt, d Decision) (*Grant, error) {
 	switch d.verdict {
 	case VerdictGranted:
-		g := &Grant{key: a.key, attempt: d.attempt, offset: d.holder.offset, start: a.start, bound: k.settings.bound}
+		g := newGrant(a.key, d.attempt, d.holder.offset, a.start, k.settings.bound)
 		if g.Usable(time.Now()) {
 			return g, nil
 		}
--- a/internal/cranclaim/keeper_test.go
+++ b/internal/cranclaim/keeper_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/cranberrypick/cranberrypick/internal/cranfault"
 	"github.com/cranberrypick/cranberrypick/internal/cranlog"
+	"github.com/cranberrypick/cranberrypick/internal/cranplatform"
 	"github.com/cranberrypick/cranberrypick/internal/cranstandin"
 )
 
@@ -60,7 +61,7 @@
 // start adds a keeper and lets it read the stream.
 func (b *bench) start(options ...Option) *Keeper {
 	name := fmt.Sprintf("entry%d", len(b.keepers)+1)
-	options = append([]Option{WithCounter(b.counts.add), WithLogOptions(cranlog.WithRandom(steady))}, options...)
+	options = append([]Option{WithCounter(b.counts.add), WithRandom(steady)}, options...)
 	k := NewKeeper(b.log.For(name), StreamName(0), name, options...)
 	b.keepers = append(b.keepers, k)
 	time.Sleep(time.Second)
@@ -177,13 +178,17 @@
 
 func TestGrantEndsWithItsTime(t *testing.T) {
 	start := time.Now()
-	g := &Grant{start: start, bound: time.Second}
+	g := newGrant(Key{1}, 1, 0, start, time.Second)
 	require.True(t, g.Usable(start.Add(time.Second-1)))
 	require.False(t, g.Usable(start.Add(time.Second)))
 	require.Equal(t, start.Add(time.Second), g.Deadline())
 	// The wall clock alone went on, as while a machine is suspended.
-	suspended := &Grant{start: start.Round(0).Add(-time.Minute), bound: time.Second}
-	require.False(t, suspended.Usable(start))
+	g.startWall = start.Round(0).Add(-time.Minute)
+	require.False(t, g.Usable(start))
+	// The wall clock was set back.
+	g.startWall = start.Round(0).Add(time.Minute)
+	require.True(t, g.Usable(start))
+	require.False(t, g.Usable(start.Add(time.Second)))
 }
 
 func TestClaimInAnOutage(t *testing.T) {
@@ -241,6 +246,27 @@
 	})
 }
 
+// readOnlyLog answers reads alone.
+type readOnlyLog struct{ cranplatform.Log }
+
+func (readOnlyLog) Append(context.Context, string, [][]byte) (uint64, error) {
+	return 0, cranfault.New(cranfault.LogUnavailable, "wait", "appends fail")
+}
+
+func TestClaimRefusedWhileAppendsFail(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 0)
+		k := NewKeeper(readOnlyLog{b.log}, StreamName(0), "entry1", WithCounter(b.counts.add))
+		b.keepers = append(b.keepers, k)
+		time.Sleep(time.Second)
+		b.refused(k, "k", cranfault.LogUnavailable)
+		time.Sleep(time.Second)
+		b.refused(k, "k", cranfault.LogUnavailable)
+		require.Equal(t, 1, b.counts.of(ReasonTooLate))
+		require.Equal(t, 1, b.counts.of(ReasonLogDown))
+	})
+}
+
 func TestClaimCancelled(t *testing.T) {
 	virtual("by its caller", t, func(t *testing.T) {
 		b := newBench(t, 2)
@@ -262,6 +288,28 @@
 	})
 }
 
+// TestClaimThatExpiresUnread has a claim expire before its claimer could read
+// it back, while another entry has seen it granted.
+func TestClaimThatExpiresUnread(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1, WithLogOptions(cranlog.WithAttemptTimeout(time.Minute)))
+		patient := b.start(WithContact(time.Minute), WithLogOptions(cranlog.WithPoll(30*time.Second, 10)))
+		time.Sleep(300 * time.Millisecond)
+		b.faults(cranstandin.Faults{LogDelayMs: 3000})
+		time.AfterFunc(3100*time.Millisecond, func() {
+			h, held := patient.Lookup(KeyOf("k"))
+			require.True(t, held)
+			require.Equal(t, "entry1", h.Claimer())
+			b.log.Expire(StreamName(0), 1)
+			b.faults(cranstandin.Faults{})
+		})
+		b.refused(b.keepers[0], "k", cranfault.LogUnavailable)
+		require.Equal(t, 1, b.counts.of(ReasonVoid))
+		time.Sleep(5 * time.Second)
+		b.granted(patient, "k")
+	})
+}
+
 func TestReleasesSurviveAFullQueue(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t, 2, WithLogOptions(cranlog.WithMaxPending(2)))
@@ -294,6 +342,29 @@
 		time.Sleep(5 * time.Second)
 		b.refused(k, "k", cranfault.AlreadyClaimed)
 	})
+	virtual("claims nothing before it has read the stream to its end", t, func(t *testing.T) {
+		b := newBench(t, 1)
+		for i := range 50 {
+			b.granted(b.keepers[0], fmt.Sprint(i))
+		}
+		b.faults(cranstandin.Faults{LogDelayMs: 100})
+		k := b.start(WithLogOptions(cranlog.WithPoll(time.Second, 1)))
+		b.refused(k, "k", cranfault.NotReady)
+		time.Sleep(6 * time.Second)
+		b.granted(k, "k")
+	})
+	virtual("is as good as any where the log keeps twice the window", t, func(t *testing.T) {
+		b := newBench(t, 1)
+		b.granted(b.keepers[0], "1")
+		b.granted(b.keepers[0], "2")
+		time.Sleep(3 * time.Hour)
+		b.granted(b.keepers[0], "3")
+		b.log.Expire(StreamName(0), 1)
+		k := b.start()
+		b.refused(k, "3", cranfault.AlreadyClaimed)
+		b.granted(k, "1")
+		b.granted(k, "k")
+	})
 	virtual("grants nothing until it has read a whole window", t, func(t *testing.T) {
 		b := newBench(t, 1)
 		b.granted(b.keepers[0], "k")
--- a/internal/cranclaim/options.go
+++ b/internal/cranclaim/options.go
@@ -51,6 +51,7 @@
 	contact time.Duration
 	maxKeys int
 	count   func(Reason)
+	random  func() float64
 	log     []cranlog.Option
 }
 
@@ -94,6 +95,15 @@
 	return func(s *settings) { s.count = count }
 }
 
+// WithRandom injects the source of jitter, which returns numbers in [0, 1),
+// also for the keeper's writer and tailer.
+func WithRandom(random func() float64) Option {
+	return func(s *settings) {
+		s.random = random
+		s.log = append(s.log, cranlog.WithRandom(random))
+	}
+}
+
 // WithLogOptions passes options to the keeper's writer and tailer.
 func WithLogOptions(options ...cranlog.Option) Option {
 	return func(s *settings) { s.log = append(s.log, options...) }
--- a/internal/cranlog/commit.go
+++ b/internal/cranlog/commit.go
@@ -98,8 +98,12 @@
 	}
 	defer w.land()
 	for failures := 1; ; failures++ {
-		err := w.appendOnce(ctx, payloads)
-		if err == nil || ctx.Err() != nil {
+		first, err := w.appendOnce(ctx, payloads)
+		if err == nil {
+			w.confirm(batch[len(batch)-1].seq, first+uint64(len(batch)))
+			return
+		}
+		if ctx.Err() != nil {
 			return
 		}
 		w.settings.count(failureReason(err, ReasonAppendFailed, ReasonAppendTimeout))
@@ -109,11 +113,33 @@
 	}
 }
 
-func (w *Writer) appendOnce(ctx context.Context, payloads [][]byte) error {
+func (w *Writer) appendOnce(ctx context.Context, payloads [][]byte) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, w.settings.attemptTimeout)
 	defer cancel()
-	_, err := w.log.Append(ctx, w.stream, payloads)
-	return err
+	return w.log.Append(ctx, w.stream, payloads)
+}
+
+// confirm notes the log's answer to a batch that is not yet read back.
+func (w *Writer) confirm(last, end uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.confirmed = append(w.confirmed, confirmation{last: last, end: end})
+	w.settleConfirmed()
+}
+
+// settleConfirmed drops the batches that were read back, and resolves those
+// that were passed over and will never be.
+func (w *Writer) settleConfirmed() {
+	for len(w.confirmed) > 0 {
+		head := w.confirmed[0]
+		if head.end <= w.skipped {
+			w.passOver(head.last)
+		}
+		if head.last > w.observed {
+			return
+		}
+		w.confirmed = w.confirmed[1:]
+	}
 }
 
 // takeOff notes the batch in flight, so that Observe can end it. It reports
@@ -155,6 +181,7 @@
 	}
 	w.passOver(seq - 1)
 	w.advance(seq, result{outcome: Outcome{offset: entry.Offset(), timeMs: entry.TimeMs(), seq: seq}})
+	w.settleConfirmed()
 	w.endFlight()
 }
 
@@ -165,9 +192,21 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.passOver(min(mark, w.assigned))
+	w.settleConfirmed()
 	w.endFlight()
 }
 
+// ObserveSkip tells the writer that its owner goes on reading at an offset
+// without having read all records before it. Records that the log confirmed
+// below that offset will never be read back: callers of Append that wait for
+// one of them get cranfault.RecordsExpired.
+func (w *Writer) ObserveSkip(offset uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.skipped = max(w.skipped, offset)
+	w.settleConfirmed()
+}
+
 // passOver resolves the records up to seq, whose offsets were not seen.
 func (w *Writer) passOver(seq uint64) {
 	for w.observed < seq {
--- a/internal/cranlog/writer.go
+++ b/internal/cranlog/writer.go
@@ -66,9 +66,22 @@
 	// waiters holds those who wait for a record, by sequence number.
 	waiters map[uint64][]chan result
 	flight  flight
+	// confirmed holds the batches that the log has confirmed and that were
+	// not wholly read back, in order.
+	confirmed []confirmation
+	// skipped is the offset up to which the owner has passed over records.
+	skipped uint64
 	closed  bool
 }
 
+// confirmation is the log's answer to a batch.
+type confirmation struct {
+	// last is the sequence number of the batch's last record.
+	last uint64
+	// end is the offset after it.
+	end uint64
+}
+
 // item is a record that waits to be sent.
 type item struct {
 	seq     uint64
--- a/internal/cranlog/writer_test.go
+++ b/internal/cranlog/writer_test.go
@@ -207,3 +207,34 @@
 		require.Empty(t, p.writer.waiters)
 	})
 }
+
+// TestSkipResolvesConfirmedRecords has records confirmed and expired before
+// the owner read them; without the skip they would fill the queue for ever.
+func TestSkipResolvesConfirmedRecords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := newFakeLog()
+		w := NewWriter(log, "control", "a", WithRandom(fixedJitter), WithMaxPending(2))
+		defer func() { _ = w.Close() }()
+		time.AfterFunc(time.Second, func() { w.ObserveSkip(2) })
+		for range 2 {
+			go func() {
+				_, err := w.Append(context.Background(), []byte("x"))
+				require.ErrorIs(t, err, cranfault.Of(cranfault.RecordsExpired))
+			}()
+		}
+		time.Sleep(500 * time.Millisecond)
+		_, err := w.Submit(context.Background(), []byte("x"))
+		require.ErrorIs(t, err, cranfault.Of(cranfault.QueueFull))
+		time.Sleep(time.Second)
+		require.Zero(t, w.Backlog().Records())
+		w.ObserveSkip(3)
+		_, err = w.Append(context.Background(), []byte("x"))
+		require.ErrorIs(t, err, cranfault.Of(cranfault.RecordsExpired), "confirmed after the skip")
+		synctest.Wait()
+		require.Empty(t, w.confirmed)
+		_, err = w.Submit(context.Background(), []byte("x"))
+		require.NoError(t, err)
+		time.Sleep(time.Second)
+		require.Equal(t, 1, w.Backlog().Records(), "beyond the skip it is still to be read")
+	})
+}
