Mend two tests of the writer that read its fields too early

Ruled out: a race of the writer itself (all its fields are under its mutex; the test alone read without it). The test now waits for the bubble to be idle. The state test now also sees that no confirmation is kept after the read-back.

--- a/internal/cranlog/fuzz_test.go
+++ b/internal/cranlog/fuzz_test.go
@@ -250,7 +250,9 @@
 	for _, n := range s.nodes {
 		n.writer.mu.Lock()
 		assigned := n.writer.assigned
+		unread := len(n.writer.confirmed)
 		n.writer.mu.Unlock()
+		require.Zero(rt, unread)
 		require.Equal(rt, int(assigned), found[n.name])
 	}
 }
--- a/internal/cranlog/writer_test.go
+++ b/internal/cranlog/writer_test.go
@@ -204,6 +204,7 @@
 		time.AfterFunc(time.Second, func() { log.setDown(false) })
 		require.NoError(t, p.writer.Flush(context.Background()))
 		require.Len(t, log.all(), 3)
+		synctest.Wait()
 		require.Empty(t, p.writer.waiters)
 	})
 }
