Front: at most once and true notRun under faults, seen at the targets

Cause: the unit tests break one thing at a time; keys sent through two entries with short deadlines, cuts, delays, refusals and foreign answers need the targets' own ledger. Ruled out: asking only keys that were sent four times. With one caller told notRun wrongly, another is told alreadyClaimed, and the fault went unseen. The view unchecked at the write: TestGuardRefusesBeforeTheFirstWrite (NothingStarts alone didn't see it). Conclusion: a target that stalls can start a request after maxDuration has passed at the front; its caller was told unknown, so nothing false is told.

--- a/internal/crantraffic/front_test.go
+++ b/internal/crantraffic/front_test.go
@@ -125,6 +125,10 @@
 	require.Equal(t, "notRun leaseLost", got.outcome+" "+got.reason)
 
 	g.view(addresses, time.Second, map[string]bool{"a": true})
+	x := g.job("GET").start("a", nil, false)
+	<-x.done
+	require.Equal(t, cranfault.NoTarget, cranfault.KindOf(x.result.err))
+	require.False(t, x.result.written)
 	got = g.call("GET", "/s/bookings/a", "", headerDeadline, "200")
 	require.Equal(t, "notRun timeout", got.outcome+" "+got.reason)
 	require.Zero(t, runs)
--- a/internal/crantraffic/retry_test.go
+++ b/internal/crantraffic/retry_test.go
@@ -190,6 +190,7 @@
 			joined := make(chan reply)
 			go func() { joined <- g.call(method, "/s/bookings/a", "", headerKey, "k") }()
 			require.Never(t, func() bool { return atTarget.Err() != nil }, 50*time.Millisecond, 5*time.Millisecond)
+			require.Equal(t, "claimed", g.claims.of("k"))
 			close(proceed)
 			require.Equal(t, "done", (<-joined).body)
 		}
