--- a/internal/crantraffic/handler.go
+++ b/internal/crantraffic/handler.go
@@ -81,7 +81,11 @@
 	}
 	switch {
 	case o.stream != nil:
-		return passStream(c, o.stream)
+		if passStream(c, o.stream) != nil {
+			f.counters.Refused(service, BrokenAnswer)
+			panic(http.ErrAbortHandler)
+		}
+		return nil
 	case o.answer != nil:
 		return passAnswer(c, o.answer)
 	}
@@ -106,8 +110,8 @@
 	return status != http.StatusNoContent && status != http.StatusNotModified
 }
 
-// passStream passes a long answer on. If it is cut short, the caller's
-// connection is aborted, so that the caller sees it.
+// passStream passes a long answer on. If it fails the caller's connection must
+// be aborted, so that the caller sees that the answer was cut short.
 func passStream(c echo.Context, s *stream) error {
 	w := c.Response()
 	copyHeader(w.Header(), s.header)
@@ -115,10 +119,7 @@
 		w.Header().Set("Content-Length", strconv.FormatInt(s.length, 10))
 	}
 	w.WriteHeader(s.status)
-	if err := s.copyTo(w); err != nil {
-		panic(http.ErrAbortHandler)
-	}
-	return nil
+	return s.copyTo(w)
 }
 
 func copyHeader(dst, src http.Header) {
