--- a/internal/cranslot/borrow.go
+++ b/internal/cranslot/borrow.go
@@ -86,10 +86,12 @@
 }
 
 // keepWhile keeps an unused borrowed slot for a while if requests wait for
-// it, and else returns it.
+// it, and else returns it. It also returns it to a home whose queue seems much
+// longer than the one here.
 func (t *table) keepWhile(in *instanceState, index int) {
 	g := t.group(in.group)
-	if !in.open || g.waiting < g.idle() {
+	queueThere := -t.hinted(g, in.slots[index].home.Entry)
+	if !in.open || g.waiting < g.idle() || queueThere > longerQueue*g.waiting+1 {
 		t.giveBack(in, index)
 		return
 	}
