Prove process control over HTTP and whole, ordered batches

Cause: the ledger's inProgressAtStop comes over the control call when targets are processes, and batches must not interleave under concurrency. Ruled out: real sockets for this test; the in-process network with a virtual clock shows the same calls without waiting. Conclusion: the HTTP form and the embedded form agree.

--- a/internal/cranstandin/platform_test.go
+++ b/internal/cranstandin/platform_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"net/http"
 	"net/http/httptest"
+	"sync"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
@@ -77,3 +81,97 @@
 		checkLog(t, c, p, o)
 	})
 }
+
+// TestProcessesOverHTTP reboots a target process through its control call,
+// with the answers of the first actions lost.
+func TestProcessesOverHTTP(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 8, 64)
+		defer b.close()
+		p, c := serveMemory(t, WithFleet(WithControl(ControlProcesses(b.caller)), WithRebootTime(2*time.Second)))
+		ctx := context.Background()
+		require.NoError(t, c.Register(ctx, cranplatform.Instance{ID: "t1", Address: "target:1", Role: RoleTarget}))
+		require.NoError(t, p.SetFaults(Faults{LoseActionAnswers: 2}))
+		var calls sync.WaitGroup
+		calls.Go(func() {
+			_, _, err := b.send(ctx, "cut", time.Minute)
+			require.Error(t, err)
+		})
+		synctest.Wait()
+		action := cranplatform.Action{ID: "a1", Kind: cranplatform.ActionReboot, Instance: "t1"}
+		for range 2 {
+			require.ErrorIs(t, c.Act(ctx, action), cranfault.Of(cranfault.NotReady))
+		}
+		require.NoError(t, c.Act(ctx, action))
+		calls.Wait()
+		time.Sleep(3 * time.Second)
+		status, err := c.ActionStatus(ctx, "a1")
+		require.NoError(t, err)
+		require.Equal(t, cranplatform.ActionStatus{Known: true, Done: true}, status)
+		require.Len(t, p.Fleet().Ledger(), 1)
+		require.Equal(t, 1, p.Fleet().Ledger()[0].InProgressAtStop)
+		require.Equal(t, 1, b.target.Ledger().Boots)
+		require.NoError(t, c.Deregister(ctx, "t1"))
+		time.Sleep(3 * time.Second)
+		list, err := c.Instances(ctx)
+		require.NoError(t, err)
+		require.Equal(t, cranplatform.PhaseGone, list[0].Phase)
+		_, _, err = b.send(ctx, "stopped", 0)
+		require.Error(t, err)
+	})
+}
+
+// serveMemory returns a platform behind an in-process network and a client.
+func serveMemory(t *testing.T, options ...PlatformOption) (*Platform, *cranplatform.Client) {
+	t.Helper()
+	network := NewNetwork()
+	listener, err := network.Listen("platform:1")
+	require.NoError(t, err)
+	p := NewPlatform(options...)
+	s := &http.Server{Handler: p}
+	var served sync.WaitGroup
+	served.Go(func() { _ = s.Serve(listener) })
+	c := cranplatform.NewClient("http://platform:1",
+		cranplatform.WithTransport(&http.Transport{DialContext: network.DialContext}))
+	t.Cleanup(func() {
+		require.NoError(t, c.Close())
+		require.NoError(t, p.Close())
+		require.NoError(t, s.Close())
+		served.Wait()
+	})
+	return p, c
+}
+
+// TestConcurrentAppendsDontInterleave appends batches from many callers and
+// looks for each whole, and for every stamp in order.
+func TestConcurrentAppendsDontInterleave(t *testing.T) {
+	const (
+		callers = 8
+		batches = 50
+	)
+	l := NewLog()
+	defer func() { require.NoError(t, l.Close()) }()
+	ctx := context.Background()
+	var calls sync.WaitGroup
+	for n := range callers {
+		calls.Go(func() {
+			for m := range batches {
+				first, err := l.Append(ctx, "s", [][]byte{{byte(n), byte(m), 0}, {byte(n), byte(m), 1}})
+				require.NoError(t, err)
+				require.Zero(t, first%2)
+			}
+		})
+	}
+	calls.Wait()
+	batch, err := l.Read(ctx, "s", 0, 2*callers*batches, 0)
+	require.NoError(t, err)
+	require.Len(t, batch.Records, 2*callers*batches)
+	next := map[byte]byte{}
+	for n := 0; n < len(batch.Records); n += 2 {
+		a, b := batch.Records[n], batch.Records[n+1]
+		require.Equal(t, []byte{a.Data[0], a.Data[1], 1}, b.Data)
+		require.Equal(t, next[a.Data[0]], a.Data[1])
+		next[a.Data[0]]++
+		require.LessOrEqual(t, a.TimeMs, b.TimeMs)
+	}
+}
