Let the run start before the silence test goes on

Cause: TestSilentOpenConnections failed once in 8 runs under the race detector: the run that should be in progress had not started when the silence was set. Ruled out: a fault of the target; the run never arrived, as the fault says. Conclusion: the test waits for the bubble to settle; its checks are unchanged.

--- a/internal/cranstandin/target_test.go
+++ b/internal/cranstandin/target_test.go
@@ -194,6 +194,7 @@
 			_, _, err := b.send(ctx, "inProgress", 2*time.Second)
 			require.ErrorIs(t, err, context.DeadlineExceeded, "its answer never returns")
 		})
+		synctest.Wait()
 		_, _, err := b.send(ctx, "kept", 0)
 		require.NoError(t, err)
 		require.NoError(t, b.target.SetFaults(TargetFaults{SilentOpen: true}))
