Prove the client's timeouts

Cause: a silent platform must not hold a caller beyond its call's bound. Ruled out: nothing. Conclusion: bounded as documented.

--- a/internal/cranplatform/client_test.go
+++ b/internal/cranplatform/client_test.go
@@ -200,6 +200,19 @@
 	})
 }
 
+func TestCallsTimeOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := NewClient("http://platform", WithTransport(lingeringTransport{}), WithCallTimeout(2*time.Second))
+		defer func() { require.NoError(t, c.Close()) }()
+		start := time.Now()
+		_, err := c.Read(context.Background(), "s", 0, 1, 5000)
+		require.ErrorIs(t, err, cranfault.Of(cranfault.LogUnavailable))
+		require.Equal(t, 7*time.Second, time.Since(start), "a long poll may take its wait on top")
+		require.ErrorIs(t, c.Act(context.Background(), Action{ID: "a"}), cranfault.Of(cranfault.Timeout))
+		require.Equal(t, 9*time.Second, time.Since(start))
+	})
+}
+
 func FuzzAnswer(f *testing.F) {
 	f.Add(200, []byte(`{"records":[{"offset":2,"timeMs":1,"data":"AA=="}],"oldest":0,"next":3}`), uint64(2))
 	f.Add(410, []byte(`{"kind":"recordsExpired","message":"m","remedy":"r"}`), uint64(0))
