--- a/internal/cransnapshot/write.go
+++ b/internal/cransnapshot/write.go
@@ -12,7 +12,7 @@
 // Defaults of the options.
 const (
 	defaultChunkBytes     = 64 << 10
-	defaultWindowRecords  = 64
+	defaultWindowRecords  = 16
 	defaultBackoffBase    = 50 * time.Millisecond
 	defaultBackoffCap     = 5 * time.Second
 	defaultAttemptTimeout = 2 * time.Second
