Bound the appends of a writer by spacing, and use it for claims

Cause: free keepers of nine entries would send some 1,600 appends a second at a log that answers in 5 ms; the log takes several hundred for everybody. Ruled out: a batch window alone: every lone claim pays it, and at 1,000 callers full batches end it early (171 appends a second with a window of 30 ms). Seen failing, then passing with the mechanism restored: no spacing; a spacing that also delays a body after a pause. Conclusion: spacing of 30 ms is the keepers' default.

--- a/internal/cranclaim/bench_test.go
+++ b/internal/cranclaim/bench_test.go
@@ -109,18 +109,22 @@
 // takes 5 ms for a call, and gives the appends that a claim costs.
 func BenchmarkGroupCommit(b *testing.B) {
 	for _, callers := range []int{1, 10, 100, 1000} {
-		for _, window := range []time.Duration{0, 10 * time.Millisecond} {
-			b.Run(fmt.Sprintf("callers=%d/window=%s", callers, window), func(b *testing.B) {
-				claimAll(b, callers, window)
-			})
-		}
+		b.Run(fmt.Sprintf("callers=%d/free", callers), func(b *testing.B) {
+			claimAll(b, callers, cranlog.WithBatchSpacing(0))
+		})
+		b.Run(fmt.Sprintf("callers=%d/window=30ms", callers), func(b *testing.B) {
+			claimAll(b, callers, cranlog.WithBatchSpacing(0), cranlog.WithBatchWindow(defaultSpacing))
+		})
+		b.Run(fmt.Sprintf("callers=%d/spacing=30ms", callers), func(b *testing.B) {
+			claimAll(b, callers)
+		})
 	}
 }
 
-func claimAll(b *testing.B, callers int, window time.Duration) {
+func claimAll(b *testing.B, callers int, options ...cranlog.Option) {
 	stand := cranstandin.NewLog()
 	log := &countingLog{Log: stand}
-	k := NewKeeper(log, StreamName(0), "entry1", WithMaxKeys(1<<30), WithLogOptions(cranlog.WithBatchWindow(window)))
+	k := NewKeeper(log, StreamName(0), "entry1", WithMaxKeys(1<<30), WithLogOptions(options...))
 	require.Eventually(b, func() bool { return k.Ready() == nil }, 10*time.Second, time.Millisecond)
 	require.NoError(b, stand.SetFaults(cranstandin.Faults{LogDelayMs: 5}))
 	b.ResetTimer()
--- a/internal/cranclaim/options.go
+++ b/internal/cranclaim/options.go
@@ -41,6 +41,7 @@
 	defaultBound   = 5 * time.Second
 	defaultContact = 4 * time.Second
 	defaultMaxKeys = 1 << 18
+	defaultSpacing = 30 * time.Millisecond
 )
 
 // settings holds what the options set.
@@ -104,7 +105,9 @@
 	}
 }
 
-// WithLogOptions passes options to the keeper's writer and tailer.
+// WithLogOptions passes options to the keeper's writer and tailer. Without
+// them a keeper starts at most one append in 30 ms, so that all entries
+// together leave the log room for others.
 func WithLogOptions(options ...cranlog.Option) Option {
 	return func(s *settings) { s.log = append(s.log, options...) }
 }
@@ -117,6 +120,7 @@
 		contact: defaultContact,
 		maxKeys: defaultMaxKeys,
 		count:   func(Reason) {},
+		log:     []cranlog.Option{cranlog.WithBatchSpacing(defaultSpacing)},
 	}
 	for _, option := range options {
 		option(&s)
--- a/internal/cranlog/commit.go
+++ b/internal/cranlog/commit.go
@@ -10,19 +10,22 @@
 // run commits one batch after another until the writer is closed.
 func (w *Writer) run(ctx context.Context) {
 	defer close(w.done)
+	var started time.Time
 	for {
-		batch := w.nextBatch(ctx)
+		batch := w.nextBatch(ctx, started)
 		if ctx.Err() != nil {
 			return
 		}
+		started = time.Now()
 		if len(batch) > 0 {
 			w.commit(ctx, batch)
 		}
 	}
 }
 
-// nextBatch waits for a body, then for the batch window, and cuts a batch.
-func (w *Writer) nextBatch(ctx context.Context) []item {
+// nextBatch waits for a body, then until the last batch's start is far enough
+// behind, then for the batch window, and cuts a batch.
+func (w *Writer) nextBatch(ctx context.Context, last time.Time) []item {
 	if !w.queued() {
 		select {
 		case <-ctx.Done():
@@ -30,6 +33,10 @@
 		case <-w.wake:
 		}
 	}
+	early := w.settings.batchSpacing - time.Since(last)
+	if early > 0 {
+		pause(ctx, early)
+	}
 	w.waitWindow(ctx)
 	return w.cut()
 }
--- a/internal/cranlog/options.go
+++ b/internal/cranlog/options.go
@@ -54,6 +54,7 @@
 // settings holds what the options of writers and tailers set.
 type settings struct {
 	batchWindow     time.Duration
+	batchSpacing    time.Duration
 	maxBatchRecords int
 	maxBatchBytes   int
 	maxPending      int
@@ -75,6 +76,13 @@
 	return func(s *settings) { s.batchWindow = d }
 }
 
+// WithBatchSpacing sets the least time between the starts of two batches of a
+// writer, and so bounds its appends a second. Unlike a window it costs nothing
+// to a body that comes after a pause. The default is none.
+func WithBatchSpacing(d time.Duration) Option {
+	return func(s *settings) { s.batchSpacing = d }
+}
+
 // WithMaxBatch bounds a writer's batch by records and by bytes of payload.
 func WithMaxBatch(records, bytes int) Option {
 	return func(s *settings) {
--- a/internal/cranlog/writer_test.go
+++ b/internal/cranlog/writer_test.go
@@ -114,6 +114,30 @@
 	})
 }
 
+func TestBatchSpacingBoundsAppends(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := newFakeLog()
+		p := newPair(log, WithBatchSpacing(100*time.Millisecond))
+		defer p.close()
+		start := time.Now()
+		for range 2 {
+			_, err := p.writer.Append(context.Background(), []byte("x"))
+			require.NoError(t, err)
+			require.Zero(t, time.Since(start), "a body after a pause goes at once")
+			time.Sleep(time.Second)
+			start = time.Now()
+		}
+		for range 95 {
+			_, err := p.writer.Submit(context.Background(), []byte("x"))
+			require.NoError(t, err)
+			time.Sleep(10 * time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		require.Len(t, log.all(), 97)
+		require.Equal(t, 2+11, log.appendCount())
+	})
+}
+
 func TestAppendTimesOutWithOutcomeUnknown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		log := newFakeLog()
