Say what ObserveSkip can't know

Cause: with a lost answer and an expired first occurrence the writer takes its repeat for the first occurrence; the doc of ObserveSkip didn't say so. Ruled out: holding such a caller back for ever.

--- a/internal/cranlog/commit.go
+++ b/internal/cranlog/commit.go
@@ -206,7 +206,10 @@
 // ObserveSkip tells the writer that its owner goes on reading at an offset
 // without having read all records before it. Records that the log confirmed
 // below that offset will never be read back: callers of Append that wait for
-// one of them get cranfault.RecordsExpired.
+// one of them get cranfault.RecordsExpired. A record that took effect below it
+// without an answer is appended again, and its repeat is taken for the first
+// occurrence; an owner that has a mark from a snapshot calls ObserveMark first,
+// which prevents that.
 func (w *Writer) ObserveSkip(offset uint64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
