--- a/internal/cranlog/commit.go
+++ b/internal/cranlog/commit.go
@@ -10,19 +10,22 @@
 // run commits one batch after another until the writer is closed.
 func (w *Writer) run(ctx context.Context) {
 	defer close(w.done)
+	var started time.Time
 	for {
-		batch := w.nextBatch(ctx)
+		batch := w.nextBatch(ctx, started)
 		if ctx.Err() != nil {
 			return
 		}
+		started = time.Now()
 		if len(batch) > 0 {
 			w.commit(ctx, batch)
 		}
 	}
 }
 
-// nextBatch waits for a body, then for the batch window, and cuts a batch.
-func (w *Writer) nextBatch(ctx context.Context) []item {
+// nextBatch waits for a body, then until the last batch's start is far enough
+// behind, then for the batch window, and cuts a batch.
+func (w *Writer) nextBatch(ctx context.Context, last time.Time) []item {
 	if !w.queued() {
 		select {
 		case <-ctx.Done():
@@ -30,6 +33,10 @@
 		case <-w.wake:
 		}
 	}
+	early := w.settings.batchSpacing - time.Since(last)
+	if early > 0 {
+		pause(ctx, early)
+	}
 	w.waitWindow(ctx)
 	return w.cut()
 }
@@ -199,7 +206,10 @@
 // ObserveSkip tells the writer that its owner goes on reading at an offset
 // without having read all records before it. Records that the log confirmed
 // below that offset will never be read back: callers of Append that wait for
-// one of them get cranfault.RecordsExpired.
+// one of them get cranfault.RecordsExpired. A record that took effect below it
+// without an answer is appended again, and its repeat is taken for the first
+// occurrence; an owner that has a mark from a snapshot calls ObserveMark first,
+// which prevents that.
 func (w *Writer) ObserveSkip(offset uint64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
