Deal homes out evenly over the fleet

Cause: shares of 7 to 10 slots at a mean load of 8 requests make own slots alone unstable, and lending has to make up for it steadily. Conclusion: kept as AssignBalanced; AssignHomes stays for callers that don't know the fleet.

--- a/internal/cranslot/homes.go
+++ b/internal/cranslot/homes.go
@@ -23,6 +23,29 @@
 	return homes
 }
 
+// AssignBalanced is AssignHomes for a member set that already has homes on
+// other instances: held tells how many slots a member has. Each slot goes to
+// the member with the fewest slots of the instance, and among those to the
+// one with the fewest in all, so that shares stay even over a fleet.
+func AssignBalanced(instance string, slots int, members []string, held func(member string) int) []string {
+	if len(members) == 0 || slots <= 0 {
+		return nil
+	}
+	ranked := rank(instance, members)
+	count := make(map[string]int, len(ranked))
+	homes := make([]string, slots)
+	for i := range homes {
+		homes[i] = slices.MinFunc(ranked, func(a, b string) int {
+			if c := cmp.Compare(count[a], count[b]); c != 0 {
+				return c
+			}
+			return cmp.Compare(held(a), held(b))
+		})
+		count[homes[i]]++
+	}
+	return homes
+}
+
 // Reassign returns the homes after a change of members: the slots of members
 // that are gone go, with the new epoch, to the members with the fewest slots
 // of the instance; all other slots stay where they are. It doesn't change
--- a/internal/cranslotsim/brokered.go
+++ b/internal/cranslotsim/brokered.go
@@ -63,12 +63,17 @@
 
 // view deals the slots of all targets out to the entries.
 func (b *brokered) view() cranslot.View {
+	held := make(map[string]int)
+	count := func(entry string) int { return held[entry] }
 	list := make([]cranslot.InstanceView, b.settings.Targets)
 	for i := range list {
 		iv := cranslot.InstanceView{ID: targetID(i), Group: simGroup, Open: true, Since: 1}
-		for _, e := range cranslot.AssignHomes(iv.ID, b.settings.Slots, b.names) {
+		for _, e := range cranslot.AssignBalanced(iv.ID, b.settings.Slots, b.names, count) {
 			iv.Homes = append(iv.Homes, cranslot.Home{Entry: e, Epoch: 1})
 		}
+		for _, h := range iv.Homes {
+			held[h.Entry]++
+		}
 		list[i] = iv
 	}
 	return cranslot.NewView(1, b.names, list)
