Spend fewer messages on short queues

Cause: heavy service needed 1.13 messages a request; asks for one slot and loans for asks that no longer matter cost most and don't touch the tail.

--- a/internal/cranslot/borrow.go
+++ b/internal/cranslot/borrow.go
@@ -7,7 +7,7 @@
 	needPerPeer = 2
 	// patienceSteps is how long requests wait for a release here before a
 	// peer is asked for less than needPerPeer slots.
-	patienceSteps = 3
+	patienceSteps = 6
 	// keepSteps is how long a borrowed slot is kept unused while requests
 	// wait.
 	keepSteps uint64 = 3
--- a/internal/cranslot/lend.go
+++ b/internal/cranslot/lend.go
@@ -10,7 +10,7 @@
 )
 
 // askSteps is how long a peer's ask counts at the home unless it is renewed.
-const askSteps uint64 = 4
+const askSteps uint64 = 3
 
 // longerQueue is how many times longer than the queue here a peer's must be
 // for a slot to go there although requests wait here.
