--- a/internal/cranslot/lend.go
+++ b/internal/cranslot/lend.go
@@ -5,7 +5,7 @@
 // Steps until a loan or query is repeated: the first interval, which doubles
 // up to the last.
 const (
-	firstRepeatSteps uint64 = 32
+	firstRepeatSteps uint64 = 16
 	lastRepeatSteps  uint64 = 64
 )
 
