--- a/internal/cranslot/table.go
+++ b/internal/cranslot/table.go
@@ -40,6 +40,7 @@
 	hints map[string]peerHint
 	// shortSteps is the number of steps for which slots have been missing.
 	shortSteps int
+	credit     credit
 }
 
 func newTable(self string) *table {
@@ -56,7 +57,7 @@
 func (t *table) group(name string) *groupState {
 	g, ok := t.groups[name]
 	if !ok {
-		g = &groupState{hints: make(map[string]peerHint)}
+		g = &groupState{hints: make(map[string]peerHint), credit: newCredit()}
 		t.groups[name] = g
 		at, _ := slices.BinarySearch(t.names, name)
 		t.names = slices.Insert(t.names, at, name)
@@ -64,12 +65,12 @@
 	return g
 }
 
-// idle returns the number of slots of open instances that may be used here
-// and aren't.
+// idle returns the number of slots that may be used here and aren't, of open
+// instances that aren't avoided.
 func (g *groupState) idle() int {
 	n := 0
 	for _, in := range g.instances {
-		if in.open {
+		if in.useful() {
 			n += in.idle
 		}
 	}
@@ -87,6 +88,7 @@
 	}
 	index := in.idleIndex()
 	t.serial++
+	g.credit.earn()
 	in.setHold(index, holdBusy)
 	in.slots[index].serial = t.serial
 	return Slot{instance: in.id, index: index, serial: t.serial}, true
@@ -101,7 +103,8 @@
 		if !in.open || in.idle == 0 || (best != nil && in.busy > best.busy) {
 			continue
 		}
-		if avoid != nil && avoid(in.id) {
+		in.avoided = avoid != nil && avoid(in.id)
+		if in.avoided {
 			continue
 		}
 		if best == nil || in.busy < best.busy {
