Run a whole deployment in one process and judge it from the ledgers

Ruled out: counting from the entries' metrics, since they are what is judged; copying the deployments' configurations, which moved to internal/crandeployment for the examples and the demonstration alike.

--- a/examples/cooperative/main.go
+++ b/examples/cooperative/main.go
@@ -7,13 +7,12 @@
 import (
 	"fmt"
 	"os"
-	"time"
 
-	"github.com/cranberrypick/cranberrypick/pkg/cranfleet"
+	"github.com/cranberrypick/cranberrypick/internal/crandeployment"
 )
 
 func main() {
-	c, err := configuration()
+	c, err := crandeployment.Cooperative()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
@@ -24,26 +23,3 @@
 		os.Exit(1)
 	}
 }
-
-// configuration describes 48 instances; the spare holds the others of the
-// fleet's 50.
-func configuration() (*cranfleet.Config, error) {
-	return cranfleet.New("cooperative",
-		cranfleet.WithPool("previews", 12),
-		cranfleet.WithPool("sheets", 10),
-		cranfleet.WithPool("packs", 9),
-		cranfleet.WithPool("orders", 9),
-		cranfleet.WithPool("catalogue", 8),
-		cranfleet.WithSpare("backOffice"),
-		cranfleet.WithService("previews", "previews",
-			cranfleet.MaxUnavailable(3),
-			cranfleet.MaxDuration(5*time.Second)),
-		cranfleet.WithService("sheets", "sheets",
-			cranfleet.MaxUnavailable(2),
-			cranfleet.MaxDuration(30*time.Second)),
-		cranfleet.WithService("packs", "packs", cranfleet.MaxUnavailable(2)),
-		cranfleet.WithService("orders", "orders", cranfleet.MaxUnavailable(1)),
-		cranfleet.WithService("catalogue", "catalogue", cranfleet.MaxUnavailable(2)),
-		cranfleet.WithPrices(1, 3, 2),
-	)
-}
--- a/examples/cooperative/main_test.go
+++ b/examples/cooperative/main_test.go
@@ -6,12 +6,13 @@
 	"github.com/sebdah/goldie/v2"
 	"github.com/stretchr/testify/require"
 
+	"github.com/cranberrypick/cranberrypick/internal/crandeployment"
 	"github.com/cranberrypick/cranberrypick/pkg/cranfleet"
 )
 
 // TestPrinted keeps the printed configuration, which decodes to itself.
 func TestPrinted(t *testing.T) {
-	c, err := configuration()
+	c, err := crandeployment.Cooperative()
 	require.NoError(t, err)
 	goldie.New(t, goldie.WithNameSuffix(".json")).Assert(t, "cooperative", c.Encode())
 	decoded, err := cranfleet.Decode(c.Encode())
--- a/examples/headoffice/main.go
+++ b/examples/headoffice/main.go
@@ -7,13 +7,12 @@
 import (
 	"fmt"
 	"os"
-	"time"
 
-	"github.com/cranberrypick/cranberrypick/pkg/cranfleet"
+	"github.com/cranberrypick/cranberrypick/internal/crandeployment"
 )
 
 func main() {
-	c, err := configuration()
+	c, err := crandeployment.HeadOffice()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
@@ -24,24 +23,3 @@
 		os.Exit(1)
 	}
 }
-
-// configuration describes 48 instances; the spare holds the others of the
-// fleet's 50.
-func configuration() (*cranfleet.Config, error) {
-	return cranfleet.New("headOffice",
-		cranfleet.WithPool("placements", 12),
-		cranfleet.WithPool("rosters", 10),
-		cranfleet.WithPool("vetBookings", 9),
-		cranfleet.WithPool("outings", 9),
-		cranfleet.WithPool("checkIns", 8),
-		cranfleet.WithSpare("office"),
-		cranfleet.WithService("placements", "placements", cranfleet.MaxUnavailable(2)),
-		cranfleet.WithService("rosters", "rosters", cranfleet.MaxUnavailable(2)),
-		cranfleet.WithService("vetBookings", "vetBookings", cranfleet.MaxUnavailable(2)),
-		cranfleet.WithService("outings", "outings", cranfleet.MaxUnavailable(2)),
-		cranfleet.WithService("checkIns", "checkIns",
-			cranfleet.MaxUnavailable(1),
-			cranfleet.MaxDuration(5*time.Second)),
-		cranfleet.WithPrices(30, 0.05, 3),
-	)
-}
--- a/internal/crancli/cli.go
+++ b/internal/crancli/cli.go
@@ -38,6 +38,7 @@
 	Move    moveCommand    `cmd:"" help:"Move an instance to another pool."`
 	Wave    waveCommand    `cmd:"" help:"Start, resume or cancel a maintenance wave."`
 	Explain explainCommand `cmd:"" help:"Say why an instance or a wave does not progress, and who blocks it."`
+	Demo    demoCommand    `cmd:"" help:"Run a whole deployment in this process, with faults, and judge it."`
 }
 
 // output is where commands write.
--- /dev/null
+++ b/internal/crancli/demo.go
@@ -0,0 +1,50 @@
+package crancli
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/cranberrypick/cranberrypick/internal/crandemo"
+)
+
+// Forms of the demonstration's report.
+const reportJSON = "json"
+
+type demoCommand struct {
+	Deployment string `help:"Deployment to run: ${enum}." enum:"headOffice,cooperative" default:"headOffice"`
+	Report     string `help:"Form of the report: ${enum}. With json, progress goes to standard error." enum:"table,json" default:"table"`
+	Seed       uint64 `help:"Seed of the offered requests." default:"1"`
+}
+
+// Help says what the demonstration does.
+func (c *demoCommand) Help() string {
+	return `Runs a whole deployment in this process, on loopback sockets, for less than
+half a minute: about 50 instances, 6 entries, demand that surges pool by pool,
+a maintenance wave over all pools, a killed entry, an outage of the log, two
+moves, and a second configuration. It ends with a report from the ledgers of
+callers, targets and platform, and fails if anything happened that must never
+happen.`
+}
+
+// Run runs the demonstration and prints its report.
+func (c *demoCommand) Run(ctx context.Context, o *output) error {
+	progress := o.out
+	if c.Report == reportJSON {
+		progress = o.err
+	}
+	r, err := crandemo.Run(ctx, c.Deployment, crandemo.WithProgress(progress), crandemo.WithSeed(c.Seed))
+	if err != nil {
+		return err
+	}
+	write := r.WriteTable
+	if c.Report == reportJSON {
+		write = r.WriteJSON
+	}
+	if err := write(o.out); err != nil {
+		return err
+	}
+	if n := r.Breaches(); n > 0 {
+		return fmt.Errorf("%d breaches of what must always hold; see the report", n)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/crandemo/progress.go
@@ -0,0 +1,68 @@
+package crandemo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+)
+
+// reportInterval is the time between two lines about the load.
+const reportInterval = time.Second
+
+// progress writes lines with the seconds since the start of the process's
+// work.
+type progress struct {
+	start time.Time
+	mu    sync.Mutex
+	out   io.Writer
+}
+
+func newProgress(out io.Writer) *progress {
+	return &progress{start: time.Now(), out: out}
+}
+
+// say writes a line.
+func (p *progress) say(format string, args ...any) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, _ = fmt.Fprintf(p.out, "%5.1fs  %s\n", time.Since(p.start).Seconds(), fmt.Sprintf(format, args...))
+}
+
+// opening says what is about to run.
+func (p *progress) opening(l plan) {
+	p.say("%s: %d instances in %d pools and a spare, %d slots each, behind %d entries",
+		l.config.Name(), len(l.targets()), len(l.pools()), slotsPerInstance, l.entries)
+}
+
+// report writes a line about the load every interval until ctx ends.
+func (d *demo) report(ctx context.Context) {
+	var before counts
+	for n := 1; waitUntil(ctx, d.start.Add(time.Duration(n)*reportInterval)); n++ {
+		now := d.load.counts()
+		d.progress.say("  %-28s %4d requests  %4d answered  %4d not", d.phase(),
+			now.offered-before.offered, now.answered-before.answered, now.refused-before.refused)
+		before = now
+	}
+}
+
+// phase names the pool that surges.
+func (d *demo) phase() string {
+	n := int((time.Since(d.start) - reportInterval/2) / d.plan.surge)
+	if pools := d.plan.pools(); n < len(pools) {
+		return "surge of " + pools[n]
+	}
+	return "no surge"
+}
+
+// counts are the progress of the load.
+type counts struct {
+	offered  int64
+	answered int64
+	refused  int64
+}
+
+func (l *load) counts() counts {
+	return counts{offered: l.offered.Load(), answered: l.answered.Load(), refused: l.refused.Load()}
+}
--- /dev/null
+++ b/internal/crandemo/table.go
@@ -0,0 +1,81 @@
+package crandemo
+
+import (
+	"fmt"
+	"io"
+	"strings"
+)
+
+// row is one line of the report's table.
+type row struct {
+	name  string
+	value string
+	note  string
+}
+
+// section is a part of the report's table.
+type section struct {
+	title string
+	rows  []row
+}
+
+// WriteTable writes the report for people.
+func (r Report) WriteTable(w io.Writer) error {
+	var b strings.Builder
+	for _, s := range []section{r.requestRows(), r.breachRows(), r.measureRows()} {
+		fmt.Fprintf(&b, "\n%s\n", s.title)
+		for _, l := range s.rows {
+			line := fmt.Sprintf("  %-22s %8s  %s", l.name, l.value, l.note)
+			b.WriteString(strings.TrimRight(line, " ") + "\n")
+		}
+	}
+	b.WriteString("\n" + r.conclusion() + "\n")
+	_, err := io.WriteString(w, b.String())
+	return err
+}
+
+func (r Report) requestRows() section {
+	count := func(name string, n int, note string) row {
+		share := 100 * float64(n) / float64(max(r.Requests, 1))
+		return row{name, fmt.Sprint(n), fmt.Sprintf("%5.1f%%  %s", share, note)}
+	}
+	return section{"Requests: what their callers know", []row{
+		count("requests", r.Requests, "offered; the surges ask for more than a pool holds"),
+		count("answered", r.Answered, "got the whole answer"),
+		count("not run", r.NotRun, "were told that it was not run, and it was not"),
+		count("unknown", r.Unknown, "were told that nobody can tell; it ran at most once if non-idempotent"),
+	}}
+}
+
+func (r Report) breachRows() section {
+	count := func(name string, n int, note string) row {
+		verdict := "ok    "
+		if n > 0 {
+			verdict = "BREACH"
+		}
+		return row{name, fmt.Sprint(n), verdict + "  " + note}
+	}
+	return section{"Must never happen: counted from the ledgers of callers, targets and platform", []row{
+		count("doubled", r.Doubled, "non-idempotent requests that ran more than once"),
+		count("lost", r.Lost, "answered without a run, or no outcome from a live entry"),
+		count("false not run", r.FalseNotRun, "ran although the caller was told that it did not"),
+		count("cut off", r.CutOff, "runs cut off by a planned stop"),
+		count("budget breaches", r.BudgetBreaches, "planned stops beyond an availability budget"),
+		count("pool conflicts", r.PoolConflicts, "runs on an instance of another pool"),
+	}}
+}
+
+func (r Report) measureRows() section {
+	return section{"Measures", []row{
+		{"configuration roll-out", fmt.Sprintf("%.2f s", r.ConfigRolloutSeconds), "the slowest, from accepted to in force everywhere"},
+		{"instance moves", fmt.Sprint(r.InstanceMoves), "completed by the platform"},
+		{"idle instances", fmt.Sprintf("%.0f s", r.IdleInstanceSeconds), "available instances above the wanted sizes, summed over time"},
+	}}
+}
+
+func (r Report) conclusion() string {
+	if n := r.Breaches(); n > 0 {
+		return fmt.Sprintf("%d breaches of what must always hold.", n)
+	}
+	return "Everything that must always hold held."
+}
