--- a/internal/crandemo/demo.go
+++ b/internal/crandemo/demo.go
@@ -55,7 +55,7 @@
 	if err != nil {
 		return Report{}, err
 	}
-	d.progress.say("%d instances serve; configuration in force at all %d entries", len(d.fleet.instances), p.entries)
+	d.progress.say("the configuration is in force at all %d entries, and every instance serves", p.entries)
 	d.balancer = &balancer{endpoints: d.fleet.endpoints()}
 	d.load = newLoad(p, d.balancer, s.seed)
 	l, err := d.act(ctx)
@@ -98,7 +98,7 @@
 	defer cancel()
 	for _, s := range steps {
 		if !waitUntil(bounded, d.start.Add(s.at)) {
-			return eris.Wrap(bounded.Err(), "the steps took too long")
+			return eris.Wrap(bounded.Err(), "the demonstration was interrupted, or its machine is too busy for it")
 		}
 		if err := s.run(bounded); err != nil {
 			return err
@@ -115,18 +115,20 @@
 
 func (d *demo) startWave(ctx context.Context) (err error) {
 	d.wave, err = d.fleet.wave(ctx)
-	d.progress.say("maintenance wave over all %d pools begins", len(d.plan.pools()))
+	if err == nil {
+		d.progress.say("a maintenance wave over all %d pools begins", len(d.plan.pools()))
+	}
 	return err
 }
 
 func (d *demo) killEntry(context.Context) error {
 	id, err := d.fleet.kill(d.balancer)
-	d.progress.say("%s is killed; stops wait until none of its requests can be left", id)
+	d.progress.say("%s is killed; planned stops wait until none of its requests can be left", id)
 	return err
 }
 
 func (d *demo) beginOutage(context.Context) error {
-	d.progress.say("the log goes down for %v", d.plan.outage)
+	d.progress.say("the log goes down for %v; nothing new can be claimed or accepted meanwhile", d.plan.outage)
 	return d.fleet.setOutage(true)
 }
 
--- a/internal/crandemo/fleet.go
+++ b/internal/crandemo/fleet.go
@@ -175,6 +175,17 @@
 	return l
 }
 
+// rebooted returns how many reboots the platform completed.
+func (f *fleet) rebooted() int {
+	n := 0
+	for _, a := range f.Platform().Fleet().Ledger() {
+		if a.Kind == cranplatform.ActionReboot && a.DoneMs != 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // idle reports whether no target runs a request.
 func (f *fleet) idle() bool {
 	for _, t := range f.Targets() {
--- a/internal/crandemo/progress.go
+++ b/internal/crandemo/progress.go
@@ -32,22 +32,23 @@
 
 // opening says what is about to run.
 func (p *progress) opening(l plan) {
-	p.say("%s: %d instances in %d pools and a spare, %d slots each, behind %d entries",
-		l.config.Name(), len(l.targets()), len(l.pools()), slotsPerInstance, l.entries)
+	p.say("%s: starting %d instances of %d slots, in %d pools and a spare, and %d entries",
+		l.config.Name(), len(l.targets()), slotsPerInstance, len(l.pools()), l.entries)
 }
 
-// report writes a line about the load every interval until ctx ends.
+// report writes a line about the load and the wave every interval until ctx
+// ends.
 func (d *demo) report(ctx context.Context) {
 	var before counts
 	for n := 1; waitUntil(ctx, d.start.Add(time.Duration(n)*reportInterval)); n++ {
 		now := d.load.counts()
-		d.progress.say("  %-28s %4d requests  %4d answered  %4d not", d.phase(),
-			now.offered-before.offered, now.answered-before.answered, now.refused-before.refused)
+		d.progress.say("  %-22s %5d offered %5d answered %5d not answered   %2d rebooted", d.phase(),
+			now.offered-before.offered, now.answered-before.answered, now.refused-before.refused, d.fleet.rebooted())
 		before = now
 	}
 }
 
-// phase names the pool that surges.
+// phase names the pool that surged in the last interval.
 func (d *demo) phase() string {
 	n := int((time.Since(d.start) - reportInterval/2) / d.plan.surge)
 	if pools := d.plan.pools(); n < len(pools) {
--- a/internal/crandemo/table.go
+++ b/internal/crandemo/table.go
@@ -42,8 +42,8 @@
 	return section{"Requests: what their callers know", []row{
 		count("requests", r.Requests, "offered; the surges ask for more than a pool holds"),
 		count("answered", r.Answered, "got the whole answer"),
-		count("not run", r.NotRun, "were told that it was not run, and it was not"),
-		count("unknown", r.Unknown, "were told that nobody can tell; it ran at most once if non-idempotent"),
+		count("not run", r.NotRun, "were told that it did not run"),
+		count("unknown", r.Unknown, "can't know: their entry died, or the answer came too late"),
 	}}
 }
 
@@ -67,9 +67,9 @@
 
 func (r Report) measureRows() section {
 	return section{"Measures", []row{
-		{"configuration roll-out", fmt.Sprintf("%.2f s", r.ConfigRolloutSeconds), "the slowest, from accepted to in force everywhere"},
+		{"configuration roll-out", fmt.Sprintf("%.3f s", r.ConfigRolloutSeconds), "the slowest, from accepted to in force at every live entry"},
 		{"instance moves", fmt.Sprint(r.InstanceMoves), "completed by the platform"},
-		{"idle instances", fmt.Sprintf("%.0f s", r.IdleInstanceSeconds), "available instances above the wanted sizes, summed over time"},
+		{"idle instance seconds", fmt.Sprintf("%.1f", r.IdleInstanceSeconds), "available instances above the pools' wanted sizes, summed over time"},
 	}}
 }
 
