--- /dev/null
+++ b/internal/crandemo/progress.go
@@ -0,0 +1,69 @@
+package crandemo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+)
+
+// reportInterval is the time between two lines about the load.
+const reportInterval = time.Second
+
+// progress writes lines with the seconds since the start of the process's
+// work.
+type progress struct {
+	start time.Time
+	mu    sync.Mutex
+	out   io.Writer
+}
+
+func newProgress(out io.Writer) *progress {
+	return &progress{start: time.Now(), out: out}
+}
+
+// say writes a line.
+func (p *progress) say(format string, args ...any) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, _ = fmt.Fprintf(p.out, "%5.1fs  %s\n", time.Since(p.start).Seconds(), fmt.Sprintf(format, args...))
+}
+
+// opening says what is about to run.
+func (p *progress) opening(l plan) {
+	p.say("%s: starting %d instances of %d slots, in %d pools and a spare, and %d entries",
+		l.config.Name(), len(l.targets()), slotsPerInstance, len(l.pools()), l.entries)
+}
+
+// report writes a line about the load and the wave every interval until ctx
+// ends.
+func (d *demo) report(ctx context.Context) {
+	var before counts
+	for n := 1; waitUntil(ctx, d.start.Add(time.Duration(n)*reportInterval)); n++ {
+		now := d.load.counts()
+		d.progress.say("  %-22s %5d offered %5d answered %5d not answered   %2d rebooted", d.phase(),
+			now.offered-before.offered, now.answered-before.answered, now.refused-before.refused, d.fleet.rebooted())
+		before = now
+	}
+}
+
+// phase names the pool that surged in the last interval.
+func (d *demo) phase() string {
+	n := int((time.Since(d.start) - reportInterval/2) / d.plan.surge)
+	if pools := d.plan.pools(); n < len(pools) {
+		return "surge of " + pools[n]
+	}
+	return "no surge"
+}
+
+// counts are the progress of the load.
+type counts struct {
+	offered  int64
+	answered int64
+	refused  int64
+}
+
+func (l *load) counts() counts {
+	return counts{offered: l.offered.Load(), answered: l.answered.Load(), refused: l.refused.Load()}
+}
