Charge repeated loans to the credit, and let it hold 200 messages

Cause: at load 0.95 lending sent 1.06 messages a request, with 40 entries 1.11, since repeats weren't charged.

--- a/internal/cranslot/credit.go
+++ b/internal/cranslot/credit.go
@@ -4,11 +4,13 @@
 // that the scheme sends at most about one message a request, however many
 // members there are and however long the queues.
 const (
-	creditMost       = 60
+	creditMost       = 200
 	creditPerRequest = 1
 	creditPerAsk     = 1
 	// creditPerLoan pays for the loan and its return.
 	creditPerLoan = 2
+	// creditPerRepeat pays for a repeated loan, which the home spends.
+	creditPerRepeat = 1
 	// dryAskSteps is the interval of asks without credit, which keep a member
 	// going that has no slot and so earns nothing.
 	dryAskSteps = 20
@@ -28,7 +30,7 @@
 // earn notes that a request started.
 func (c *credit) earn() { c.left = min(c.left+creditPerRequest, creditMost) }
 
-// spend notes an ask or a loan.
+// spend notes messages that were sent or will be.
 func (c *credit) spend(messages int) { c.left -= messages }
 
 // allows reports whether to ask in this step.
--- a/internal/cranslot/timer.go
+++ b/internal/cranslot/timer.go
@@ -105,6 +105,7 @@
 	case due.kind == timerRepeat && s.ledger == ledgerRecovering:
 		t.query(due.in, due.index)
 	case due.kind == timerRepeat && s.ledger == ledgerLent:
+		t.group(due.in.group).credit.spend(creditPerRepeat)
 		t.sendLoan(due.in, due.index)
 	}
 }
