Never take a slot of unknown history for fresh

Cause: a home of epoch 0 equals a Since of 0, which stands for unknown, so the slot was used without asking the members.

--- a/internal/cranslot/option.go
+++ b/internal/cranslot/option.go
@@ -13,7 +13,8 @@
 
 // WithNotify sets the function that is called, outside the Broker's lock,
 // when a slot became free here for a group that has requests waiting. It is
-// called on the goroutine of the call that freed the slot.
+// called on the goroutine of the call that freed the slot. The slot may be
+// gone again by then; TryAcquire decides.
 func WithNotify(notify func(group string)) Option {
 	return func(b *Broker) { b.notify = notify }
 }
--- a/internal/cranslot/scenario_test.go
+++ b/internal/cranslot/scenario_test.go
@@ -206,3 +206,10 @@
 	}
 	group.Wait()
 }
+
+func TestUnknownSinceIsNeverFresh(t *testing.T) {
+	a := NewBroker("a")
+	a.SetView(oneSlot(0, Home{"a", 0}, 0, "a", "b"))
+	require.False(t, acquired(a))
+	require.Len(t, a.TakeOutgoing(), 1)
+}
--- a/internal/cranslot/tableview.go
+++ b/internal/cranslot/tableview.go
@@ -90,7 +90,7 @@
 		in.setHold(index, holdNone)
 	}
 	if mine {
-		t.begin(in, index, home.Epoch == since)
+		t.begin(in, index, since != 0 && home.Epoch == since)
 	}
 }
 
