Front: a request whose time was spent waiting isn't sent too late to be answered

A request got its slot, or its claim, when less was left before its deadline than a run takes; it was sent all the same, the target ran it and nobody knew. Ruled out: refusing whenever less than the usual time is left; a service that had become faster would never be tried again by callers with short deadlines, so a request that never had the usual time is still sent. Test: TestTooLateToSend failed with the check out (sent) and with the check on what is left alone (the impatient not sent), and passes.

--- /dev/null
+++ b/internal/crantraffic/late_test.go
@@ -0,0 +1,52 @@
+package crantraffic
+
+import (
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cranberrypick/cranberrypick/internal/cranfault"
+)
+
+// TestTooLateToSend has a service that usually takes ten minutes. A request
+// that waited until fewer are left isn't sent; one that never had as many is.
+func TestTooLateToSend(t *testing.T) {
+	var ran atomic.Int64
+	address := newTargetServer(t, func(http.ResponseWriter, *http.Request) { ran.Add(1) })
+	g := newRig(t, newFakeSlots(8, "a"), map[string]string{"a": address})
+	for range latencySamples {
+		g.job("GET").service.learn(10*time.Minute, time.Now())
+	}
+	cases := []struct {
+		patience, left time.Duration
+		sent           bool
+	}{
+		{30 * time.Minute, 20 * time.Minute, true},
+		{30 * time.Minute, 5 * time.Minute, false},
+		{5 * time.Minute, 5 * time.Minute, true},
+		{5 * time.Minute, time.Minute, true},
+	}
+	for _, method := range []string{"GET", "POST"} {
+		for _, c := range cases {
+			ran.Store(0)
+			j := g.job(method)
+			j.patience, j.deadline = c.patience, time.Now().Add(c.left)
+			x := j.start("a", nil, false)
+			<-x.done
+			require.Equal(t, c.sent, x.result.written, c)
+			if c.sent {
+				require.Equal(t, int64(1), ran.Load())
+				continue
+			}
+			require.Zero(t, ran.Load())
+			end := judge(x)
+			require.Equal(t, NotRun, end.outcome.verdict)
+			require.Equal(t, cranfault.DeadlineTooShort, end.outcome.reason())
+			require.Empty(t, end.retry)
+			require.Equal(t, healthNeutral, healthOf(x))
+		}
+	}
+}
--- a/internal/crantraffic/parse.go
+++ b/internal/crantraffic/parse.go
@@ -93,14 +93,16 @@
 	now := s.now()
 	values := h.Values(headerDeadline)
 	if len(values) == 0 {
-		r.deadline = now.Add(s.deadline)
+		r.patience = s.deadline
+		r.deadline = now.Add(r.patience)
 		return nil
 	}
 	n, err := strconv.ParseInt(values[0], 10, 64)
 	if err != nil || len(values) > 1 || n <= 0 || n > maxDeadline.Milliseconds() {
 		return malformed("%s must be one whole number from 1 to %d", headerDeadline, maxDeadline.Milliseconds())
 	}
-	r.deadline = now.Add(time.Duration(n) * time.Millisecond)
+	r.patience = time.Duration(n) * time.Millisecond
+	r.deadline = now.Add(r.patience)
 	return nil
 }
 
--- a/internal/crantraffic/request.go
+++ b/internal/crantraffic/request.go
@@ -33,8 +33,9 @@
 	header     http.Header // end to end
 	body       []byte
 	idempotent bool
-	key        string    // unique within the service; empty if idempotent
-	deadline   time.Time // the caller wants no answer after it
+	key        string        // unique within the service; empty if idempotent
+	deadline   time.Time     // the caller wants no answer after it
+	patience   time.Duration // from arrival to the deadline
 }
 
 // claimKey is the key under which the request is claimed.
--- a/internal/crantraffic/send.go
+++ b/internal/crantraffic/send.go
@@ -44,7 +44,7 @@
 		fresh:   fresh,
 		probe:   j.group.begin(t.id),
 		limit:   f.answerLimit,
-		guard:   func() error { return f.mayWrite(j.request, t.id, grant) },
+		guard:   func() error { return j.mayWrite(t.id, grant) },
 		done:    make(chan struct{}),
 	}
 	x.settled = func() { j.settled(x) }
@@ -86,7 +86,21 @@
 	})
 }
 
-// mayWrite is the guard of an exchange: whether its first write may begin.
+// mayWrite is the guard of an exchange: whether its first write may begin. A
+// request that has waited for so long that its answer would usually come after
+// the deadline isn't sent: the target would run it, and nobody would know. One
+// whose deadline was too short from the start is sent, for the estimate learns
+// from what is sent.
+func (j *job[S]) mayWrite(instance string, grant Grant) error {
+	usual, left := j.service.estimate().median, j.deadline.Sub(j.front.now())
+	if left < usual && usual <= j.patience {
+		return cranfault.New(cranfault.DeadlineTooShort, "try again later, or with a later deadline",
+			"%s of the time are left, and the service usually takes %s", left.Round(time.Millisecond), usual)
+	}
+	return j.front.mayWrite(j.request, instance, grant)
+}
+
+// mayWrite is the part of the guard that needs no estimate.
 func (f *Front[S]) mayWrite(r *request, instance string, grant Grant) error {
 	v := f.state.Load().view
 	if !v.accepts(r.route.group, instance) {
