--- a/internal/cranlog/options.go
+++ b/internal/cranlog/options.go
@@ -54,12 +54,14 @@
 // settings holds what the options of writers and tailers set.
 type settings struct {
 	batchWindow     time.Duration
+	batchSpacing    time.Duration
 	maxBatchRecords int
 	maxBatchBytes   int
 	maxPending      int
 	attemptTimeout  time.Duration
 	pollWait        time.Duration
 	readRecords     int
+	readInterval    time.Duration
 	ringRecords     int
 	ringBytes       int
 	backoff         Backoff
@@ -75,6 +77,13 @@
 	return func(s *settings) { s.batchWindow = d }
 }
 
+// WithBatchSpacing sets the least time between the starts of two batches of a
+// writer, and so bounds its appends a second. Unlike a window it costs nothing
+// to a body that comes after a pause. The default is none.
+func WithBatchSpacing(d time.Duration) Option {
+	return func(s *settings) { s.batchSpacing = d }
+}
+
 // WithMaxBatch bounds a writer's batch by records and by bytes of payload.
 func WithMaxBatch(records, bytes int) Option {
 	return func(s *settings) {
@@ -102,6 +111,12 @@
 	}
 }
 
+// WithReadInterval spaces a tailer's reads, so that they don't grow in number
+// with the writers. The default is not to wait.
+func WithReadInterval(d time.Duration) Option {
+	return func(s *settings) { s.readInterval = d }
+}
+
 // WithRing bounds the recent records that a tailer keeps for its peers, by
 // records and by bytes of payload.
 func WithRing(records, bytes int) Option {
--- a/internal/cranslot/borrow.go
+++ b/internal/cranslot/borrow.go
@@ -7,7 +7,7 @@
 	needPerPeer = 2
 	// patienceSteps is how long requests wait for a release here before a
 	// peer is asked for less than needPerPeer slots.
-	patienceSteps = 3
+	patienceSteps = 6
 	// keepSteps is how long a borrowed slot is kept unused while requests
 	// wait.
 	keepSteps uint64 = 3
@@ -29,9 +29,13 @@
 		return
 	}
 	g.shortSteps++
+	if !g.credit.allows() {
+		return
+	}
 	peers := t.choosePeers(g, g.peersToAsk(need))
 	for _, peer := range peers {
 		w := t.to(peer)
+		g.credit.spend(creditPerAsk)
 		share := (need + len(peers) - 1) / len(peers)
 		t.hint(peer, name, t.hinted(g, peer)-share)
 		w.Asks = append(w.Asks, wireAsk{Group: name, Slots: share, Waiting: g.waiting})
@@ -82,6 +86,7 @@
 		t.giveBack(in, l.Index)
 		return
 	}
+	t.group(in.group).credit.spend(creditPerLoan)
 	t.idled(in, l.Index)
 }
 
@@ -91,7 +96,7 @@
 func (t *table) keepWhile(in *instanceState, index int) {
 	g := t.group(in.group)
 	queueThere := -t.hinted(g, in.slots[index].home.Entry)
-	if !in.open || g.waiting < g.idle() || queueThere > longerQueue*g.waiting+1 {
+	if !in.useful() || g.waiting < g.idle() || queueThere > longerQueue*g.waiting+1 {
 		t.giveBack(in, index)
 		return
 	}
