Demonstration: say more plainly why a request is unknown, and how far the wave is

Cause: read as a newcomer, the table named two of three reasons for unknown, and the count of reboots had no end to compare with. Ruled out: a column for each reason; reasons come from the entries.

--- a/internal/crandemo/progress.go
+++ b/internal/crandemo/progress.go
@@ -42,8 +42,9 @@
 	var before counts
 	for n := 1; waitUntil(ctx, d.start.Add(time.Duration(n)*reportInterval)); n++ {
 		now := d.load.counts()
-		d.progress.say("  %-22s %5d offered %5d answered %5d not answered   %2d rebooted", d.phase(),
-			now.offered-before.offered, now.answered-before.answered, now.refused-before.refused, d.fleet.rebooted())
+		d.progress.say("  %-22s %5d offered %5d answered %5d not answered   %2d of %d rebooted", d.phase(),
+			now.offered-before.offered, now.answered-before.answered, now.refused-before.refused,
+			d.fleet.rebooted(), len(d.plan.targets())-d.plan.spares)
 		before = now
 	}
 }
--- a/internal/crandemo/table.go
+++ b/internal/crandemo/table.go
@@ -43,7 +43,7 @@
 		count("requests", r.Requests, "offered; the surges ask for more than a pool holds"),
 		count("answered", r.Answered, "got the whole answer"),
 		count("not run", r.NotRun, "were told that it did not run"),
-		count("unknown", r.Unknown, "can't know: their entry died, or the answer came too late"),
+		count("unknown", r.Unknown, "can't know: entry died, answer too late, or key still claimed"),
 	}}
 }
 
