Settings: every key is read; remove those that nothing read

Cause: docs/settings.md promised keys that the program ignored: lease.isolatedAfterMs, log.maxRecords, wave.maxFailures, domain, limits.maxConnections and [retry]. A file that gives one is now refused with "unknown key", as for any other. Wired: limits.maxConnections by a listener that waits at the bound, with an idle timeout of 90 s so that idle callers don't hold their places for good; [retry] by crantraffic.WithRetries. A Front without the option keeps its former defaults. Ruled out: the bound at the admin address too; a low bound would lock operators out. Conclusion: the table of keys holds only what is read.

--- a/internal/crancli/serve.go
+++ b/internal/crancli/serve.go
@@ -26,8 +26,12 @@
 const (
 	// headerTimeout bounds the arrival of a request's header.
 	headerTimeout = 10 * time.Second
+	// idleTimeout bounds how long a connection without a request stays open.
+	idleTimeout = 90 * time.Second
 	// shutdownTimeout bounds the end of connections after the last answer.
 	shutdownTimeout = 5 * time.Second
+	// percent is how many parts a share of one has.
+	percent = 100
 )
 
 type serveCommand struct {
@@ -49,18 +53,21 @@
 	if err != nil {
 		return err
 	}
-	var group run.Group
-	callers, err := addServer(&group, settings.Listen(), host.Handler(), settings.Limits().MaxHeader())
+	callers, err := listen(settings.Listen())
 	if err != nil {
 		return err
 	}
-	admin, err := addServer(&group, settings.AdminListen(), cranadmin.Handler(host, metrics.Handler()), settings.Limits().MaxHeader())
+	admin, err := listen(settings.AdminListen())
 	if err != nil {
-		return err
+		return errors.Join(err, callers.Close())
 	}
+	var group run.Group
+	limits := settings.Limits()
+	addServer(&group, newLimitListener(callers, limits.MaxConnections()), host.Handler(), limits.MaxHeader())
+	addServer(&group, admin, cranadmin.Handler(host, metrics.Handler()), limits.MaxHeader())
 	stop, cancel := context.WithCancel(ctx)
 	group.Add(func() error { return host.Run(stop) }, func(error) { cancel() })
-	_, _ = fmt.Fprintf(o.out, "callers %s admin %s peers %s\n", callers, admin, host.PeerAddress())
+	_, _ = fmt.Fprintf(o.out, "callers %s admin %s peers %s\n", callers.Addr(), admin.Addr(), host.PeerAddress())
 	err = group.Run()
 	return eris.Wrap(errors.Join(err, platform.Close()), "serve")
 }
@@ -96,20 +103,28 @@
 		cranentry.WithFront(
 			crantraffic.WithBodyLimit(int64(s.Limits().MaxBody())),
 			crantraffic.WithAnswerLimit(int64(s.Limits().MaxAnswerBuffer())),
+			crantraffic.WithRetries(float64(s.Retry().BudgetPercent())/percent, s.Retry().Burst(), s.Retry().MaxAttempts()),
 		),
 	}
 }
 
-// addServer adds an HTTP server to the group and returns its address. It is
-// interrupted after everything added behind it has ended.
-func addServer(group *run.Group, address netip.AddrPort, h http.Handler, maxHeader int) (string, error) {
-	listener, err := net.Listen("tcp", address.String())
-	if err != nil {
-		return "", eris.Wrapf(err, "listen on %s; free the address or set another", address)
+// listen opens an address.
+func listen(address netip.AddrPort) (net.Listener, error) {
+	l, err := net.Listen("tcp", address.String())
+	return l, eris.Wrapf(err, "listen on %s; free the address or set another", address)
+}
+
+// addServer adds an HTTP server to the group. It is interrupted after
+// everything added behind it has ended.
+func addServer(group *run.Group, l net.Listener, h http.Handler, maxHeader int) {
+	server := &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeader,
 	}
-	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader}
 	group.Add(func() error {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			return err
 		}
 		return nil
@@ -118,5 +133,4 @@
 		defer cancel()
 		_ = server.Shutdown(ctx)
 	})
-	return listener.Addr().String(), nil
 }
--- a/internal/cransettings/keys.go
+++ b/internal/cransettings/keys.go
@@ -59,8 +59,6 @@
 		"Name of the process; a random part is added at each start. Made up when not given."),
 	required("dataCentre", nameBound, parseName, func(s *Settings) *string { return &s.dataCentre },
 		"Data centre that the process runs in."),
-	required("domain", nameBound, parseName, func(s *Settings) *string { return &s.domain },
-		"Failure domain, such as a rack, that the process runs in."),
 	required("listen", addressBound, parseAddress, func(s *Settings) *netip.AddrPort { return &s.listen },
 		"Address for callers."),
 	required("peerListen", addressBound, parseAddress, func(s *Settings) *netip.AddrPort { return &s.peerListen },
@@ -80,7 +78,7 @@
 	number("limits.maxAnswerBuffer", "bytes", 8*mib, 1*kib, 64*mib, func(s *Settings) *int { return &s.limits.maxAnswerBuffer },
 		"Answers up to this size are held until they are whole; a longer one is passed on as it comes, and broken off visibly if it is cut short."),
 	number("limits.maxConnections", "connections", 4096, 1, 65536, func(s *Settings) *int { return &s.limits.maxConnections },
-		"Callers' connections that may be open."),
+		"Callers' connections that may be open; further callers wait to be connected."),
 	number("limits.maxPeerMessage", "bytes", mib, 4*kib, 16*mib, func(s *Settings) *int { return &s.limits.maxPeerMessage },
 		"Largest message of a peer."),
 
@@ -88,15 +86,11 @@
 		"How long a lease lasts after its last renewal."),
 	millis("lease.heartbeatMs", 1000, 50, 19_999, func(s *Settings) *time.Duration { return &s.lease.heartbeat },
 		"Interval between renewals; under a third of `lease.durationMs`."),
-	millis("lease.isolatedAfterMs", 4000, 500, 60_000, func(s *Settings) *time.Duration { return &s.lease.isolatedAfter },
-		"How long a process that reaches neither the log nor a peer goes on taking requests; at most `lease.durationMs`, and equal to it when not given."),
 
 	optional("log.stream", "", "control", nameBound, parseName, func(s *Settings) *string { return &s.log.stream },
 		"Name of the control stream."),
 	millis("log.batchWindowMs", 5, 0, 1000, func(s *Settings) *time.Duration { return &s.log.batchWindow },
 		"How long an append waits for others to join it."),
-	number("log.maxRecords", "records", 256, 1, 10_000, func(s *Settings) *int { return &s.log.maxRecords },
-		"Largest number of records in one append or read."),
 
 	number("snapshot.everyRecords", "records", 1000, 10, 1_000_000, func(s *Settings) *int { return &s.snapshot.everyRecords },
 		"Records between two snapshots."),
@@ -105,8 +99,6 @@
 
 	number("wave.maxParallel", "instances", 4, 1, 1000, func(s *Settings) *int { return &s.wave.maxParallel },
 		"Instances that one wave stops at once at most; budgets may allow fewer."),
-	number("wave.maxFailures", "instances", 1, 0, 1000, func(s *Settings) *int { return &s.wave.maxFailures },
-		"Failures inside a wave that it bears; one more halts it."),
 
 	number("retry.budgetPercent", "percent", 10, 0, 100, func(s *Settings) *int { return &s.retry.budgetPercent },
 		"Retries allowed per hundred requests."),
--- a/internal/cransettings/relation.go
+++ b/internal/cransettings/relation.go
@@ -29,20 +29,12 @@
 }
 
 func (c *checker) checkLease() {
-	if _, ok := c.seen["lease.isolatedAfterMs"]; !ok {
-		c.settings.lease.isolatedAfter = c.settings.lease.duration
-	}
 	l := c.settings.lease
 	if c.allGood("lease.durationMs", "lease.heartbeatMs") && 3*l.heartbeat >= l.duration {
 		c.blame(refuse("lower lease.heartbeatMs or raise lease.durationMs",
 			"the heartbeat of %d ms is not under a third of the lease's %d ms", l.heartbeat.Milliseconds(), l.duration.Milliseconds()),
 			"lease.heartbeatMs", "lease.durationMs")
 	}
-	if c.allGood("lease.durationMs", "lease.isolatedAfterMs") && l.isolatedAfter > l.duration {
-		c.blame(refuse("lower lease.isolatedAfterMs or raise lease.durationMs",
-			"the isolation bound of %d ms is more than the lease's %d ms", l.isolatedAfter.Milliseconds(), l.duration.Milliseconds()),
-			"lease.isolatedAfterMs", "lease.durationMs")
-	}
 }
 
 // checkAddresses refuses two listeners that can't both be opened: the same
--- a/internal/cransettings/settings.go
+++ b/internal/cransettings/settings.go
@@ -9,8 +9,8 @@
 type Settings struct {
 	// id is empty when the file gives none.
 	id string
-	// dataCentre and domain are names that are never empty.
-	dataCentre, domain string
+	// dataCentre is a name that is never empty.
+	dataCentre string
 	// The listening addresses are distinct, unless their port is zero.
 	listen, peerListen, adminListen netip.AddrPort
 	// advertise is a specified address; it is invalid when the file gives
@@ -35,10 +35,6 @@
 // DataCentre returns the name of the data centre that the process runs in.
 func (s *Settings) DataCentre() string { return s.dataCentre }
 
-// Domain returns the name of the failure domain, such as a rack, that the
-// process runs in.
-func (s *Settings) Domain() string { return s.domain }
-
 // Listen returns the address for callers.
 func (s *Settings) Listen() netip.AddrPort { return s.listen }
 
@@ -107,8 +103,6 @@
 // duration, so that two lost heartbeats don't end a lease.
 type Lease struct {
 	duration, heartbeat time.Duration
-	// isolatedAfter is at most duration.
-	isolatedAfter time.Duration
 }
 
 // Duration returns how long a lease lasts after its last renewal.
@@ -117,15 +111,10 @@
 // Heartbeat returns the interval between renewals.
 func (l Lease) Heartbeat() time.Duration { return l.heartbeat }
 
-// IsolatedAfter returns how long a process that reaches neither the log nor
-// a peer goes on taking requests.
-func (l Lease) IsolatedAfter() time.Duration { return l.isolatedAfter }
-
 // Log holds the settings of the log client.
 type Log struct {
 	stream      string
 	batchWindow time.Duration
-	maxRecords  int
 }
 
 // Stream returns the name of the control stream.
@@ -134,9 +123,6 @@
 // BatchWindow returns how long an append waits for others to join it.
 func (l Log) BatchWindow() time.Duration { return l.batchWindow }
 
-// MaxRecords returns the largest number of records in one append or read.
-func (l Log) MaxRecords() int { return l.maxRecords }
-
 // Snapshot says when a snapshot is due: at whichever bound comes first.
 type Snapshot struct {
 	everyRecords int
@@ -151,17 +137,13 @@
 
 // Wave holds the defaults of a maintenance wave.
 type Wave struct {
-	maxParallel, maxFailures int
+	maxParallel int
 }
 
 // MaxParallel returns how many instances one wave stops at once at most; the
 // services' availability budgets may allow fewer.
 func (w Wave) MaxParallel() int { return w.maxParallel }
 
-// MaxFailures returns how many failures inside it a wave bears; one more
-// halts it.
-func (w Wave) MaxFailures() int { return w.maxFailures }
-
 // Retry holds the budget of retries.
 type Retry struct {
 	budgetPercent, burst, maxAttempts int
--- a/internal/crantraffic/budget.go
+++ b/internal/crantraffic/budget.go
@@ -1,22 +1,34 @@
 package crantraffic
 
-// Parameters of the retry budget.
+// Default parameters of the retry budget.
 const (
 	retryShare   = 0.1 // retries earned by each request
 	retryReserve = 3   // retries at the start
 	retryMost    = 20  // retries that can be saved up
 )
 
+// retryPolicy says how often requests are sent again.
+type retryPolicy struct {
+	share    float64 // retries earned by each request
+	burst    int     // retries that can be saved up
+	attempts int     // sends of one request, at least 1
+}
+
 // retryBudget bounds the retries of a service to a share of its requests, so
 // that retries can't multiply the load when many requests fail.
 type retryBudget struct {
-	tokens float64 // retries that may be made now, from 0 to retryMost
+	share  float64 // retries earned by each request
+	most   float64 // retries that can be saved up
+	tokens float64 // retries that may be made now, from 0 to most
 }
 
-func newRetryBudget() *retryBudget { return &retryBudget{tokens: retryReserve} }
+func newRetryBudget(p retryPolicy) *retryBudget {
+	most := float64(p.burst)
+	return &retryBudget{share: p.share, most: most, tokens: min(retryReserve, most)}
+}
 
 // earn counts a request.
-func (b *retryBudget) earn() { b.tokens = min(b.tokens+retryShare, retryMost) }
+func (b *retryBudget) earn() { b.tokens = min(b.tokens+b.share, b.most) }
 
 // spend takes one retry, if there is one.
 func (b *retryBudget) spend() bool {
@@ -28,4 +40,4 @@
 }
 
 // refund gives a retry back that wasn't made.
-func (b *retryBudget) refund() { b.tokens = min(b.tokens+1, retryMost) }
+func (b *retryBudget) refund() { b.tokens = min(b.tokens+1, b.most) }
--- a/internal/crantraffic/claimed.go
+++ b/internal/crantraffic/claimed.go
@@ -143,7 +143,7 @@
 		if end.retry == RetryRefused {
 			j.front.counters.Refused(j.route.service, SlotsRefused)
 		}
-		if end.outcome.verdict != NotRun || end.retry == "" || len(tried) >= maxAttempts {
+		if end.outcome.verdict != NotRun || end.retry == "" || len(tried) >= j.front.retries.attempts {
 			return end.outcome
 		}
 		j.front.counters.Retried(j.route.service, end.retry)
--- a/internal/crantraffic/front.go
+++ b/internal/crantraffic/front.go
@@ -118,7 +118,7 @@
 			return s
 		}
 	}
-	return newService(f.now())
+	return newService(f.now(), f.retries)
 }
 
 // prune forgets the targets that the state doesn't know and on which nothing
--- a/internal/crantraffic/idempotent.go
+++ b/internal/crantraffic/idempotent.go
@@ -107,7 +107,7 @@
 // retrySlot returns a slot for another attempt, if there may be one. An attempt
 // that provably didn't run costs no budget, as repeating it adds no load.
 func (n *idempotentRun[S]) retrySlot(ctx context.Context, why RetryReason, ran bool) (slot S, ok bool) {
-	if len(n.tried) >= maxAttempts || ctx.Err() != nil {
+	if len(n.tried) >= n.front.retries.attempts || ctx.Err() != nil {
 		return slot, false
 	}
 	if ran && !ask(n.service.budget, (*retryBudget).spend) {
--- a/internal/crantraffic/options.go
+++ b/internal/crantraffic/options.go
@@ -11,7 +11,7 @@
 	defaultIdleTimeout = 30 * time.Second
 	defaultKeepBytes   = 16 << 20 // bytes
 	defaultKeepFor     = 10 * time.Minute
-	maxAttempts        = 4 // sends of one request
+	defaultAttempts    = 4 // sends of one request
 )
 
 // settings are the values behind the options.
@@ -24,6 +24,7 @@
 	dialTimeout time.Duration
 	keepBytes   int // bytes of kept answers
 	keepFor     time.Duration
+	retries     retryPolicy
 	now         func() time.Time
 }
 
@@ -68,6 +69,15 @@
 	return func(s *settings) { s.keepBytes, s.keepFor = bytes, age }
 }
 
+// WithRetries sets how many retries each request earns its service, as a share
+// from 0 to 1, how many of them can be saved up, and how often one request is
+// sent at most, the first time included.
+func WithRetries(share float64, burst, attempts int) Option {
+	return func(s *settings) {
+		s.retries = retryPolicy{share: share, burst: burst, attempts: max(attempts, 1)}
+	}
+}
+
 func newSettings(options []Option) settings {
 	s := settings{
 		counters:    noCounters{},
@@ -78,6 +88,7 @@
 		dialTimeout: defaultDialTimeout,
 		keepBytes:   defaultKeepBytes,
 		keepFor:     defaultKeepFor,
+		retries:     retryPolicy{share: retryShare, burst: retryMost, attempts: defaultAttempts},
 		now:         time.Now,
 	}
 	for _, o := range options {
--- a/internal/crantraffic/policy_property_test.go
+++ b/internal/crantraffic/policy_property_test.go
@@ -8,10 +8,14 @@
 	"pgregory.net/rapid"
 )
 
-// TestRetryBudgetProperty compares the budget with a count of whole tenths.
+// TestRetryBudgetProperty compares budgets of any policy with plain counts.
 func TestRetryBudgetProperty(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		b := newRetryBudget()
+		p := retryPolicy{
+			share: float64(rapid.IntRange(0, 100).Draw(t, "percent")) / 100,
+			burst: rapid.IntRange(0, 2*retryMost).Draw(t, "burst"),
+		}
+		b := newRetryBudget(p)
 		requests, retries := 0, 0
 		t.Repeat(map[string]func(*rapid.T){
 			"earn": func(*rapid.T) {
@@ -30,8 +34,8 @@
 			},
 			"": func(t *rapid.T) {
 				const inexact = 1e-6
-				require.LessOrEqual(t, float64(retries), retryReserve+retryShare*float64(requests)+inexact)
-				require.LessOrEqual(t, b.tokens, float64(retryMost))
+				require.LessOrEqual(t, float64(retries), min(retryReserve, float64(p.burst))+p.share*float64(requests)+inexact)
+				require.LessOrEqual(t, b.tokens, float64(p.burst))
 				require.GreaterOrEqual(t, b.tokens, 0.0)
 			},
 		})
--- a/internal/crantraffic/queue_property_test.go
+++ b/internal/crantraffic/queue_property_test.go
@@ -142,7 +142,7 @@
 		r := &request{idempotent: rapid.Bool().Draw(t, "idempotent")}
 		n := &idempotentRun[testSlot]{}
 		ran, mayRun := 0, false
-		for range maxAttempts {
+		for range defaultAttempts {
 			truth := drawTruth(t)
 			x := truth.exchange(r)
 			j := judge(x)
--- a/internal/crantraffic/retry_test.go
+++ b/internal/crantraffic/retry_test.go
@@ -124,6 +124,34 @@
 	require.Positive(t, counters.of("refused", testService, RetriesSpent))
 }
 
+// TestRetriesFollowTheOption checks the bounds that WithRetries sets.
+func TestRetriesFollowTheOption(t *testing.T) {
+	for name, c := range map[string]struct {
+		share           float64
+		burst, attempts int
+		want            int64 // runs of one request that always fails
+	}{
+		"one attempt":     {share: 1, burst: 20, attempts: 1, want: 1},
+		"no burst":        {share: 1, burst: 0, attempts: 4, want: 1},
+		"burst of one":    {share: 1, burst: 1, attempts: 4, want: 2},
+		"two attempts":    {share: 1, burst: 20, attempts: 2, want: 2},
+		"reserve at most": {share: 0, burst: 20, attempts: 10, want: 1 + retryReserve},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var runs atomic.Int64
+			fail := func(w http.ResponseWriter, _ *http.Request) {
+				runs.Add(1)
+				http.Error(w, "failed", http.StatusInternalServerError)
+			}
+			g := newRig(t, newFakeSlots(4, "a", "b"), map[string]string{
+				"a": newTargetServer(t, fail), "b": newTargetServer(t, fail),
+			}, WithRetries(c.share, c.burst, c.attempts))
+			g.call("GET", "/s/orders/a", "")
+			require.Equal(t, c.want, runs.Load())
+		})
+	}
+}
+
 // TestFailFastTargetIsEjected counts what a target gets that fails at once
 // while the clock stands, and once its pause is over.
 func TestFailFastTargetIsEjected(t *testing.T) {
--- a/internal/crantraffic/service.go
+++ b/internal/crantraffic/service.go
@@ -8,10 +8,10 @@
 	budget *locked[*retryBudget]
 }
 
-func newService(now time.Time) *service {
+func newService(now time.Time, retries retryPolicy) *service {
 	return &service{
 		times:  newLocked(newLatency(now)),
-		budget: newLocked(newRetryBudget()),
+		budget: newLocked(newRetryBudget(retries)),
 	}
 }
 
