Settings: peers and adminAllow

Added: peers (IP:port each) goes to cranentry.WithSeeds; adminAllow (prefixes; the machine itself by default) guards the admin handler through cranadmin.Allow: others get 403 with a fault of kind stranger, counted in the refusals. The parser takes arrays; a fault names the element. The admin client's stranger fault has status 403 now. The harness' checks are unchanged. Ruled out: a guard inside the router; a wrapper keeps metrics and readiness under the same rule.

--- /dev/null
+++ b/internal/cranadmin/allow_test.go
@@ -0,0 +1,54 @@
+package cranadmin
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cranberrypick/cranberrypick/internal/cranfault"
+)
+
+// TestAllow checks who passes, and that a refusal is typed and counted.
+func TestAllow(t *testing.T) {
+	prefixes := []netip.Prefix{
+		netip.MustParsePrefix("127.0.0.0/8"), netip.MustParsePrefix("fe80::/10"),
+	}
+	for remote, passes := range map[string]bool{
+		"127.0.0.9:1":          true,
+		"[::ffff:127.0.0.9]:1": true,
+		"[fe80::1%eth0]:1":     true,
+		"128.0.0.1:1":          false,
+		"[::1]:1":              false,
+		"":                     false,
+	} {
+		t.Run(remote, func(t *testing.T) {
+			var counted []cranfault.Kind
+			passed := false
+			h := Allow(prefixes, func(k cranfault.Kind) { counted = append(counted, k) },
+				http.HandlerFunc(func(http.ResponseWriter, *http.Request) { passed = true }))
+			r := httptest.NewRequest(http.MethodPost, "/publish", nil)
+			r.RemoteAddr = remote
+			w := httptest.NewRecorder()
+			h.ServeHTTP(w, r)
+			require.Equal(t, passes, passed)
+			if passes {
+				require.Empty(t, counted)
+				return
+			}
+			require.Equal(t, []cranfault.Kind{cranfault.Stranger}, counted)
+			require.Equal(t, http.StatusForbidden, w.Code)
+		})
+	}
+}
+
+// TestStrangerReachesTheClient checks the fault that a refused client sees.
+func TestStrangerReachesTheClient(t *testing.T) {
+	server := httptest.NewServer(Allow(nil, func(cranfault.Kind) {}, http.NotFoundHandler()))
+	defer server.Close()
+	_, err := NewClient(server.URL).Status(context.Background())
+	require.ErrorIs(t, err, cranfault.Of(cranfault.Stranger))
+}
--- a/internal/cranadmin/handler.go
+++ b/internal/cranadmin/handler.go
@@ -185,6 +185,8 @@
 		return http.StatusBadRequest
 	case cranfault.Invalid:
 		return http.StatusUnprocessableEntity
+	case cranfault.Stranger:
+		return http.StatusForbidden
 	case cranfault.UnknownInstance, cranfault.UnknownPool, cranfault.UnknownService:
 		return http.StatusNotFound
 	default:
--- a/internal/crancli/serve.go
+++ b/internal/crancli/serve.go
@@ -64,7 +64,7 @@
 	var group run.Group
 	limits := settings.Limits()
 	addServer(&group, newLimitListener(callers, limits.MaxConnections()), host.Handler(), limits.MaxHeader())
-	addServer(&group, admin, cranadmin.Handler(host, metrics.Handler()), limits.MaxHeader())
+	addServer(&group, admin, adminHandler(host, metrics, settings), limits.MaxHeader())
 	stop, cancel := context.WithCancel(ctx)
 	group.Add(func() error { return host.Run(stop) }, func(error) { cancel() })
 	_, _ = fmt.Fprintf(o.out, "callers %s admin %s peers %s\n", callers.Addr(), admin.Addr(), host.PeerAddress())
@@ -72,6 +72,11 @@
 	return eris.Wrap(errors.Join(err, platform.Close()), "serve")
 }
 
+// adminHandler serves the operators that the settings let in.
+func adminHandler(host *cranentry.Host, metrics *cranmetric.Metrics, s *cransettings.Settings) http.Handler {
+	return cranadmin.Allow(s.AdminAllow(), metrics.Refused, cranadmin.Handler(host, metrics.Handler()))
+}
+
 // newLogger returns the logger that the settings ask for.
 func newLogger(s *cransettings.Settings, w io.Writer) *cranevent.Logger {
 	options := []cranevent.Option{
@@ -96,6 +101,7 @@
 		cranentry.WithLease(s.Lease().Duration(), s.Lease().Heartbeat()),
 		cranentry.WithBatchWindow(s.Log().BatchWindow()),
 		cranentry.WithMaxPeerMessage(s.Limits().MaxPeerMessage()),
+		cranentry.WithSeeds(seeds(s)...),
 		cranentry.WithMaxParallel(s.Wave().MaxParallel()),
 		cranentry.WithSnapshotPolicy(cransnapshot.NewPolicy(
 			cransnapshot.WithMaxRecords(uint64(s.Snapshot().EveryRecords())),
@@ -108,6 +114,15 @@
 	}
 }
 
+// seeds returns the peers that the settings name.
+func seeds(s *cransettings.Settings) []string {
+	var list []string
+	for _, p := range s.Peers() {
+		list = append(list, p.String())
+	}
+	return list
+}
+
 // listen opens an address.
 func listen(address netip.AddrPort) (net.Listener, error) {
 	l, err := net.Listen("tcp", address.String())
--- a/internal/cransettings/document.go
+++ b/internal/cransettings/document.go
@@ -19,6 +19,8 @@
 	kind         unstable.Kind
 	// text is the value of a scalar: unquoted for a string.
 	text string
+	// elements are those of an array, in order.
+	elements []item
 }
 
 // syntaxFault is a place where the file is not TOML.
@@ -122,6 +124,7 @@
 	value := node.Value()
 	if value.Kind != unstable.InlineTable {
 		r.add(path, at, value.Kind, string(value.Data))
+		r.addElements(value)
 		return
 	}
 	r.add(path, at, unstable.Table, "")
@@ -131,6 +134,22 @@
 	}
 }
 
+// addElements gives the last item the elements of its array. They stand at
+// the position of the key.
+func (r *reader) addElements(value *unstable.Node) {
+	if value.Kind != unstable.Array {
+		return
+	}
+	it := &r.doc.items[len(r.doc.items)-1]
+	children := value.Children()
+	for children.Next() {
+		child := children.Node()
+		it.elements = append(it.elements, item{
+			path: it.path, line: it.line, column: it.column, kind: child.Kind, text: string(child.Data),
+		})
+	}
+}
+
 // key returns the path of a node's key below parent and its offset.
 func (r *reader) key(parent []string, node *unstable.Node) ([]string, int) {
 	path := append([]string(nil), parent...)
--- a/internal/cransettings/keys.go
+++ b/internal/cransettings/keys.go
@@ -30,7 +30,7 @@
 // Path returns the key with its section, such as lease.heartbeatMs.
 func (k Key) Path() string { return k.path }
 
-// Kind returns the TOML type: integer or string.
+// Kind returns the TOML type: integer, string or array of strings.
 func (k Key) Kind() string { return k.kind }
 
 // Unit returns the unit of the value, or the empty string.
@@ -54,6 +54,9 @@
 // Keys returns every key in the order of the settings page.
 func Keys() []Key { return append([]Key(nil), keys...) }
 
+// localPrefixes are the addresses of the machine itself.
+var localPrefixes = []netip.Prefix{netip.MustParsePrefix("127.0.0.0/8"), netip.MustParsePrefix("::1/128")}
+
 var keys = []Key{
 	optional("id", "", "", nameBound, parseName, func(s *Settings) *string { return &s.id },
 		"Name of the process; a random part is added at each start. Made up when not given."),
@@ -70,6 +73,10 @@
 		"IP number that peers use. That of `peerListen` when not given."),
 	required("platform", "http://IP or http://IP:port", parsePlatform, func(s *Settings) *string { return &s.platform },
 		"Base URL of the platform's service."),
+	list("peers", nil, peersBound, parsePeer, func(s *Settings) *[]netip.AddrPort { return &s.peers },
+		"Addresses of other entry instances, of which a newcomer asks a snapshot when the log has none; they may ask this one too."),
+	list("adminAllow", localPrefixes, prefixBound, parsePrefix, func(s *Settings) *[]netip.Prefix { return &s.adminAllow },
+		"Who may use `adminListen`; others are refused as strangers."),
 
 	number("limits.maxBody", "bytes", mib, 1*kib, 64*mib, func(s *Settings) *int { return &s.limits.maxBody },
 		"Largest request body."),
@@ -139,6 +146,23 @@
 	}
 }
 
+func list[T fmt.Stringer](path string, standard []T, bound string, one parser[T], field func(*Settings) *[]T, meaning string) Key {
+	k := optional(path, "", standard, bound, listOf(one), field, meaning)
+	k.kind = kindStrings
+	k.standard = printedList(standard)
+	k.value = func(s *Settings) string { return printedList(*field(s)) }
+	return k
+}
+
+// printedList returns a list as it would stand in a file.
+func printedList[T fmt.Stringer](elements []T) string {
+	quoted := make([]string, 0, len(elements))
+	for _, v := range elements {
+		quoted = append(quoted, strconv.Quote(v.String()))
+	}
+	return "[" + strings.Join(quoted, ", ") + "]"
+}
+
 func number(path, unit string, standard, low, high int, field func(*Settings) *int, meaning string) Key {
 	bound := fmt.Sprintf("%d to %d", low, high)
 	k := optional(path, unit, standard, bound, parseNumber(low, high), field, meaning)
--- a/internal/cransettings/settings.go
+++ b/internal/cransettings/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -18,6 +19,10 @@
 	advertise netip.Addr
 	// platform is an http URL without a path.
 	platform string
+	// peers are specified addresses with ports.
+	peers []netip.AddrPort
+	// adminAllow holds masked prefixes.
+	adminAllow []netip.Prefix
 
 	limits   Limits
 	lease    Lease
@@ -57,6 +62,13 @@
 // trailing slash.
 func (s *Settings) Platform() string { return s.platform }
 
+// Peers returns the addresses of other entry instances that are known from
+// the start.
+func (s *Settings) Peers() []netip.AddrPort { return slices.Clone(s.peers) }
+
+// AdminAllow returns whose addresses may use the address for operators.
+func (s *Settings) AdminAllow() []netip.Prefix { return slices.Clone(s.adminAllow) }
+
 // Limits returns the bounds on callers and peers.
 func (s *Settings) Limits() Limits { return s.limits }
 
--- a/internal/cransettings/value.go
+++ b/internal/cransettings/value.go
@@ -16,11 +16,17 @@
 const (
 	kindInteger = "integer"
 	kindString  = "string"
+	kindStrings = "array of strings"
 )
 
 const (
 	nameBound    = "1 to 63 letters, digits and hyphens, beginning with a letter"
 	addressBound = "IP:port; port 0 lets the system choose"
+	peersBound   = "IP:port of another entry instance each; at most 64"
+	prefixBound  = "an IP prefix each, such as 10.0.0.0/8; at most 64"
+
+	// maxList bounds the elements of an array.
+	maxList = 64
 )
 
 var nameForm = regexp.MustCompile(`^[a-zA-Z][a-zA-Z0-9-]{0,62}$`)
@@ -120,6 +126,54 @@
 	return a, nil
 }
 
+// parsePeer takes the address of another entry instance.
+func parsePeer(it item) (netip.AddrPort, *reason) {
+	a, wrong := parseAddress(it)
+	if wrong != nil {
+		return netip.AddrPort{}, wrong
+	}
+	if a.Port() == 0 || a.Addr().IsUnspecified() {
+		return netip.AddrPort{}, refuse("give the IP number and the port that the peer listens on", "nobody can connect to %s", a)
+	}
+	return a, nil
+}
+
+func parsePrefix(it item) (netip.Prefix, *reason) {
+	text, wrong := parseText(it)
+	if wrong != nil {
+		return netip.Prefix{}, wrong
+	}
+	p, err := netip.ParsePrefix(text)
+	if err != nil {
+		return netip.Prefix{}, refuse("give an IP number and a length, such as 10.0.0.0/8 or 10.0.0.7/32", "%q is not an IP prefix", text)
+	}
+	if p != p.Masked() {
+		return netip.Prefix{}, refuse("give "+p.Masked().String(), "%s has bits behind its length", p)
+	}
+	return p, nil
+}
+
+// listOf takes an array whose elements one takes.
+func listOf[T any](one parser[T]) parser[[]T] {
+	return func(it item) ([]T, *reason) {
+		if it.kind != unstable.Array {
+			return nil, wrongType(it, "an array")
+		}
+		if len(it.elements) > maxList {
+			return nil, refuse(fmt.Sprintf("give at most %d", maxList), "there are %d elements", len(it.elements))
+		}
+		list := make([]T, 0, len(it.elements))
+		for i, element := range it.elements {
+			v, wrong := one(element)
+			if wrong != nil {
+				return nil, refuse(wrong.remedy, "element %d: %s", i+1, wrong.message)
+			}
+			list = append(list, v)
+		}
+		return list, nil
+	}
+}
+
 func parsePlatform(it item) (string, *reason) {
 	const remedy = "give http://IP:port, such as http://10.0.0.7:9000; host names are not used"
 	text, wrong := parseText(it)
--- a/internal/cranwhole/harness_test.go
+++ b/internal/cranwhole/harness_test.go
@@ -145,7 +145,7 @@
 
 func (s *system) startEntry(id string) {
 	file := filepath.Join(s.dir, id+".toml")
-	settings := fmt.Sprintf("id = %q\ndataCentre = \"dc1\"\ndomain = \"rack1\"\nlisten = \"127.0.0.1:0\"\npeerListen = \"127.0.0.1:0\"\nadminListen = \"127.0.0.1:0\"\nplatform = %q\n", id, s.platform)
+	settings := fmt.Sprintf("id = %q\ndataCentre = \"dc1\"\nlisten = \"127.0.0.1:0\"\npeerListen = \"127.0.0.1:0\"\nadminListen = \"127.0.0.1:0\"\nplatform = %q\n", id, s.platform)
 	require.NoError(s.t, os.WriteFile(file, []byte(settings), 0o600))
 	p := start(s.t, "cranberrypick", "serve", "--settings", file)
 	f := strings.Fields(p.first)
