Entry: events and gauges say what happened

Cause: the log named a finished move a reboot, a new instance one that is back and a resumed wave a new one; any refusal at the peer address was a stranger; nothing said that an entry had stopped taking requests or that claims couldn't be made; the readiness gauge stayed 1 and a phase's gauge stayed at its last value once nobody was in it; the histogram of requests was empty. Now: moveDone, instanceReady, waveResumed; peerRefused for strangers only (all kinds are counted); configurationAccepted at the entry that proposed it; entryNotReady, isolated, reconnected, entryReady and the gauge when the guard's answer changes, claimsNotReady and claimsReady when that of the claims does, both looked at once a second on the control thread; every phase's gauge is set; the callers' handler is timed. Ruled out: a first claimsReady at the start, since its text says "again". An entry that restarts while an instance arrives says stopBack for it: the state doesn't hold what it was before. Test seen failing, then passing: each of TestInstanceEvents (move, arrival), TestWaveEvents, TestConfigurationAccepted, TestPhaseGauges, TestPeerRefusals, TestReadinessEvents (three ways) and TestRequestsAreTimed fails with its mechanism taken out. What a new entry takes over of moves and halted waves under way (passages.catchUp) has no test yet. Conclusion: the catalogue's events are emitted where the control state and the guard show them.

--- a/internal/cranentry/entry.go
+++ b/internal/cranentry/entry.go
@@ -53,9 +53,11 @@
 	control     *control
 	writer      *cranlog.Writer
 	// tailer is nil until the entry has found a state to start from.
-	tailer    atomic.Pointer[cranlog.Tailer]
-	broker    *cranslot.Broker
-	front     *crantraffic.Front[cranslot.Slot]
+	tailer atomic.Pointer[cranlog.Tailer]
+	broker *cranslot.Broker
+	front  *crantraffic.Front[cranslot.Slot]
+	// handler is the front's, with the time of each request observed.
+	handler   http.Handler
 	client    *cranpeer.Client
 	claims    *cranclaim.Shards
 	server    *cranpeer.Server
@@ -117,6 +119,7 @@
 	counters := cranmetric.NewTrafficCounters[crantraffic.RetryReason, crantraffic.Verdict](p.metrics)
 	frontOptions := append(slices.Clone(p.frontOptions), crantraffic.WithCounters(counters), crantraffic.WithPeerAnswers(e))
 	e.front = crantraffic.NewFront[cranslot.Slot](e.broker, claims{shards}, frontOptions...)
+	e.handler = p.metrics.Timed(crantraffic.ServicePrefix, e.front.Handler())
 	notify = e.front.SlotFreed
 	e.performer = newPerformer(e, fleet)
 	e.control.onEffects = e.onEffects
@@ -168,7 +171,7 @@
 func (e *Entry) Incarnation() string { return e.incarnation }
 
 // Handler returns the handler for callers' requests.
-func (e *Entry) Handler() http.Handler { return e.front.Handler() }
+func (e *Entry) Handler() http.Handler { return e.handler }
 
 // Ready returns nil if the entry takes requests, else the fault that says why
 // not.
--- a/internal/cranentry/heartbeat.go
+++ b/internal/cranentry/heartbeat.go
@@ -48,8 +48,13 @@
 	e.seekEffects()
 	if t := e.tailer.Load(); t.Position().CaughtUp() && !e.guard.ready.Swap(true) {
 		e.report.caughtUp(e.control.state)
+		e.report.serving(e.guard.mayServe(), e.control.state.Next())
+	}
+	if e.report.due() {
+		e.report.state(e.control.state)
+		e.report.serving(e.guard.mayServe(), e.control.state.Next())
+		e.report.claiming(e.claims.Ready())
 	}
-	e.report.state(e.control.state)
 }
 
 func (e *Entry) join() {
--- a/internal/cranentry/report.go
+++ b/internal/cranentry/report.go
@@ -19,6 +19,8 @@
 	logger  *cranevent.Logger
 	metrics *cranmetric.Metrics
 	self    string
+	readiness
+	passages passages
 	// live is set once the entry has caught up: older records are history.
 	// The control thread alone uses it, accepted, shownAt and idleAt.
 	live    bool
@@ -33,21 +35,24 @@
 }
 
 func newReporter(logger *cranevent.Logger, metrics *cranmetric.Metrics, self string) *reporter {
-	return &reporter{logger: logger, metrics: metrics, self: self, idleAt: time.Now()}
+	metrics.SetReady(false)
+	return &reporter{logger: logger, metrics: metrics, self: self, idleAt: time.Now(), passages: newPassages()}
 }
 
 func (r *reporter) emit(event cranevent.Event, fields ...cranevent.Field) {
 	r.logger.Emit(event, fields...)
 }
 
-// peerRefused counts a refusal at the peer address.
+// peerRefused counts a refusal at the peer address, and logs those that an
+// operator may act on.
 func (r *reporter) peerRefused(kind cranfault.Kind) {
 	r.metrics.Refused(kind)
-	if kind == cranfault.Malformed || kind == cranfault.TooLarge {
+	switch kind {
+	case cranfault.Malformed, cranfault.TooLarge:
 		r.emit(cranevent.PeerMalformed, cranevent.Reason(kind))
-		return
+	case cranfault.Stranger:
+		r.emit(cranevent.PeerRefused, cranevent.Reason(kind))
 	}
-	r.emit(cranevent.PeerRefused, cranevent.Reason(kind))
 }
 
 // logReason counts what the log client ran into.
@@ -75,11 +80,25 @@
 	if !r.live {
 		return
 	}
+	r.configAccepted(entry, effects)
 	for _, f := range effects {
 		r.effect(s, entry, f)
 	}
 }
 
+// configAccepted logs the acceptance of a configuration that was proposed
+// here.
+func (r *reporter) configAccepted(entry cranlog.Entry, effects []cranstate.Effect) {
+	if entry.Writer() != r.self {
+		return
+	}
+	for _, f := range effects {
+		if config, ok := f.(cranstate.ConfigInForce); ok {
+			r.emit(cranevent.ConfigurationAccepted, cranevent.Offset(entry.Offset()), cranevent.Revision(config.Revision))
+		}
+	}
+}
+
 func (r *reporter) effect(s *cranstate.State, entry cranlog.Entry, f cranstate.Effect) {
 	switch f := f.(type) {
 	case cranstate.Refused:
@@ -138,7 +157,9 @@
 	case f.From == cranstate.PhaseCordoned && f.To != cranstate.PhaseStopping:
 		r.emit(cranevent.StopCancelled, fields...)
 	case f.From == cranstate.PhaseStopping && f.To == cranstate.PhaseReturning:
-		r.emit(cranevent.StopRebooted, fields...)
+		r.stopped(f)
+	case f.To == cranstate.PhaseServing && r.passages.arrived[f.Instance]:
+		r.emit(cranevent.InstanceReady, fields...)
 	case f.To == cranstate.PhaseServing:
 		r.emit(cranevent.StopBack, fields...)
 	case f.To == cranstate.PhaseGone:
@@ -147,6 +168,16 @@
 		r.emit(cranevent.InstanceChanged, append(fields,
 			cranevent.FromPhase(f.From), cranevent.ToPhase(f.To), cranevent.Cause(f.Cause))...)
 	}
+	r.passages.note(f)
+}
+
+// stopped logs that the platform has acted on an instance.
+func (r *reporter) stopped(f cranstate.InstanceChanged) {
+	if from, ok := r.passages.moving[f.Instance]; ok {
+		r.emit(cranevent.MoveDone, cranevent.Instance(f.Instance), cranevent.Pool(from), cranevent.ToPool(f.Pool))
+		return
+	}
+	r.emit(cranevent.StopRebooted, cranevent.Instance(f.Instance), cranevent.Pool(f.Pool))
 }
 
 func (r *reporter) member(f cranstate.MemberChanged) {
@@ -159,8 +190,13 @@
 }
 
 func (r *reporter) wave(f cranstate.WaveChanged) {
+	resumed := r.passages.resumed(f)
 	switch f.Phase {
 	case cranstate.WaveActive:
+		if resumed {
+			r.emit(cranevent.WaveResumed, cranevent.Wave(f.Wave))
+			return
+		}
 		r.emit(cranevent.WaveStarted, cranevent.Wave(f.Wave))
 	case cranstate.WaveHalted:
 		r.emit(cranevent.WaveHalted, cranevent.Wave(f.Wave))
@@ -174,19 +210,22 @@
 // caughtUp begins the reports of what happens from now on.
 func (r *reporter) caughtUp(s *cranstate.State) {
 	r.live = true
-	r.metrics.SetReady(true)
+	r.passages.catchUp(s)
 	r.metrics.SetRevision(s.Revision())
 	r.setServices(s)
-	r.emit(cranevent.EntryReady, cranevent.Member(r.self), cranevent.Offset(s.Next()))
 }
 
-// state shows, once a second, the measures of the brief and where the control
-// state stands.
-func (r *reporter) state(s *cranstate.State) {
+// due reports, once a second, that the state is to be shown.
+func (r *reporter) due() bool {
 	if time.Since(r.shownAt) < stateInterval {
-		return
+		return false
 	}
 	r.shownAt = time.Now()
+	return true
+}
+
+// state shows the measures of the brief and where the control state stands.
+func (r *reporter) state(s *cranstate.State) {
 	r.metrics.SetAppliedOffset(s.Next())
 	r.metrics.SetMoves(s.Moves())
 	members := s.Members()
@@ -212,7 +251,10 @@
 // instances shows the phases, and the idle buffer: the available instances
 // above what the budgets ask for.
 func (r *reporter) instances(s *cranstate.State) {
-	phases := map[cranstate.Phase]int{}
+	phases := map[cranstate.Phase]int{
+		cranstate.PhaseReturning: 0, cranstate.PhaseServing: 0, cranstate.PhaseCordoned: 0,
+		cranstate.PhaseStopping: 0, cranstate.PhaseLeaving: 0,
+	}
 	for _, in := range s.Instances() {
 		phases[in.Phase()]++
 	}
--- a/internal/crantraffic/options.go
+++ b/internal/crantraffic/options.go
@@ -2,6 +2,10 @@
 
 import "time"
 
+// ServicePrefix is the path that requests to a service begin with; the name
+// of the service follows.
+const ServicePrefix = servicePrefix
+
 // Defaults of the options.
 const (
 	defaultBodyLimit   = 4 << 20 // bytes
