Explain: a cordoned instance waits for reports

Cause: just after a cordon explain said that every entry had requests in progress, which nobody knows: the control state holds only who has not reported yet. Now: "entry X (address) has not reported that it has no request in progress on it"; the name of the entry stays in the reason. A silent entry as before. Ruled out: telling reported requests from missing reports by the last heartbeat; it may have been written before its entry applied the cordon. Conclusion: the text claims no more than the state holds.

--- a/internal/cranstate/explain.go
+++ b/internal/cranstate/explain.go
@@ -38,8 +38,8 @@
 		m := s.members[id]
 		b := Blocker{
 			Subject: in.id,
-			Reason:  fmt.Sprintf("entry %s (%s) has requests in progress on it", id, m.address),
-			Remedy:  "wait for the requests to end",
+			Reason:  fmt.Sprintf("entry %s (%s) has not reported that it has no request in progress on it", id, m.address),
+			Remedy:  "wait for its report, which comes once its requests on the instance have ended",
 		}
 		if m.expiryMs < s.nowMs {
 			b.Reason = fmt.Sprintf("entry %s (%s) is silent and may have requests in progress on it", id, m.address)
