Events: retire twelve that nothing emits

Cause: the catalogue promised settingsFault, snapshotRestart, leaseLost, leaseLapsed, stopProposed, stopBlocked, moveProposed, moveRefused, targetEjected, targetRestored, silentConnection and slotBlocked; no code wrote them. An operator would wait for a line that never comes. The field blockedBy, which only stopBlocked had, is gone with its constructor, and so is its line in the test's sample, which still holds one field of every key. Ruled out: emitting them now; ejections and blocked slots need a way for the traffic threads to report, which there isn't. New numbers are free for that. Conclusion: each event of the catalogue is named by the code that emits it.

--- a/internal/cranevent/caller_test.go
+++ b/internal/cranevent/caller_test.go
@@ -48,6 +48,29 @@
 	require.NotZero(t, calls)
 }
 
+// TestEveryEventIsEmitted checks that the catalogue promises no event that no
+// other package names.
+func TestEveryEventIsEmitted(t *testing.T) {
+	named := map[string]bool{}
+	use := regexp.MustCompile(`\bcranevent\.(\w+)`)
+	require.NoError(t, filepath.WalkDir("..", func(path string, _ fs.DirEntry, err error) error {
+		if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		source, err := os.ReadFile(path)
+		require.NoError(t, err)
+		for _, m := range use.FindAllSubmatch(source, -1) {
+			named[string(m[1])] = true
+		}
+		return nil
+	}))
+	events := constantEvents(t)
+	require.NotEmpty(t, events)
+	for name := range events {
+		require.True(t, named[name], "emit %s, or retire its number", name)
+	}
+}
+
 func checkCall(t *testing.T, path string, event Event, fields []ast.Expr, keys map[string]Key) {
 	d, _ := event.Definition()
 	for _, f := range fields {
--- a/internal/cranevent/event.go
+++ b/internal/cranevent/event.go
@@ -16,7 +16,6 @@
 	EntryStopping  Event = 104
 	EntryStopped   Event = 105
 	SettingsLoaded Event = 110
-	SettingsFault  Event = 111
 )
 
 // Events of the published configuration.
@@ -31,7 +30,6 @@
 	LogUnavailable  Event = 301
 	LogBack         Event = 302
 	RecordsExpired  Event = 303
-	SnapshotRestart Event = 304
 	MalformedRecord Event = 305
 	SnapshotWritten Event = 310
 	SnapshotLoaded  Event = 311
@@ -44,17 +42,13 @@
 	MemberLeft       Event = 402
 	MemberWrittenOff Event = 403
 	LeaseTaken       Event = 410
-	LeaseLost        Event = 411
-	LeaseLapsed      Event = 412
 )
 
 // Events of planned stops and of lost instances.
 const (
-	StopProposed      Event = 501
 	StopRefused       Event = 502
 	StopCordoned      Event = 503
 	StopBarrierPassed Event = 504
-	StopBlocked       Event = 505
 	StopRebooted      Event = 506
 	StopBack          Event = 507
 	StopCancelled     Event = 508
@@ -65,9 +59,7 @@
 
 // Events of moves between pools.
 const (
-	MoveProposed Event = 601
-	MoveRefused  Event = 602
-	MoveDone     Event = 603
+	MoveDone Event = 603
 )
 
 // Events of maintenance waves.
@@ -89,12 +81,8 @@
 
 // Events of traffic.
 const (
-	TargetEjected    Event = 901
-	TargetRestored   Event = 902
-	SilentConnection Event = 903
-	SlotBlocked      Event = 904
-	ClaimsNotReady   Event = 905
-	ClaimsReady      Event = 906
+	ClaimsNotReady Event = 905
+	ClaimsReady    Event = 906
 )
 
 // Number returns the number that the catalogue lists.
--- a/internal/cranevent/event_test.go
+++ b/internal/cranevent/event_test.go
@@ -24,7 +24,7 @@
 
 // sample holds one field of every key.
 var sample = []Field{
-	Action("a-1"), Address(netip.MustParseAddrPort("10.0.0.7:8081")), BlockedBy("entry-2", "entry-3"),
+	Action("a-1"), Address(netip.MustParseAddrPort("10.0.0.7:8081")),
 	Bytes(512), Cause("probe"), Count(3), DataCentre("perth-1"), Digest(0xabc), Domain("rack-3"),
 	Elapsed(1500 * time.Millisecond), Err(errors.New("a \"quoted\"\nerror")), File("entry.toml"), FromPhase("stopping"),
 	Instance("office-1"), Member("entry-1-7f"), Offset(18446744073709551615), Peer("entry-2"),
--- a/internal/cranevent/field.go
+++ b/internal/cranevent/field.go
@@ -16,7 +16,6 @@
 const (
 	KeyAction     Key = "action"
 	KeyAddress    Key = "address"
-	KeyBlockedBy  Key = "blockedBy"
 	KeyBytes      Key = "bytes"
 	KeyCause      Key = "cause"
 	KeyCount      Key = "count"
@@ -70,11 +69,6 @@
 // Address is an IP number with a port.
 func Address(a fmt.Stringer) Field { return textField(KeyAddress, a.String()) }
 
-// BlockedBy names the members whose word is waited for.
-func BlockedBy(members ...string) Field {
-	return Field{key: KeyBlockedBy, write: func(e *log.Entry, name string) { e.Strs(name, members) }}
-}
-
 // Bytes is a size in bytes.
 func Bytes(n int) Field { return integerField(KeyBytes, int64(n)) }
 
