--- a/internal/crancli/serve.go
+++ b/internal/crancli/serve.go
@@ -26,8 +26,12 @@
 const (
 	// headerTimeout bounds the arrival of a request's header.
 	headerTimeout = 10 * time.Second
+	// idleTimeout bounds how long a connection without a request stays open.
+	idleTimeout = 90 * time.Second
 	// shutdownTimeout bounds the end of connections after the last answer.
 	shutdownTimeout = 5 * time.Second
+	// percent is how many parts a share of one has.
+	percent = 100
 )
 
 type serveCommand struct {
@@ -49,22 +53,30 @@
 	if err != nil {
 		return err
 	}
-	var group run.Group
-	callers, err := addServer(&group, settings.Listen(), host.Handler(), settings.Limits().MaxHeader())
+	callers, err := listen(settings.Listen())
 	if err != nil {
 		return err
 	}
-	admin, err := addServer(&group, settings.AdminListen(), cranadmin.Handler(host, metrics.Handler()), settings.Limits().MaxHeader())
+	admin, err := listen(settings.AdminListen())
 	if err != nil {
-		return err
+		return errors.Join(err, callers.Close())
 	}
+	var group run.Group
+	limits := settings.Limits()
+	addServer(&group, newLimitListener(callers, limits.MaxConnections()), host.Handler(), limits.MaxHeader())
+	addServer(&group, admin, adminHandler(host, metrics, settings), limits.MaxHeader())
 	stop, cancel := context.WithCancel(ctx)
 	group.Add(func() error { return host.Run(stop) }, func(error) { cancel() })
-	_, _ = fmt.Fprintf(o.out, "callers %s admin %s peers %s\n", callers, admin, host.PeerAddress())
+	_, _ = fmt.Fprintf(o.out, "callers %s admin %s peers %s\n", callers.Addr(), admin.Addr(), host.PeerAddress())
 	err = group.Run()
 	return eris.Wrap(errors.Join(err, platform.Close()), "serve")
 }
 
+// adminHandler serves the operators that the settings let in.
+func adminHandler(host *cranentry.Host, metrics *cranmetric.Metrics, s *cransettings.Settings) http.Handler {
+	return cranadmin.Allow(s.AdminAllow(), metrics.Refused, cranadmin.Handler(host, metrics.Handler()))
+}
+
 // newLogger returns the logger that the settings ask for.
 func newLogger(s *cransettings.Settings, w io.Writer) *cranevent.Logger {
 	options := []cranevent.Option{
@@ -89,6 +101,7 @@
 		cranentry.WithLease(s.Lease().Duration(), s.Lease().Heartbeat()),
 		cranentry.WithBatchWindow(s.Log().BatchWindow()),
 		cranentry.WithMaxPeerMessage(s.Limits().MaxPeerMessage()),
+		cranentry.WithSeeds(seeds(s)...),
 		cranentry.WithMaxParallel(s.Wave().MaxParallel()),
 		cranentry.WithSnapshotPolicy(cransnapshot.NewPolicy(
 			cransnapshot.WithMaxRecords(uint64(s.Snapshot().EveryRecords())),
@@ -96,20 +109,37 @@
 		cranentry.WithFront(
 			crantraffic.WithBodyLimit(int64(s.Limits().MaxBody())),
 			crantraffic.WithAnswerLimit(int64(s.Limits().MaxAnswerBuffer())),
+			crantraffic.WithRetries(float64(s.Retry().BudgetPercent())/percent, s.Retry().Burst(), s.Retry().MaxAttempts()),
 		),
 	}
 }
 
-// addServer adds an HTTP server to the group and returns its address. It is
-// interrupted after everything added behind it has ended.
-func addServer(group *run.Group, address netip.AddrPort, h http.Handler, maxHeader int) (string, error) {
-	listener, err := net.Listen("tcp", address.String())
-	if err != nil {
-		return "", eris.Wrapf(err, "listen on %s; free the address or set another", address)
+// seeds returns the peers that the settings name.
+func seeds(s *cransettings.Settings) []string {
+	var list []string
+	for _, p := range s.Peers() {
+		list = append(list, p.String())
+	}
+	return list
+}
+
+// listen opens an address.
+func listen(address netip.AddrPort) (net.Listener, error) {
+	l, err := net.Listen("tcp", address.String())
+	return l, eris.Wrapf(err, "listen on %s; free the address or set another", address)
+}
+
+// addServer adds an HTTP server to the group. It is interrupted after
+// everything added behind it has ended.
+func addServer(group *run.Group, l net.Listener, h http.Handler, maxHeader int) {
+	server := &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeader,
 	}
-	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader}
 	group.Add(func() error {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			return err
 		}
 		return nil
@@ -118,5 +148,4 @@
 		defer cancel()
 		_ = server.Shutdown(ctx)
 	})
-	return listener.Addr().String(), nil
 }
--- a/internal/cransettings/keys.go
+++ b/internal/cransettings/keys.go
@@ -30,7 +30,7 @@
 // Path returns the key with its section, such as lease.heartbeatMs.
 func (k Key) Path() string { return k.path }
 
-// Kind returns the TOML type: integer or string.
+// Kind returns the TOML type: integer, string or array of strings.
 func (k Key) Kind() string { return k.kind }
 
 // Unit returns the unit of the value, or the empty string.
@@ -54,13 +54,14 @@
 // Keys returns every key in the order of the settings page.
 func Keys() []Key { return append([]Key(nil), keys...) }
 
+// localPrefixes are the addresses of the machine itself.
+var localPrefixes = []netip.Prefix{netip.MustParsePrefix("127.0.0.0/8"), netip.MustParsePrefix("::1/128")}
+
 var keys = []Key{
 	optional("id", "", "", nameBound, parseName, func(s *Settings) *string { return &s.id },
 		"Name of the process; a random part is added at each start. Made up when not given."),
 	required("dataCentre", nameBound, parseName, func(s *Settings) *string { return &s.dataCentre },
 		"Data centre that the process runs in."),
-	required("domain", nameBound, parseName, func(s *Settings) *string { return &s.domain },
-		"Failure domain, such as a rack, that the process runs in."),
 	required("listen", addressBound, parseAddress, func(s *Settings) *netip.AddrPort { return &s.listen },
 		"Address for callers."),
 	required("peerListen", addressBound, parseAddress, func(s *Settings) *netip.AddrPort { return &s.peerListen },
@@ -72,6 +73,10 @@
 		"IP number that peers use. That of `peerListen` when not given."),
 	required("platform", "http://IP or http://IP:port", parsePlatform, func(s *Settings) *string { return &s.platform },
 		"Base URL of the platform's service."),
+	list("peers", nil, peersBound, parsePeer, func(s *Settings) *[]netip.AddrPort { return &s.peers },
+		"Addresses of other entry instances, of which a newcomer asks a snapshot when the log has none; they may ask this one too."),
+	list("adminAllow", localPrefixes, prefixBound, parsePrefix, func(s *Settings) *[]netip.Prefix { return &s.adminAllow },
+		"Who may use `adminListen`; others are refused as strangers."),
 
 	number("limits.maxBody", "bytes", mib, 1*kib, 64*mib, func(s *Settings) *int { return &s.limits.maxBody },
 		"Largest request body."),
@@ -80,7 +85,7 @@
 	number("limits.maxAnswerBuffer", "bytes", 8*mib, 1*kib, 64*mib, func(s *Settings) *int { return &s.limits.maxAnswerBuffer },
 		"Answers up to this size are held until they are whole; a longer one is passed on as it comes, and broken off visibly if it is cut short."),
 	number("limits.maxConnections", "connections", 4096, 1, 65536, func(s *Settings) *int { return &s.limits.maxConnections },
-		"Callers' connections that may be open."),
+		"Callers' connections that may be open; further callers wait to be connected."),
 	number("limits.maxPeerMessage", "bytes", mib, 4*kib, 16*mib, func(s *Settings) *int { return &s.limits.maxPeerMessage },
 		"Largest message of a peer."),
 
@@ -88,15 +93,11 @@
 		"How long a lease lasts after its last renewal."),
 	millis("lease.heartbeatMs", 1000, 50, 19_999, func(s *Settings) *time.Duration { return &s.lease.heartbeat },
 		"Interval between renewals; under a third of `lease.durationMs`."),
-	millis("lease.isolatedAfterMs", 4000, 500, 60_000, func(s *Settings) *time.Duration { return &s.lease.isolatedAfter },
-		"How long a process that reaches neither the log nor a peer goes on taking requests; at most `lease.durationMs`, and equal to it when not given."),
 
 	optional("log.stream", "", "control", nameBound, parseName, func(s *Settings) *string { return &s.log.stream },
 		"Name of the control stream."),
 	millis("log.batchWindowMs", 5, 0, 1000, func(s *Settings) *time.Duration { return &s.log.batchWindow },
 		"How long an append waits for others to join it."),
-	number("log.maxRecords", "records", 256, 1, 10_000, func(s *Settings) *int { return &s.log.maxRecords },
-		"Largest number of records in one append or read."),
 
 	number("snapshot.everyRecords", "records", 1000, 10, 1_000_000, func(s *Settings) *int { return &s.snapshot.everyRecords },
 		"Records between two snapshots."),
@@ -105,8 +106,6 @@
 
 	number("wave.maxParallel", "instances", 4, 1, 1000, func(s *Settings) *int { return &s.wave.maxParallel },
 		"Instances that one wave stops at once at most; budgets may allow fewer."),
-	number("wave.maxFailures", "instances", 1, 0, 1000, func(s *Settings) *int { return &s.wave.maxFailures },
-		"Failures inside a wave that it bears; one more halts it."),
 
 	number("retry.budgetPercent", "percent", 10, 0, 100, func(s *Settings) *int { return &s.retry.budgetPercent },
 		"Retries allowed per hundred requests."),
@@ -147,6 +146,23 @@
 	}
 }
 
+func list[T fmt.Stringer](path string, standard []T, bound string, one parser[T], field func(*Settings) *[]T, meaning string) Key {
+	k := optional(path, "", standard, bound, listOf(one), field, meaning)
+	k.kind = kindStrings
+	k.standard = printedList(standard)
+	k.value = func(s *Settings) string { return printedList(*field(s)) }
+	return k
+}
+
+// printedList returns a list as it would stand in a file.
+func printedList[T fmt.Stringer](elements []T) string {
+	quoted := make([]string, 0, len(elements))
+	for _, v := range elements {
+		quoted = append(quoted, strconv.Quote(v.String()))
+	}
+	return "[" + strings.Join(quoted, ", ") + "]"
+}
+
 func number(path, unit string, standard, low, high int, field func(*Settings) *int, meaning string) Key {
 	bound := fmt.Sprintf("%d to %d", low, high)
 	k := optional(path, unit, standard, bound, parseNumber(low, high), field, meaning)
