--- a/cmd/cranmeasure/main.go
+++ b/cmd/cranmeasure/main.go
@@ -9,6 +9,7 @@
 type commands struct {
 	Slots    slotsCommand    `cmd:"" help:"Measure how entries share the slots of targets."`
 	Capacity capacityCommand `cmd:"" help:"Measure the slopes of docs/CAPACITY.md; takes some minutes of real time."`
+	Waves    wavesCommand    `cmd:"" help:"Measure the makespan of maintenance waves."`
 }
 
 func main() {
--- /dev/null
+++ b/cmd/cranmeasure/waves.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"encoding/json"
+	"os"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/cranberrypick/cranberrypick/internal/cranwavesim"
+)
+
+// wavesCommand runs a round of maintenance over each fleet, with one wave a
+// pool and with one wave over all pools.
+type wavesCommand struct {
+	Fleet          []string `default:"small,large" enum:"small,large" help:"Fleets: small (50 instances in 5 pools), large (7,900 in 359)."`
+	MaxParallel    []int    `default:"4,1000" help:"Stops of one wave at once."`
+	MaxUnavailable int      `default:"2" help:"Budget of each pool."`
+	MaxFailures    int      `default:"2" help:"Failures that a wave bears."`
+	Seed           uint64   `default:"1" help:"Seed of drain and reboot times."`
+	Parallel       int      `default:"3" help:"Runs at a time."`
+	Report         string   `default:"text" enum:"text,json" help:"Form of the report: text or json."`
+}
+
+// Run measures and prints.
+func (c *wavesCommand) Run() error {
+	list := c.settings()
+	results := make([]cranwavesim.Result, len(list))
+	var g errgroup.Group
+	g.SetLimit(c.Parallel)
+	for i, s := range list {
+		g.Go(func() (err error) {
+			results[i], err = cranwavesim.Run(s)
+			return err
+		})
+	}
+	if err := g.Wait(); err != nil {
+		return err
+	}
+	if c.Report == "json" {
+		e := json.NewEncoder(os.Stdout)
+		e.SetIndent("", "  ")
+		return e.Encode(results)
+	}
+	return cranwavesim.Print(os.Stdout, results)
+}
+
+// settings returns the settings of all runs, in the order of the report.
+func (c *wavesCommand) settings() []cranwavesim.Settings {
+	sizes := map[string][2]int{"small": {50, 5}, "large": {7900, 359}}
+	var list []cranwavesim.Settings
+	for _, fleet := range c.Fleet {
+		for _, parallel := range c.MaxParallel {
+			for _, run := range []struct{ oneWave, fail bool }{{false, false}, {true, false}, {false, true}, {true, true}} {
+				list = append(list, cranwavesim.Settings{
+					Instances: sizes[fleet][0], Pools: sizes[fleet][1], MaxUnavailable: c.MaxUnavailable,
+					MaxParallel: parallel, OneWave: run.oneWave, Fail: run.fail, MaxFailures: c.MaxFailures, Seed: c.Seed,
+				})
+			}
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/internal/cranwavesim/result.go
@@ -0,0 +1,54 @@
+package cranwavesim
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+)
+
+// Result is the outcome of one run; times are virtual milliseconds since the
+// start of the waves.
+type Result struct {
+	Settings   Settings `json:"settings"`
+	MakespanMs int64    `json:"makespanMs"`
+	BoundMs    int64    `json:"boundMs"`
+	// BoundBy names what sets the lower bound: budget or maxParallel.
+	BoundBy string `json:"boundBy"`
+	// Ratio is that of the makespan to the lower bound.
+	Ratio      float64 `json:"ratio"`
+	Reboots    int     `json:"reboots"`
+	Refused    int     `json:"refused"`
+	MostActive int     `json:"mostActive"`
+	// SlowestCallMs is the longest call of the policy, in real time.
+	SlowestCallMs float64 `json:"slowestCallMs"`
+	// Checks counts transitions checked against the floors.
+	Checks int `json:"checks"`
+	// Broken counts planned steps that left a pool below its floor.
+	Broken   int   `json:"broken"`
+	FailedMs int64 `json:"failedMs"`
+	Halts    int   `json:"halts"`
+	HaltedMs int64 `json:"haltedMs"`
+	// ActiveAtHalt is how many instances were in progress after the halt.
+	ActiveAtHalt int `json:"activeAtHalt"`
+	// startMs is the virtual time at which the waves were proposed.
+	startMs int64
+}
+
+// Print writes the results as a table.
+func Print(out io.Writer, list []Result) error {
+	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(t, "instances\tpools\twaves\tmaxParallel\tmakespan s\tbound s\tby\tratio\treboots\trefused\tmost active\tslowest call ms\tfailed s\thalted s\tactive at halt\thalts\tchecks\tbudget broken")
+	for _, r := range list {
+		waves := "one a pool"
+		if r.Settings.OneWave {
+			waves = "one"
+		}
+		_, _ = fmt.Fprintf(t, "%d\t%d\t%s\t%d\t%.0f\t%.0f\t%s\t%.3f\t%d\t%d\t%d\t%.1f\t%.2f\t%.2f\t%d\t%d\t%d\t%d\n",
+			r.Settings.Instances, r.Settings.Pools, waves, r.Settings.MaxParallel, seconds(r.MakespanMs), seconds(r.BoundMs),
+			r.BoundBy, r.Ratio, r.Reboots, r.Refused, r.MostActive, r.SlowestCallMs, seconds(r.FailedMs),
+			seconds(r.HaltedMs), r.ActiveAtHalt, r.Halts, r.Checks, r.Broken)
+	}
+	return t.Flush()
+}
+
+func seconds(ms int64) float64 { return float64(ms) / 1000 }
