--- a/internal/cranwavesim/failure.go
+++ b/internal/cranwavesim/failure.go
@@ -50,6 +50,7 @@
 
 // waveChanged notes ends and halts; a halted wave is resumed later.
 func (w *world) waveChanged(e cranstate.WaveChanged) {
+	w.replan = true
 	w.wake()
 	switch e.Phase {
 	case cranstate.WaveDone:
--- a/internal/cranwavesim/world.go
+++ b/internal/cranwavesim/world.go
@@ -29,6 +29,9 @@
 	probes []cranstate.Probe
 	// waking is set while a round is planned.
 	waking bool
+	// replan is set when an instance enters or leaves service unplanned, or a
+	// wave changes: nothing else allows another stop.
+	replan bool
 	// open counts waves not ended.
 	open   int
 	result Result
@@ -59,6 +62,7 @@
 func (w *world) changed(e cranstate.InstanceChanged) {
 	w.wake()
 	if e.To != cranstate.PhaseCordoned {
+		w.replan = w.replan || e.To == cranstate.PhaseServing || e.From == cranstate.PhaseServing
 		return
 	}
 	in, _ := w.journal.state.Instance(e.Instance)
@@ -93,9 +97,7 @@
 // and proposes.
 func (w *world) round() {
 	w.waking = false
-	start := time.Now()
-	stops := cranplan.NextStops(w.journal.state, w.settings.MaxParallel)
-	w.result.SlowestCallMs = max(w.result.SlowestCallMs, float64(time.Since(start))/float64(time.Millisecond))
+	stops := w.plan()
 	probes, listed := w.probes, w.listed
 	w.probes, w.listed = nil, nil
 	if len(probes) > 0 {
@@ -108,15 +110,29 @@
 		w.probes = append(w.probes, cranstate.Probe{Instance: o.ID, Boots: o.Boots, Healthy: true})
 	}
 	w.act()
+	refused := w.journal.refused
 	for _, stop := range stops {
 		w.send(memberID(0), stop)
 	}
+	w.replan = w.replan || w.journal.refused > refused
 	w.count()
 	if len(w.probes) > 0 {
 		w.wake()
 	}
 }
 
+// plan asks the policy if anything changed that could allow another stop.
+func (w *world) plan() []cranstate.StopProposed {
+	if !w.replan {
+		return nil
+	}
+	w.replan = false
+	start := time.Now()
+	stops := cranplan.NextStops(w.journal.state, w.settings.MaxParallel)
+	w.result.SlowestCallMs = max(w.result.SlowestCallMs, float64(time.Since(start))/float64(time.Millisecond))
+	return stops
+}
+
 // act lets the platform start what is pending.
 func (w *world) act() {
 	for _, a := range w.journal.state.PendingActions() {
