Stop instances of the pool with the most rounds left first

Cause: in one wave with 4 at once over five pools of budget 2, pools went two by two and the last one went alone, two at a time. Test seen failing before: TestNextStopsPrefersLongPools (2, 8, 8 left instead of 6, 6, 6).

--- a/internal/cranplan/tally.go
+++ b/internal/cranplan/tally.go
@@ -6,8 +6,15 @@
 type tally struct {
 	// spare is how many more instances of the pool may be stopped.
 	spare int
+	// pending is how many instances of the pool have yet to be stopped.
+	pending int
+	// allowed is how many instances of the pool may be away at once.
+	allowed int
 }
 
+// rounds returns how many cycles the pool needs at least.
+func (t *tally) rounds() float64 { return float64(t.pending) / float64(max(t.allowed, 1)) }
+
 // tallies holds a tally for each pool that has instances.
 type tallies map[string]*tally
 
@@ -17,7 +24,7 @@
 	for _, in := range s.Instances() {
 		t, known := pools[in.Pool()]
 		if !known {
-			t = &tally{spare: -s.Floor(in.Pool())}
+			t = newTally(s, in.Pool())
 			pools[in.Pool()] = t
 		}
 		if in.Available() {
@@ -26,3 +33,14 @@
 	}
 	return pools
 }
+
+func newTally(s *cranstate.State, name string) *tally {
+	t := &tally{}
+	floor := s.Floor(name)
+	t.spare = -floor
+	if config := s.Config(); config != nil {
+		pool, _ := config.Pool(name)
+		t.allowed = pool.Instances() - floor
+	}
+	return t
+}
--- a/internal/cranplan/wave.go
+++ b/internal/cranplan/wave.go
@@ -5,7 +5,8 @@
 // NextStops returns the reboots that the waves in progress can start now,
 // within the availability budgets and at most maxParallel of a wave at once.
 // It spreads them over failure domains: the next instance is one of the
-// domain with the fewest stops in progress.
+// domain with the fewest stops in progress, and among these one of the pool
+// with the most rounds left, so that no pool is left over at the end.
 func NextStops(s *cranstate.State, maxParallel int) []cranstate.StopProposed {
 	var pools tallies
 	var list []cranstate.StopProposed
@@ -34,6 +35,7 @@
 		c := candidates[i]
 		candidates[i] = candidate{}
 		c.pool.spare--
+		c.pool.pending--
 		c.domain.stops++
 		list = append(list, cranstate.StopProposed{
 			Instance: c.in.ID(), Kind: cranstate.StopReboot, Wave: w.ID(), Base: c.in.Version(),
@@ -59,7 +61,11 @@
 	var list []candidate
 	for _, id := range w.Pending() {
 		in, ok := s.Instance(id)
-		if !ok || !in.Available() {
+		if !ok {
+			continue
+		}
+		pools[in.Pool()].pending++
+		if !in.Available() {
 			continue
 		}
 		if domains[in.Domain()] == nil {
@@ -109,4 +115,9 @@
 }
 
 // before reports whether c goes before d, which has a lower id.
-func (c candidate) before(d candidate) bool { return c.domain.stops < d.domain.stops }
+func (c candidate) before(d candidate) bool {
+	if c.domain.stops != d.domain.stops {
+		return c.domain.stops < d.domain.stops
+	}
+	return c.pool.rounds() > d.pool.rounds()
+}
--- a/internal/cranplan/wave_test.go
+++ b/internal/cranplan/wave_test.go
@@ -90,6 +90,30 @@
 	}
 }
 
+// TestNextStopsPrefersLongPools: with fewer stops at once than the budgets
+// allow, the pool with most rounds left goes first, so that no pool is left
+// over at the end.
+func TestNextStopsPrefersLongPools(t *testing.T) {
+	s := fleet(t, 3, 8, 2)
+	s.must(cranstate.WaveProposed{Pools: []string{pool(0), pool(1), pool(2)}})
+	for range 3 {
+		s.next(2)
+		s.drain()
+		s.reboot()
+		for i := range s.count() {
+			if in, _ := s.state.Instance(worker(i)); in.Phase() == cranstate.PhaseReturning {
+				s.probe(i, true)
+			}
+		}
+	}
+	left := map[string]int{}
+	for _, id := range s.state.Waves()[0].Pending() {
+		in, _ := s.state.Instance(id)
+		left[in.Pool()]++
+	}
+	require.Equal(t, map[string]int{pool(0): 6, pool(1): 6, pool(2): 6}, left)
+}
+
 // BenchmarkNextStops is a call at 7,898 instances in one wave whose budgets
 // are spent.
 func BenchmarkNextStops(b *testing.B) {
