--- a/cmd/cranmeasure/waves.go
+++ b/cmd/cranmeasure/waves.go
@@ -13,6 +13,8 @@
 // pool and with one wave over all pools.
 type wavesCommand struct {
 	Fleet          []string `default:"small,large" enum:"small,large" help:"Fleets: small (50 instances in 5 pools), large (7,900 in 359)."`
+	Waves          []string `default:"pool,one" enum:"pool,one" help:"One wave a pool, or one wave over all pools."`
+	Failure        []string `default:"none,rack" enum:"none,rack" help:"What fails in the midst: nothing, or a rack of four."`
 	MaxParallel    []int    `default:"4,1000" help:"Stops of one wave at once."`
 	MaxUnavailable int      `default:"2" help:"Budget of each pool."`
 	MaxFailures    int      `default:"2" help:"Failures that a wave bears."`
@@ -50,11 +52,14 @@
 	var list []cranwavesim.Settings
 	for _, fleet := range c.Fleet {
 		for _, parallel := range c.MaxParallel {
-			for _, run := range []struct{ oneWave, fail bool }{{false, false}, {true, false}, {false, true}, {true, true}} {
-				list = append(list, cranwavesim.Settings{
-					Instances: sizes[fleet][0], Pools: sizes[fleet][1], MaxUnavailable: c.MaxUnavailable,
-					MaxParallel: parallel, OneWave: run.oneWave, Fail: run.fail, MaxFailures: c.MaxFailures, Seed: c.Seed,
-				})
+			for _, failure := range c.Failure {
+				for _, waves := range c.Waves {
+					list = append(list, cranwavesim.Settings{
+						Instances: sizes[fleet][0], Pools: sizes[fleet][1], MaxUnavailable: c.MaxUnavailable,
+						MaxParallel: parallel, OneWave: waves == "one", Fail: failure == "rack",
+						MaxFailures: c.MaxFailures, Seed: c.Seed,
+					})
+				}
 			}
 		}
 	}
