--- a/internal/cranstate/stop_test.go
+++ b/internal/cranstate/stop_test.go
@@ -107,3 +107,15 @@
 	require.Equal(t, cranfault.StaleRevision, s.refused("op2", ConfigPublished{Base: old, Config: testConfig(t)}))
 	require.Greater(t, s.state.Revision(), old)
 }
+
+func TestWaveThatFailsAtItsLastInstanceStaysHalted(t *testing.T) {
+	s := serving(t)
+	s.must("op", WaveProposed{Pools: []string{"booking"}, MaxFailures: 0})
+	id := s.state.Waves()[0].ID()
+	for _, in := range []string{"b1", "b2", "b3"} {
+		s.must("e1-a", ProbesObserved{Probes: []Probe{{Instance: in, Boots: 1}}})
+	}
+	require.Equal(t, WaveHalted, s.state.Waves()[0].Phase())
+	s.must("op", WaveResumed{Wave: id})
+	require.Equal(t, WaveDone, s.state.Waves()[0].Phase(), "nothing is left to do")
+}
--- a/internal/cranstate/wave.go
+++ b/internal/cranstate/wave.go
@@ -248,7 +248,7 @@
 		if w.phase == WaveActive && w.failures > w.maxFailures {
 			c.haltWave(w)
 		}
-		if len(w.pending) == 0 && len(w.active) == 0 {
+		if w.phase == WaveActive && len(w.pending) == 0 && len(w.active) == 0 {
 			w.phase = WaveDone
 			c.emit(WaveChanged{Wave: w.id, Phase: w.phase})
 		}
