--- a/internal/cranwavesim/budget.go
+++ b/internal/cranwavesim/budget.go
@@ -2,7 +2,8 @@
 
 import "github.com/cranberrypick/cranberrypick/internal/cranstate"
 
-// budget checks every transition against the pools' floors. It counts from
+// budget counts every transition and compares each planned step, into cordoned
+// or stopping, with the pool's floor. It counts from
 // effects alone, not from the reducer's own count of available instances.
 type budget struct {
 	floor     map[string]int
@@ -13,7 +14,7 @@
 	planned map[string]int
 	// allowed is how many instances of a pool may be away by plan.
 	allowed int
-	// checks counts transitions checked, broken those that broke a budget.
+	// checks counts transitions, broken planned steps that broke a budget.
 	checks, broken int
 }
 
--- a/internal/cranwavesim/result.go
+++ b/internal/cranwavesim/result.go
@@ -24,7 +24,8 @@
 	MostActive int     `json:"mostActive"`
 	// SlowestCallMs is the longest call of the policy, in real time.
 	SlowestCallMs float64 `json:"slowestCallMs"`
-	// Checks counts transitions checked against the floors.
+	// Checks counts transitions; planned steps among them are compared with
+	// the floors.
 	Checks int `json:"checks"`
 	// Broken counts planned steps that left a pool below its floor.
 	Broken   int   `json:"broken"`
