A retry waits for the release or the report of the claim that holds its key

Cause: the first entry tells a truthful notRun while its release is still on the way to the log; the caller's immediate retry through another entry met the claim and ended as unknown. A retry during the run ended so as well, although the answer was about to come.

--- a/internal/cranentry/claims.go
+++ b/internal/cranentry/claims.go
@@ -6,22 +6,62 @@
 	"time"
 
 	"github.com/cranberrypick/cranberrypick/internal/cranclaim"
+	"github.com/cranberrypick/cranberrypick/internal/cranfault"
 	"github.com/cranberrypick/cranberrypick/internal/crantraffic"
 )
 
 // claimShards is the number of claim streams; all entries use the same.
 const claimShards = 1
 
+const (
+	// heldWait is how long a request waits for the release of its key.
+	heldWait = time.Second
+	// heldPoll is how often it looks.
+	heldPoll = 10 * time.Millisecond
+)
+
 // claims makes the claim keepers serve the traffic threads.
 type claims struct{ shards *cranclaim.Shards }
 
-// Claim claims a key for one run of a request.
+// Claim claims a key for one run of a request. While another claim holds the
+// key with an unknown outcome it waits a little: a caller who was told notRun
+// retries before the release has reached the log, and one who lost the answer
+// retries before the run has ended.
 func (c claims) Claim(ctx context.Context, key string, fingerprint uint64) (crantraffic.Grant, error) {
-	g, err := c.shards.Claim(ctx, cranclaim.KeyOf(key), fingerprint)
-	if err != nil {
-		return nil, claimError(err)
+	hashed := cranclaim.KeyOf(key)
+	patience, cancel := context.WithTimeout(ctx, heldWait)
+	defer cancel()
+	for {
+		g, err := c.shards.Claim(ctx, hashed, fingerprint)
+		if err == nil {
+			return grant{shards: c.shards, grant: g}, nil
+		}
+		if !c.awaitRelease(patience, hashed, err) {
+			return nil, claimError(err)
+		}
+	}
+}
+
+// awaitRelease waits until the claim that holds the key is released, and
+// reports whether it was. It returns at once if the outcome is known.
+func (c claims) awaitRelease(ctx context.Context, key cranclaim.Key, refusal error) bool {
+	var held *cranclaim.ClaimedError
+	if !errors.As(refusal, &held) || errors.Is(refusal, cranfault.Of(cranfault.Conflict)) {
+		return false
+	}
+	ticker := time.NewTicker(heldPoll)
+	defer ticker.Stop()
+	for holder, holds := held.Holder(), true; holds; holder, holds = c.shards.Lookup(key) {
+		if holder.Outcome() != cranclaim.OutcomeUnknown || holder.Uncertain() {
+			return false
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-ticker.C:
+		}
 	}
-	return grant{shards: c.shards, grant: g}, nil
+	return true
 }
 
 // heldError is a refusal that names the holder of the key.
