One place for the seed of tests, the virtual clock and the reports of measures

Ruled out: leaving the fault lists of settings and configuration (alike, but one names file and line, the other the part; they stay apart).

--- a/cmd/cranmeasure/capacity.go
+++ b/cmd/cranmeasure/capacity.go
@@ -1,15 +1,10 @@
 package main
 
-import (
-	"encoding/json"
-	"os"
-
-	"github.com/cranberrypick/cranberrypick/internal/crancapacity"
-)
+import "github.com/cranberrypick/cranberrypick/internal/crancapacity"
 
 // capacityCommand measures the slopes of the capacity page.
 type capacityCommand struct {
-	Report string `default:"text" enum:"text,json" help:"Form of the report: text or json."`
+	form
 }
 
 // Run measures and prints.
@@ -18,10 +13,5 @@
 	if err != nil {
 		return err
 	}
-	if c.Report == "json" {
-		e := json.NewEncoder(os.Stdout)
-		e.SetIndent("", "  ")
-		return e.Encode(r)
-	}
-	return r.Print(os.Stdout)
+	return write(c.form, r, crancapacity.Print)
 }
--- a/cmd/cranmeasure/slots.go
+++ b/cmd/cranmeasure/slots.go
@@ -1,13 +1,6 @@
 package main
 
-import (
-	"encoding/json"
-	"os"
-
-	"golang.org/x/sync/errgroup"
-
-	"github.com/cranberrypick/cranberrypick/internal/cranslotsim"
-)
+import "github.com/cranberrypick/cranberrypick/internal/cranslotsim"
 
 // slotsCommand runs every combination of its lists. Times are in mean service
 // times.
@@ -27,30 +20,16 @@
 	Surge    bool      `help:"Let requests arrive in surges of five times the mean."`
 	Seed     uint64    `default:"1" help:"Seed of the workload."`
 	Parallel int       `default:"3" help:"Runs at a time."`
-	Report   string    `default:"text" enum:"text,json" help:"Form of the report: text or json."`
+	form
 }
 
 // Run measures and prints.
 func (c *slotsCommand) Run() error {
-	list := c.settings()
-	results := make([]cranslotsim.Result, len(list))
-	var g errgroup.Group
-	g.SetLimit(c.Parallel)
-	for i, s := range list {
-		g.Go(func() (err error) {
-			results[i], err = cranslotsim.Run(s)
-			return err
-		})
-	}
-	if err := g.Wait(); err != nil {
+	results, err := runAll(c.settings(), c.Parallel, cranslotsim.Run)
+	if err != nil {
 		return err
 	}
-	if c.Report == "json" {
-		e := json.NewEncoder(os.Stdout)
-		e.SetIndent("", "  ")
-		return e.Encode(results)
-	}
-	return cranslotsim.Print(os.Stdout, results)
+	return write(c.form, results, cranslotsim.Print)
 }
 
 // settings returns the settings of all runs, in the order of the report.
--- a/cmd/cranmeasure/waves.go
+++ b/cmd/cranmeasure/waves.go
@@ -1,13 +1,6 @@
 package main
 
-import (
-	"encoding/json"
-	"os"
-
-	"golang.org/x/sync/errgroup"
-
-	"github.com/cranberrypick/cranberrypick/internal/cranwavesim"
-)
+import "github.com/cranberrypick/cranberrypick/internal/cranwavesim"
 
 // wavesCommand runs a round of maintenance over each fleet, with one wave a
 // pool and with one wave over all pools.
@@ -20,30 +13,16 @@
 	MaxFailures    int      `default:"2" help:"Failures that a wave bears."`
 	Seed           uint64   `default:"1" help:"Seed of drain and reboot times."`
 	Parallel       int      `default:"3" help:"Runs at a time."`
-	Report         string   `default:"text" enum:"text,json" help:"Form of the report: text or json."`
+	form
 }
 
 // Run measures and prints.
 func (c *wavesCommand) Run() error {
-	list := c.settings()
-	results := make([]cranwavesim.Result, len(list))
-	var g errgroup.Group
-	g.SetLimit(c.Parallel)
-	for i, s := range list {
-		g.Go(func() (err error) {
-			results[i], err = cranwavesim.Run(s)
-			return err
-		})
-	}
-	if err := g.Wait(); err != nil {
+	results, err := runAll(c.settings(), c.Parallel, cranwavesim.Run)
+	if err != nil {
 		return err
 	}
-	if c.Report == "json" {
-		e := json.NewEncoder(os.Stdout)
-		e.SetIndent("", "  ")
-		return e.Encode(results)
-	}
-	return cranwavesim.Print(os.Stdout, results)
+	return write(c.form, results, cranwavesim.Print)
 }
 
 // settings returns the settings of all runs, in the order of the report.
--- a/internal/crancapacity/report.go
+++ b/internal/crancapacity/report.go
@@ -56,7 +56,7 @@
 }
 
 // Print writes the report as tables.
-func (r Report) Print(out io.Writer) error {
+func Print(out io.Writer, r Report) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
 	line := func(format string, args ...any) { _, _ = fmt.Fprintf(w, format+"\t\n", args...) }
 	line("instances\tmembers\theap bytes\tsnapshot bytes\tpacked bytes\tencode ms\tpack ms\tdecode ms\tconfig bytes")
--- a/internal/cranentry/guard_test.go
+++ b/internal/cranentry/guard_test.go
@@ -1,8 +1,6 @@
 package cranentry
 
 import (
-	"flag"
-	"os"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,23 +9,11 @@
 	"pgregory.net/rapid"
 
 	"github.com/cranberrypick/cranberrypick/internal/cranfault"
+	"github.com/cranberrypick/cranberrypick/internal/cranseed"
 )
 
-// TestMain fixes the seed of the stateful tests unless the command line gives
-// one.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	given := false
-	flag.Visit(func(f *flag.Flag) { given = given || f.Name == "rapid.seed" })
-	if !given {
-		for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
-			if err := flag.Set(name, value); err != nil {
-				panic(err)
-			}
-		}
-	}
-	os.Exit(m.Run())
-}
+// TestMain fixes the seed of the stateful tests.
+func TestMain(m *testing.M) { cranseed.Run(m) }
 
 func TestGuardEndsWithTheLease(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/cranplan/helper_test.go
+++ b/internal/cranplan/helper_test.go
@@ -1,37 +1,19 @@
 package cranplan
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/cranberrypick/cranberrypick/internal/cranplatform"
+	"github.com/cranberrypick/cranberrypick/internal/cranseed"
 	"github.com/cranberrypick/cranberrypick/internal/cranstate"
 	"github.com/cranberrypick/cranberrypick/pkg/cranfleet"
 )
 
-// TestMain fixes the seed of the stateful tests unless the command line gives
-// one, so that every run gives the same verdict.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	given := false
-	flag.Visit(func(f *flag.Flag) { given = given || f.Name == "rapid.seed" })
-	if !given {
-		mustSet("rapid.seed", "1")
-		mustSet("rapid.steps", "60")
-		mustSet("rapid.nofailfile", "true")
-	}
-	os.Exit(m.Run())
-}
-
-func mustSet(name, value string) {
-	if err := flag.Set(name, value); err != nil {
-		panic(err)
-	}
-}
+// TestMain fixes the seed of the stateful tests.
+func TestMain(m *testing.M) { cranseed.Run(m, cranseed.Steps("60")) }
 
 const member = "e1-a"
 
--- a/internal/cranslotsim/brokered.go
+++ b/internal/cranslotsim/brokered.go
@@ -85,7 +85,7 @@
 		for i, name := range b.names {
 			n := b.nodes[name]
 			phase := b.settings.Interval * float64(i) / float64(len(b.names))
-			b.after(phase, func() { b.tick(n) })
+			b.At(b.Now()+phase, func() { b.tick(n) })
 		}
 	case Forward:
 		b.countOwned()
@@ -95,8 +95,8 @@
 
 // tick is what an entry does every interval.
 func (b *brokered) tick(n *node) {
-	n.broker.Tick(time.Unix(0, 0).Add(duration(b.now)))
-	b.after(b.settings.Interval, func() { b.tick(n) })
+	n.broker.Tick(time.Unix(0, 0).Add(duration(b.Now())))
+	b.At(b.Now()+b.settings.Interval, func() { b.tick(n) })
 }
 
 // flush sends the messages of an entry.
@@ -114,7 +114,7 @@
 			continue
 		}
 		to := b.nodes[o.To]
-		b.after(b.settings.Hop, func() { b.receive(to, n.name, o.Message) })
+		b.At(b.Now()+b.settings.Hop, func() { b.receive(to, n.name, o.Message) })
 	}
 }
 
@@ -134,7 +134,7 @@
 
 // drain starts queued requests while slots are free here.
 func (b *brokered) drain(n *node) {
-	avoid := func(id string) bool { return n.judge.avoids(targetIndex(id), b.now) }
+	avoid := func(id string) bool { return n.judge.avoids(targetIndex(id), b.Now()) }
 	for len(n.queue) > 0 {
 		s, ok := n.broker.TryAcquire(simGroup, avoid)
 		if !ok {
@@ -150,7 +150,7 @@
 
 func (b *brokered) done(n *node, j *job, s cranslot.Slot, ok bool) {
 	n.busy--
-	n.judge.seen(targetIndex(s.Instance()), ok, b.now)
+	n.judge.seen(targetIndex(s.Instance()), ok, b.Now())
 	if !ok {
 		n.queue = append([]*job{j}, n.queue...)
 	}
--- a/internal/cranslotsim/choices.go
+++ b/internal/cranslotsim/choices.go
@@ -34,10 +34,10 @@
 	best := c.random.IntN(c.settings.Targets)
 	for range draws {
 		other := c.random.IntN(c.settings.Targets)
-		if c.judges[entry].avoids(other, c.now) {
+		if c.judges[entry].avoids(other, c.Now()) {
 			continue
 		}
-		if c.judges[entry].avoids(best, c.now) {
+		if c.judges[entry].avoids(best, c.Now()) {
 			best = other
 			continue
 		}
@@ -59,7 +59,7 @@
 
 func (c *choices) done(j *job, target int, ok bool) {
 	c.sentTo[j.entry][target]--
-	c.judges[j.entry].seen(target, ok, c.now)
+	c.judges[j.entry].seen(target, ok, c.Now())
 	if !ok {
 		c.arrive(j)
 	}
--- a/internal/cranslotsim/fleet.go
+++ b/internal/cranslotsim/fleet.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"math/rand/v2"
+
+	"github.com/cranberrypick/cranberrypick/internal/cranvirtual"
 )
 
 const (
@@ -24,7 +26,7 @@
 
 // fleet is what all schemes share: the clock, the targets and the counts.
 type fleet struct {
-	engine
+	cranvirtual.Engine[float64]
 	settings Settings
 	random   *rand.Rand
 	// inProgress counts the requests in progress on each target.
@@ -53,7 +55,7 @@
 	if ok {
 		f.started(j)
 	}
-	f.after(length, func() {
+	f.At(f.Now()+length, func() {
 		f.inProgress[target]--
 		done(ok)
 	})
@@ -63,7 +65,7 @@
 func (f *fleet) started(j *job) {
 	f.result.Started++
 	if j.arrival >= f.settings.Duration*warmUp {
-		f.result.waits = append(f.result.waits, f.now-j.arrival)
+		f.result.waits = append(f.result.waits, f.Now()-j.arrival)
 	}
 }
 
--- a/internal/cranslotsim/pooled.go
+++ b/internal/cranslotsim/pooled.go
@@ -30,7 +30,7 @@
 }
 
 func (p *pooled) done(j *job, target int, ok bool) {
-	p.judge.seen(target, ok, p.now)
+	p.judge.seen(target, ok, p.Now())
 	if !ok {
 		p.queue = append([]*job{j}, p.queue...)
 	}
@@ -42,7 +42,7 @@
 func (p *pooled) pick() int {
 	best := -1
 	for i, n := range p.inProgress {
-		if n >= p.settings.Slots || p.judge.avoids(i, p.now) {
+		if n >= p.settings.Slots || p.judge.avoids(i, p.Now()) {
 			continue
 		}
 		if best < 0 || n < p.inProgress[best] {
--- a/internal/cranstandin/main_test.go
+++ b/internal/cranstandin/main_test.go
@@ -1,25 +1,17 @@
 package cranstandin
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"testing/synctest"
 
 	"pgregory.net/rapid"
+
+	"github.com/cranberrypick/cranberrypick/internal/cranseed"
 )
 
-// TestMain fixes the seed of the stateful tests, unless one is given.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	given := false
-	flag.Visit(func(f *flag.Flag) { given = given || f.Name == "rapid.seed" })
-	if !given {
-		_ = flag.Set("rapid.seed", "1")
-	}
-	os.Exit(m.Run())
-}
+// TestMain fixes the seed of the stateful tests.
+func TestMain(m *testing.M) { cranseed.Run(m) }
 
 // checkInBubble checks a property under a virtual clock, in a bubble of its
 // own for each run.
--- a/internal/cranslotsim/engine_test.go
+++ b/internal/cranvirtual/engine_test.go
@@ -1,4 +1,4 @@
-package cranslotsim
+package cranvirtual
 
 import (
 	"testing"
@@ -7,15 +7,15 @@
 )
 
 func TestEventsRunInOrderOfTimeThenPlan(t *testing.T) {
-	var e engine
+	var e Engine[float64]
 	var ran []int
 	for i, delay := range []float64{0.2, 0.1, 0.2, 0.1} {
-		e.after(delay, func() { ran = append(ran, i) })
+		e.At(e.Now()+delay, func() { ran = append(ran, i) })
 	}
-	for e.next(0.2) {
+	for e.NextUntil(0.2) {
 		continue
 	}
 	require.Equal(t, []int{1, 3, 0, 2}, ran)
-	e.after(0.1, func() {})
-	require.False(t, e.next(0.25))
+	e.At(e.Now()+0.1, func() {})
+	require.False(t, e.NextUntil(0.25))
 }
--- a/internal/cranwavesim/failure.go
+++ b/internal/cranwavesim/failure.go
@@ -10,13 +10,13 @@
 func (w *world) fail() {
 	rack := w.servingRack()
 	if rack == nil {
-		w.at(w.nowMs+roundMs, w.fail)
+		w.At(w.Now()+roundMs, w.fail)
 		return
 	}
-	w.result.FailedMs = w.nowMs - w.result.startMs
+	w.result.FailedMs = w.Now() - w.result.startMs
 	for i, id := range rack {
-		w.at(w.nowMs+int64(i)*failGapMs, func() { w.probe(id, false) })
-		w.at(w.nowMs+repairMs, func() { w.probe(id, true) })
+		w.At(w.Now()+int64(i)*failGapMs, func() { w.probe(id, false) })
+		w.At(w.Now()+repairMs, func() { w.probe(id, true) })
 	}
 }
 
@@ -63,11 +63,11 @@
 
 func (w *world) halted(id uint64) {
 	w.result.Halts++
-	w.result.HaltedMs = w.nowMs - w.result.startMs
+	w.result.HaltedMs = w.Now() - w.result.startMs
 	for _, wave := range w.journal.state.Waves() {
 		if wave.ID() == id {
 			w.result.ActiveAtHalt = len(wave.Active())
 		}
 	}
-	w.at(w.nowMs+resumeMs, func() { w.send(operator, cranstate.WaveResumed{Wave: id}) })
+	w.At(w.Now()+resumeMs, func() { w.send(operator, cranstate.WaveResumed{Wave: id}) })
 }
--- a/internal/cranwavesim/run.go
+++ b/internal/cranwavesim/run.go
@@ -15,29 +15,28 @@
 		return Result{}, err
 	}
 	w := newWorld(s)
-	w.nowMs = startMs
 	if err := w.build(); err != nil {
 		return Result{}, err
 	}
 	bound, by := s.boundMs()
 	w.result.Settings, w.result.BoundMs, w.result.BoundBy = s, int64(bound), by
-	w.result.startMs = w.nowMs
+	w.result.startMs = w.Now()
 	w.open = 1
 	if !s.OneWave {
 		w.open = s.Pools
 	}
 	w.propose()
 	for m := range memberCount {
-		w.at(w.nowMs+int64(m)*beatMs/memberCount, func() { w.beat(m) })
+		w.At(w.Now()+int64(m)*beatMs/memberCount, func() { w.beat(m) })
 	}
 	if s.Fail {
-		w.at(w.nowMs+int64(bound/2), w.fail)
+		w.At(w.Now()+int64(bound/2), w.fail)
 	}
-	return w.finish(w.nowMs + int64(maxBounds*bound) + 3_600_000)
+	return w.finish(w.Now() + int64(maxBounds*bound) + 3_600_000)
 }
 
 func (w *world) finish(endMs int64) (Result, error) {
-	for w.open > 0 && w.journal.err == nil && w.nowMs < endMs && w.next() {
+	for w.open > 0 && w.journal.err == nil && w.Now() < endMs && w.Next() {
 	}
 	if w.journal.err != nil {
 		return w.result, w.journal.err
@@ -47,7 +46,7 @@
 			"%d waves did not end within %d s", w.open, (endMs-startMs)/1000)
 	}
 	r := w.result
-	r.MakespanMs = w.nowMs - r.startMs
+	r.MakespanMs = w.Now() - r.startMs
 	r.Ratio = float64(r.MakespanMs) / float64(r.BoundMs)
 	r.DrawnRatio = float64(r.MakespanMs) / w.drawnBoundMs()
 	r.Refused = w.journal.refused
--- a/internal/cranwavesim/world.go
+++ b/internal/cranwavesim/world.go
@@ -7,12 +7,13 @@
 
 	"github.com/cranberrypick/cranberrypick/internal/cranplan"
 	"github.com/cranberrypick/cranberrypick/internal/cranstate"
+	"github.com/cranberrypick/cranberrypick/internal/cranvirtual"
 )
 
 // world is the virtual time, the platform and the members around the real
 // state.
 type world struct {
-	engine
+	cranvirtual.Engine[int64]
 	settings Settings
 	journal  *journal
 	budget   *budget
@@ -43,6 +44,7 @@
 
 func newWorld(s Settings) *world {
 	return &world{
+		Engine:   cranvirtual.NewEngine[int64](startMs),
 		settings: s, journal: newJournal(), budget: newBudget(s.MaxUnavailable),
 		random: rand.New(rand.NewPCG(s.Seed, s.Seed)), index: map[string]int{},
 		drainedMs: map[uint64]int64{}, drainMs: map[uint64]int64{}, drawnMs: map[string]int64{},
@@ -52,7 +54,7 @@
 
 // send applies one event and takes in its effects.
 func (w *world) send(writer string, e cranstate.Event) {
-	for _, effect := range w.journal.apply(w.nowMs, writer, e) {
+	for _, effect := range w.journal.apply(w.Now(), writer, e) {
 		switch effect := effect.(type) {
 		case cranstate.InstanceChanged:
 			w.budget.note(effect)
@@ -73,7 +75,7 @@
 	in, _ := w.journal.state.Instance(e.Instance)
 	if stop, ok := in.Stop(); ok {
 		drain := int64(w.random.ExpFloat64() * meanDrainMs)
-		w.drainedMs[stop.ID()] = w.nowMs + drain
+		w.drainedMs[stop.ID()] = w.Now() + drain
 		w.drainMs[stop.ID()] = drain
 	}
 }
@@ -82,13 +84,13 @@
 func (w *world) beat(m int) {
 	hb := cranstate.Heartbeat{Revision: w.journal.state.Revision()}
 	for id, at := range w.drainedMs {
-		if at <= w.nowMs {
+		if at <= w.Now() {
 			hb.Drained = append(hb.Drained, id)
 		}
 	}
 	slices.Sort(hb.Drained)
 	w.send(memberID(m), hb)
-	w.at(w.nowMs+beatMs, func() { w.beat(m) })
+	w.At(w.Now()+beatMs, func() { w.beat(m) })
 }
 
 // wake plans the performer's next round.
@@ -97,7 +99,7 @@
 		return
 	}
 	w.waking = true
-	w.at((w.nowMs/roundMs+1)*roundMs, w.round)
+	w.At((w.Now()/roundMs+1)*roundMs, w.round)
 }
 
 // round does what the performer does: it reads the state once, then reports
@@ -153,14 +155,14 @@
 		boots := in.Boots() + 1
 		took := minRebootMs + w.random.Int64N(maxRebootMs-minRebootMs)
 		w.drawnMs[in.Pool()] += w.drainMs[stop.ID()] + took + listLagMs
-		w.at(w.nowMs+took, func() { w.rebooted(a.ID, a.Instance, boots) })
+		w.At(w.Now()+took, func() { w.rebooted(a.ID, a.Instance, boots) })
 	}
 }
 
 func (w *world) rebooted(action, id string, boots int) {
 	w.result.Reboots++
 	w.send(memberID(0), cranstate.ActionsObserved{Done: []string{action}})
-	w.at(w.nowMs+listLagMs, func() {
+	w.At(w.Now()+listLagMs, func() {
 		w.listed = append(w.listed, w.settings.observation(w.index[id], boots))
 		w.wake()
 	})
--- a/pkg/cranfleet/fleet_test.go
+++ b/pkg/cranfleet/fleet_test.go
@@ -1,7 +1,6 @@
 package cranfleet
 
 import (
-	"flag"
 	"fmt"
 	"math"
 	"os"
@@ -16,18 +15,11 @@
 	"pgregory.net/rapid"
 
 	"github.com/cranberrypick/cranberrypick/internal/cranfault"
+	"github.com/cranberrypick/cranberrypick/internal/cranseed"
 )
 
-// TestMain fixes the seed, unless the command line gives one.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	given := false
-	flag.Visit(func(f *flag.Flag) { given = given || f.Name == "rapid.seed" })
-	if !given {
-		_ = flag.Set("rapid.seed", "1")
-	}
-	os.Exit(m.Run())
-}
+// TestMain fixes the seed of the stateful tests.
+func TestMain(m *testing.M) { cranseed.Run(m) }
 
 func golden(t *testing.T) *goldie.Goldie {
 	return goldie.New(t, goldie.WithNameSuffix(".golden"))
