Remember writers through an outage of the log

Cause: a writer that is no member was forgotten after an hour of the platform's time. An outage of hours counts in that time, so a repeat that it held back was applied a second time: a second reboot, say.

--- a/internal/cranstate/apply.go
+++ b/internal/cranstate/apply.go
@@ -4,7 +4,8 @@
 	"github.com/cranberrypick/cranberrypick/internal/cranfault"
 )
 
-// markKeptMs is how long a writer that is not a member is remembered.
+// markKeptMs is how long a writer that is not a member is remembered, outages
+// of the log not counted.
 const markKeptMs = int64(60 * 60 * 1000)
 
 // Input is one record of the log as the reducer sees it.
--- a/internal/cranstate/member.go
+++ b/internal/cranstate/member.go
@@ -71,7 +71,8 @@
 }
 
 // advance moves the clock. While the log was down nobody could renew a
-// lease, so an outage puts off every expiry by its length.
+// lease, so an outage puts off every expiry by its length; and a repeat may
+// have been held back for as long, so no writer is forgotten in it.
 func (c *change) advance(timeMs int64) {
 	if timeMs <= c.nowMs {
 		return
@@ -88,6 +89,10 @@
 		l.expiryMs += gap
 		c.leases[shard] = l
 	}
+	for writer, m := range c.marks {
+		m.seenMs += gap
+		c.marks[writer] = m
+	}
 }
 
 func (c *change) join(e MemberJoined) *cranfault.Fault {
--- a/internal/cranstate/stop_test.go
+++ b/internal/cranstate/stop_test.go
@@ -119,3 +119,19 @@
 	s.must("op", WaveResumed{Wave: id})
 	require.Equal(t, WaveDone, s.state.Waves()[0].Phase(), "nothing is left to do")
 }
+
+// TestRepeatHeldBackByAnOutage delivers a record a second time after an outage
+// of hours, behind enough other records for forgetting to begin.
+func TestRepeatHeldBackByAnOutage(t *testing.T) {
+	s := serving(t)
+	s.must("op", StopProposed{Instance: "r1", Kind: StopReboot})
+	repeated := s.inputs[len(s.inputs)-1]
+	s.must("op2", StopCancelled{Instance: "r1"})
+	s.nowMs += 3 * markKeptMs
+	for range 2 * 64 {
+		s.beat("e1-a")
+	}
+	repeated.Offset, repeated.TimeMs = s.state.Next(), s.nowMs
+	s.apply(repeated)
+	require.Equal(t, PhaseServing, s.phase("r1"))
+}
