--- a/internal/cranstate/apply.go
+++ b/internal/cranstate/apply.go
@@ -64,7 +64,7 @@
 		c.skip(err.Error())
 		return
 	}
-	if fault := c.reduce(e); fault != nil {
+	if fault := rules[e.kind()].reduce(c, e); fault != nil {
 		c.emit(Refused{Writer: c.in.Writer, Seq: c.in.Seq, Offset: c.in.Offset, Fault: fault})
 		return
 	}
@@ -76,41 +76,6 @@
 	c.emit(MalformedSkipped{Offset: c.in.Offset, Reason: reason})
 }
 
-func (c *change) reduce(e Event) *cranfault.Fault {
-	switch e := e.(type) {
-	case ConfigPublished:
-		return c.publish(e)
-	case MemberJoined:
-		return c.join(e)
-	case Heartbeat:
-		return c.heartbeat(e)
-	case MemberLeft:
-		return c.leave()
-	case LeaseRequested:
-		return c.requestLease(e)
-	case LeaseReturned:
-		return c.returnLease(e)
-	case InstancesObserved:
-		return c.observe(e)
-	case ProbesObserved:
-		return c.probe(e)
-	case ActionsObserved:
-		return c.observeActions(e)
-	case StopProposed:
-		return c.proposeStop(e)
-	case StopCancelled:
-		return c.cancelStop(e)
-	case WaveProposed:
-		return c.proposeWave(e)
-	case WaveResumed:
-		return c.resumeWave(e)
-	case WaveCancelled:
-		return c.cancelWave(e)
-	default:
-		return cranfault.New(cranfault.Malformed, "update this program", "event %T has no rule", e)
-	}
-}
-
 // settle does what follows from the record and from the time that passed.
 func (c *change) settle() {
 	c.writeOffMembers()
--- a/internal/cranstate/codec.go
+++ b/internal/cranstate/codec.go
@@ -19,9 +19,16 @@
 	encMode = mustEncMode()
 	decMode = mustDecMode()
 
-	decoders = map[string]func([]byte) (Event, error){}
+	// rules is keyed by the kind of event.
+	rules = map[string]rule{}
 )
 
+// rule is how one kind of event is read and applied.
+type rule struct {
+	decode func(body []byte) (Event, error)
+	reduce func(c *change, e Event) *cranfault.Fault
+}
+
 func mustEncMode() cbor.EncMode {
 	m, err := cbor.CoreDetEncOptions().EncMode()
 	if err != nil {
@@ -45,28 +52,32 @@
 }
 
 func init() {
-	register[ConfigPublished]()
-	register[MemberJoined]()
-	register[Heartbeat]()
-	register[MemberLeft]()
-	register[LeaseRequested]()
-	register[LeaseReturned]()
-	register[InstancesObserved]()
-	register[ProbesObserved]()
-	register[ActionsObserved]()
-	register[StopProposed]()
-	register[StopCancelled]()
-	register[WaveProposed]()
-	register[WaveResumed]()
-	register[WaveCancelled]()
+	register((*change).publish)
+	register((*change).join)
+	register((*change).heartbeat)
+	register((*change).leave)
+	register((*change).requestLease)
+	register((*change).returnLease)
+	register((*change).observe)
+	register((*change).probe)
+	register((*change).observeActions)
+	register((*change).proposeStop)
+	register((*change).cancelStop)
+	register((*change).proposeWave)
+	register((*change).resumeWave)
+	register((*change).cancelWave)
 }
 
-func register[T Event]() {
+// register adds the rule of one kind of event.
+func register[T Event](reduce func(*change, T) *cranfault.Fault) {
 	var zero T
-	decoders[zero.kind()] = func(data []byte) (Event, error) {
-		var e T
-		err := decMode.Unmarshal(data, &e)
-		return e, err
+	rules[zero.kind()] = rule{
+		decode: func(body []byte) (Event, error) {
+			var e T
+			err := decMode.Unmarshal(body, &e)
+			return e, err
+		},
+		reduce: func(c *change, e Event) *cranfault.Fault { return reduce(c, e.(T)) },
 	}
 }
 
@@ -89,11 +100,11 @@
 	if err := decMode.Unmarshal(data, &w); err != nil {
 		return nil, malformed("%v", err)
 	}
-	decode, ok := decoders[w.Kind]
+	r, ok := rules[w.Kind]
 	if !ok {
 		return nil, malformed("unknown kind %q", w.Kind)
 	}
-	e, err := decode(w.Body)
+	e, err := r.decode(w.Body)
 	if err != nil {
 		return nil, malformed("%s: %v", w.Kind, err)
 	}
--- a/internal/cranstate/member.go
+++ b/internal/cranstate/member.go
@@ -151,7 +151,7 @@
 	return nil
 }
 
-func (c *change) leave() *cranfault.Fault {
+func (c *change) leave(MemberLeft) *cranfault.Fault {
 	if _, fault := c.self(); fault != nil {
 		return fault
 	}
