--- a/internal/cranentry/entry.go
+++ b/internal/cranentry/entry.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"net/netip"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -15,7 +14,6 @@
 
 	"github.com/cranberrypick/cranberrypick/internal/cranclaim"
 	"github.com/cranberrypick/cranberrypick/internal/cranevent"
-	"github.com/cranberrypick/cranberrypick/internal/cranfault"
 	"github.com/cranberrypick/cranberrypick/internal/cranlog"
 	"github.com/cranberrypick/cranberrypick/internal/cranmetric"
 	"github.com/cranberrypick/cranberrypick/internal/cranpeer"
@@ -111,16 +109,7 @@
 	e.claims = shards
 	e.writer = cranlog.NewWriter(relay, p.stream, e.incarnation, cranlog.WithBatchWindow(p.batchWindow))
 	e.contact = newContact(p.lease)
-	var notify func(group string)
-	e.broker = cranslot.NewBroker(e.incarnation, cranslot.WithSeed(randomSeed()),
-		cranslot.WithInterval(slotTick),
-		cranslot.WithOutgoing(e.wakeSlots),
-		cranslot.WithNotify(func(group string) { notify(group) }))
-	counters := cranmetric.NewTrafficCounters[crantraffic.RetryReason, crantraffic.Verdict](p.metrics)
-	frontOptions := append(slices.Clone(p.frontOptions), crantraffic.WithCounters(counters), crantraffic.WithPeerAnswers(e))
-	e.front = crantraffic.NewFront[cranslot.Slot](e.broker, claims{shards}, frontOptions...)
-	e.handler = p.metrics.Timed(crantraffic.ServicePrefix, e.front.Handler())
-	notify = e.front.SlotFreed
+	e.carryTraffic()
 	e.performer = newPerformer(e, fleet)
 	e.control.onEffects = e.onEffects
 	e.control.onBatch = e.onBatch
@@ -131,6 +120,21 @@
 	return e, nil
 }
 
+// carryTraffic makes the broker and the front, which need each other.
+func (e *Entry) carryTraffic() {
+	var notify func(group string)
+	e.broker = cranslot.NewBroker(e.incarnation, cranslot.WithSeed(randomSeed()),
+		cranslot.WithInterval(slotTick),
+		cranslot.WithOutgoing(e.wakeSlots),
+		cranslot.WithNotify(func(group string) { notify(group) }))
+	counters := cranmetric.NewTrafficCounters[crantraffic.RetryReason, crantraffic.Verdict](e.metrics)
+	options := append(slices.Clone(e.frontOptions), crantraffic.WithCounters(counters), crantraffic.WithPeerAnswers(e))
+	e.front = crantraffic.NewFront[cranslot.Slot](e.broker, claims{e.claims}, options...)
+	e.handler = e.metrics.Timed(crantraffic.ServicePrefix, e.front.Handler())
+	notify = e.front.SlotFreed
+}
+
+// start starts the entry's goroutines.
 func (e *Entry) start(ctx context.Context, peerListener net.Listener) {
 	e.report.emit(cranevent.EntryStarting, cranevent.Member(e.incarnation), cranevent.DataCentre(e.dataCentre))
 	e.publish(e.control.state)
@@ -225,57 +229,6 @@
 	_, _ = e.Propose(ctx, cranstate.MemberLeft{})
 }
 
-// wakeSlots tells slotLoop that there are messages to send.
-func (e *Entry) wakeSlots() {
-	select {
-	case e.slotsOut <- struct{}{}:
-	default:
-	}
-}
-
-// slotLoop passes the broker's messages on as they arise.
-func (e *Entry) slotLoop(ctx context.Context) {
-	timer := time.NewTimer(slotTick)
-	defer timer.Stop()
-	busy := time.Now()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-timer.C:
-			e.broker.Tick(now)
-			timer.Reset(slotPause(now.Sub(busy)))
-		case <-e.slotsOut:
-			busy = time.Now()
-			timer.Reset(slotTick)
-		}
-		for _, o := range e.broker.TakeOutgoing() {
-			e.sendSlots(ctx, o)
-		}
-	}
-}
-
-// slotPause returns when the broker looks at its timers next.
-func slotPause(quiet time.Duration) time.Duration {
-	if quiet > slotRest {
-		return idleSlotTick
-	}
-	return slotTick
-}
-
-// sendSlots sends one message in the background; it may be lost.
-func (e *Entry) sendSlots(ctx context.Context, o cranslot.Outgoing) {
-	p, ok := e.peer(o.To)
-	if !ok {
-		return
-	}
-	e.spawn(func() {
-		bounded, cancel := context.WithTimeout(ctx, e.heartbeat)
-		defer cancel()
-		_ = e.client.Slots(bounded, p, o.Message)
-	})
-}
-
 func (e *Entry) peer(member string) (cranpeer.Peer, bool) {
 	for _, p := range e.Peers() {
 		if p.Member == member {
@@ -308,66 +261,3 @@
 	defer e.peersMu.Unlock()
 	e.peers = peers
 }
-
-// local is the entry as its peers see it.
-type local Entry
-
-// Admit lets members in from the address that they joined with, and those
-// that the settings name.
-func (l *local) Admit(member string, from netip.Addr) error {
-	e := (*Entry)(l)
-	if p, ok := e.peer(member); ok {
-		if a, err := netip.ParseAddrPort(p.Address); err == nil && a.Addr() == from {
-			return nil
-		}
-	}
-	for _, p := range e.seeds {
-		if a, err := netip.ParseAddrPort(p.Address); err == nil && a.Addr() == from {
-			return nil
-		}
-	}
-	return cranfault.New(cranfault.Stranger, "join through the log first, with the address that is called from",
-		"%q at %s is no member here", member, from)
-}
-
-// Status says how far the entry is.
-func (l *local) Status() cranpeer.Status {
-	e := (*Entry)(l)
-	t := e.tailer.Load()
-	if t == nil {
-		return cranpeer.Status{}
-	}
-	return e.contact.status(t)
-}
-
-// Records returns recent records.
-func (l *local) Records(from uint64) ([]cranplatform.Record, bool) {
-	t := (*Entry)(l).tailer.Load()
-	if t == nil {
-		return nil, false
-	}
-	return t.Since(from)
-}
-
-// Append appends to the log on behalf of a peer, directly.
-func (l *local) Append(ctx context.Context, stream string, payloads [][]byte) (uint64, error) {
-	return (*Entry)(l).log.Append(ctx, stream, payloads)
-}
-
-// Snapshot returns the control state.
-func (l *local) Snapshot(ctx context.Context) (cranpeer.Snapshot, error) {
-	snap, err := (*Entry)(l).snapshot(ctx)
-	return cranpeer.Snapshot{Next: snap.Offset(), State: snap.State(), Digest: snap.Digest()}, err
-}
-
-// Slots takes a message about slots.
-func (l *local) Slots(from string, m cranslot.Message) { (*Entry)(l).broker.Handle(from, m) }
-
-// Answer returns an answer kept here.
-func (l *local) Answer(key string) cranpeer.Answer {
-	a, ok := (*Entry)(l).front.Answer(key)
-	if !ok {
-		return cranpeer.Answer{}
-	}
-	return cranpeer.Answer{Found: true, Status: a.Status(), Header: a.Header(), Body: a.Body()}
-}
--- a/internal/cranentry/performer.go
+++ b/internal/cranentry/performer.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/cranberrypick/cranberrypick/internal/cranplan"
@@ -159,129 +158,6 @@
 	_ = p.e.control.do(ctx, func(*cranstate.State) { p.e.submit(event) })
 }
 
-// observe reports the lines of the platform's list that differ from the
-// state.
-func (p *performer) observe(ctx context.Context, w work) {
-	bounded, cancel := context.WithTimeout(ctx, p.e.lease/4)
-	defer cancel()
-	list, err := p.fleet.Instances(bounded)
-	if err != nil {
-		return
-	}
-	var changed []cranstate.Observation
-	seen := map[string]bool{}
-	for _, line := range list {
-		seen[line.ID] = true
-		p.listed[line.ID] = p.listed[line.ID] || line.Role == roleEntry
-		if o, differs := p.compare(w, line); differs {
-			changed = append(changed, o)
-		}
-	}
-	changed = append(changed, p.missing(w, seen)...)
-	for len(changed) > 0 && p.holds(ctx) {
-		n := min(len(changed), maxObserved)
-		p.submit(ctx, cranstate.InstancesObserved{Instances: changed[:n]})
-		changed = changed[n:]
-	}
-}
-
-// compare turns a line into an observation and reports whether it is news.
-func (p *performer) compare(w work, line cranplatform.Instance) (cranstate.Observation, bool) {
-	o := cranstate.Observation{
-		ID: line.ID, Address: line.Address, Domain: line.Domain, DataCentre: line.DataCentre, Pool: line.Pool,
-		Phase: line.Phase, Boots: line.Boots, Slots: line.Slots, Connections: line.Connections,
-		Entry: line.Role == roleEntry,
-	}
-	if o.Entry {
-		present, known := w.entries[o.ID]
-		return o, known && present == (o.Phase == cranplatform.PhaseGone)
-	}
-	t, known := w.targets[o.ID]
-	if !known {
-		return o, o.Phase != cranplatform.PhaseGone
-	}
-	leaving := o.Phase == cranplatform.PhaseLeaving && t.phase != cranstate.PhaseStopping
-	return o, o.Phase == cranplatform.PhaseGone || o.Boots > t.boots || o.Address != t.address ||
-		o.Pool != t.hint || o.Slots != t.slots || o.Connections != t.connections ||
-		leaving != (t.phase == cranstate.PhaseLeaving)
-}
-
-// missing reports instances that the list no longer has. An entry instance
-// that it never had was not taken away.
-func (p *performer) missing(w work, seen map[string]bool) []cranstate.Observation {
-	var list []cranstate.Observation
-	for id := range w.targets {
-		if !seen[id] {
-			list = append(list, cranstate.Observation{ID: id, Phase: cranplatform.PhaseGone})
-		}
-	}
-	for id, present := range w.entries {
-		if !seen[id] && present && p.listed[id] {
-			list = append(list, cranstate.Observation{ID: id, Phase: cranplatform.PhaseGone, Entry: true})
-		}
-	}
-	return list
-}
-
-// probe asks instances for their health and reports what changed.
-func (p *performer) probe(ctx context.Context, w work) {
-	var mu sync.Mutex
-	var probes []cranstate.Probe
-	var running sync.WaitGroup
-	limit := make(chan struct{}, maxProbes)
-	for _, t := range w.targets {
-		if !p.probeDue(t) {
-			continue
-		}
-		p.probed[t.id] = time.Now()
-		limit <- struct{}{}
-		running.Go(func() {
-			defer func() { <-limit }()
-			healthy := p.healthy(ctx, t)
-			mu.Lock()
-			defer mu.Unlock()
-			if p.changed(t, healthy) {
-				probes = append(probes, cranstate.Probe{Instance: t.id, Boots: t.boots, Healthy: healthy})
-			}
-		})
-	}
-	running.Wait()
-	if len(probes) > 0 && p.holds(ctx) {
-		p.submit(ctx, cranstate.ProbesObserved{Probes: probes})
-	}
-}
-
-func (p *performer) probeDue(t target) bool {
-	if t.phase == cranstate.PhaseReturning {
-		return true
-	}
-	return t.phase == cranstate.PhaseServing && time.Since(p.probed[t.id]) >= probeInterval
-}
-
-// changed decides whether a probe is news: one success brings an instance
-// back, several failures in a row take it out.
-func (p *performer) changed(t target, healthy bool) bool {
-	if healthy {
-		p.failed[t.id] = 0
-		return !t.healthy || t.phase == cranstate.PhaseReturning
-	}
-	p.failed[t.id]++
-	return t.healthy && p.failed[t.id] >= probeFailures
-}
-
-func (p *performer) healthy(ctx context.Context, t target) bool {
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+t.address+"/health", nil)
-	if err != nil {
-		return false
-	}
-	resp, err := p.client.Do(r)
-	if err != nil {
-		return false
-	}
-	defer func() { _ = resp.Body.Close() }()
-	return resp.StatusCode == http.StatusOK
-}
-
 // act asks the platform for the pending actions and reports those done.
 func (p *performer) act(ctx context.Context, w work) {
 	var done []string
