Never put the broker's timers off, and wake them when requests wait

Cause (found on reading): each message to send set the slot loop's timer anew, so under steady load the broker never looked at its timers; and while the loop rested, a request that began to wait was noticed up to 200 ms later. Ruled out: a fixed ticker (it cost half of the idle processor time).

--- a/internal/cranentry/entry.go
+++ b/internal/cranentry/entry.go
@@ -129,7 +129,7 @@
 		cranslot.WithNotify(func(group string) { notify(group) }))
 	counters := cranmetric.NewTrafficCounters[crantraffic.RetryReason, crantraffic.Verdict](e.metrics)
 	options := append(slices.Clone(e.frontOptions), crantraffic.WithCounters(counters), crantraffic.WithPeerAnswers(e))
-	e.front = crantraffic.NewFront[cranslot.Slot](e.broker, claims{e.claims}, options...)
+	e.front = crantraffic.NewFront[cranslot.Slot](wakingSlots{e.broker, e.wakeSlots}, claims{e.claims}, options...)
 	e.handler = e.metrics.Timed(crantraffic.ServicePrefix, e.front.Handler())
 	notify = e.front.SlotFreed
 }
