Entries without a name do not take each other's place

Cause (found on reading): the settings allow an entry without an id, and a join marked every earlier member with the same platform id as gone, the empty one included. A live entry so marked could be written off by a minority once its lease had lapsed. Its incarnation also began with a hyphen. Before/after: TestEntriesWithoutANameAreNotTheSame fails without the mend.

--- a/internal/cranentry/options.go
+++ b/internal/cranentry/options.go
@@ -62,7 +62,12 @@
 // WithIdentity names the entry instance as the platform does, and its data
 // centre.
 func WithIdentity(instance, dataCentre string) Option {
-	return func(p *parts) { p.id, p.instance, p.dataCentre = instance, instance, dataCentre }
+	return func(p *parts) {
+		p.instance, p.dataCentre = instance, dataCentre
+		if instance != "" {
+			p.id = instance
+		}
+	}
 }
 
 // WithStream names the control stream of the log.
--- a/internal/cranstate/member.go
+++ b/internal/cranstate/member.go
@@ -119,8 +119,11 @@
 }
 
 // supersede marks earlier incarnations on the same entry instance as gone: an
-// instance runs one process.
+// instance runs one process. Entries without a name are not the same.
 func (c *change) supersede(instance string) {
+	if instance == "" {
+		return
+	}
 	for _, m := range c.members {
 		if m.instance == instance {
 			m.gone = true
--- a/internal/cranstate/stop_test.go
+++ b/internal/cranstate/stop_test.go
@@ -135,3 +135,12 @@
 	s.apply(repeated)
 	require.Equal(t, PhaseServing, s.phase("r1"))
 }
+
+func TestEntriesWithoutANameAreNotTheSame(t *testing.T) {
+	s := newScript(t)
+	s.must("entry-1", MemberJoined{Address: "127.0.0.1:71", LeaseMs: 4000})
+	s.must("entry-2", MemberJoined{Address: "127.0.0.1:72", LeaseMs: 4000})
+	for _, m := range s.state.Members() {
+		require.False(t, m.Gone(), m.Incarnation())
+	}
+}
