Count available instances once, not pool by pool

Cause (found on reading): the gauges, once a second on the control thread, and every status counted each pool by a walk over the whole fleet. The performer no longer keeps a mark for each target it sees listed.

--- a/internal/cranadmin/status.go
+++ b/internal/cranadmin/status.go
@@ -109,6 +109,7 @@
 		return
 	}
 	st.Config = string(config.Encode())
+	available := s.AvailableByPool()
 	counts := map[string]int{}
 	for _, in := range s.Instances() {
 		counts[in.Pool()]++
@@ -116,7 +117,7 @@
 	for _, p := range config.Pools() {
 		st.Pools = append(st.Pools, PoolStatus{
 			Name: p.Name(), Wanted: p.Instances(), Instances: counts[p.Name()],
-			Available: s.Available(p.Name()), Floor: s.Floor(p.Name()),
+			Available: available[p.Name()], Floor: s.Floor(p.Name()),
 		})
 	}
 }
--- a/internal/cranentry/observe.go
+++ b/internal/cranentry/observe.go
@@ -20,7 +20,9 @@
 	seen := map[string]bool{}
 	for _, line := range list {
 		seen[line.ID] = true
-		p.listed[line.ID] = p.listed[line.ID] || line.Role == roleEntry
+		if line.Role == roleEntry {
+			p.listed[line.ID] = true
+		}
 		if o, differs := p.compare(w, line); differs {
 			changed = append(changed, o)
 		}
--- a/internal/cranentry/performer.go
+++ b/internal/cranentry/performer.go
@@ -198,7 +198,7 @@
 	}
 }
 
-// stop proposes the next stops of waves.
+// stop proposes the next stops of waves and the moves that refill pools.
 func (p *performer) stop(ctx context.Context, w work) {
 	for id, at := range p.proposed {
 		if time.Since(at) > p.e.heartbeat {
--- a/internal/cranentry/report.go
+++ b/internal/cranentry/report.go
@@ -263,8 +263,9 @@
 	}
 	idle := 0
 	if config := s.Config(); config != nil {
+		available := s.AvailableByPool()
 		for _, p := range config.Pools() {
-			idle += max(s.Available(p.Name())-p.Instances(), 0)
+			idle += max(available[p.Name()]-p.Instances(), 0)
 		}
 	}
 	now := time.Now()
--- a/internal/cranstate/stop.go
+++ b/internal/cranstate/stop.go
@@ -97,6 +97,18 @@
 	return n
 }
 
+// AvailableByPool returns how many instances of each pool are available, in
+// one pass: counting pool by pool walks the whole fleet for each.
+func (s *State) AvailableByPool() map[string]int {
+	counts := map[string]int{}
+	for _, in := range s.instances {
+		if in.available() {
+			counts[in.pool]++
+		}
+	}
+	return counts
+}
+
 // Floor returns how many instances of a pool must stay available, by the
 // strictest service on it.
 func (s *State) Floor(pool string) int {
