--- a/internal/crancli/cli.go
+++ b/internal/crancli/cli.go
@@ -31,6 +31,7 @@
 // commands is the command line.
 type commands struct {
 	Serve   serveCommand   `cmd:"" help:"Run an entry instance."`
+	Node    nodeCommand    `cmd:"" help:"Run an entry instance of the job service on the users' platform."`
 	Check   checkCommand   `cmd:"" help:"Check settings or a configuration and report every fault."`
 	Publish publishCommand `cmd:"" help:"Publish a configuration, based on the one in force."`
 	Status  statusCommand  `cmd:"" help:"Show what an entry knows of the fleet."`
--- a/internal/cranevent/event.go
+++ b/internal/cranevent/event.go
@@ -57,6 +57,53 @@
 	InstanceReady     Event = 512
 )
 
+// Events of jobs, as callers see them.
+const (
+	JobAccepted  Event = 1001
+	JobRefused   Event = 1002
+	JobCancelled Event = 1003
+	JobUnknown   Event = 1004
+	JobEnded     Event = 1005
+	// JobEntryStarting is the start of an entry instance of the job service.
+	JobEntryStarting Event = 1010
+)
+
+// Events of the scheduling and who does it.
+const (
+	SchedulerClaiming Event = 1101
+	SchedulerRefused  Event = 1102
+	SchedulerTaken    Event = 1103
+	SchedulerLost     Event = 1104
+	SchedulerChanged  Event = 1105
+	AppendRepeated    Event = 1106
+)
+
+// Events of the runs of tasks.
+const (
+	RunPlaced     Event = 1201
+	RunUnanswered Event = 1202
+	RunRefused    Event = 1203
+	RunEnded      Event = 1204
+	RunStopped    Event = 1205
+	RunUnknown    Event = 1206
+	RunReleased   Event = 1207
+	PaceChanged   Event = 1208
+)
+
+// Events of targets that run tasks, and of planned work on their instances.
+const (
+	TargetLost       Event = 1301
+	TargetBack       Event = 1302
+	TargetLapsed     Event = 1303
+	TargetReborn     Event = 1304
+	TargetGone       Event = 1305
+	TargetSuperseded Event = 1306
+	TargetCordoned   Event = 1310
+	UpkeepOrdered    Event = 1311
+	WaveChanged      Event = 1312
+	MoveOrdered      Event = 1313
+)
+
 // Events of moves between pools.
 const (
 	MoveDone Event = 603
--- a/internal/cranevent/field.go
+++ b/internal/cranevent/field.go
@@ -16,6 +16,7 @@
 const (
 	KeyAction     Key = "action"
 	KeyAddress    Key = "address"
+	KeyAgeMs      Key = "ageMs"
 	KeyBytes      Key = "bytes"
 	KeyCause      Key = "cause"
 	KeyCount      Key = "count"
@@ -23,20 +24,26 @@
 	KeyDigest     Key = "digest"
 	KeyDomain     Key = "domain"
 	KeyElapsedMs  Key = "elapsedMs"
+	KeyEpoch      Key = "epoch"
 	KeyError      Key = "error"
 	KeyFile       Key = "file"
 	KeyFromPhase  Key = "fromPhase"
 	KeyInstance   Key = "instance"
+	KeyJob        Key = "job"
 	KeyMember     Key = "member"
+	KeyNumber     Key = "number"
 	KeyOffset     Key = "offset"
 	KeyPeer       Key = "peer"
 	KeyPool       Key = "pool"
+	KeyQueue      Key = "queue"
 	KeyReason     Key = "reason"
 	KeyRevision   Key = "revision"
 	KeyService    Key = "service"
 	KeyShard      Key = "shard"
 	KeyStream     Key = "stream"
 	KeySuppressed Key = "suppressed"
+	KeyTarget     Key = "target"
+	KeyTask       Key = "task"
 	KeyToPhase    Key = "toPhase"
 	KeyToPool     Key = "toPool"
 	KeyWave       Key = "wave"
@@ -146,3 +153,24 @@
 
 // Wave is the number of a maintenance wave.
 func Wave(id uint64) Field { return unsignedField(KeyWave, id) }
+
+// Age is how old the information is that decided, in whole milliseconds.
+func Age(d time.Duration) Field { return integerField(KeyAgeMs, d.Milliseconds()) }
+
+// Epoch is the epoch of a scheduler's claim, the fencing token of its orders.
+func Epoch(n uint64) Field { return unsignedField(KeyEpoch, n) }
+
+// Job is the id of a job.
+func Job(id string) Field { return textField(KeyJob, id) }
+
+// Number is the number of a run, a wave or a share; the event's text says which.
+func Number(n int) Field { return integerField(KeyNumber, int64(n)) }
+
+// Queue is the name of a queue of jobs.
+func Queue(name string) Field { return textField(KeyQueue, name) }
+
+// Target is the id of a target, or of its instance.
+func Target(id string) Field { return textField(KeyTarget, id) }
+
+// Task is the name of a task: job, occurrence, step and index.
+func Task(name string) Field { return textField(KeyTask, name) }
--- /dev/null
+++ b/internal/crannode/control.go
@@ -0,0 +1,343 @@
+package crannode
+
+import (
+	"context"
+	"errors"
+	"hash/fnv"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cranberrypick/cranberrypick/internal/cranevent"
+	"github.com/cranberrypick/cranberrypick/internal/cranjob"
+	"github.com/cranberrypick/cranberrypick/internal/cransched"
+	"github.com/cranberrypick/cranberrypick/internal/cranstore"
+)
+
+const (
+	// producer names the scheduler's appends.
+	producer = "scheduler"
+	// claimEvery is how often an owner renews its claim.
+	claimEvery = 600 * time.Millisecond
+	// claimSilence is how long an owner's claim may stay away before another
+	// entry instance claims: four renewals.
+	claimSilence = 2400 * time.Millisecond
+	// claimSpread keeps entry instances from claiming all at once.
+	claimSpread = 300 * time.Millisecond
+	// claimRetry is the pause after a claim that failed.
+	claimRetry = 400 * time.Millisecond
+	// readGap is the longest time between two reads of the book that still
+	// count as watching the owner.
+	readGap = 2 * time.Second
+	// batchPause is the least time between two appends of an owner.
+	batchPause = 25 * time.Millisecond
+	// appendTimeout bounds one try of an append.
+	appendTimeout = 1500 * time.Millisecond
+	// appendPause is the pause after a try that failed.
+	appendPause = 80 * time.Millisecond
+	// instancesEvery is how often the list of instances is read while planned
+	// work needs it.
+	instancesEvery = 500 * time.Millisecond
+	// callTimeout bounds a call to a target or to the platform.
+	callTimeout = 900 * time.Millisecond
+	// vacateTimeout bounds the handing over of the scheduling at a stop.
+	vacateTimeout = 1500 * time.Millisecond
+)
+
+// control is what the control goroutine alone touches.
+type control struct {
+	node *Node
+	work context.Context
+	// lost is true while the store doesn't answer.
+	lost bool
+	// claimAt is when a new claim was read, readAt when the book was.
+	claimAt, readAt time.Duration
+	// watchedFrom is since when the book was read without a gap.
+	watchedFrom time.Duration
+	claiming    bool
+	claimNext   time.Duration
+	// floor is an epoch that was seen; the next claim lies above it.
+	floor uint64
+	// attempt is the epoch of this process's newest claim.
+	attempt uint64
+	owner   *ownership
+	config  *cransched.Config
+	waves   []cransched.WaveOrder
+	targets map[string]cransched.TargetInfo
+	// targetsKnown is true once the list of targets was read.
+	targetsKnown bool
+	// leaving is closed when the scheduling is to be handed over, vacated once
+	// that is done.
+	leaving, vacated chan struct{}
+	leaveOnce        sync.Once
+}
+
+// ownership is what an owner holds beside its scheduler.
+type ownership struct {
+	scheduler *cransched.Scheduler
+	epoch     uint64
+	// sequence is the number of the newest append.
+	sequence uint64
+	beat     uint64
+	claimed  time.Duration
+	// confirmedAt is when the newest confirmed append was sent.
+	confirmedAt atomic.Int64
+	appending   bool
+	appendNext  time.Duration
+	instancesAt time.Duration
+	asking      bool
+	ctx         context.Context
+	cancel      context.CancelFunc
+}
+
+func newControl(n *Node) *control {
+	return &control{
+		node: n, targets: map[string]cransched.TargetInfo{},
+		leaving: make(chan struct{}), vacated: make(chan struct{}),
+	}
+}
+
+// run is the control goroutine.
+func (c *control) run(work context.Context) {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	leaving := c.leaving
+	for {
+		select {
+		case <-work.Done():
+			c.abdicate("the process stops")
+			return
+		case <-leaving:
+			leaving = nil
+			c.vacate()
+		case event := <-c.node.events:
+			event()
+			c.drain()
+		case <-ticker.C:
+		}
+		c.step()
+	}
+}
+
+// drain takes the events that wait, so that one step serves them all.
+func (c *control) drain() {
+	for {
+		select {
+		case event := <-c.node.events:
+			event()
+		default:
+			return
+		}
+	}
+}
+
+// step does what is due.
+func (c *control) step() {
+	now := c.node.now()
+	if c.owner == nil {
+		c.considerClaim(now.Steady)
+		return
+	}
+	o := c.owner
+	o.scheduler.Advance(now)
+	if !c.node.stopping.Load() {
+		o.scheduler.Tick()
+		c.askInstances(now.Steady)
+	}
+	c.append(now.Steady)
+	c.perform(o)
+}
+
+// read takes in what a read of the book brought.
+func (c *control) read(u cranstore.Update) {
+	n := c.node
+	if (u.Err != nil) != c.lost {
+		c.lost = u.Err != nil
+		n.dependency("jobs", u.Err)
+	}
+	if u.Err != nil {
+		return
+	}
+	now := n.now()
+	if u.Sent-c.readAt > readGap || c.readAt == 0 {
+		c.watchedFrom = now.Steady
+	}
+	c.readAt = now.Steady
+	n.mu.Lock()
+	changes := make([]cranjob.Change, 0, len(u.Records))
+	for _, r := range u.Records {
+		change, err := n.book.Apply(r.Key, r.Value, r.Offset)
+		if err != nil {
+			n.log.Emit(cranevent.MalformedRecord, cranevent.Stream("jobs"), cranevent.Offset(r.Offset), cranevent.Err(err))
+			continue
+		}
+		if change.Kind == cranjob.ClaimChanged {
+			c.claimRead(now)
+		}
+		changes = append(changes, change)
+		if c.owner != nil {
+			c.owner.scheduler.Advance(now)
+			c.feed(change)
+		}
+	}
+	n.book.SetNext(u.Next)
+	n.loaded = true
+	close(n.advanced)
+	n.advanced = make(chan struct{})
+	n.mu.Unlock()
+	n.contactAt.Store(int64(u.Sent))
+}
+
+// feed tells the scheduler of a change by another process.
+func (c *control) feed(change cranjob.Change) {
+	switch change.Kind {
+	case cranjob.JobAdded:
+		e, _ := c.node.book.Lookup(change.ID)
+		if p := e.Progress(); p != nil && p.State.Final() {
+			return
+		}
+		c.owner.scheduler.AddJob(e.Job())
+	case cranjob.JobCancelled:
+		c.owner.scheduler.CancelJob(change.ID)
+	}
+}
+
+// claimRead takes in the newest claim. A process owns the scheduling from the
+// moment at which it reads its own claim: the book holds everything before it.
+func (c *control) claimRead(now cransched.Clock) {
+	claim := c.node.book.Claim()
+	c.claimAt = now.Steady
+	mine := claim.Incarnation == c.node.incarnation && claim.Epoch == c.attempt && !claim.Vacated
+	if c.owner != nil && claim.Epoch > c.owner.epoch {
+		c.abdicate("another entry instance has claimed")
+	}
+	if claim.Beat == 0 {
+		c.node.log.Emit(cranevent.SchedulerChanged, cranevent.Member(claim.Node), cranevent.Epoch(claim.Epoch))
+	}
+	if mine && c.owner == nil && !c.node.stopping.Load() && claim.Beat == 0 {
+		c.takeOver(claim, now)
+	}
+}
+
+// considerClaim claims the scheduling when nobody has it.
+func (c *control) considerClaim(now time.Duration) {
+	n := c.node
+	if c.claiming || n.stopping.Load() || !n.loaded || c.config == nil || !c.targetsKnown ||
+		now < c.claimNext || now-c.readAt > readGap {
+		return
+	}
+	claim := n.book.Claim()
+	silence := now - max(c.claimAt, c.watchedFrom)
+	free := claim.Epoch == 0 || claim.Vacated
+	if !free && silence < claimSilence+c.spread() || free && silence < c.spread() {
+		return
+	}
+	c.claiming = true
+	c.attempt = max(claim.Epoch, c.floor, c.attempt) + 1
+	end := n.book.Next()
+	record := cranstore.Record{Key: cranjob.KeyClaim, Value: cranjob.Encode(cranjob.Claim{
+		Epoch: c.attempt, Node: n.name, Incarnation: n.incarnation,
+	})}
+	o := cranstore.AppendOptions{Producer: producer, Epoch: c.attempt, AtEnd: &end}
+	n.log.Emit(cranevent.SchedulerClaiming, cranevent.Epoch(c.attempt), cranevent.Elapsed(silence))
+	go func() {
+		ctx, cancel := context.WithTimeout(c.work, appendTimeout)
+		defer cancel()
+		_, err := n.topic.Append(ctx, []cranstore.Record{record}, o)
+		n.post(c.work, func() { c.claimAnswered(err) })
+	}()
+}
+
+// spread is this process's share of claimSpread.
+func (c *control) spread() time.Duration {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(c.node.incarnation))
+	return time.Duration(h.Sum32()) % claimSpread
+}
+
+// claimAnswered takes in what became of a claim. A claim that was stored is
+// read from the book.
+func (c *control) claimAnswered(err error) {
+	c.claiming = false
+	c.claimNext = c.node.now().Steady + claimRetry
+	var fenced *cranstore.FencedError
+	if errors.As(err, &fenced) {
+		c.floor = max(c.floor, fenced.Epoch)
+	}
+	if err != nil {
+		c.node.log.Emit(cranevent.SchedulerRefused, cranevent.Epoch(c.attempt), cranevent.Err(err))
+	}
+}
+
+func (c *control) takeOver(claim cranjob.Claim, now cransched.Clock) {
+	n := c.node
+	s := cransched.New(claim.Epoch, n.timing, c.config, n.book, now)
+	o := &ownership{scheduler: s, epoch: claim.Epoch, claimed: now.Steady}
+	o.confirmedAt.Store(int64(now.Steady))
+	o.ctx, o.cancel = context.WithCancel(c.work)
+	c.owner = o
+	n.owning.Store(true)
+	s.SetTargets(c.targetList())
+	s.SetWaves(c.waves, nil)
+	n.log.Emit(cranevent.SchedulerTaken, cranevent.Epoch(claim.Epoch), cranevent.Offset(n.book.Next()), cranevent.Count(s.Jobs()))
+}
+
+// abdicate gives up the scheduling without a word to the store.
+func (c *control) abdicate(reason string) {
+	if c.owner == nil {
+		return
+	}
+	c.owner.cancel()
+	c.node.log.Emit(cranevent.SchedulerLost, cranevent.Epoch(c.owner.epoch), cranevent.Cause(reason))
+	c.owner = nil
+	c.node.owning.Store(false)
+	c.claimNext = c.node.now().Steady + claimRetry
+}
+
+// leave asks the control goroutine to hand the scheduling over.
+func (c *control) leave() { c.leaveOnce.Do(func() { close(c.leaving) }) }
+
+// vacate tells the other entry instances that the scheduling is free.
+func (c *control) vacate() {
+	if c.owner == nil {
+		close(c.vacated)
+		return
+	}
+	c.owner.appendNext = 0
+}
+
+// awaitVacated waits until the scheduling was handed over.
+func (c *control) awaitVacated() {
+	timer := time.NewTimer(vacateTimeout)
+	defer timer.Stop()
+	select {
+	case <-c.vacated:
+	case <-timer.C:
+	}
+}
+
+func (c *control) setConfig(config *cransched.Config) {
+	c.config = config
+	if c.owner != nil {
+		c.owner.scheduler.SetConfig(config)
+	}
+}
+
+func (c *control) addWave(o cransched.WaveOrder) {
+	c.waves = slices.DeleteFunc(c.waves, func(w cransched.WaveOrder) bool { return w.Wave == o.Wave })
+	c.waves = append(c.waves, o)
+	if c.owner != nil {
+		c.owner.scheduler.Advance(c.node.now())
+		c.owner.scheduler.SetWaves(c.waves, nil)
+	}
+}
+
+func (c *control) targetList() []cransched.TargetInfo {
+	list := make([]cransched.TargetInfo, 0, len(c.targets))
+	for _, id := range slices.Sorted(maps.Keys(c.targets)) {
+		list = append(list, c.targets[id])
+	}
+	return list
+}
--- /dev/null
+++ b/internal/crannode/node.go
@@ -0,0 +1,218 @@
+package crannode
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"github.com/cranberrypick/cranberrypick/internal/cranevent"
+	"github.com/cranberrypick/cranberrypick/internal/cranjob"
+	"github.com/cranberrypick/cranberrypick/internal/cransched"
+	"github.com/cranberrypick/cranberrypick/internal/cranstore"
+)
+
+const (
+	// readWait is how long a read waits for a record; a silent connection is
+	// found out a little later.
+	readWait = time.Second
+	// followerPause lets the records of some milliseconds share a read where
+	// the book only answers callers; ownerPause is shorter, since an accepted
+	// job waits for it.
+	followerPause = 120 * time.Millisecond
+	ownerPause    = 30 * time.Millisecond
+	// tickEvery is the pace of the control goroutine.
+	tickEvery = 25 * time.Millisecond
+	// eventQueue bounds the events that wait for the control goroutine.
+	eventQueue = 4096
+)
+
+// Node is an entry instance.
+type Node struct {
+	name        string
+	incarnation string
+	timing      cransched.Timing
+	topic       cranstore.Topic
+	directory   Directory
+	orders      Orders
+	log         *cranevent.Logger
+	now         func() cransched.Clock
+
+	events chan func()
+	// config is replaced as a whole; nil before the first.
+	config atomic.Pointer[Config]
+	// contactAt is when the newest successful read of the book was sent.
+	contactAt atomic.Int64
+	owning    atomic.Bool
+	stopping  atomic.Bool
+
+	mu sync.RWMutex
+	// book is written by the control goroutine alone.
+	book *cranjob.Book
+	// loaded is true once the book was read.
+	loaded bool
+	// advanced is closed and replaced whenever the book was read further.
+	advanced chan struct{}
+
+	control *control
+}
+
+// Option changes a Node.
+type Option func(*Node)
+
+// WithTiming sets the bounds of the deployment.
+func WithTiming(t cransched.Timing) Option { return func(n *Node) { n.timing = t } }
+
+// WithLogger sets where events go.
+func WithLogger(l *cranevent.Logger) Option { return func(n *Node) { n.log = l } }
+
+// WithClock replaces the clock.
+func WithClock(now func() cransched.Clock) Option { return func(n *Node) { n.now = now } }
+
+// New returns an entry instance. The incarnation must differ between all
+// processes that ever bear the name.
+func New(name, incarnation string, topic cranstore.Topic, directory Directory, orders Orders, opts ...Option) *Node {
+	n := &Node{
+		name: name, incarnation: incarnation, topic: topic, directory: directory, orders: orders,
+		log: cranevent.Discard(), now: Now, events: make(chan func(), eventQueue),
+		book: cranjob.NewBook(), advanced: make(chan struct{}),
+	}
+	for _, set := range opts {
+		set(n)
+	}
+	n.control = newControl(n)
+	return n
+}
+
+// Now reads the clocks. The steady clock goes on while the machine sleeps.
+func Now() cransched.Clock {
+	var boot unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &boot); err != nil {
+		// The clock id is valid on every Linux; without it no lease is safe.
+		panic(err)
+	}
+	return cransched.Clock{Steady: time.Duration(boot.Nano()), UnixMs: time.Now().UnixMilli()}
+}
+
+// Steady reads the steady clock.
+func Steady() time.Duration { return Now().Steady }
+
+// Run works until ctx ends. Then it gives up the scheduling, if it has it, and
+// returns once every goroutine has ended.
+func (n *Node) Run(ctx context.Context) error {
+	work, cancel := context.WithCancel(context.Background())
+	n.control.work = work
+	var group sync.WaitGroup
+	group.Go(func() { n.followBook(work) })
+	group.Go(func() { n.followOperator(work) })
+	group.Go(func() { n.control.run(work) })
+	group.Go(func() { n.control.followTargets(work) })
+	<-ctx.Done()
+	n.stopping.Store(true)
+	n.control.leave()
+	n.control.awaitVacated()
+	cancel()
+	group.Wait()
+	return nil
+}
+
+// Leave ends readiness and hands the scheduling over; requests are served on.
+func (n *Node) Leave() {
+	n.stopping.Store(true)
+	n.log.Emit(cranevent.EntryStopping, cranevent.Member(n.incarnation))
+	n.control.leave()
+}
+
+// post hands an event to the control goroutine.
+func (n *Node) post(ctx context.Context, event func()) {
+	select {
+	case n.events <- event:
+	case <-ctx.Done():
+	}
+}
+
+// Ready reports whether callers should be sent here.
+func (n *Node) Ready() bool {
+	return n.config.Load() != nil && !n.stopping.Load() && n.reachable()
+}
+
+// reachableBound is how old the last word of the store may be.
+const reachableBound = 2500 * time.Millisecond
+
+// reachable reports whether the store has answered lately.
+func (n *Node) reachable() bool {
+	at := n.contactAt.Load()
+	return at != 0 && n.now().Steady-time.Duration(at) <= reachableBound
+}
+
+// Config returns the configuration in force; nil before the first.
+func (n *Node) Config() *Config { return n.config.Load() }
+
+func (n *Node) followBook(ctx context.Context) {
+	pause := func() time.Duration {
+		if n.owning.Load() {
+			return ownerPause
+		}
+		return followerPause
+	}
+	follower := cranstore.NewFollower(n.topic, func() time.Duration { return n.now().Steady }, readWait, pause)
+	follower.Run(ctx, func(u cranstore.Update) {
+		done := make(chan struct{})
+		n.post(ctx, func() {
+			defer close(done)
+			n.control.read(u)
+		})
+		select {
+		case <-done:
+		case <-ctx.Done():
+		}
+	})
+}
+
+func (n *Node) followOperator(ctx context.Context) {
+	follower := cranstore.NewFollower(n.directory.Operator, func() time.Duration { return n.now().Steady }, readWait,
+		func() time.Duration { return 0 })
+	lost := false
+	follower.Run(ctx, func(u cranstore.Update) {
+		if (u.Err != nil) != lost {
+			lost = u.Err != nil
+			n.dependency("operator", u.Err)
+		}
+		for _, r := range u.Records {
+			n.operatorRecord(ctx, r)
+		}
+	})
+}
+
+// dependency logs that a topic was lost or regained.
+func (n *Node) dependency(topic string, err error) {
+	if err != nil {
+		n.log.Emit(cranevent.LogUnavailable, cranevent.Stream(topic), cranevent.Err(err))
+		return
+	}
+	n.log.Emit(cranevent.LogBack, cranevent.Stream(topic))
+}
+
+func (n *Node) operatorRecord(ctx context.Context, r cranstore.Record) {
+	if len(r.Value) == 0 {
+		return
+	}
+	decoded, err := n.directory.DecodeOperator(r.Key, r.Value)
+	if err != nil {
+		n.log.Emit(cranevent.MalformedRecord, cranevent.Stream("operator"), cranevent.Offset(r.Offset), cranevent.Err(err))
+		return
+	}
+	switch v := decoded.(type) {
+	case *Config:
+		if old := n.config.Load(); old != nil && old.Version >= v.Version {
+			return
+		}
+		n.config.Store(v)
+		n.log.Emit(cranevent.ConfigurationInForce, cranevent.Offset(r.Offset), cranevent.Revision(uint64(v.Version)))
+		n.post(ctx, func() { n.control.setConfig(&v.Config) })
+	case *cransched.WaveOrder:
+		n.post(ctx, func() { n.control.addWave(*v) })
+	}
+}
--- /dev/null
+++ b/internal/crannode/owner.go
@@ -0,0 +1,244 @@
+package crannode
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/cranberrypick/cranberrypick/internal/cranevent"
+	"github.com/cranberrypick/cranberrypick/internal/cranjob"
+	"github.com/cranberrypick/cranberrypick/internal/cransched"
+	"github.com/cranberrypick/cranberrypick/internal/cranstore"
+)
+
+// append stores what the scheduler has decided, and renews the claim. One
+// append is under way at a time.
+func (c *control) append(now time.Duration) {
+	o := c.owner
+	if o.appending || now < o.appendNext {
+		return
+	}
+	leaving := c.node.stopping.Load()
+	records, decided := o.scheduler.NextBatch()
+	if !decided && !leaving && now-o.claimed < claimEvery {
+		return
+	}
+	if leaving || now-o.claimed >= claimEvery || len(records) == 0 {
+		o.beat++
+		o.claimed = now
+		records = append(records, cranstore.Record{Key: cranjob.KeyClaim, Value: cranjob.Encode(cranjob.Claim{
+			Epoch: o.epoch, Node: c.node.name, Incarnation: c.node.incarnation, Beat: o.beat, Vacated: leaving,
+		})})
+	}
+	o.appending = true
+	o.sequence++
+	options := cranstore.AppendOptions{Producer: producer, Epoch: o.epoch, Sequence: o.sequence}
+	go func() {
+		sent, err := c.node.appendUntilAnswered(o.ctx, records, options)
+		c.node.post(c.work, func() { c.appended(o, sent, err, leaving) })
+	}()
+}
+
+// appendUntilAnswered repeats an append until its outcome is known. The
+// sequence number makes the repeats harmless.
+func (n *Node) appendUntilAnswered(ctx context.Context, records []cranstore.Record, o cranstore.AppendOptions) (time.Duration, error) {
+	for {
+		sent := n.now().Steady
+		limited, cancel := context.WithTimeout(ctx, appendTimeout)
+		_, err := n.topic.Append(limited, records, o)
+		cancel()
+		var fenced *cranstore.FencedError
+		var sequence *cranstore.SequenceError
+		if err == nil || errors.As(err, &fenced) || errors.As(err, &sequence) || ctx.Err() != nil {
+			return sent, err
+		}
+		n.log.Emit(cranevent.AppendRepeated, cranevent.Epoch(o.Epoch), cranevent.Err(err))
+		pause(ctx, appendPause)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+func (c *control) appended(o *ownership, sent time.Duration, err error, leaving bool) {
+	o.appending = false
+	if c.owner != o {
+		return
+	}
+	if err != nil {
+		c.abdicate("an append was refused: " + err.Error())
+		if leaving {
+			close(c.vacated)
+		}
+		return
+	}
+	o.confirmedAt.Store(int64(sent))
+	o.appendNext = c.node.now().Steady + batchPause
+	if leaving {
+		c.abdicate("vacated")
+		close(c.vacated)
+		return
+	}
+	o.scheduler.Advance(c.node.now())
+	o.scheduler.Stored()
+}
+
+// allowed reports whether orders may still leave: a successor counts on it
+// that an owner without a confirmed append stops by itself. It is asked right
+// before each call, since the process may have been suspended.
+func (c *control) allowed(o *ownership) bool {
+	return c.node.now().Steady-time.Duration(o.confirmedAt.Load()) < cransched.OwnershipBound
+}
+
+// perform carries out what the scheduler wants done.
+func (c *control) perform(o *ownership) {
+	for _, effect := range o.scheduler.Effects() {
+		switch e := effect.(type) {
+		case cransched.Hold:
+			c.call(o, e.Wait+callTimeout, func(ctx context.Context) func() {
+				answer := cransched.HoldAnswer{}
+				if c.allowed(o) {
+					answer = c.node.orders.Hold(ctx, e)
+				}
+				return func() { o.scheduler.Held(e.Target, answer) }
+			})
+		case cransched.Start:
+			c.call(o, callTimeout, func(ctx context.Context) func() {
+				answer := cransched.Answer{Verdict: cransched.VerdictUnreached}
+				if c.allowed(o) {
+					answer = c.node.orders.Start(ctx, e)
+				}
+				return func() { o.scheduler.Started(e, answer) }
+			})
+		case cransched.Stop:
+			c.call(o, callTimeout, func(ctx context.Context) func() {
+				answer := cransched.Answer{}
+				if c.allowed(o) {
+					answer = c.node.orders.Stop(ctx, e)
+				}
+				return func() { o.scheduler.Stopped(e, answer) }
+			})
+		case cransched.Pace:
+			c.call(o, callTimeout, func(ctx context.Context) func() {
+				answer := cransched.Answer{}
+				if c.allowed(o) {
+					answer = c.node.orders.Pace(ctx, e)
+				}
+				return func() { o.scheduler.Paced(e, answer) }
+			})
+		case cransched.Upkeep:
+			c.call(o, callTimeout, func(ctx context.Context) func() {
+				verdict := cransched.VerdictUnanswered
+				if c.allowed(o) {
+					verdict = c.node.orders.Upkeep(ctx, e)
+				}
+				return func() { o.scheduler.UpkeepAnswered(e, verdict) }
+			})
+		case cransched.WaveStatus:
+			c.call(o, callTimeout, func(ctx context.Context) func() {
+				if err := c.node.orders.Report(ctx, e); err != nil {
+					c.node.log.Emit(cranevent.LogUnavailable, cranevent.Stream("status"), cranevent.Err(err))
+				}
+				return func() {}
+			})
+		case cransched.Note:
+			c.node.note(e)
+		}
+	}
+}
+
+// call runs a call in a goroutine of its own and hands its outcome to the
+// control goroutine.
+func (c *control) call(o *ownership, timeout time.Duration, do func(context.Context) func()) {
+	go func() {
+		ctx, cancel := context.WithTimeout(o.ctx, timeout)
+		defer cancel()
+		answered := do(ctx)
+		c.node.post(c.work, func() {
+			if c.owner != o {
+				return
+			}
+			o.scheduler.Advance(c.node.now())
+			answered()
+		})
+	}()
+}
+
+// askInstances reads the list of instances while planned work needs it.
+func (c *control) askInstances(now time.Duration) {
+	o := c.owner
+	if o.asking || now < o.instancesAt || !o.scheduler.WantsInstances() {
+		return
+	}
+	o.asking = true
+	o.instancesAt = now + instancesEvery
+	c.call(o, callTimeout, func(ctx context.Context) func() {
+		list, err := c.node.orders.Instances(ctx)
+		return func() {
+			o.asking = false
+			if err != nil {
+				c.node.log.Emit(cranevent.LogUnavailable, cranevent.Stream("instances"), cranevent.Err(err))
+				return
+			}
+			o.scheduler.SetInstances(list, now)
+		}
+	})
+}
+
+// followTargets keeps the list of targets up to date.
+func (c *control) followTargets(ctx context.Context) {
+	n := c.node
+	pause := func() time.Duration {
+		if n.owning.Load() {
+			return targetsPauseOwner
+		}
+		return targetsPause
+	}
+	follower := cranstore.NewFollower(n.directory.Targets, func() time.Duration { return n.now().Steady }, readWait, pause)
+	lost := false
+	follower.Run(ctx, func(u cranstore.Update) {
+		if (u.Err != nil) != lost {
+			lost = u.Err != nil
+			n.dependency("targets", u.Err)
+		}
+		if u.Err == nil {
+			n.post(ctx, func() { c.targetsRead(u) })
+		}
+	})
+}
+
+const (
+	// targetsPauseOwner and targetsPause lie between two reads of the targets'
+	// entries; only the owner needs them soon.
+	targetsPauseOwner = 150 * time.Millisecond
+	targetsPause      = 1500 * time.Millisecond
+)
+
+func (c *control) targetsRead(u cranstore.Update) {
+	if u.Reset {
+		clear(c.targets)
+	}
+	for _, r := range u.Records {
+		if len(r.Value) == 0 {
+			delete(c.targets, r.Key)
+			continue
+		}
+		info, err := c.node.directory.DecodeTarget(r.Key, r.Value)
+		if err != nil {
+			c.node.log.Emit(cranevent.MalformedRecord, cranevent.Stream("targets"), cranevent.Offset(r.Offset), cranevent.Err(err))
+			continue
+		}
+		c.targets[r.Key] = info
+	}
+	c.targetsKnown = true
+	if c.owner != nil {
+		c.owner.scheduler.Advance(c.node.now())
+		c.owner.scheduler.SetTargets(c.targetList())
+	}
+}
--- /dev/null
+++ b/internal/crannode/ports.go
@@ -0,0 +1,43 @@
+package crannode
+
+import (
+	"context"
+
+	"github.com/cranberrypick/cranberrypick/internal/cransched"
+	"github.com/cranberrypick/cranberrypick/internal/cranstore"
+)
+
+// Route leads from a request to a queue.
+type Route struct {
+	Host, Prefix, Queue string
+}
+
+// Config is a configuration in force, with what leads to its queues.
+type Config struct {
+	cransched.Config
+	Routes []Route
+}
+
+// Orders are the calls to targets and about instances. Each returns within
+// the time of its context.
+type Orders interface {
+	Start(ctx context.Context, e cransched.Start) cransched.Answer
+	Stop(ctx context.Context, e cransched.Stop) cransched.Answer
+	Pace(ctx context.Context, e cransched.Pace) cransched.Answer
+	Hold(ctx context.Context, e cransched.Hold) cransched.HoldAnswer
+	Instances(ctx context.Context) ([]cransched.InstanceInfo, error)
+	Upkeep(ctx context.Context, e cransched.Upkeep) cransched.Verdict
+	Move(ctx context.Context, e cransched.Move) cransched.Verdict
+	Report(ctx context.Context, s cransched.WaveStatus) error
+}
+
+// Directory is what operators and targets write into the store.
+type Directory struct {
+	// Operator holds the configuration and the waves, Targets what targets
+	// write of themselves.
+	Operator, Targets cranstore.Topic
+	// DecodeOperator returns a *Config, a *cransched.WaveOrder or nil.
+	DecodeOperator func(key string, value []byte) (any, error)
+	// DecodeTarget returns what a target says of itself.
+	DecodeTarget func(id string, value []byte) (cransched.TargetInfo, error)
+}
--- /dev/null
+++ b/internal/cransched/config.go
@@ -0,0 +1,80 @@
+package cransched
+
+import "time"
+
+// Queue is what the configuration says of a queue of jobs.
+type Queue struct {
+	Name string
+	// Pool names the pool whose targets run the tasks.
+	Pool string
+	// Priority orders queues; 0 comes first.
+	Priority int
+	// Attempts is how many runs of a task may fail before its job fails.
+	Attempts int
+	// Stretch times a job's longest chain of work, and LatencyTarget on top,
+	// is when the job ought to be complete.
+	Stretch       float64
+	LatencyTarget time.Duration
+	// Advised queues need a ticket of the advice service for each start.
+	Advised bool
+	// TicketLife is how long a ticket is valid.
+	TicketLife time.Duration
+}
+
+// Pool is what the configuration says of a pool of targets.
+type Pool struct {
+	Name string
+	// Standby pools hold instances that are switched off.
+	Standby bool
+	// Guarded targets refuse what doesn't fit.
+	Guarded bool
+}
+
+// Config is a configuration in force.
+type Config struct {
+	Version int64
+	Queues  map[string]*Queue
+	Pools   map[string]*Pool
+}
+
+// Timing holds the bounds that the deployment sets.
+type Timing struct {
+	// MaxLease is the longest lease that a target grants.
+	MaxLease time.Duration
+	// StopTime is how long a target may take to stop a task.
+	StopTime time.Duration
+	// OrderLease is how far the orders of two owners for one instance lie apart.
+	OrderLease time.Duration
+	// Notice is how long a lasting task may be away before it counts as
+	// unavailable for any cause.
+	Notice time.Duration
+	// FarFactor is how much longer a task takes away from its data.
+	FarFactor float64
+}
+
+const (
+	// renewEvery bounds the time between two holds of a target. Each hold
+	// renews the lease; at this pace three may fail before it lapses.
+	renewEvery = 1000 * time.Millisecond
+	// holdPause is the shortest time between two holds of a target that keeps
+	// ending tasks, so that the ends of some milliseconds share a call.
+	holdPause = 40 * time.Millisecond
+	// retryPause is the time before an unanswered call to a target is repeated.
+	retryPause = 250 * time.Millisecond
+	// leaseShare is the part of the longest lease that is asked for. The rest
+	// is how much sooner the tasks of an unreachable target start elsewhere.
+	leaseShare = 0.85
+	// clockDrift is how much slower a target's steady clock may run.
+	clockDrift = 0.02
+	// lapseMargin is added to the time at which a lease ends, for the kill.
+	lapseMargin = 250 * time.Millisecond
+	// OwnershipBound is how long an owner acts without a confirmed append. A
+	// successor adds it to the lease of targets that it can't reach.
+	OwnershipBound = 4 * time.Second
+	// contactBound is how long after its last answer a target gets new work.
+	contactBound = 1600 * time.Millisecond
+	// failurePause is the first pause before a task that failed runs again; it
+	// doubles with each failure up to failurePauseMax.
+	failurePause    = 100 * time.Millisecond
+	failurePauseMax = 2 * time.Second
+)
--- /dev/null
+++ b/internal/cransched/effect.go
@@ -0,0 +1,142 @@
+package cransched
+
+import (
+	"time"
+
+	"github.com/cranberrypick/cranberrypick/internal/cranjob"
+)
+
+// Address names one life of a target.
+type Address struct {
+	// ID is the target's id; a call that reaches another one has no effect.
+	ID string
+	// Address is its host and port.
+	Address string
+}
+
+// Effect is something that the scheduler wants done.
+type Effect interface{ effect() }
+
+// Hold renews the lease of everything on a target and asks what runs there.
+type Hold struct {
+	Target Address
+	// DeadlineMs is the end of the lease on the target's clock; 0 renews nothing.
+	DeadlineMs int64
+	// Token fences the orders of earlier owners.
+	Token uint64
+	// Observed lets the target forget the ends up to this number.
+	Observed int64
+	// Wait is how long the target may wait for an end.
+	Wait time.Duration
+}
+
+// Start orders a run.
+type Start struct {
+	Target     Address
+	Task       cranjob.TaskName
+	Run        int
+	Spec       string
+	DeadlineMs int64
+	Token      uint64
+	Checkpoint string
+	Ticket     string
+}
+
+// Stop orders the end of a run, whether it has begun or not.
+type Stop struct {
+	Target Address
+	Task   cranjob.TaskName
+	Run    int
+	Token  uint64
+}
+
+// Pace orders the share of its demand at which a run works, in percent.
+type Pace struct {
+	Target  Address
+	Task    cranjob.TaskName
+	Run     int
+	Percent int
+	Token   uint64
+}
+
+// Advise asks which targets may run a step.
+type Advise struct {
+	Queue   string
+	Job     string
+	Step    StepName
+	Targets []string
+}
+
+// StepName names a step of one occurrence of a job.
+type StepName struct {
+	Job              string
+	Occurrence, Step int
+}
+
+// Upkeep orders the maintenance of an instance.
+type Upkeep struct {
+	Instance string
+	Wave     int
+	Token    uint64
+}
+
+// Move orders an instance into another pool.
+type Move struct {
+	Instance string
+	Pool     string
+	Token    uint64
+}
+
+// WaveStatus tells the operator how far a wave is.
+type WaveStatus struct {
+	Wave      int
+	Completed bool
+}
+
+// Note is a line for the log: a decision with what it rests on.
+type Note struct {
+	Kind   NoteKind
+	Job    string
+	Task   string
+	Run    int
+	Target string
+	Reason string
+	// AgeMs is the age of the information that decided it.
+	AgeMs int64
+}
+
+// NoteKind says what was decided.
+type NoteKind uint8
+
+// Kinds of note.
+const (
+	NoteStart NoteKind = iota
+	NoteStartUnanswered
+	NoteStartRefused
+	NoteEnd
+	NoteStop
+	NoteStray
+	NoteLapsed
+	NoteReborn
+	NoteTargetGone
+	NoteTargetLost
+	NoteTargetBack
+	NoteTargetFenced
+	NoteJobEnded
+	NoteCordoned
+	NoteUpkeep
+	NoteWave
+	NoteMove
+	NotePace
+	NoteNotStarted
+)
+
+func (Hold) effect()       {}
+func (Start) effect()      {}
+func (Stop) effect()       {}
+func (Pace) effect()       {}
+func (Advise) effect()     {}
+func (Upkeep) effect()     {}
+func (Move) effect()       {}
+func (WaveStatus) effect() {}
+func (Note) effect()       {}
--- /dev/null
+++ b/internal/cransched/event.go
@@ -0,0 +1,134 @@
+package cransched
+
+import (
+	"time"
+
+	"github.com/cranberrypick/cranberrypick/internal/cranjob"
+)
+
+// Clock is the time of an event.
+type Clock struct {
+	// Steady never jumps, and goes on while the process is suspended.
+	Steady time.Duration
+	// UnixMs is the time of day.
+	UnixMs int64
+}
+
+// TargetInfo is what a target says of itself in the store.
+type TargetInfo struct {
+	ID, Pool, Address, DataCentre string
+	// Instance is the machine whose present life the target is.
+	Instance string
+	// Labels are the target's kind and its rack.
+	Labels   []string
+	Capacity cranjob.Resources
+	Draining bool
+	// RemainingMs is the least time that a draining target has left.
+	RemainingMs int64
+	// BornMs is the start of the target's process in Unix milliseconds.
+	BornMs int64
+}
+
+// RunReport is a run that a target lists as present.
+type RunReport struct {
+	Task       cranjob.TaskName
+	Run        int
+	Checkpoint string
+	// Percent is the progress of a task; 100 means that a lasting task works.
+	Percent int
+	// Gauge is the tail latency in milliseconds of a serving task, and the
+	// processor time in thousandths of a core of any other.
+	Gauge int
+}
+
+// How says in which way a run ended.
+type How string
+
+// Ways in which a run ends.
+const (
+	EndDone    How = "done"
+	EndFailed  How = "failed"
+	EndStopped How = "stopped"
+	EndLapsed  How = "lapsed"
+	// EndBroken means that another member of the gang ended.
+	EndBroken How = "broken"
+	// EndAlone means that the other members of the gang didn't come.
+	EndAlone How = "alone"
+)
+
+// EndReport is an end that a target lists until it is observed.
+type EndReport struct {
+	// Number counts the ends of one life of a target from 1.
+	Number     int64
+	Task       cranjob.TaskName
+	Run        int
+	How        How
+	Checkpoint string
+}
+
+// Verdict says what became of a call to a target or to the platform.
+type Verdict uint8
+
+// Verdicts of a call.
+const (
+	// VerdictUnanswered calls may have taken effect, or may still do so.
+	VerdictUnanswered Verdict = iota
+	VerdictDone
+	// VerdictFenced calls carried a token lower than one that was seen.
+	VerdictFenced
+	// VerdictOld starts name a run that was stopped or has ended.
+	VerdictOld
+	// VerdictLate starts carry a deadline that has passed.
+	VerdictLate
+	// VerdictRoom starts don't fit.
+	VerdictRoom
+	// VerdictTicket starts carry no valid ticket.
+	VerdictTicket
+	// VerdictRefused calls had no effect, for another reason.
+	VerdictRefused
+	// VerdictOtherLife means that the address belongs to another target now.
+	VerdictOtherLife
+	// VerdictUnreached calls never left: no connection could be opened.
+	VerdictUnreached
+	// VerdictBusy orders meet an instance that is not up.
+	VerdictBusy
+)
+
+// Answer is what every answer of a target tells.
+type Answer struct {
+	Verdict Verdict
+	// ClockMs is the target's steady clock; 0 if the answer doesn't tell.
+	ClockMs int64
+	// BornMs is the start of the target's process; 0 if the answer doesn't tell.
+	BornMs int64
+	// SentAt is when the call left, by the steady clock of this process.
+	SentAt time.Duration
+}
+
+// HoldAnswer is the answer to a [Hold].
+type HoldAnswer struct {
+	Answer
+	Running  []RunReport
+	Finished []EndReport
+}
+
+// InstanceInfo is a line of the platform's list of instances.
+type InstanceInfo struct {
+	Instance, Pool string
+	// Up instances serve; Maintenance means that the upkeep is going on.
+	Up, Maintenance bool
+	// Target is the id of its present life; empty while there is none.
+	Target string
+	// Labels are its kind and its rack.
+	Labels   []string
+	Capacity cranjob.Resources
+}
+
+// WaveOrder asks for the maintenance of instances.
+type WaveOrder struct {
+	Wave      int
+	Instances []string
+	Duration  time.Duration
+	// MaxParallel is how many may be down for it at once.
+	MaxParallel int
+}
--- /dev/null
+++ b/internal/cransched/job.go
@@ -0,0 +1,175 @@
+package cransched
+
+import (
+	"time"
+
+	"github.com/cranberrypick/cranberrypick/internal/cranjob"
+)
+
+// task is one task while its job goes on.
+type task struct {
+	job  *job
+	name cranjob.TaskName
+	step *cranjob.Step
+	cranjob.Task
+	// run is the newest run while the task is placed.
+	run *run
+	// notBefore puts off the next run after a failure.
+	notBefore time.Duration
+	// awayFrom is since when a lasting task has not been at work; -1 while it is.
+	awayFrom time.Duration
+	// endedByOrder is true while a lasting task is away by an order of ours.
+	endedByOrder bool
+}
+
+// stage is one step of one occurrence.
+type stage struct {
+	name  StepName
+	step  *cranjob.Step
+	tasks []*task
+	// done and waiting count its tasks.
+	done, waiting int
+}
+
+func (s *stage) complete() bool { return s.done == len(s.tasks) }
+
+// job is a job that has not ended.
+type job struct {
+	*cranjob.Job
+	queue *Queue
+	state cranjob.State
+	// stages are in order of occurrence and step.
+	stages    []*stage
+	tasks     []*task
+	cancelled bool
+	// dirty jobs have progress that is not stored.
+	dirty bool
+	// chain holds, for each step, the estimate in milliseconds of the longest
+	// chain of work from its beginning on.
+	chain   []int64
+	waiting int
+	done    int
+	endedMs int64
+}
+
+// newJob lays out the tasks of a submission and takes over its progress.
+func newJob(submission *cranjob.Job, progress *cranjob.Progress) *job {
+	j := &job{Job: submission}
+	if progress != nil {
+		j.state = progress.State
+		j.endedMs = progress.EndedMs
+	}
+	for k := range submission.Occurrences() {
+		for i := range submission.Steps {
+			s := &stage{name: StepName{submission.ID, k, i}, step: &submission.Steps[i]}
+			for index := range s.step.Count {
+				t := &task{job: j, step: s.step, name: cranjob.TaskName{Job: submission.ID, Occurrence: k, Step: i, Index: index}}
+				if n := len(j.tasks); progress != nil && n < len(progress.Tasks) {
+					t.Task = progress.Tasks[n]
+				}
+				switch t.Status {
+				case cranjob.Done:
+					s.done++
+					j.done++
+				case cranjob.Waiting:
+					s.waiting++
+					j.waiting++
+				}
+				s.tasks = append(s.tasks, t)
+				j.tasks = append(j.tasks, t)
+			}
+			j.stages = append(j.stages, s)
+		}
+	}
+	j.chain = chains(submission.Steps)
+	return j
+}
+
+// chains returns, for each step, the longest chain of estimates from it on.
+func chains(steps []cranjob.Step) []int64 {
+	chain := make([]int64, len(steps))
+	for i := len(steps) - 1; i >= 0; i-- {
+		chain[i] += steps[i].EstimateMs
+		for _, earlier := range steps[i].After {
+			chain[earlier] = max(chain[earlier], chain[i])
+		}
+	}
+	return chain
+}
+
+func (j *job) stageOf(t *task) *stage {
+	return j.stages[t.name.Occurrence*len(j.Steps)+t.name.Step]
+}
+
+// ready reports whether a stage's turn has come.
+func (j *job) ready(s *stage, unixMs int64) bool {
+	if unixMs < j.DueMs(s.name.Occurrence) {
+		return false
+	}
+	base := s.name.Occurrence * len(j.Steps)
+	for _, earlier := range s.step.After {
+		if !j.stages[base+earlier].complete() {
+			return false
+		}
+	}
+	return true
+}
+
+// setStatus moves a task between statuses and keeps the counts.
+func (j *job) setStatus(t *task, status cranjob.Status) {
+	if t.Status == status {
+		return
+	}
+	s := j.stageOf(t)
+	switch t.Status {
+	case cranjob.Waiting:
+		s.waiting--
+		j.waiting--
+	case cranjob.Done:
+		s.done--
+		j.done--
+	}
+	switch status {
+	case cranjob.Waiting:
+		s.waiting++
+		j.waiting++
+		t.Target = ""
+		t.run = nil
+	case cranjob.Done:
+		s.done++
+		j.done++
+		t.Target = ""
+		t.run = nil
+		t.Checkpoint = ""
+	}
+	t.Status = status
+	j.dirty = true
+}
+
+// progress returns what is stored of the job.
+func (j *job) progress() cranjob.Progress {
+	p := cranjob.Progress{State: j.state, EndedMs: j.endedMs}
+	if j.state.Final() {
+		return p
+	}
+	p.Tasks = make([]cranjob.Task, len(j.tasks))
+	for i, t := range j.tasks {
+		p.Tasks[i] = t.Task
+	}
+	return p
+}
+
+// objective returns when an occurrence ought to be complete, in Unix
+// milliseconds, and how long its longest chain of work takes.
+func (j *job) objective(occurrence int) (int64, int64) {
+	chain := int64(0)
+	for _, c := range j.chain {
+		chain = max(chain, c)
+	}
+	from := max(j.ReceivedMs, j.DueMs(occurrence))
+	stretch, target := 1.0, time.Duration(0)
+	if j.queue != nil {
+		stretch, target = j.queue.Stretch, j.queue.LatencyTarget
+	}
+	return from + int64(stretch*float64(chain)) + target.Milliseconds(), chain
+}
--- /dev/null
+++ b/internal/cransched/outcome.go
@@ -0,0 +1,170 @@
+package cransched
+
+import "time"
+
+const (
+	// roomPause is how long a target that refused a start for want of room
+	// gets no other.
+	roomPause = 400 * time.Millisecond
+	// refusalPause is how long a target that refused a start for another
+	// reason gets no other.
+	refusalPause = 800 * time.Millisecond
+	// taskRefusalPause puts off a task whose start was refused.
+	taskRefusalPause = 150 * time.Millisecond
+)
+
+// Started takes in the answer to a start.
+func (s *Scheduler) Started(e Start, a Answer) {
+	t := s.targets[e.Target.ID]
+	if t == nil {
+		return
+	}
+	if a.Verdict != VerdictUnanswered && a.Verdict != VerdictOtherLife && !s.sameLife(t, a) {
+		return
+	}
+	if a.ClockMs > 0 {
+		t.learn(a)
+	}
+	r := t.runs[runName{e.Task, e.Run}]
+	if r == nil || r.phase != ordered {
+		s.lateAnswer(t, r, a)
+		return
+	}
+	now := s.clock.Steady
+	switch a.Verdict {
+	case VerdictDone:
+		r.phase = present
+		r.answeredAt = now
+		r.progressAt = now
+		t.soon(now + holdPause)
+		s.noteRunning(r)
+	case VerdictUnanswered:
+		s.emit(Note{Kind: NoteStartUnanswered, Job: e.Task.Job, Task: e.Task.String(), Run: e.Run, Target: t.info.ID, AgeMs: (now - a.SentAt).Milliseconds()})
+		s.stopRun(t, r, "the start was not answered")
+		if r.task != nil && r.task.run == r {
+			// The task goes on waiting once the stop is acknowledged.
+			return
+		}
+	case VerdictOtherLife:
+		s.otherLife(t)
+	default:
+		s.refused(t, r, a.Verdict)
+	}
+}
+
+// lateAnswer takes in the answer to a start that was given up meanwhile: if
+// it was refused, nothing is left to stop.
+func (s *Scheduler) lateAnswer(t *target, r *run, a Answer) {
+	if r != nil && r.phase == stopping && a.Verdict != VerdictDone && a.Verdict != VerdictUnanswered {
+		s.release(t, r, "the start was refused")
+	}
+}
+
+func (s *Scheduler) noteRunning(r *run) {
+	if r.task == nil {
+		return
+	}
+	if j := r.task.job; j.state == 0 {
+		j.state = 1
+		s.mark(j)
+	}
+}
+
+// refused takes in that a start had no effect.
+func (s *Scheduler) refused(t *target, r *run, verdict Verdict) {
+	now := s.clock.Steady
+	s.emit(Note{Kind: NoteStartRefused, Job: r.name.Job, Task: r.name.String(), Run: r.number, Target: t.info.ID, Reason: verdict.String()})
+	switch verdict {
+	case VerdictFenced:
+		s.superseded(t)
+	case VerdictRoom:
+		t.fullUntil = now + roomPause
+	case VerdictTicket:
+		t.tickets = nil
+	case VerdictRefused:
+		t.fullUntil = now + refusalPause
+	}
+	if r.task != nil {
+		r.task.notBefore = now + taskRefusalPause
+	}
+	s.release(t, r, "the start was refused")
+}
+
+// stopRun has a run stopped. Its room stays taken until it has ended.
+func (s *Scheduler) stopRun(t *target, r *run, reason string) {
+	switch r.phase {
+	case stopping:
+		return
+	case planned:
+		// The order has not left and will not.
+		s.release(t, r, reason)
+		return
+	case unproved:
+		r.stopReason = reason
+	}
+	r.phase = stopping
+	r.answeredAt = 0
+	r.stopReason = reason
+	s.sendStop(t, r)
+}
+
+func (s *Scheduler) sendStop(t *target, r *run) {
+	r.stopAt = s.clock.Steady + stopRepeat
+	if t.info.Address == "" || t.superseded {
+		return
+	}
+	s.emit(Note{Kind: NoteStop, Job: r.name.Job, Task: r.name.String(), Run: r.number, Target: t.info.ID, Reason: r.stopReason})
+	s.emit(Stop{Target: t.address(), Task: r.name, Run: r.number, Token: s.token})
+}
+
+// stopRepeat is when a stop is sent again if its end isn't listed; it is
+// longer than a stop takes.
+const stopRepeat = 1500 * time.Millisecond
+
+// Stopped takes in the answer to a stop.
+func (s *Scheduler) Stopped(e Stop, a Answer) {
+	t := s.targets[e.Target.ID]
+	if t == nil {
+		return
+	}
+	now := s.clock.Steady
+	if a.Verdict == VerdictOtherLife {
+		s.otherLife(t)
+		return
+	}
+	if a.ClockMs > 0 && s.sameLife(t, a) {
+		t.learn(a)
+	}
+	r := t.runs[runName{e.Task, e.Run}]
+	if r == nil || r.phase != stopping {
+		return
+	}
+	switch a.Verdict {
+	case VerdictDone:
+		if r.answeredAt == 0 {
+			r.answeredAt = now
+		}
+		t.soon(now + holdPause)
+	case VerdictFenced:
+		s.superseded(t)
+	default:
+		r.stopAt = now + retryPause
+	}
+}
+
+// Paced takes in the answer to a pace.
+func (s *Scheduler) Paced(e Pace, a Answer) {
+	t := s.targets[e.Target.ID]
+	if t == nil || a.Verdict == VerdictDone {
+		return
+	}
+	if r := t.runs[runName{e.Task, e.Run}]; r != nil {
+		// The share at which it works isn't known; the next decision sets it.
+		r.pace = unknownPace
+	}
+}
+
+// String returns the word for the log.
+func (v Verdict) String() string {
+	return [...]string{"unanswered", "done", "fenced", "old", "late", "room", "ticket", "refused", "otherLife", "unreached", "busy"}[v]
+}
--- /dev/null
+++ b/internal/cransched/place.go
@@ -0,0 +1,259 @@
+package cransched
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cranberrypick/cranberrypick/internal/cranjob"
+)
+
+// candidate is a stage whose turn has come, with what orders it.
+type candidate struct {
+	job   *job
+	stage *stage
+	// hopeless stages can't be complete in time; they come last.
+	hopeless bool
+	// slackMs is the time left beyond the remaining chain of work.
+	slackMs int64
+}
+
+// place gives waiting tasks to targets. It answers a load that at times
+// exceeds a pool: lasting tasks come first, then what can still be in time by
+// least slack, then the rest.
+func (s *Scheduler) place() {
+	byPool := map[string][]*target{}
+	for _, t := range s.sortedTargets() {
+		if t.usable(s.clock.Steady) {
+			byPool[t.info.Pool] = append(byPool[t.info.Pool], t)
+		}
+	}
+	for _, c := range s.candidates() {
+		targets := byPool[c.job.Pool]
+		if len(targets) == 0 {
+			continue
+		}
+		if c.stage.step.Gang {
+			s.placeGang(c, targets)
+			continue
+		}
+		for _, t := range c.stage.tasks {
+			if t.Status != cranjob.Waiting || t.notBefore > s.clock.Steady {
+				continue
+			}
+			home := s.choose(c.stage, targets)
+			if home == nil {
+				break
+			}
+			s.start(t, home, t.Run+1)
+		}
+	}
+}
+
+// candidates returns the stages with waiting tasks in the order in which they
+// are placed.
+func (s *Scheduler) candidates() []candidate {
+	var list []candidate
+	for _, j := range s.jobs {
+		if j.waiting == 0 || j.state.Final() {
+			continue
+		}
+		for _, st := range j.stages {
+			if st.waiting == 0 || !j.ready(st, s.clock.UnixMs) {
+				continue
+			}
+			objective, _ := j.objective(st.name.Occurrence)
+			slack := objective - s.clock.UnixMs - j.chain[st.name.Step]
+			list = append(list, candidate{
+				job: j, stage: st, slackMs: slack, hopeless: slack < 0 && !st.step.Lasting,
+			})
+		}
+	}
+	slices.SortFunc(list, compareCandidates)
+	return list
+}
+
+func compareCandidates(a, b candidate) int {
+	return cmp.Or(
+		boolOrder(!a.stage.step.Lasting, !b.stage.step.Lasting),
+		boolOrder(a.hopeless, b.hopeless),
+		cmp.Compare(a.priority(), b.priority()),
+		cmp.Compare(a.slackMs, b.slackMs),
+		cmp.Compare(a.job.ID, b.job.ID),
+		cmp.Compare(a.stage.name.Occurrence, b.stage.name.Occurrence),
+		cmp.Compare(a.stage.name.Step, b.stage.name.Step),
+	)
+}
+
+func (c candidate) priority() int {
+	if c.job.queue == nil {
+		return 0
+	}
+	return c.job.queue.Priority
+}
+
+// boolOrder puts false before true.
+func boolOrder(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
+// choose returns the target for a task of a stage; nil if none has room.
+func (s *Scheduler) choose(st *stage, targets []*target) *target {
+	var best *target
+	bestScore := 0.0
+	for _, t := range targets {
+		if !s.allowed(st, t) {
+			continue
+		}
+		if score := s.score(st, t); best == nil || score < bestScore {
+			best, bestScore = t, score
+		}
+	}
+	return best
+}
+
+// allowed reports whether a target may take a task of a stage.
+func (s *Scheduler) allowed(st *stage, t *target) bool {
+	step := st.step
+	if !t.free().Fits(step.Room()) {
+		return false
+	}
+	if step.Requires != "" && !t.hasLabel(step.Requires) {
+		return false
+	}
+	if step.MaxPerTarget > 0 && t.countStep(st.name) >= step.MaxPerTarget {
+		return false
+	}
+	return true
+}
+
+const (
+	// farPenalty outweighs any difference in room between targets.
+	farPenalty = 10
+	// mixPenalty keeps filling tasks apart from serving ones where there is room.
+	mixPenalty = 2
+	// failurePenalty weighs the share of failures seen at a target.
+	failurePenalty = 3
+)
+
+// score ranks targets for a stage; the lowest is best. Among equals the
+// fullest target that still fits is taken, so that large tasks find room.
+func (s *Scheduler) score(st *stage, t *target) float64 {
+	left := t.free().Sub(st.step.Room())
+	score := share(left.CPU, t.info.Capacity.CPU) + share(left.Memory, t.info.Capacity.Memory)
+	if st.step.DataRack != "" && !t.hasLabel(st.step.DataRack) {
+		score += farPenalty
+	}
+	if st.step.Filling || st.step.TailTargetMs > 0 {
+		score += mixPenalty * float64(t.opposed(st.step))
+	}
+	return score + failurePenalty*t.health.failures
+}
+
+// opposed counts the runs at a target that the step would disturb or be
+// disturbed by.
+func (t *target) opposed(step *cranjob.Step) int {
+	n := 0
+	for _, r := range t.runs {
+		if r.step == nil {
+			continue
+		}
+		if step.Filling && r.step.TailTargetMs > 0 || step.TailTargetMs > 0 && r.step.Filling {
+			n++
+		}
+	}
+	return n
+}
+
+func share(part, whole int) float64 {
+	if whole <= 0 {
+		return 0
+	}
+	return float64(part) / float64(whole)
+}
+
+// placeGang places all tasks of a stage under one number, or none.
+func (s *Scheduler) placeGang(c candidate, targets []*target) {
+	st := c.stage
+	if st.waiting != len(st.tasks) {
+		return
+	}
+	number := 0
+	for _, t := range st.tasks {
+		if t.notBefore > s.clock.Steady {
+			return
+		}
+		number = max(number, t.Run+1)
+	}
+	groups := [][]*target{targets}
+	if st.step.SameRack {
+		groups = append(byRack(targets), targets)
+	}
+	for _, group := range groups {
+		homes := s.fitAll(st, group)
+		if homes == nil {
+			continue
+		}
+		for i, t := range st.tasks {
+			s.start(t, homes[i], number)
+		}
+		return
+	}
+}
+
+// fitAll returns a target for each task of a stage, or nil.
+func (s *Scheduler) fitAll(st *stage, targets []*target) []*target {
+	var homes []*target
+	var trial []*run
+	for _, t := range st.tasks {
+		home := s.choose(st, targets)
+		if home == nil {
+			break
+		}
+		r := &run{name: t.name, number: -1, room: st.step.Room(), step: st.step}
+		home.add(r)
+		homes, trial = append(homes, home), append(trial, r)
+	}
+	for i, r := range trial {
+		homes[i].remove(r)
+	}
+	if len(homes) < len(st.tasks) {
+		return nil
+	}
+	return homes
+}
+
+// byRack groups targets by rack, the rack with the most targets first.
+func byRack(targets []*target) [][]*target {
+	racks := map[string][]*target{}
+	for _, t := range targets {
+		racks[t.rack()] = append(racks[t.rack()], t)
+	}
+	var groups [][]*target
+	for _, group := range racks {
+		groups = append(groups, group)
+	}
+	slices.SortFunc(groups, func(a, b []*target) int {
+		return cmp.Or(cmp.Compare(len(b), len(a)), cmp.Compare(a[0].info.ID, b[0].info.ID))
+	})
+	return groups
+}
+
+// start places a task; the order leaves once this is stored.
+func (s *Scheduler) start(t *task, home *target, number int) {
+	t.Run = number
+	t.job.setStatus(t, cranjob.Placed)
+	t.Target = home.info.ID
+	t.run = &run{name: t.name, number: number, room: t.step.Room(), phase: planned, task: t, step: t.step, pace: fullPace}
+	home.add(t.run)
+	s.mark(t.job)
+	s.gate(Note{Kind: NoteStart, Job: t.job.ID, Task: t.name.String(), Run: number, Target: home.info.ID, AgeMs: (s.clock.Steady - home.contactAt).Milliseconds()})
+	s.gate(Start{
+		Target: home.address(), Task: t.name, Run: number, Spec: t.job.Spec, Token: s.token, Checkpoint: t.Checkpoint,
+	})
+}
--- /dev/null
+++ b/internal/cransched/report.go
@@ -0,0 +1,266 @@
+package cransched
+
+import (
+	"strings"
+	"time"
+
+	"github.com/cranberrypick/cranberrypick/internal/cranjob"
+)
+
+// missingReports is how many reports in a row must lack a run that was
+// confirmed before it counts as ended: reports may overtake other answers.
+const missingReports = 2
+
+// Held takes in the answer to a hold.
+func (s *Scheduler) Held(id Address, a HoldAnswer) {
+	t := s.targets[id.ID]
+	if t == nil || t.info.Address != id.Address {
+		return
+	}
+	t.holding = false
+	t.holdAt = s.clock.Steady + retryPause
+	switch a.Verdict {
+	case VerdictDone:
+		s.report(t, a)
+	case VerdictFenced:
+		s.superseded(t)
+	case VerdictOtherLife:
+		s.otherLife(t)
+	}
+}
+
+// superseded takes in that a target has seen the token of a later owner.
+func (s *Scheduler) superseded(t *target) {
+	t.superseded = true
+	s.emit(Note{Kind: NoteTargetFenced, Target: t.info.ID})
+}
+
+// otherLife takes in that another target answers at the address.
+func (s *Scheduler) otherLife(t *target) {
+	s.emit(Note{Kind: NoteTargetGone, Target: t.info.ID, Reason: "another target has its address"})
+	s.releaseAll(t, "the target is gone")
+	t.listed = false
+	t.info.Address = ""
+}
+
+// report takes in what runs at a target and what has ended there.
+func (s *Scheduler) report(t *target, a HoldAnswer) {
+	if !s.sameLife(t, a.Answer) {
+		return
+	}
+	first := !t.fenced
+	t.learn(a.Answer)
+	t.fenced = true
+	for _, e := range a.Finished {
+		if e.Number <= t.seen {
+			continue
+		}
+		t.seen = e.Number
+		s.ended(t, e)
+	}
+	present := make(map[runName]bool, len(a.Running))
+	for _, r := range a.Running {
+		present[runName{r.Task, r.Run}] = true
+		s.running(t, r)
+	}
+	for _, r := range t.sortedRuns() {
+		if !present[runName{r.name, r.number}] {
+			s.absent(t, r, a.SentAt, first)
+		}
+	}
+	s.pace(t)
+	switch {
+	case t.clockAt > 0 && t.leaseMs == 0:
+		t.holdAt = s.clock.Steady
+	case len(t.runs) == 0 && t.seen == t.stored:
+		t.holdAt = s.clock.Steady + renewEvery
+	default:
+		t.holdAt = s.clock.Steady + holdPause
+	}
+	t.awaitStore = t.seen > t.stored
+}
+
+// sameLife takes in which life of a target has answered, and reports whether
+// the answer is of its present one.
+func (s *Scheduler) sameLife(t *target, a Answer) bool {
+	switch {
+	case a.BornMs == 0:
+		return true
+	case t.info.BornMs == 0:
+		t.info.BornMs = a.BornMs
+	case a.BornMs < t.info.BornMs:
+		return false
+	case a.BornMs > t.info.BornMs:
+		s.reborn(t, a.BornMs)
+	}
+	return true
+}
+
+// running takes in that a run is present.
+func (s *Scheduler) running(t *target, report RunReport) {
+	r := t.runs[runName{report.Task, report.Run}]
+	if r == nil {
+		r = s.stray(t, report)
+	}
+	if r.phase == planned || r.phase == ordered || r.phase == unproved {
+		if r.phase == unproved {
+			r.startedAt = s.clock.Steady
+		}
+		r.phase = present
+		r.progressAt = s.clock.Steady
+	}
+	r.missing = 0
+	if report.Percent != r.percent {
+		r.percent = report.Percent
+		r.progressAt = s.clock.Steady
+	}
+	r.gauge = report.Gauge
+	if r.task == nil || r.task.run != r {
+		return
+	}
+	if report.Checkpoint != "" && report.Checkpoint != r.task.Checkpoint {
+		r.task.Checkpoint = report.Checkpoint
+	}
+	if r.task.job.state == cranjob.Queued {
+		r.task.job.state = cranjob.Running
+		s.mark(r.task.job)
+	}
+}
+
+// stray takes in a run that nothing is known of, and has it stopped. It
+// occupies room until then.
+func (s *Scheduler) stray(t *target, report RunReport) *run {
+	r := &run{name: report.Task, number: report.Run, phase: stopping, stopReason: "unknown run", pace: fullPace}
+	if j := s.jobs[report.Task.Job]; j != nil && report.Task.Step < len(j.Steps) {
+		r.step = &j.Steps[report.Task.Step]
+		r.room = r.step.Room()
+	}
+	t.add(r)
+	s.emit(Note{Kind: NoteStray, Job: report.Task.Job, Task: report.Task.String(), Run: report.Run, Target: t.info.ID})
+	return r
+}
+
+// absent takes in that a report lacks a run.
+func (s *Scheduler) absent(t *target, r *run, sentAt time.Duration, first bool) {
+	switch r.phase {
+	case unproved:
+		// The token of this owner was seen before the report was made, so no
+		// order of an earlier owner can start the run any more.
+		s.release(t, r, "a predecessor's order was not carried out")
+	case present:
+		if r.answeredAt > sentAt {
+			return
+		}
+		r.missing++
+		if r.missing >= missingReports {
+			s.stopRun(t, r, "missing from the report")
+		}
+	case stopping:
+		if r.answeredAt > 0 && sentAt > r.answeredAt {
+			s.release(t, r, r.stopReason)
+		}
+	}
+}
+
+// ended takes in the end of a run.
+func (s *Scheduler) ended(t *target, e EndReport) {
+	r := t.runs[runName{e.Task, e.Run}]
+	if r != nil {
+		t.remove(r)
+	}
+	owner := s.taskOf(e.Task)
+	s.gate(Note{Kind: NoteEnd, Job: e.Task.Job, Task: e.Task.String(), Run: e.Run, Target: t.info.ID, Reason: string(e.How)})
+	if owner == nil || owner.Status == cranjob.Done {
+		return
+	}
+	current := r != nil && owner.run == r
+	switch e.How {
+	case EndDone:
+		t.health.record(false, s.clock.Steady)
+		s.succeeded(owner, r)
+	case EndFailed:
+		t.health.record(true, s.clock.Steady)
+		s.failed(owner, current)
+	default:
+		if e.Checkpoint != "" {
+			owner.Checkpoint = e.Checkpoint
+		}
+		if current {
+			owner.job.setStatus(owner, cranjob.Waiting)
+		}
+	}
+	if !owner.job.state.Final() {
+		s.mark(owner.job)
+		s.settle(owner.job)
+	}
+}
+
+// taskOf returns a task of a job that has not ended.
+func (s *Scheduler) taskOf(name cranjob.TaskName) *task {
+	j := s.jobs[name.Job]
+	if j == nil {
+		return nil
+	}
+	stage := name.Occurrence*len(j.Steps) + name.Step
+	if name.Step < 0 || name.Step >= len(j.Steps) || stage < 0 || stage >= len(j.stages) ||
+		name.Index < 0 || name.Index >= len(j.stages[stage].tasks) {
+		return nil
+	}
+	return j.stages[stage].tasks[name.Index]
+}
+
+// succeeded takes in that a run of a task ended as done. One such end stands
+// for all members of a gang.
+func (s *Scheduler) succeeded(owner *task, r *run) {
+	if owner.step.Lasting {
+		if owner.run == r || owner.run == nil {
+			owner.job.setStatus(owner, cranjob.Waiting)
+		}
+		return
+	}
+	members := []*task{owner}
+	if owner.step.Gang {
+		members = owner.job.stageOf(owner).tasks
+	}
+	for _, m := range members {
+		if m.run != nil && m.run != r {
+			if home := s.targets[m.Target]; home != nil {
+				s.stopRun(home, m.run, "another run has succeeded")
+			}
+			m.run.task = nil
+		}
+		owner.job.setStatus(m, cranjob.Done)
+	}
+}
+
+// failed counts a failure and puts off the next run, or ends the job. Lasting
+// tasks are started again without limit.
+func (s *Scheduler) failed(owner *task, current bool) {
+	owner.Failed++
+	if current {
+		owner.job.setStatus(owner, cranjob.Waiting)
+	}
+	if !owner.step.Lasting && owner.job.queue != nil && owner.Failed >= owner.job.queue.Attempts {
+		s.endJob(owner.job, cranjob.Failed, owner.name.String()+" has failed too often")
+		return
+	}
+	pause := failurePauseMax
+	if owner.Failed < 6 {
+		pause = min(failurePause<<(owner.Failed-1), failurePauseMax)
+	}
+	owner.notBefore = s.clock.Steady + pause
+}
+
+// compareNames orders the names of tasks.
+func compareNames(a, b *run) int {
+	if c := strings.Compare(a.name.Job, b.name.Job); c != 0 {
+		return c
+	}
+	if c := a.name.Occurrence - b.name.Occurrence; c != 0 {
+		return c
+	}
+	if c := a.name.Step - b.name.Step; c != 0 {
+		return c
+	}
+	return a.name.Index - b.name.Index
+}
--- /dev/null
+++ b/internal/cransched/scheduler.go
@@ -0,0 +1,290 @@
+package cransched
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cranberrypick/cranberrypick/internal/cranjob"
+	"github.com/cranberrypick/cranberrypick/internal/cranstore"
+)
+
+// Scheduler decides for all pools. It isn't safe for concurrent use.
+type Scheduler struct {
+	token   uint64
+	timing  Timing
+	config  *Config
+	clock   Clock
+	jobs    map[string]*job
+	targets map[string]*target
+	// orphans are cancellations of jobs that aren't known yet.
+	cancelled map[string]bool
+	waves     fleet
+	effects   []Effect
+	// gated effects wait for what was decided before them to be stored.
+	gated []Effect
+	// records are stored with the next batch besides the dirty jobs.
+	records []cranstore.Record
+	dirty   []*job
+	// inFlight is the batch that is being stored.
+	inFlight *batch
+	tookOver time.Duration
+}
+
+// batch is what one append carries.
+type batch struct {
+	released []Effect
+	observed map[*target]int64
+}
+
+// New returns the scheduler of a new owner, whose claim has the epoch token.
+// The book must hold everything that lies before the claim.
+func New(token uint64, timing Timing, config *Config, book *cranjob.Book, c Clock) *Scheduler {
+	s := &Scheduler{
+		token: token, timing: timing, config: config, clock: c,
+		jobs: map[string]*job{}, targets: map[string]*target{}, cancelled: map[string]bool{},
+		tookOver: c.Steady,
+	}
+	s.waves = newFleet(book.Orders())
+	ids := slices.Sorted(maps.Keys(book.Jobs()))
+	for _, id := range ids {
+		e := book.Jobs()[id]
+		if e.Job() == nil {
+			s.cancelled[id] = e.Cancelled()
+			continue
+		}
+		if p := e.Progress(); p != nil && p.State.Final() {
+			continue
+		}
+		s.adopt(e)
+	}
+	return s
+}
+
+// adopt takes over a job with the runs that may exist.
+func (s *Scheduler) adopt(e *cranjob.Entry) {
+	j := newJob(e.Job(), e.Progress())
+	j.queue = s.queue(j.Queue)
+	s.jobs[j.ID] = j
+	for _, t := range j.tasks {
+		if t.Status != cranjob.Placed {
+			continue
+		}
+		home := s.targets[t.Target]
+		if home == nil {
+			home = newTarget(TargetInfo{ID: t.Target, Pool: j.Pool}, s.clock.Steady, s.lapseBound())
+			home.listed = false
+			home.unlistedAt = s.clock.Steady
+			s.targets[t.Target] = home
+		}
+		t.run = &run{name: t.name, number: t.Run, room: t.step.Room(), phase: unproved, task: t, step: t.step, pace: fullPace}
+		home.add(t.run)
+	}
+	if e.Cancelled() {
+		s.cancelJob(j)
+	}
+	s.settle(j)
+}
+
+// lapseBound returns when every lease of earlier owners has ended: they act
+// for a bounded time without a confirmed append, and each lease is bounded.
+func (s *Scheduler) lapseBound() time.Duration {
+	lease := time.Duration(float64(s.lease()) / (1 - clockDrift))
+	return s.tookOver + OwnershipBound + lease + lapseMargin
+}
+
+func (s *Scheduler) lease() time.Duration {
+	return time.Duration(leaseShare * float64(s.timing.MaxLease))
+}
+
+func (s *Scheduler) queue(name string) *Queue {
+	if s.config == nil {
+		return nil
+	}
+	return s.config.Queues[name]
+}
+
+// Advance sets the time of the events that follow.
+func (s *Scheduler) Advance(c Clock) { s.clock = c }
+
+// SetConfig takes over a newer configuration. Jobs of a queue that it no
+// longer names keep the queue's last settings.
+func (s *Scheduler) SetConfig(c *Config) {
+	if s.config != nil && c.Version <= s.config.Version {
+		return
+	}
+	s.config = c
+	for _, j := range s.jobs {
+		if q := s.queue(j.Queue); q != nil {
+			j.queue = q
+		}
+	}
+}
+
+// AddJob takes in an accepted job.
+func (s *Scheduler) AddJob(submission *cranjob.Job) {
+	if s.jobs[submission.ID] != nil {
+		return
+	}
+	j := newJob(submission, nil)
+	j.queue = s.queue(j.Queue)
+	s.jobs[j.ID] = j
+	if s.cancelled[j.ID] {
+		s.cancelJob(j)
+	}
+}
+
+// CancelJob takes in the cancellation of a job.
+func (s *Scheduler) CancelJob(id string) {
+	if j := s.jobs[id]; j != nil {
+		s.cancelJob(j)
+		return
+	}
+	s.cancelled[id] = true
+}
+
+func (s *Scheduler) cancelJob(j *job) {
+	if j.cancelled || j.state.Final() {
+		return
+	}
+	j.cancelled = true
+	s.endJob(j, cranjob.Cancelled, "cancelled")
+}
+
+// endJob ends a job and stops what still runs of it.
+func (s *Scheduler) endJob(j *job, state cranjob.State, reason string) {
+	j.state = state
+	j.endedMs = s.clock.UnixMs
+	s.mark(j)
+	s.gate(Note{Kind: NoteJobEnded, Job: j.ID, Reason: state.String() + ": " + reason})
+	for _, t := range j.tasks {
+		r := t.run
+		if r == nil {
+			continue
+		}
+		if home := s.targets[t.Target]; home != nil {
+			s.stopRun(home, r, reason)
+		}
+		r.task = nil
+		t.run = nil
+	}
+	delete(s.jobs, j.ID)
+}
+
+// mark has the job's progress stored with the next batch.
+func (s *Scheduler) mark(j *job) {
+	if !slices.Contains(s.dirty, j) {
+		s.dirty = append(s.dirty, j)
+	}
+	j.dirty = true
+}
+
+func (s *Scheduler) emit(e Effect) { s.effects = append(s.effects, e) }
+
+// gate emits an effect once everything decided so far is stored.
+func (s *Scheduler) gate(e Effect) { s.gated = append(s.gated, e) }
+
+// Effects returns and forgets what is to be done now.
+func (s *Scheduler) Effects() []Effect {
+	effects := s.effects
+	s.effects = nil
+	return effects
+}
+
+// NextBatch returns the records to store, and whether there are any. Until
+// [Scheduler.Stored] is called it returns none.
+func (s *Scheduler) NextBatch() ([]cranstore.Record, bool) {
+	if s.inFlight != nil {
+		return nil, false
+	}
+	observed := map[*target]int64{}
+	for _, t := range s.targets {
+		if t.seen > t.stored {
+			observed[t] = t.seen
+		}
+	}
+	if len(s.dirty) == 0 && len(s.records) == 0 && len(s.gated) == 0 && len(observed) == 0 {
+		return nil, false
+	}
+	records := s.records
+	for _, j := range s.dirty {
+		j.dirty = false
+		records = append(records, cranstore.Record{Key: cranjob.ProgressKey(j.ID), Value: cranjob.Encode(j.progress())})
+	}
+	s.inFlight = &batch{released: s.gated, observed: observed}
+	s.dirty, s.records, s.gated = nil, nil, nil
+	return records, true
+}
+
+// Stored releases what waited for the batch.
+func (s *Scheduler) Stored() {
+	b := s.inFlight
+	if b == nil {
+		return
+	}
+	s.inFlight = nil
+	for _, e := range b.released {
+		if start, isStart := e.(Start); isStart {
+			s.releaseStart(start)
+			continue
+		}
+		s.emit(e)
+	}
+	for _, t := range s.sortedTargets() {
+		number, found := b.observed[t]
+		if !found {
+			continue
+		}
+		t.stored = number
+	}
+}
+
+// releaseStart sends a stored start unless its run was given up meanwhile.
+func (s *Scheduler) releaseStart(e Start) {
+	t := s.targets[e.Target.ID]
+	if t == nil {
+		return
+	}
+	r := t.runs[runName{e.Task, e.Run}]
+	if r == nil || r.phase != planned {
+		return
+	}
+	r.phase = ordered
+	r.startedAt = s.clock.Steady
+	e.DeadlineMs = s.grant(t)
+	s.emit(e)
+}
+
+// grant returns the deadline, on the target's clock, of a lease from now on.
+func (s *Scheduler) grant(t *target) int64 {
+	if t.clockAt == 0 {
+		return 0
+	}
+	deadline := t.clock(s.clock.Steady) + s.lease().Milliseconds()
+	t.leaseMs = max(t.leaseMs, deadline)
+	return deadline
+}
+
+// sortedTargets returns the targets in order of id, so that equal events lead
+// to equal effects.
+func (s *Scheduler) sortedTargets() []*target {
+	list := make([]*target, 0, len(s.targets))
+	for _, id := range slices.Sorted(maps.Keys(s.targets)) {
+		list = append(list, s.targets[id])
+	}
+	return list
+}
+
+// settle completes a job whose tasks have all succeeded, and tells apart the
+// jobs that wait from those that run.
+func (s *Scheduler) settle(j *job) {
+	if j.state.Final() {
+		return
+	}
+	if j.done == len(j.tasks) {
+		s.endJob(j, cranjob.Completed, "all tasks have succeeded")
+	}
+}
+
+// Jobs returns the number of jobs that have not ended.
+func (s *Scheduler) Jobs() int { return len(s.jobs) }
--- /dev/null
+++ b/internal/cransched/target.go
@@ -0,0 +1,174 @@
+package cransched
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cranberrypick/cranberrypick/internal/cranjob"
+)
+
+// phase is where a run stands at its target.
+type phase uint8
+
+const (
+	// planned runs are decided and not stored yet.
+	planned phase = iota
+	// ordered runs are stored; their order has left and isn't answered.
+	ordered
+	// present runs were confirmed by the target.
+	present
+	// stopping runs are to end; the target may not know them yet.
+	stopping
+	// unproved runs were stored by a predecessor; the target has not been
+	// asked yet.
+	unproved
+)
+
+// run is one run of a task that is, or may be, at a target. It occupies its
+// room there until its end is listed or certain.
+type run struct {
+	name   cranjob.TaskName
+	number int
+	room   cranjob.Resources
+	phase  phase
+	// task is nil for a run that nothing is known of.
+	task *task
+	step *cranjob.Step
+	// answeredAt is when the start, or the stop, was answered; 0 before.
+	answeredAt time.Duration
+	startedAt  time.Duration
+	// stopAt is when the stop is due, or due again.
+	stopAt      time.Duration
+	stopReason  string
+	percent     int
+	gauge       int
+	pace        int
+	progressAt  time.Duration
+	missing     int
+	workingFrom time.Duration
+	over        time.Duration
+}
+
+// target is one life of a target.
+type target struct {
+	info TargetInfo
+	// listed is false once the store no longer names it.
+	listed     bool
+	unlistedAt time.Duration
+	// fenced is true once it has answered a hold with this owner's token.
+	fenced bool
+	// superseded is true once it has seen a higher token.
+	superseded bool
+	// contactAt is when a call left that it answered.
+	contactAt time.Duration
+	// clockMs is its clock, read from an answer to a call sent at clockAt.
+	clockMs int64
+	clockAt time.Duration
+	// leaseMs is the latest deadline, on its clock, that any call carried.
+	leaseMs int64
+	// lapseAt bounds the leases granted by predecessors.
+	lapseAt time.Duration
+	// seen is the highest number of an end that was processed, stored the
+	// highest that is stored.
+	seen, stored int64
+	runs         map[runName]*run
+	used         cranjob.Resources
+	// holding is true while a hold is under way, sent at holdSent. The next
+	// one is due at holdAt.
+	holding          bool
+	holdSent, holdAt time.Duration
+	// awaitStore is true when the next hold waits for the ends to be stored.
+	awaitStore bool
+	cordoned   bool
+	// pacedAt is when the share of a filling task was changed last.
+	pacedAt   time.Duration
+	fullUntil time.Duration
+	lost      bool
+	health    health
+	tickets   map[StepName]ticket
+}
+
+type runName struct {
+	task   cranjob.TaskName
+	number int
+}
+
+type ticket struct {
+	text    string
+	validTo time.Duration
+}
+
+func newTarget(info TargetInfo, now, lapseAt time.Duration) *target {
+	return &target{info: info, listed: true, lapseAt: lapseAt, contactAt: now - time.Hour, runs: map[runName]*run{}}
+}
+
+func (t *target) address() Address { return Address{ID: t.info.ID, Address: t.info.Address} }
+
+func (t *target) add(r *run) {
+	t.runs[runName{r.name, r.number}] = r
+	t.used = t.used.Add(r.room)
+}
+
+func (t *target) remove(r *run) {
+	key := runName{r.name, r.number}
+	if t.runs[key] == r {
+		delete(t.runs, key)
+		t.used = t.used.Sub(r.room)
+	}
+}
+
+func (t *target) free() cranjob.Resources { return t.info.Capacity.Sub(t.used) }
+
+// clock estimates the target's clock. It is late by at most the time that the
+// answer travelled, and early by at most the drift since.
+func (t *target) clock(now time.Duration) int64 {
+	return t.clockMs + (now - t.clockAt).Milliseconds()
+}
+
+// learn takes what an answer tells of the target's clock.
+func (t *target) learn(a Answer) {
+	if a.ClockMs > 0 && a.SentAt >= t.clockAt {
+		t.clockMs, t.clockAt = a.ClockMs, a.SentAt
+	}
+	t.contactAt = max(t.contactAt, a.SentAt)
+}
+
+// lapsed reports whether everything at the target has certainly ended because
+// no lease was renewed.
+func (t *target) lapsed(now time.Duration) bool {
+	if now < t.lapseAt {
+		return false
+	}
+	if t.clockAt == 0 {
+		return true
+	}
+	atLeast := t.clockMs + int64(float64((now-t.clockAt).Milliseconds())*(1-clockDrift))
+	return atLeast > t.leaseMs+lapseMargin.Milliseconds()
+}
+
+// usable reports whether the target may get new work.
+func (t *target) usable(now time.Duration) bool {
+	return t.listed && t.fenced && !t.superseded && !t.cordoned && !t.info.Draining && !t.lost &&
+		now-t.contactAt <= contactBound && now >= t.fullUntil && !t.health.suspended(now)
+}
+
+func (t *target) hasLabel(label string) bool { return slices.Contains(t.info.Labels, label) }
+
+// rack returns the label of the target's rack, which comes last.
+func (t *target) rack() string {
+	if len(t.info.Labels) == 0 {
+		return ""
+	}
+	return t.info.Labels[len(t.info.Labels)-1]
+}
+
+// countStep counts the runs of one step on the target.
+func (t *target) countStep(name StepName) int {
+	n := 0
+	for key := range t.runs {
+		if key.task.Job == name.Job && key.task.Occurrence == name.Occurrence && key.task.Step == name.Step {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/cransched/targets.go
@@ -0,0 +1,162 @@
+package cransched
+
+import (
+	"slices"
+	"time"
+)
+
+// missingBound is how long a target may be missing from the store's list
+// before it counts as gone: entries that lapsed during an outage of the store
+// come back within two seconds of its end.
+const missingBound = 2500 * time.Millisecond
+
+// SetTargets takes over the store's list of targets. Each target counts as
+// listed until it has been missing for a while.
+func (s *Scheduler) SetTargets(list []TargetInfo) {
+	listed := make(map[string]bool, len(list))
+	for _, info := range list {
+		listed[info.ID] = true
+		t := s.targets[info.ID]
+		if t == nil {
+			t = newTarget(info, s.clock.Steady, s.lapseBound())
+			// Nothing of an earlier owner can be at a target that began after it.
+			s.targets[info.ID] = t
+		}
+		if t.info.BornMs != 0 && info.BornMs > t.info.BornMs {
+			s.reborn(t, info.BornMs)
+		}
+		born := max(t.info.BornMs, info.BornMs)
+		t.info = info
+		t.info.BornMs = born
+		t.listed = true
+		t.unlistedAt = 0
+	}
+	for _, t := range s.sortedTargets() {
+		if !listed[t.info.ID] && t.listed && t.unlistedAt == 0 {
+			t.unlistedAt = s.clock.Steady
+		}
+	}
+}
+
+// reborn takes in that a target has started again under its id: everything
+// that ran there has ended, and its counts begin anew.
+func (s *Scheduler) reborn(t *target, bornMs int64) {
+	s.emit(Note{Kind: NoteReborn, Target: t.info.ID})
+	s.releaseAll(t, "the target has started again")
+	t.info.BornMs = bornMs
+	t.clockMs, t.clockAt, t.leaseMs, t.lapseAt = 0, 0, 0, 0
+	t.seen, t.stored = 0, 0
+	t.fenced = false
+	t.awaitStore = false
+	t.tickets = nil
+}
+
+// releaseAll gives up every run at a target, which has certainly ended.
+func (s *Scheduler) releaseAll(t *target, reason string) {
+	for _, r := range t.sortedRuns() {
+		s.release(t, r, reason)
+	}
+}
+
+// release gives up a run that has certainly ended, or never begins.
+func (s *Scheduler) release(t *target, r *run, reason string) {
+	t.remove(r)
+	owner := r.task
+	if owner == nil || owner.run != r {
+		return
+	}
+	owner.job.setStatus(owner, 0)
+	s.mark(owner.job)
+	s.gate(Note{Kind: NoteNotStarted, Job: owner.job.ID, Task: r.name.String(), Run: r.number, Target: t.info.ID, Reason: reason})
+}
+
+func (t *target) sortedRuns() []*run {
+	list := make([]*run, 0, len(t.runs))
+	for _, r := range t.runs {
+		list = append(list, r)
+	}
+	slices.SortFunc(list, func(a, b *run) int {
+		if c := compareNames(a, b); c != 0 {
+			return c
+		}
+		return a.number - b.number
+	})
+	return list
+}
+
+// Tick looks after targets that don't answer, tasks whose time has come, and
+// planned work. It is due at least every renewEvery.
+func (s *Scheduler) Tick() {
+	for _, t := range s.sortedTargets() {
+		s.watch(t)
+	}
+	s.planWaves()
+	s.place()
+}
+
+// watch releases what has lapsed at a target and forgets targets that are gone.
+func (s *Scheduler) watch(t *target) {
+	now := s.clock.Steady
+	if t.unlistedAt != 0 && t.listed && now-t.unlistedAt > missingBound && now-t.contactAt > contactBound {
+		t.listed = false
+		s.emit(Note{Kind: NoteTargetGone, Target: t.info.ID, Reason: "missing from the list", AgeMs: (now - t.unlistedAt).Milliseconds()})
+	}
+	silent := now-t.contactAt > contactBound
+	if silent != t.lost && t.fenced {
+		t.lost = silent
+		kind := NoteTargetBack
+		if silent {
+			kind = NoteTargetLost
+		}
+		s.emit(Note{Kind: kind, Target: t.info.ID, AgeMs: (now - t.contactAt).Milliseconds()})
+	}
+	if silent && len(t.runs) > 0 && t.lapsed(now) {
+		s.emit(Note{Kind: NoteLapsed, Target: t.info.ID, AgeMs: (now - t.contactAt).Milliseconds()})
+		s.releaseAll(t, "the lease has lapsed")
+	}
+	if !t.listed && len(t.runs) == 0 && silent {
+		delete(s.targets, t.info.ID)
+		return
+	}
+	if t.info.Draining {
+		s.leave(t)
+	}
+	if t.holdDue(now) {
+		s.hold(t)
+	}
+	for _, r := range t.sortedRuns() {
+		if r.phase == stopping && now >= r.stopAt {
+			s.sendStop(t, r)
+		}
+	}
+}
+
+// hold emits the next hold of a target.
+func (s *Scheduler) hold(t *target) {
+	t.holding = true
+	t.holdSent = s.clock.Steady
+	wait := renewEvery
+	if !t.fenced || len(t.runs) == 0 {
+		wait = 0
+	}
+	s.emit(Hold{Target: t.address(), DeadlineMs: s.grant(t), Token: s.token, Observed: t.stored, Wait: wait})
+}
+
+// holdDue reports whether it is time for the next hold of a target.
+func (t *target) holdDue(now time.Duration) bool {
+	return !t.holding && t.info.Address != "" && !t.superseded && now >= t.holdAt &&
+		(!t.awaitStore || t.stored >= t.seen || now-t.holdSent >= renewEvery)
+}
+
+// soon brings the next hold of a target forward.
+func (t *target) soon(at time.Duration) { t.holdAt = min(t.holdAt, at) }
+
+// leave moves the lasting tasks of a draining target elsewhere. Others are
+// left to end: they lose more by a restart.
+func (s *Scheduler) leave(t *target) {
+	for _, r := range t.sortedRuns() {
+		if r.phase == planned || r.phase == present && r.step != nil && r.step.Lasting {
+			s.stopRun(t, r, "the target is draining")
+		}
+	}
+}
--- /dev/null
+++ b/internal/cransched/wave.go
@@ -0,0 +1,345 @@
+package cransched
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cranberrypick/cranberrypick/internal/cranjob"
+	"github.com/cranberrypick/cranberrypick/internal/cranstore"
+)
+
+const (
+	// orderRepeat is when an unanswered order for an instance is sent again.
+	orderRepeat = 1000 * time.Millisecond
+	// prepareAhead is how many instances beyond those down are emptied ahead,
+	// so that the next is empty when one comes back.
+	prepareAhead = 2
+	// statusEvery is how often an unfinished wave's status is written again.
+	statusEvery = 10 * time.Second
+)
+
+// upkeep is where an instance of a wave stands.
+type upkeep uint8
+
+const (
+	// due instances have not been ordered down.
+	due upkeep = iota
+	// asked instances have an order that is stored, and not yet confirmed.
+	asked
+	// begun instances have begun their maintenance.
+	begun
+)
+
+// member is an instance of a wave.
+type member struct {
+	instance string
+	state    upkeep
+	sentAt   time.Duration
+	begunAt  time.Duration
+	stored   bool
+}
+
+// wave is a maintenance wave that goes on.
+type wave struct {
+	order     WaveOrder
+	members   []*member
+	seenAt    time.Duration
+	completed bool
+	statusAt  time.Duration
+	// stored is true once the status that was written last is confirmed.
+	statusKnown bool
+}
+
+// fleet is what planned work on instances needs.
+type fleet struct {
+	waves     map[int]*wave
+	instances map[string]InstanceInfo
+	// listAt is when the list was read; 0 before.
+	listAt time.Duration
+	stored map[string]cranjob.InstanceOrder
+	// firstOrder is when this owner's first order may leave.
+	allowed bool
+}
+
+func newFleet(orders map[string]cranjob.InstanceOrder) fleet {
+	return fleet{waves: map[int]*wave{}, stored: maps.Clone(orders)}
+}
+
+// SetWaves takes over the waves that the operator asks for, and which of them
+// are known to be completed.
+func (s *Scheduler) SetWaves(orders []WaveOrder, completed map[int]bool) {
+	for _, o := range orders {
+		if s.waves.waves[o.Wave] != nil {
+			continue
+		}
+		w := &wave{order: o, seenAt: s.clock.Steady, completed: completed[o.Wave]}
+		for _, id := range o.Instances {
+			m := &member{instance: id}
+			if stored := s.waves.stored[id]; stored.Wave == o.Wave {
+				m.state = asked
+				m.stored = true
+				if stored.Done {
+					m.state = begun
+				}
+			}
+			w.members = append(w.members, m)
+		}
+		s.waves.waves[o.Wave] = w
+		s.emit(Note{Kind: NoteWave, Run: o.Wave, Reason: "asked for"})
+	}
+}
+
+// WantsInstances reports whether planned work needs the list of instances.
+func (s *Scheduler) WantsInstances() bool {
+	for _, w := range s.waves.waves {
+		if !w.completed {
+			return true
+		}
+	}
+	return false
+}
+
+// SetInstances takes over the platform's list of instances, asked for at a time.
+func (s *Scheduler) SetInstances(list []InstanceInfo, askedAt time.Duration) {
+	s.waves.instances = make(map[string]InstanceInfo, len(list))
+	for _, i := range list {
+		s.waves.instances[i.Instance] = i
+	}
+	s.waves.listAt = askedAt
+}
+
+// planWaves empties instances and orders their maintenance.
+func (s *Scheduler) planWaves() {
+	// Orders of the former owner for the same instance must lie further back.
+	if s.clock.Steady < s.tookOver+s.timing.OrderLease+orderMargin || s.waves.listAt == 0 {
+		return
+	}
+	for _, number := range slices.Sorted(maps.Keys(s.waves.waves)) {
+		if w := s.waves.waves[number]; !w.completed {
+			s.planWave(w)
+		}
+	}
+}
+
+// orderMargin is added to the distance between the orders of two owners.
+const orderMargin = 500 * time.Millisecond
+
+func (s *Scheduler) planWave(w *wave) {
+	if s.clock.Steady-w.statusAt >= statusEvery || w.statusAt == 0 {
+		w.statusAt = s.clock.Steady
+		s.emit(WaveStatus{Wave: w.order.Wave})
+	}
+	down, open := 0, 0
+	for _, m := range w.members {
+		s.observe(m)
+		if s.occupied(m) {
+			down++
+		}
+		if m.state != begun && s.stays(m) {
+			open++
+		}
+	}
+	if open == 0 {
+		w.completed = true
+		s.emit(Note{Kind: NoteWave, Run: w.order.Wave, Reason: "completed"})
+		s.emit(WaveStatus{Wave: w.order.Wave, Completed: true})
+		s.uncordon(w)
+		return
+	}
+	limit := max(w.order.MaxParallel, 1)
+	cordoned := 0
+	for _, m := range s.byEffort(w) {
+		switch {
+		case m.state == asked:
+			if s.clock.Steady-m.sentAt >= orderRepeat && (m.sentAt != 0 || down < limit || s.occupied(m)) {
+				s.sendUpkeep(w, m)
+			}
+		case cordoned < limit+prepareAhead:
+			if s.evacuate(m) && down < limit {
+				down++
+				s.orderUpkeep(w, m)
+			}
+			cordoned++
+		}
+	}
+}
+
+// observe takes in what the list says of a member.
+func (s *Scheduler) observe(m *member) {
+	i, found := s.waves.instances[m.instance]
+	if m.state == asked && found && i.Maintenance && s.waves.listAt > m.sentAt {
+		s.confirm(m)
+	}
+}
+
+// stays reports whether the instance still exists.
+func (s *Scheduler) stays(m *member) bool {
+	_, found := s.waves.instances[m.instance]
+	return found
+}
+
+// occupied reports whether a member counts as down for its maintenance: from
+// the order on until the list, read later, shows it up again.
+func (s *Scheduler) occupied(m *member) bool {
+	switch m.state {
+	case due:
+		return false
+	case asked:
+		return m.sentAt != 0 || m.stored
+	}
+	i, found := s.waves.instances[m.instance]
+	return found && (!i.Up || s.waves.listAt <= m.begunAt)
+}
+
+// confirm takes in that the maintenance of a member has begun.
+func (s *Scheduler) confirm(m *member) {
+	m.state = begun
+	m.begunAt = s.clock.Steady
+	order := s.waves.stored[m.instance]
+	order.Done = true
+	s.waves.stored[m.instance] = order
+	s.records = append(s.records, cranstore.Record{Key: cranjob.OrderKey(m.instance), Value: cranjob.Encode(order)})
+}
+
+// byEffort returns the members with those under way first, then those whose
+// instances are cordoned, then by the number of runs to be moved.
+func (s *Scheduler) byEffort(w *wave) []*member {
+	list := slices.Clone(w.members)
+	list = slices.DeleteFunc(list, func(m *member) bool { return m.state == begun || !s.stays(m) })
+	effort := func(m *member) int {
+		if m.state == asked {
+			return -1
+		}
+		t := s.lifeOf(m.instance)
+		switch {
+		case t == nil || len(t.runs) == 0:
+			return 0
+		case t.cordoned:
+			return 1
+		}
+		return 2 + len(t.runs)
+	}
+	slices.SortStableFunc(list, func(a, b *member) int { return effort(a) - effort(b) })
+	return list
+}
+
+// lifeOf returns the target that is the present life of an instance.
+func (s *Scheduler) lifeOf(instance string) *target {
+	if t := s.targets[s.waves.instances[instance].Target]; t != nil && t.info.ID != "" {
+		return t
+	}
+	for _, t := range s.sortedTargets() {
+		if t.info.Instance == instance && t.listed {
+			return t
+		}
+	}
+	return nil
+}
+
+// evacuate keeps new work away from an instance and moves its lasting tasks
+// elsewhere. It reports whether nothing runs there any more.
+func (s *Scheduler) evacuate(m *member) bool {
+	i := s.waves.instances[m.instance]
+	t := s.lifeOf(m.instance)
+	if t == nil {
+		// An instance that is up has a life that this owner doesn't know yet,
+		// unless its pool is switched off.
+		return i.Up && (i.Target == "" || s.standby(i.Pool))
+	}
+	if !t.cordoned {
+		t.cordoned = true
+		s.emit(Note{Kind: NoteCordoned, Target: t.info.ID, Reason: m.instance})
+	}
+	if !t.fenced {
+		return false
+	}
+	for _, r := range t.sortedRuns() {
+		if r.phase == planned {
+			s.stopRun(t, r, "the instance is due for maintenance")
+			continue
+		}
+		if r.phase == present && r.step != nil && r.step.Lasting && s.mayEvict(r) {
+			r.task.endedByOrder = true
+			s.stopRun(t, r, "the instance is due for maintenance")
+		}
+	}
+	return len(t.runs) == 0
+}
+
+func (s *Scheduler) standby(pool string) bool {
+	return s.config != nil && s.config.Pools[pool] != nil && s.config.Pools[pool].Standby
+}
+
+// mayEvict reports whether planned work may take a lasting task away: fewer
+// others of its step than allowed are away, for whatever reason.
+func (s *Scheduler) mayEvict(r *run) bool {
+	if r.task == nil || r.task.run != r {
+		return true
+	}
+	away := 0
+	for _, other := range r.task.job.stageOf(r.task).tasks {
+		if other == r.task {
+			continue
+		}
+		if !other.atWork() {
+			away++
+		}
+	}
+	return r.step.MaxUnavailable == 0 || away < r.step.MaxUnavailable
+}
+
+// atWork reports whether a lasting task serves, as far as is known.
+func (t *task) atWork() bool {
+	return t.run != nil && t.run.phase == present && t.run.percent >= fullPace
+}
+
+// orderUpkeep stores the order for an instance and sends it then.
+func (s *Scheduler) orderUpkeep(w *wave, m *member) {
+	m.state = asked
+	m.stored = true
+	m.sentAt = s.clock.Steady
+	order := cranjob.InstanceOrder{Wave: w.order.Wave, SentMs: s.clock.UnixMs}
+	s.waves.stored[m.instance] = order
+	s.records = append(s.records, cranstore.Record{Key: cranjob.OrderKey(m.instance), Value: cranjob.Encode(order)})
+	s.gate(Note{Kind: NoteUpkeep, Target: m.instance, Run: w.order.Wave})
+	s.gate(Upkeep{Instance: m.instance, Wave: w.order.Wave, Token: s.token})
+}
+
+func (s *Scheduler) sendUpkeep(w *wave, m *member) {
+	t := s.lifeOf(m.instance)
+	if t != nil && !s.evacuate(m) {
+		return
+	}
+	m.sentAt = s.clock.Steady
+	s.emit(Upkeep{Instance: m.instance, Wave: w.order.Wave, Token: s.token})
+}
+
+// UpkeepAnswered takes in the answer to an order.
+func (s *Scheduler) UpkeepAnswered(e Upkeep, verdict Verdict) {
+	w := s.waves.waves[e.Wave]
+	if w == nil {
+		return
+	}
+	for _, m := range w.members {
+		if m.instance != e.Instance || m.state != asked {
+			continue
+		}
+		if verdict == VerdictDone {
+			if t := s.lifeOf(m.instance); t != nil {
+				s.releaseAll(t, "the instance is down for maintenance")
+			}
+			s.confirm(m)
+		}
+	}
+}
+
+// uncordon lets the lives of a finished wave take work; those that went down
+// have left anyway.
+func (s *Scheduler) uncordon(w *wave) {
+	for _, m := range w.members {
+		if t := s.lifeOf(m.instance); t != nil {
+			t.cordoned = false
+		}
+	}
+}
--- /dev/null
+++ b/internal/cranstore/store.go
@@ -0,0 +1,104 @@
+// Package cranstore is the boundary to a store of records under keys: a log
+// whose newest record of each key is retained for good.
+//
+// A topic is read in offset order. A reader that falls behind what is
+// retained gets [ErrExpired] and loads the newest record of each key instead.
+// Appends may be fenced: those of a named producer carry an epoch, and an
+// epoch lower than one seen before is refused with [FencedError].
+package cranstore
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+)
+
+// Record is a value under a key. An empty value drops the key.
+type Record struct {
+	Key   string
+	Value []byte
+	// Offset is where the record lies in its topic; set by reads only.
+	Offset uint64
+}
+
+// Batch is the answer to a read.
+type Batch struct {
+	Records []Record
+	// First is the oldest retained offset, End the offset of the next append.
+	First, End uint64
+	// Next is the offset to read from next.
+	Next uint64
+}
+
+// Appended tells where records lie.
+type Appended struct {
+	// First is the offset of the first record, End the end behind the last.
+	First, End uint64
+}
+
+// AppendOptions make an append conditional.
+type AppendOptions struct {
+	// Producer, if set, fences by Epoch and drops repeats by Sequence.
+	Producer        string
+	Epoch, Sequence uint64
+	// AtEnd, if set, is the end that the topic must have.
+	AtEnd *uint64
+}
+
+// Topic is one topic of the store.
+type Topic interface {
+	// Append adds records, all or none. An error that isn't one of this
+	// package's says nothing about whether they were added, now or later.
+	Append(ctx context.Context, records []Record, o AppendOptions) (Appended, error)
+	// Read returns records from an offset on; it waits for the first.
+	Read(ctx context.Context, from uint64, wait time.Duration) (Batch, error)
+	// Newest returns the newest record of each key, and the offset from which
+	// reads go on without a gap.
+	Newest(ctx context.Context) ([]Record, uint64, error)
+}
+
+// ErrExpired is returned for a read below the oldest retained offset.
+var ErrExpired = errors.New("the records have expired; load the newest record of each key")
+
+// FencedError refuses an append with an epoch lower than Epoch.
+type FencedError struct{ Epoch uint64 }
+
+// Error names the epoch.
+func (e *FencedError) Error() string {
+	return fmt.Sprintf("fenced: epoch %d was seen; stop writing", e.Epoch)
+}
+
+// SequenceError refuses an append out of sequence.
+type SequenceError struct{ Expected uint64 }
+
+// Error names the expected number.
+func (e *SequenceError) Error() string {
+	return fmt.Sprintf("out of sequence: %d is expected; take a new epoch", e.Expected)
+}
+
+// MovedError refuses a conditional append: the topic has another end.
+type MovedError struct{ End uint64 }
+
+// Error names the end.
+func (e *MovedError) Error() string {
+	return fmt.Sprintf("the topic ends at %d; read on and decide again", e.End)
+}
+
+// refusedError marks a call that had no effect and will have none.
+type refusedError struct{ cause error }
+
+func (e *refusedError) Error() string { return e.cause.Error() }
+
+func (e *refusedError) Unwrap() error { return e.cause }
+
+// Refused marks an error as that of a call without any effect.
+func Refused(cause error) error { return &refusedError{cause} }
+
+// IsRefused reports whether the call had no effect and will have none.
+func IsRefused(err error) bool {
+	var refused *refusedError
+	var fenced *FencedError
+	var moved *MovedError
+	return errors.As(err, &refused) || errors.As(err, &fenced) || errors.As(err, &moved)
+}
