Move empty instances to the pool in demand and switch off the rest

Queue order alone can't help: the work of a turn was twice what its pool does in time. Ruled out: room left unused by placing (cores were 0.97 full while tasks waited).

--- a/internal/cranjob/progress.go
+++ b/internal/cranjob/progress.go
@@ -45,14 +45,19 @@
 	Status Status
 	// Run is the number of the newest run; 0 before the first.
 	Run int
-	// Failed counts the runs that ended in failure.
-	Failed int
+	// Failed holds the numbers of the runs that ended in failure, the newest
+	// last: an end may be listed again to a new owner. It is cut to MaxFailed.
+	Failed []int
 	// Target is where the newest run was placed, while Placed.
 	Target string
 	// Checkpoint is what the next run resumes from; empty for none.
 	Checkpoint string
 }
 
+// MaxFailed bounds the failures remembered of a task that is started again
+// without limit.
+const MaxFailed = 12
+
 // Progress is what the scheduler stores of a job. Its newest record replaces
 // the older ones.
 type Progress struct {
--- a/internal/crannode/control.go
+++ b/internal/crannode/control.go
@@ -37,8 +37,7 @@
 	appendTimeout = 1500 * time.Millisecond
 	// appendPause is the pause after a try that failed.
 	appendPause = 80 * time.Millisecond
-	// instancesEvery is how often the list of instances is read while planned
-	// work needs it.
+	// instancesEvery is how often an owner reads the list of instances.
 	instancesEvery = 500 * time.Millisecond
 	// callTimeout bounds a call to a target or to the platform.
 	callTimeout = 900 * time.Millisecond
@@ -52,8 +51,11 @@
 	work context.Context
 	// lost is true while the store doesn't answer.
 	lost bool
-	// claimAt is when a new claim was read, readAt when the book was.
-	claimAt, readAt time.Duration
+	// claimAt is when a new claim was read, readAt when the book was, and
+	// ownerAt when a record of the owner was.
+	claimAt, readAt, ownerAt time.Duration
+	// formerVacated is true if the owner before the newest claim had vacated.
+	formerVacated bool
 	// watchedFrom is since when the book was read without a gap.
 	watchedFrom time.Duration
 	claiming    bool
@@ -176,6 +178,9 @@
 		if change.Kind == cranjob.ClaimChanged {
 			c.claimRead(now)
 		}
+		if change.Kind == cranjob.ClaimChanged || change.Kind == cranjob.ProgressChanged {
+			c.ownerAt = now.Steady
+		}
 		changes = append(changes, change)
 		if c.owner != nil {
 			c.owner.scheduler.Advance(now)
@@ -219,6 +224,7 @@
 	if mine && c.owner == nil && !c.node.stopping.Load() && claim.Beat == 0 {
 		c.takeOver(claim, now)
 	}
+	c.formerVacated = claim.Vacated
 }
 
 // considerClaim claims the scheduling when nobody has it.
@@ -273,7 +279,13 @@
 
 func (c *control) takeOver(claim cranjob.Claim, now cransched.Clock) {
 	n := c.node
-	s := cransched.New(claim.Epoch, n.timing, c.config, n.book, now)
+	// The earlier owner acts for a bounded time after an append that it knows
+	// to be stored, and whatever it stored has been read here since.
+	formerUntil := c.ownerAt + cransched.OwnershipBound
+	if c.formerVacated {
+		formerUntil = now.Steady
+	}
+	s := cransched.New(claim.Epoch, n.timing, c.config, n.book, now, formerUntil)
 	o := &ownership{scheduler: s, epoch: claim.Epoch, claimed: now.Steady}
 	o.confirmedAt.Store(int64(now.Steady))
 	o.ctx, o.cancel = context.WithCancel(c.work)
@@ -326,7 +338,14 @@
 }
 
 func (c *control) addWave(o cransched.WaveOrder) {
-	c.waves = slices.DeleteFunc(c.waves, func(w cransched.WaveOrder) bool { return w.Wave == o.Wave })
+	if slices.ContainsFunc(c.waves, func(w cransched.WaveOrder) bool { return w.Wave == o.Wave }) {
+		return
+	}
+	o.SeenAt = c.node.now().Steady
+	if c.readAt == 0 {
+		// The wave began before this process did.
+		o.SeenAt -= o.Duration / 2
+	}
 	c.waves = append(c.waves, o)
 	if c.owner != nil {
 		c.owner.scheduler.Advance(c.node.now())
--- a/internal/crannode/owner.go
+++ b/internal/crannode/owner.go
@@ -140,6 +140,14 @@
 				}
 				return func() { o.scheduler.UpkeepAnswered(e, verdict) }
 			})
+		case cransched.Move:
+			c.call(o, callTimeout, func(ctx context.Context) func() {
+				verdict := cransched.VerdictUnanswered
+				if c.allowed(o) {
+					verdict = c.node.orders.Move(ctx, e)
+				}
+				return func() { o.scheduler.MoveAnswered(e, verdict) }
+			})
 		case cransched.WaveStatus:
 			c.call(o, callTimeout, func(ctx context.Context) func() {
 				if err := c.node.orders.Report(ctx, e); err != nil {
@@ -170,10 +178,10 @@
 	}()
 }
 
-// askInstances reads the list of instances while planned work needs it.
+// askInstances reads the list of instances.
 func (c *control) askInstances(now time.Duration) {
 	o := c.owner
-	if o.asking || now < o.instancesAt || !o.scheduler.WantsInstances() {
+	if o.asking || now < o.instancesAt {
 		return
 	}
 	o.asking = true
--- a/internal/cransched/config.go
+++ b/internal/cransched/config.go
@@ -70,9 +70,10 @@
 	lapseMargin = 250 * time.Millisecond
 	// OwnershipBound is how long an owner acts without a confirmed append. A
 	// successor adds it to the lease of targets that it can't reach.
-	OwnershipBound = 4 * time.Second
-	// contactBound is how long after its last answer a target gets new work.
-	contactBound = 1600 * time.Millisecond
+	OwnershipBound = 2500 * time.Millisecond
+	// silenceBound is how long a target may leave holds unanswered: the longest
+	// wait of a hold, and the pause and the journey of the next.
+	silenceBound = renewEvery + 800*time.Millisecond
 	// failurePause is the first pause before a task that failed runs again; it
 	// doubles with each failure up to failurePauseMax.
 	failurePause    = 100 * time.Millisecond
--- /dev/null
+++ b/internal/cransched/estimate.go
@@ -0,0 +1,63 @@
+package cransched
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// slopePrior is the weight, in observations, of the belief that durations
+	// are proportional to their estimates; slopeSpread is the variance of the
+	// logarithm of estimates that one such observation stands for.
+	slopePrior  = 8
+	slopeSpread = 0.25
+	// levelPrior is the weight of the belief that estimates are right on average.
+	levelPrior = 4
+	// widthSpread is the spread of durations within a step, as a part of their
+	// mean: the widest step ends with its longest task.
+	widthSpread = 0.3
+	// chainsEvery is how often the chains of work of a job are worked out anew.
+	chainsEvery = 500 * time.Millisecond
+)
+
+// predictor learns how the durations of a queue's tasks depend on their
+// estimates: a line between the logarithms. Estimates may be off by a factor
+// of several, each by its own; the more so, the flatter the line.
+type predictor struct {
+	n, sumX, sumY, sumXX, sumXY float64
+}
+
+// add takes in a task that has succeeded.
+func (p *predictor) add(estimateMs, durationMs int64) {
+	if estimateMs <= 0 || durationMs <= 0 {
+		return
+	}
+	x, y := math.Log(float64(estimateMs)), math.Log(float64(durationMs))
+	p.n++
+	p.sumX += x
+	p.sumY += y
+	p.sumXX += x * x
+	p.sumXY += x * y
+}
+
+// predict returns the expected duration of a task in milliseconds.
+func (p *predictor) predict(estimateMs int64) float64 {
+	if p == nil || p.n == 0 || estimateMs <= 0 {
+		return float64(estimateMs)
+	}
+	x := math.Log(float64(estimateMs))
+	meanX, meanY := p.sumX/p.n, p.sumY/p.n
+	spread := max(p.sumXX-p.n*meanX*meanX, 0)
+	covered := p.sumXY - p.n*meanX*meanY
+	slope := (covered + slopePrior*slopeSpread) / (spread + slopePrior*slopeSpread)
+	level := (meanY - meanX) * p.n / (p.n + levelPrior)
+	return math.Exp(meanX + level + slope*(x-meanX))
+}
+
+// widest returns how much longer than the mean the longest of n tasks takes.
+func widest(n int) float64 {
+	if n < 2 {
+		return 1
+	}
+	return 1 + widthSpread*math.Sqrt(2*math.Log(float64(n)))
+}
--- a/internal/cransched/event.go
+++ b/internal/cransched/event.go
@@ -86,6 +86,8 @@
 	VerdictTicket
 	// VerdictRefused calls had no effect, for another reason.
 	VerdictRefused
+	// VerdictInvalid calls ask for what can't be done there.
+	VerdictInvalid
 	// VerdictOtherLife means that the address belongs to another target now.
 	VerdictOtherLife
 	// VerdictUnreached calls never left: no connection could be opened.
@@ -129,6 +131,8 @@
 	Wave      int
 	Instances []string
 	Duration  time.Duration
+	// SeenAt is when the order was read, by the steady clock.
+	SeenAt time.Duration
 	// MaxParallel is how many may be down for it at once.
 	MaxParallel int
 }
--- a/internal/cransched/job.go
+++ b/internal/cransched/job.go
@@ -44,12 +44,13 @@
 	cancelled bool
 	// dirty jobs have progress that is not stored.
 	dirty bool
-	// chain holds, for each step, the estimate in milliseconds of the longest
-	// chain of work from its beginning on.
-	chain   []int64
-	waiting int
-	done    int
-	endedMs int64
+	// chain holds, for each step, the expected milliseconds of the longest
+	// chain of work from its beginning on; duration has those of one task.
+	chain, duration []float64
+	chainAt         time.Duration
+	waiting         int
+	done            int
+	endedMs         int64
 }
 
 // newJob lays out the tasks of a submission and takes over its progress.
@@ -81,20 +82,27 @@
 			j.stages = append(j.stages, s)
 		}
 	}
-	j.chain = chains(submission.Steps)
 	return j
 }
 
-// chains returns, for each step, the longest chain of estimates from it on.
-func chains(steps []cranjob.Step) []int64 {
-	chain := make([]int64, len(steps))
+// estimate works out the job's chains of work by what was learned of its queue.
+func (j *job) estimate(p *predictor, now time.Duration) {
+	if j.chain != nil && now-j.chainAt < chainsEvery {
+		return
+	}
+	j.chainAt = now
+	steps := j.Steps
+	if j.chain == nil {
+		j.chain, j.duration = make([]float64, len(steps)), make([]float64, len(steps))
+	}
+	clear(j.chain)
 	for i := len(steps) - 1; i >= 0; i-- {
-		chain[i] += steps[i].EstimateMs
+		j.duration[i] = p.predict(steps[i].EstimateMs)
+		j.chain[i] += j.duration[i] * widest(steps[i].Count)
 		for _, earlier := range steps[i].After {
-			chain[earlier] = max(chain[earlier], chain[i])
+			j.chain[earlier] = max(j.chain[earlier], j.chain[i])
 		}
 	}
-	return chain
 }
 
 func (j *job) stageOf(t *task) *stage {
@@ -160,16 +168,15 @@
 }
 
 // objective returns when an occurrence ought to be complete, in Unix
-// milliseconds, and how long its longest chain of work takes.
-func (j *job) objective(occurrence int) (int64, int64) {
-	chain := int64(0)
+// milliseconds.
+func (j *job) objective(occurrence int) int64 {
+	chain := 0.0
 	for _, c := range j.chain {
 		chain = max(chain, c)
 	}
 	from := max(j.ReceivedMs, j.DueMs(occurrence))
-	stretch, target := 1.0, time.Duration(0)
-	if j.queue != nil {
-		stretch, target = j.queue.Stretch, j.queue.LatencyTarget
+	if j.queue == nil {
+		return from + int64(chain)
 	}
-	return from + int64(stretch*float64(chain)) + target.Milliseconds(), chain
+	return from + int64(j.queue.Stretch*chain) + j.queue.LatencyTarget.Milliseconds()
 }
--- a/internal/cransched/outcome.go
+++ b/internal/cransched/outcome.go
@@ -23,7 +23,7 @@
 		return
 	}
 	if a.ClockMs > 0 {
-		t.learn(a)
+		t.learn(a, s.clock.Steady)
 	}
 	r := t.runs[runName{e.Task, e.Run}]
 	if r == nil || r.phase != ordered {
@@ -133,7 +133,7 @@
 		return
 	}
 	if a.ClockMs > 0 && s.sameLife(t, a) {
-		t.learn(a)
+		t.learn(a, s.clock.Steady)
 	}
 	r := t.runs[runName{e.Task, e.Run}]
 	if r == nil || r.phase != stopping {
@@ -166,5 +166,5 @@
 
 // String returns the word for the log.
 func (v Verdict) String() string {
-	return [...]string{"unanswered", "done", "fenced", "old", "late", "room", "ticket", "refused", "otherLife", "unreached", "busy"}[v]
+	return [...]string{"unanswered", "done", "fenced", "old", "late", "room", "ticket", "refused", "invalid", "otherLife", "unreached", "busy"}[v]
 }
--- a/internal/cransched/place.go
+++ b/internal/cransched/place.go
@@ -61,8 +61,8 @@
 			if st.waiting == 0 || !j.ready(st, s.clock.UnixMs) {
 				continue
 			}
-			objective, _ := j.objective(st.name.Occurrence)
-			slack := objective - s.clock.UnixMs - j.chain[st.name.Step]
+			j.estimate(s.predictors[j.Queue], s.clock.Steady)
+			slack := j.objective(st.name.Occurrence) - s.clock.UnixMs - int64(j.chain[st.name.Step])
 			list = append(list, candidate{
 				job: j, stage: st, slackMs: slack, hopeless: slack < 0 && !st.step.Lasting,
 			})
@@ -249,10 +249,10 @@
 	t.Run = number
 	t.job.setStatus(t, cranjob.Placed)
 	t.Target = home.info.ID
-	t.run = &run{name: t.name, number: number, room: t.step.Room(), phase: planned, task: t, step: t.step, pace: fullPace}
+	t.run = &run{name: t.name, number: number, room: t.step.Room(), phase: planned, task: t, step: t.step, pace: fullPace, resumed: t.Checkpoint != ""}
 	home.add(t.run)
 	s.mark(t.job)
-	s.gate(Note{Kind: NoteStart, Job: t.job.ID, Task: t.name.String(), Run: number, Target: home.info.ID, AgeMs: (s.clock.Steady - home.contactAt).Milliseconds()})
+	s.gate(Note{Kind: NoteStart, Job: t.job.ID, Task: t.name.String(), Run: number, Target: home.info.ID, AgeMs: (s.clock.Steady - home.heardAt).Milliseconds()})
 	s.gate(Start{
 		Target: home.address(), Task: t.name, Run: number, Spec: t.job.Spec, Token: s.token, Checkpoint: t.Checkpoint,
 	})
--- /dev/null
+++ b/internal/cransched/pools.go
@@ -0,0 +1,333 @@
+package cransched
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cranberrypick/cranberrypick/internal/cranjob"
+)
+
+const (
+	// planEvery is how often the sizes of the pools are planned.
+	planEvery = 100 * time.Millisecond
+	// workHorizon is the time in which a pool ought to get through the work
+	// that it has: about what a job's latency target leaves beside its chain.
+	workHorizon = 1000 * time.Millisecond
+	// fillShare is how much of an instance tasks of several sizes can fill.
+	fillShare = 0.9
+	// keepFor is how long an instance stays wanted after the demand for it has
+	// gone. A move there and back costs as much as about two seconds of an
+	// instance.
+	keepFor = 2500 * time.Millisecond
+	// spareInstances stay in each pool beyond its demand: the first jobs of a
+	// surge come sooner than an instance moves.
+	spareInstances = 1
+	// movePatience is how long a move may take before it is no longer counted.
+	movePatience = 8 * time.Second
+	// moveRepeat is when an unanswered move is sent again.
+	moveRepeat = 1000 * time.Millisecond
+	// movesAtOnce bounds the moves that are ordered in one plan; the platform
+	// takes some dozens of orders a second.
+	movesAtOnce = 6
+)
+
+// destination is a pool that an instance may be moved to.
+type destination struct{ instance, pool string }
+
+// move is a move under way.
+type move struct {
+	destination
+	// target is the life that the instance had; empty if it had none.
+	target   string
+	sentAt   time.Duration
+	began    time.Duration
+	answered bool
+}
+
+// wanted remembers how many instances a pool wanted lately.
+type wanted struct {
+	count int
+	until time.Duration
+}
+
+// demand is what a pool's jobs ask for.
+type demand struct {
+	// steady is the room of lasting tasks.
+	steady cranjob.Resources
+	// cpuMs and memoryMs are room times expected milliseconds of other tasks.
+	cpuMs, memoryMs float64
+}
+
+// planPools moves empty instances between pools. It answers demand that
+// surges pool by pool, to more than a pool holds, while the others idle: the
+// pool in demand grows by what the others leave empty, and what nobody needs
+// is switched off.
+func (s *Scheduler) planPools() {
+	now := s.clock.Steady
+	if !s.mayOrderInstances() || s.config == nil || now < s.fleet.planAt {
+		return
+	}
+	s.fleet.planAt = now + planEvery
+	s.watchMoves()
+	supply := s.supply()
+	demands := s.demands()
+	var short, spare []poolBalance
+	for _, name := range slices.Sorted(maps.Keys(s.config.Pools)) {
+		if s.config.Pools[name].Standby {
+			continue
+		}
+		want := s.remember(name, s.wantedInstances(demands[name], supply[name]))
+		b := poolBalance{pool: name, missing: want - supply[name].total()}
+		if b.missing > 0 {
+			short = append(short, b)
+		} else if b.missing < 0 {
+			spare = append(spare, b)
+		}
+	}
+	slices.SortFunc(short, func(a, b poolBalance) int { return cmp.Or(b.missing-a.missing, cmp.Compare(a.pool, b.pool)) })
+	s.rebalance(short, spare, supply)
+}
+
+// poolBalance is how many instances a pool lacks; negative if it has too many.
+type poolBalance struct {
+	pool    string
+	missing int
+}
+
+// poolSupply is what a pool has.
+type poolSupply struct {
+	// members counts instances that serve or are about to.
+	members int
+	// empty are instances on which nothing runs, of targets or switched off.
+	empty []string
+	// arriving counts moves towards the pool.
+	arriving int
+	capacity cranjob.Resources
+}
+
+func (p *poolSupply) total() int {
+	if p == nil {
+		return 0
+	}
+	return p.members + p.arriving
+}
+
+// supply counts the instances of each pool.
+func (s *Scheduler) supply() map[string]*poolSupply {
+	supply := map[string]*poolSupply{}
+	at := func(pool string) *poolSupply {
+		if supply[pool] == nil {
+			supply[pool] = &poolSupply{}
+		}
+		return supply[pool]
+	}
+	for _, id := range slices.Sorted(maps.Keys(s.fleet.instances)) {
+		i := s.fleet.instances[id]
+		if m := s.fleet.moves[id]; m != nil {
+			at(m.pool).arriving++
+			continue
+		}
+		p := at(i.Pool)
+		if p.capacity.CPU == 0 {
+			p.capacity = i.Capacity
+		}
+		if !i.Up || s.inWave(id) {
+			continue
+		}
+		if s.standby(i.Pool) {
+			p.empty = append(p.empty, id)
+			continue
+		}
+		t := s.targets[i.Target]
+		if t == nil || t.info.Draining || t.info.Pool != i.Pool {
+			continue
+		}
+		p.members++
+		if t.fenced && len(t.runs) == 0 && !t.cordoned && !t.superseded && t.listed && !t.silent(s.clock.Steady) {
+			p.empty = append(p.empty, id)
+		}
+	}
+	return supply
+}
+
+// inWave reports whether an order of a wave is under way for an instance.
+func (s *Scheduler) inWave(instance string) bool {
+	for _, w := range s.fleet.waves {
+		if w.completed {
+			continue
+		}
+		for _, m := range w.members {
+			if m.instance == instance && (m.state == asked || s.occupied(m)) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// demands adds up what the jobs of each pool ask for.
+func (s *Scheduler) demands() map[string]*demand {
+	demands := map[string]*demand{}
+	for _, j := range s.jobs {
+		d := demands[j.Pool]
+		if d == nil {
+			d = &demand{}
+			demands[j.Pool] = d
+		}
+		j.estimate(s.predictors[j.Queue], s.clock.Steady)
+		for _, st := range j.stages {
+			open := len(st.tasks) - st.done
+			if open == 0 || s.clock.UnixMs+workHorizon.Milliseconds() < j.DueMs(st.name.Occurrence) {
+				continue
+			}
+			room := st.step.Room()
+			if st.step.Lasting {
+				d.steady = d.steady.Add(cranjob.Resources{CPU: open * room.CPU, Memory: open * room.Memory})
+				continue
+			}
+			ms := float64(open) * j.duration[st.name.Step]
+			d.cpuMs += ms * float64(room.CPU)
+			d.memoryMs += ms * float64(room.Memory)
+		}
+	}
+	return demands
+}
+
+// wantedInstances returns how many instances get through a demand in time.
+func (s *Scheduler) wantedInstances(d *demand, p *poolSupply) int {
+	if d == nil || p == nil || p.capacity.CPU == 0 || p.capacity.Memory == 0 {
+		return spareInstances
+	}
+	horizon := float64(workHorizon.Milliseconds())
+	cpu := (float64(d.steady.CPU) + d.cpuMs/horizon) / (fillShare * float64(p.capacity.CPU))
+	memory := (float64(d.steady.Memory) + d.memoryMs/horizon) / (fillShare * float64(p.capacity.Memory))
+	return int(math.Ceil(max(cpu, memory))) + spareInstances
+}
+
+// remember keeps what a pool wanted for a while, so that a short trough moves
+// nothing away.
+func (s *Scheduler) remember(pool string, count int) int {
+	w := s.fleet.recent[pool]
+	if w == nil || count >= w.count || s.clock.Steady >= w.until {
+		s.fleet.recent[pool] = &wanted{count: count, until: s.clock.Steady + keepFor}
+		return count
+	}
+	return w.count
+}
+
+// rebalance moves empty instances to the pools that lack some, first those
+// that are switched off, and switches off what is left over.
+func (s *Scheduler) rebalance(short, spare []poolBalance, supply map[string]*poolSupply) {
+	var donors []string
+	standby := ""
+	for _, name := range slices.Sorted(maps.Keys(s.config.Pools)) {
+		if s.config.Pools[name].Standby {
+			standby = name
+			if p := supply[name]; p != nil {
+				donors = append(donors, p.empty...)
+			}
+		}
+	}
+	switched := len(donors)
+	for _, b := range spare {
+		p := supply[b.pool]
+		donors = append(donors, p.empty[:min(-b.missing, len(p.empty))]...)
+	}
+	ordered := 0
+	for _, b := range short {
+		for n := b.missing; n > 0 && len(donors) > 0 && ordered < movesAtOnce; n-- {
+			if s.orderMove(donors[0], b.pool) {
+				ordered++
+			}
+			donors = donors[1:]
+			switched--
+		}
+	}
+	for _, instance := range donors[max(min(switched, len(donors)), 0):] {
+		if standby == "" || ordered >= movesAtOnce {
+			return
+		}
+		if s.orderMove(instance, standby) {
+			ordered++
+		}
+	}
+}
+
+// orderMove keeps new work away from an instance and moves it.
+func (s *Scheduler) orderMove(instance, pool string) bool {
+	to := destination{instance, pool}
+	if s.fleet.refused[to] {
+		return false
+	}
+	m := &move{destination: to, began: s.clock.Steady}
+	i := s.fleet.instances[instance]
+	if t := s.targets[i.Target]; t != nil && i.Target != "" {
+		t.cordoned = true
+		m.target = i.Target
+	}
+	s.fleet.moves[instance] = m
+	s.sendMove(m)
+	return true
+}
+
+func (s *Scheduler) sendMove(m *move) {
+	m.sentAt = s.clock.Steady
+	s.emit(Note{Kind: NoteMove, Target: m.instance, Reason: m.pool})
+	s.emit(Move{Instance: m.instance, Pool: m.pool, Token: s.token})
+}
+
+// MoveAnswered takes in the answer to a move.
+func (s *Scheduler) MoveAnswered(e Move, verdict Verdict) {
+	m := s.fleet.moves[e.Instance]
+	if m == nil || m.pool != e.Pool || m.answered {
+		return
+	}
+	switch verdict {
+	case VerdictDone:
+		m.answered = true
+		if t := s.targets[m.target]; t != nil {
+			s.releaseAll(t, "the instance has moved")
+			t.listed = false
+			t.info.Address = ""
+		}
+	case VerdictUnanswered:
+	case VerdictInvalid:
+		s.fleet.refused[m.destination] = true
+		s.endMove(m)
+	default:
+		s.endMove(m)
+	}
+}
+
+// endMove forgets a move that was refused.
+func (s *Scheduler) endMove(m *move) {
+	delete(s.fleet.moves, m.instance)
+	if t := s.targets[m.target]; t != nil {
+		t.cordoned = false
+	}
+}
+
+// watchMoves repeats moves that weren't answered, and forgets those whose
+// instance serves its new pool or is switched off.
+func (s *Scheduler) watchMoves() {
+	now := s.clock.Steady
+	for _, id := range slices.Sorted(maps.Keys(s.fleet.moves)) {
+		m := s.fleet.moves[id]
+		if !m.answered {
+			if now-m.sentAt >= moveRepeat {
+				s.sendMove(m)
+			}
+			continue
+		}
+		i, found := s.fleet.instances[id]
+		fresh := s.fleet.listAt > m.sentAt
+		arrived := fresh && found && i.Pool == m.pool && i.Up &&
+			(s.standby(m.pool) || i.Target != m.target && s.targets[i.Target] != nil)
+		if arrived || fresh && !found || now-m.began > movePatience {
+			delete(s.fleet.moves, id)
+		}
+	}
+}
--- a/internal/cransched/report.go
+++ b/internal/cransched/report.go
@@ -1,6 +1,7 @@
 package cransched
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -49,7 +50,7 @@
 		return
 	}
 	first := !t.fenced
-	t.learn(a.Answer)
+	t.learn(a.Answer, s.clock.Steady)
 	t.fenced = true
 	for _, e := range a.Finished {
 		if e.Number <= t.seen {
@@ -105,6 +106,7 @@
 	if r.phase == planned || r.phase == ordered || r.phase == unproved {
 		if r.phase == unproved {
 			r.startedAt = s.clock.Steady
+			r.inherited = true
 		}
 		r.phase = present
 		r.progressAt = s.clock.Steady
@@ -177,10 +179,13 @@
 	switch e.How {
 	case EndDone:
 		t.health.record(false, s.clock.Steady)
+		if current && r.phase == present {
+			s.learnDuration(owner, r)
+		}
 		s.succeeded(owner, r)
 	case EndFailed:
 		t.health.record(true, s.clock.Steady)
-		s.failed(owner, current)
+		s.failed(owner, e.Run, current)
 	default:
 		if e.Checkpoint != "" {
 			owner.Checkpoint = e.Checkpoint
@@ -195,6 +200,20 @@
 	}
 }
 
+// learnDuration takes in how long a run took. Runs that an earlier owner had
+// started, or that resumed, tell nothing.
+func (s *Scheduler) learnDuration(owner *task, r *run) {
+	if r.inherited || r.resumed || owner.step.Lasting {
+		return
+	}
+	p := s.predictors[owner.job.Queue]
+	if p == nil {
+		p = &predictor{}
+		s.predictors[owner.job.Queue] = p
+	}
+	p.add(owner.step.EstimateMs, (s.clock.Steady - r.startedAt).Milliseconds())
+}
+
 // taskOf returns a task of a job that has not ended.
 func (s *Scheduler) taskOf(name cranjob.TaskName) *task {
 	j := s.jobs[name.Job]
@@ -235,18 +254,24 @@
 
 // failed counts a failure and puts off the next run, or ends the job. Lasting
 // tasks are started again without limit.
-func (s *Scheduler) failed(owner *task, current bool) {
-	owner.Failed++
+func (s *Scheduler) failed(owner *task, number int, current bool) {
 	if current {
 		owner.job.setStatus(owner, cranjob.Waiting)
 	}
-	if !owner.step.Lasting && owner.job.queue != nil && owner.Failed >= owner.job.queue.Attempts {
+	if slices.Contains(owner.Failed, number) {
+		return
+	}
+	owner.Failed = append(owner.Failed, number)
+	if !owner.step.Lasting && owner.job.queue != nil && len(owner.Failed) >= owner.job.queue.Attempts {
 		s.endJob(owner.job, cranjob.Failed, owner.name.String()+" has failed too often")
 		return
 	}
+	if extra := len(owner.Failed) - cranjob.MaxFailed; extra > 0 && owner.step.Lasting {
+		owner.Failed = slices.Delete(owner.Failed, 0, extra)
+	}
 	pause := failurePauseMax
-	if owner.Failed < 6 {
-		pause = min(failurePause<<(owner.Failed-1), failurePauseMax)
+	if doublings := len(owner.Failed) - 1; doublings < 5 {
+		pause = min(failurePause<<doublings, failurePauseMax)
 	}
 	owner.notBefore = s.clock.Steady + pause
 }
--- a/internal/cransched/scheduler.go
+++ b/internal/cransched/scheduler.go
@@ -19,8 +19,10 @@
 	targets map[string]*target
 	// orphans are cancellations of jobs that aren't known yet.
 	cancelled map[string]bool
-	waves     fleet
-	effects   []Effect
+	// predictors are by queue.
+	predictors map[string]*predictor
+	fleet      fleet
+	effects    []Effect
 	// gated effects wait for what was decided before them to be stored.
 	gated []Effect
 	// records are stored with the next batch besides the dirty jobs.
@@ -29,6 +31,8 @@
 	// inFlight is the batch that is being stored.
 	inFlight *batch
 	tookOver time.Duration
+	// formerUntil is when the earlier owner has stopped at the latest.
+	formerUntil time.Duration
 }
 
 // batch is what one append carries.
@@ -38,14 +42,15 @@
 }
 
 // New returns the scheduler of a new owner, whose claim has the epoch token.
-// The book must hold everything that lies before the claim.
-func New(token uint64, timing Timing, config *Config, book *cranjob.Book, c Clock) *Scheduler {
+// The book must hold everything that lies before the claim. The earlier owner
+// acts until formerUntil at the latest.
+func New(token uint64, timing Timing, config *Config, book *cranjob.Book, c Clock, formerUntil time.Duration) *Scheduler {
 	s := &Scheduler{
 		token: token, timing: timing, config: config, clock: c,
-		jobs: map[string]*job{}, targets: map[string]*target{}, cancelled: map[string]bool{},
-		tookOver: c.Steady,
+		jobs: map[string]*job{}, targets: map[string]*target{}, cancelled: map[string]bool{}, predictors: map[string]*predictor{},
+		tookOver: c.Steady, formerUntil: formerUntil,
 	}
-	s.waves = newFleet(book.Orders())
+	s.fleet = newFleet(book.Orders())
 	ids := slices.Sorted(maps.Keys(book.Jobs()))
 	for _, id := range ids {
 		e := book.Jobs()[id]
@@ -86,11 +91,10 @@
 	s.settle(j)
 }
 
-// lapseBound returns when every lease of earlier owners has ended: they act
-// for a bounded time without a confirmed append, and each lease is bounded.
+// lapseBound returns when every lease of earlier owners has ended.
 func (s *Scheduler) lapseBound() time.Duration {
 	lease := time.Duration(float64(s.lease()) / (1 - clockDrift))
-	return s.tookOver + OwnershipBound + lease + lapseMargin
+	return s.formerUntil + lease + lapseMargin
 }
 
 func (s *Scheduler) lease() time.Duration {
--- a/internal/cransched/target.go
+++ b/internal/cransched/target.go
@@ -37,6 +37,9 @@
 	// answeredAt is when the start, or the stop, was answered; 0 before.
 	answeredAt time.Duration
 	startedAt  time.Duration
+	// inherited runs were started by an earlier owner, resumed ones from a
+	// checkpoint.
+	inherited, resumed bool
 	// stopAt is when the stop is due, or due again.
 	stopAt      time.Duration
 	stopReason  string
@@ -59,8 +62,8 @@
 	fenced bool
 	// superseded is true once it has seen a higher token.
 	superseded bool
-	// contactAt is when a call left that it answered.
-	contactAt time.Duration
+	// heardAt is when it answered last.
+	heardAt time.Duration
 	// clockMs is its clock, read from an answer to a call sent at clockAt.
 	clockMs int64
 	clockAt time.Duration
@@ -99,7 +102,7 @@
 }
 
 func newTarget(info TargetInfo, now, lapseAt time.Duration) *target {
-	return &target{info: info, listed: true, lapseAt: lapseAt, contactAt: now - time.Hour, runs: map[runName]*run{}}
+	return &target{info: info, listed: true, lapseAt: lapseAt, heardAt: now - time.Hour, runs: map[runName]*run{}}
 }
 
 func (t *target) address() Address { return Address{ID: t.info.ID, Address: t.info.Address} }
@@ -126,11 +129,11 @@
 }
 
 // learn takes what an answer tells of the target's clock.
-func (t *target) learn(a Answer) {
+func (t *target) learn(a Answer, now time.Duration) {
 	if a.ClockMs > 0 && a.SentAt >= t.clockAt {
 		t.clockMs, t.clockAt = a.ClockMs, a.SentAt
 	}
-	t.contactAt = max(t.contactAt, a.SentAt)
+	t.heardAt = now
 }
 
 // lapsed reports whether everything at the target has certainly ended because
@@ -149,9 +152,12 @@
 // usable reports whether the target may get new work.
 func (t *target) usable(now time.Duration) bool {
 	return t.listed && t.fenced && !t.superseded && !t.cordoned && !t.info.Draining && !t.lost &&
-		now-t.contactAt <= contactBound && now >= t.fullUntil && !t.health.suspended(now)
+		!t.silent(now) && now >= t.fullUntil && !t.health.suspended(now)
 }
 
+// silent reports whether an answer of the target is overdue.
+func (t *target) silent(now time.Duration) bool { return now-t.heardAt > silenceBound }
+
 func (t *target) hasLabel(label string) bool { return slices.Contains(t.info.Labels, label) }
 
 // rack returns the label of the target's rack, which comes last.
--- a/internal/cransched/targets.go
+++ b/internal/cransched/targets.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/cranberrypick/cranberrypick/internal/cranjob"
 )
 
 // missingBound is how long a target may be missing from the store's list
@@ -61,13 +63,11 @@
 // release gives up a run that has certainly ended, or never begins.
 func (s *Scheduler) release(t *target, r *run, reason string) {
 	t.remove(r)
-	owner := r.task
-	if owner == nil || owner.run != r {
-		return
+	s.gate(Note{Kind: NoteNotStarted, Job: r.name.Job, Task: r.name.String(), Run: r.number, Target: t.info.ID, Reason: reason})
+	if owner := r.task; owner != nil && owner.run == r {
+		owner.job.setStatus(owner, cranjob.Waiting)
+		s.mark(owner.job)
 	}
-	owner.job.setStatus(owner, 0)
-	s.mark(owner.job)
-	s.gate(Note{Kind: NoteNotStarted, Job: owner.job.ID, Task: r.name.String(), Run: r.number, Target: t.info.ID, Reason: reason})
 }
 
 func (t *target) sortedRuns() []*run {
@@ -91,27 +91,28 @@
 		s.watch(t)
 	}
 	s.planWaves()
+	s.planPools()
 	s.place()
 }
 
 // watch releases what has lapsed at a target and forgets targets that are gone.
 func (s *Scheduler) watch(t *target) {
 	now := s.clock.Steady
-	if t.unlistedAt != 0 && t.listed && now-t.unlistedAt > missingBound && now-t.contactAt > contactBound {
+	if t.unlistedAt != 0 && t.listed && now-t.unlistedAt > missingBound && t.silent(now) {
 		t.listed = false
 		s.emit(Note{Kind: NoteTargetGone, Target: t.info.ID, Reason: "missing from the list", AgeMs: (now - t.unlistedAt).Milliseconds()})
 	}
-	silent := now-t.contactAt > contactBound
+	silent := t.silent(now)
 	if silent != t.lost && t.fenced {
 		t.lost = silent
 		kind := NoteTargetBack
 		if silent {
 			kind = NoteTargetLost
 		}
-		s.emit(Note{Kind: kind, Target: t.info.ID, AgeMs: (now - t.contactAt).Milliseconds()})
+		s.emit(Note{Kind: kind, Target: t.info.ID, AgeMs: (now - t.heardAt).Milliseconds()})
 	}
 	if silent && len(t.runs) > 0 && t.lapsed(now) {
-		s.emit(Note{Kind: NoteLapsed, Target: t.info.ID, AgeMs: (now - t.contactAt).Milliseconds()})
+		s.emit(Note{Kind: NoteLapsed, Target: t.info.ID, AgeMs: (now - t.heardAt).Milliseconds()})
 		s.releaseAll(t, "the lease has lapsed")
 	}
 	if !t.listed && len(t.runs) == 0 && silent {
--- a/internal/cransched/wave.go
+++ b/internal/cransched/wave.go
@@ -58,25 +58,34 @@
 	// listAt is when the list was read; 0 before.
 	listAt time.Duration
 	stored map[string]cranjob.InstanceOrder
-	// firstOrder is when this owner's first order may leave.
-	allowed bool
+	// moves are the moves under way, by instance.
+	moves map[string]*move
+	// refused holds the moves that the platform doesn't allow.
+	refused map[destination]bool
+	// idleFrom is since when each target has been empty.
+	planAt time.Duration
+	// recent holds, for each pool, the instances wanted lately.
+	recent map[string]*wanted
 }
 
 func newFleet(orders map[string]cranjob.InstanceOrder) fleet {
-	return fleet{waves: map[int]*wave{}, stored: maps.Clone(orders)}
+	return fleet{
+		waves: map[int]*wave{}, stored: maps.Clone(orders),
+		moves: map[string]*move{}, refused: map[destination]bool{}, recent: map[string]*wanted{},
+	}
 }
 
 // SetWaves takes over the waves that the operator asks for, and which of them
 // are known to be completed.
 func (s *Scheduler) SetWaves(orders []WaveOrder, completed map[int]bool) {
 	for _, o := range orders {
-		if s.waves.waves[o.Wave] != nil {
+		if s.fleet.waves[o.Wave] != nil {
 			continue
 		}
 		w := &wave{order: o, seenAt: s.clock.Steady, completed: completed[o.Wave]}
 		for _, id := range o.Instances {
 			m := &member{instance: id}
-			if stored := s.waves.stored[id]; stored.Wave == o.Wave {
+			if stored := s.fleet.stored[id]; stored.Wave == o.Wave {
 				m.state = asked
 				m.stored = true
 				if stored.Done {
@@ -85,38 +94,27 @@
 			}
 			w.members = append(w.members, m)
 		}
-		s.waves.waves[o.Wave] = w
+		s.fleet.waves[o.Wave] = w
 		s.emit(Note{Kind: NoteWave, Run: o.Wave, Reason: "asked for"})
 	}
 }
 
-// WantsInstances reports whether planned work needs the list of instances.
-func (s *Scheduler) WantsInstances() bool {
-	for _, w := range s.waves.waves {
-		if !w.completed {
-			return true
-		}
-	}
-	return false
-}
-
 // SetInstances takes over the platform's list of instances, asked for at a time.
 func (s *Scheduler) SetInstances(list []InstanceInfo, askedAt time.Duration) {
-	s.waves.instances = make(map[string]InstanceInfo, len(list))
+	s.fleet.instances = make(map[string]InstanceInfo, len(list))
 	for _, i := range list {
-		s.waves.instances[i.Instance] = i
+		s.fleet.instances[i.Instance] = i
 	}
-	s.waves.listAt = askedAt
+	s.fleet.listAt = askedAt
 }
 
 // planWaves empties instances and orders their maintenance.
 func (s *Scheduler) planWaves() {
-	// Orders of the former owner for the same instance must lie further back.
-	if s.clock.Steady < s.tookOver+s.timing.OrderLease+orderMargin || s.waves.listAt == 0 {
+	if !s.mayOrderInstances() {
 		return
 	}
-	for _, number := range slices.Sorted(maps.Keys(s.waves.waves)) {
-		if w := s.waves.waves[number]; !w.completed {
+	for _, number := range slices.Sorted(maps.Keys(s.fleet.waves)) {
+		if w := s.fleet.waves[number]; !w.completed {
 			s.planWave(w)
 		}
 	}
@@ -125,6 +123,12 @@
 // orderMargin is added to the distance between the orders of two owners.
 const orderMargin = 500 * time.Millisecond
 
+// mayOrderInstances reports whether orders for instances may leave: those of
+// the former owner for the same instance must lie further back.
+func (s *Scheduler) mayOrderInstances() bool {
+	return s.fleet.listAt != 0 && s.clock.Steady >= s.formerUntil+s.timing.OrderLease+orderMargin
+}
+
 func (s *Scheduler) planWave(w *wave) {
 	if s.clock.Steady-w.statusAt >= statusEvery || w.statusAt == 0 {
 		w.statusAt = s.clock.Steady
@@ -149,8 +153,11 @@
 	}
 	limit := max(w.order.MaxParallel, 1)
 	cordoned := 0
+	urgent := s.urgent(w, open)
 	for _, m := range s.byEffort(w) {
 		switch {
+		case s.fleet.moves[m.instance] != nil:
+		case m.state == due && !urgent && !s.idle(m):
 		case m.state == asked:
 			if s.clock.Steady-m.sentAt >= orderRepeat && (m.sentAt != 0 || down < limit || s.occupied(m)) {
 				s.sendUpkeep(w, m)
@@ -165,17 +172,35 @@
 	}
 }
 
+// upkeepTime is how long an instance of a wave takes from its order until the
+// list shows it up again.
+const upkeepTime = 3500 * time.Millisecond
+
+// urgent reports whether a wave must empty instances to be done in time.
+// Before that, those that happen to be empty go first.
+func (s *Scheduler) urgent(w *wave, open int) bool {
+	rounds := (open + w.order.MaxParallel - 1) / max(w.order.MaxParallel, 1)
+	needed := time.Duration(rounds+2) * upkeepTime
+	return s.clock.Steady+needed >= w.order.SeenAt+w.order.Duration
+}
+
+// idle reports whether nothing runs on a member's instance.
+func (s *Scheduler) idle(m *member) bool {
+	t := s.lifeOf(m.instance)
+	return t == nil || t.fenced && len(t.runs) == 0
+}
+
 // observe takes in what the list says of a member.
 func (s *Scheduler) observe(m *member) {
-	i, found := s.waves.instances[m.instance]
-	if m.state == asked && found && i.Maintenance && s.waves.listAt > m.sentAt {
+	i, found := s.fleet.instances[m.instance]
+	if m.state == asked && found && i.Maintenance && s.fleet.listAt > m.sentAt {
 		s.confirm(m)
 	}
 }
 
 // stays reports whether the instance still exists.
 func (s *Scheduler) stays(m *member) bool {
-	_, found := s.waves.instances[m.instance]
+	_, found := s.fleet.instances[m.instance]
 	return found
 }
 
@@ -188,17 +213,17 @@
 	case asked:
 		return m.sentAt != 0 || m.stored
 	}
-	i, found := s.waves.instances[m.instance]
-	return found && (!i.Up || s.waves.listAt <= m.begunAt)
+	i, found := s.fleet.instances[m.instance]
+	return found && (!i.Up || s.fleet.listAt <= m.begunAt)
 }
 
 // confirm takes in that the maintenance of a member has begun.
 func (s *Scheduler) confirm(m *member) {
 	m.state = begun
 	m.begunAt = s.clock.Steady
-	order := s.waves.stored[m.instance]
+	order := s.fleet.stored[m.instance]
 	order.Done = true
-	s.waves.stored[m.instance] = order
+	s.fleet.stored[m.instance] = order
 	s.records = append(s.records, cranstore.Record{Key: cranjob.OrderKey(m.instance), Value: cranjob.Encode(order)})
 }
 
@@ -226,7 +251,7 @@
 
 // lifeOf returns the target that is the present life of an instance.
 func (s *Scheduler) lifeOf(instance string) *target {
-	if t := s.targets[s.waves.instances[instance].Target]; t != nil && t.info.ID != "" {
+	if t := s.targets[s.fleet.instances[instance].Target]; t != nil && t.info.ID != "" {
 		return t
 	}
 	for _, t := range s.sortedTargets() {
@@ -240,7 +265,7 @@
 // evacuate keeps new work away from an instance and moves its lasting tasks
 // elsewhere. It reports whether nothing runs there any more.
 func (s *Scheduler) evacuate(m *member) bool {
-	i := s.waves.instances[m.instance]
+	i := s.fleet.instances[m.instance]
 	t := s.lifeOf(m.instance)
 	if t == nil {
 		// An instance that is up has a life that this owner doesn't know yet,
@@ -300,7 +325,7 @@
 	m.stored = true
 	m.sentAt = s.clock.Steady
 	order := cranjob.InstanceOrder{Wave: w.order.Wave, SentMs: s.clock.UnixMs}
-	s.waves.stored[m.instance] = order
+	s.fleet.stored[m.instance] = order
 	s.records = append(s.records, cranstore.Record{Key: cranjob.OrderKey(m.instance), Value: cranjob.Encode(order)})
 	s.gate(Note{Kind: NoteUpkeep, Target: m.instance, Run: w.order.Wave})
 	s.gate(Upkeep{Instance: m.instance, Wave: w.order.Wave, Token: s.token})
@@ -317,7 +342,7 @@
 
 // UpkeepAnswered takes in the answer to an order.
 func (s *Scheduler) UpkeepAnswered(e Upkeep, verdict Verdict) {
-	w := s.waves.waves[e.Wave]
+	w := s.fleet.waves[e.Wave]
 	if w == nil {
 		return
 	}
