--- a/internal/cransched/job.go
+++ b/internal/cransched/job.go
@@ -16,10 +16,6 @@
 	run *run
 	// notBefore puts off the next run after a failure.
 	notBefore time.Duration
-	// awayFrom is since when a lasting task has not been at work; -1 while it is.
-	awayFrom time.Duration
-	// endedByOrder is true while a lasting task is away by an order of ours.
-	endedByOrder bool
 }
 
 // stage is one step of one occurrence.
--- a/internal/cransched/outcome.go
+++ b/internal/cransched/outcome.go
@@ -26,6 +26,9 @@
 		t.learn(a, s.clock.Steady)
 	}
 	r := t.runs[runName{e.Task, e.Run}]
+	if r != nil && a.Verdict == VerdictDone {
+		r.started = true
+	}
 	if r == nil || r.phase != ordered {
 		s.lateAnswer(t, r, a)
 		return
--- a/internal/cransched/report.go
+++ b/internal/cransched/report.go
@@ -112,6 +112,7 @@
 		r.progressAt = s.clock.Steady
 	}
 	r.missing = 0
+	r.started = true
 	if report.Percent != r.percent {
 		r.percent = report.Percent
 		r.progressAt = s.clock.Steady
@@ -133,9 +134,12 @@
 // occupies room until then.
 func (s *Scheduler) stray(t *target, report RunReport) *run {
 	r := &run{name: report.Task, number: report.Run, phase: stopping, stopReason: "unknown run", pace: fullPace}
-	if j := s.jobs[report.Task.Job]; j != nil && report.Task.Step < len(j.Steps) {
-		r.step = &j.Steps[report.Task.Step]
+	if e, found := s.book.Lookup(report.Task.Job); found && report.Task.Step < len(e.Job().Steps) {
+		r.step = &e.Job().Steps[report.Task.Step]
 		r.room = r.step.Room()
+	} else {
+		// A run of unknown size may take all that is free.
+		r.room = t.free()
 	}
 	t.add(r)
 	s.emit(Note{Kind: NoteStray, Job: report.Task.Job, Task: report.Task.String(), Run: report.Run, Target: t.info.ID})
@@ -242,11 +246,8 @@
 		members = owner.job.stageOf(owner).tasks
 	}
 	for _, m := range members {
-		if m.run != nil && m.run != r {
-			if home := s.targets[m.Target]; home != nil {
-				s.stopRun(home, m.run, "another run has succeeded")
-			}
-			m.run.task = nil
+		if m.run != r {
+			s.detach(m, "another run has succeeded")
 		}
 		owner.job.setStatus(m, cranjob.Done)
 	}
--- a/internal/cransched/scheduler.go
+++ b/internal/cransched/scheduler.go
@@ -11,10 +11,12 @@
 
 // Scheduler decides for all pools. It isn't safe for concurrent use.
 type Scheduler struct {
-	token   uint64
-	timing  Timing
-	config  *Config
-	clock   Clock
+	token  uint64
+	timing Timing
+	config *Config
+	clock  Clock
+	// book is read only; whoever owns the scheduler writes it in between.
+	book    *cranjob.Book
 	jobs    map[string]*job
 	targets map[string]*target
 	// orphans are cancellations of jobs that aren't known yet.
@@ -46,7 +48,7 @@
 // acts until formerUntil at the latest.
 func New(token uint64, timing Timing, config *Config, book *cranjob.Book, c Clock, formerUntil time.Duration) *Scheduler {
 	s := &Scheduler{
-		token: token, timing: timing, config: config, clock: c,
+		token: token, timing: timing, config: config, clock: c, book: book,
 		jobs: map[string]*job{}, targets: map[string]*target{}, cancelled: map[string]bool{}, predictors: map[string]*predictor{},
 		tookOver: c.Steady, formerUntil: formerUntil,
 	}
@@ -162,19 +164,25 @@
 	s.mark(j)
 	s.gate(Note{Kind: NoteJobEnded, Job: j.ID, Reason: state.String() + ": " + reason})
 	for _, t := range j.tasks {
-		r := t.run
-		if r == nil {
-			continue
-		}
-		if home := s.targets[t.Target]; home != nil {
-			s.stopRun(home, r, reason)
-		}
-		r.task = nil
-		t.run = nil
+		s.detach(t, reason)
 	}
 	delete(s.jobs, j.ID)
 }
 
+// detach has the newest run of a task stopped and forgets it. The run keeps
+// its room at the target until it has ended.
+func (s *Scheduler) detach(t *task, reason string) {
+	r := t.run
+	if r == nil {
+		return
+	}
+	if home := s.targets[t.Target]; home != nil {
+		s.stopRun(home, r, reason)
+	}
+	r.task = nil
+	t.run = nil
+}
+
 // mark has the job's progress stored with the next batch.
 func (s *Scheduler) mark(j *job) {
 	if !slices.Contains(s.dirty, j) {
--- a/internal/cransched/target.go
+++ b/internal/cransched/target.go
@@ -34,6 +34,8 @@
 	// task is nil for a run that nothing is known of.
 	task *task
 	step *cranjob.Step
+	// started is true once the start was answered, or the run was seen.
+	started bool
 	// answeredAt is when the start, or the stop, was answered; 0 before.
 	answeredAt time.Duration
 	startedAt  time.Duration
--- a/internal/cransched/targets.go
+++ b/internal/cransched/targets.go
@@ -44,7 +44,9 @@
 // that ran there has ended, and its counts begin anew.
 func (s *Scheduler) reborn(t *target, bornMs int64) {
 	s.emit(Note{Kind: NoteReborn, Target: t.info.ID})
-	s.releaseAll(t, "the target has started again")
+	for _, r := range t.sortedRuns() {
+		s.surviveRebirth(t, r)
+	}
 	t.info.BornMs = bornMs
 	t.clockMs, t.clockAt, t.leaseMs, t.lapseAt = 0, 0, 0, 0
 	t.seen, t.stored = 0, 0
@@ -53,6 +55,22 @@
 	t.tickets = nil
 }
 
+// surviveRebirth gives up a run that has ended with the former life of its
+// target. An order without an answer may still reach the new life, so its run
+// is stopped there; runs of an earlier owner are left to the first report.
+func (s *Scheduler) surviveRebirth(t *target, r *run) {
+	switch {
+	case r.phase == unproved:
+	case r.phase == planned || r.started:
+		s.release(t, r, "the target has started again")
+	default:
+		r.phase = stopping
+		r.answeredAt = 0
+		r.stopAt = s.clock.Steady
+		r.stopReason = "the target has started again"
+	}
+}
+
 // releaseAll gives up every run at a target, which has certainly ended.
 func (s *Scheduler) releaseAll(t *target, reason string) {
 	for _, r := range t.sortedRuns() {
--- a/internal/cransched/wave.go
+++ b/internal/cransched/wave.go
@@ -285,7 +285,6 @@
 			continue
 		}
 		if r.phase == present && r.step != nil && r.step.Lasting && s.mayEvict(r) {
-			r.task.endedByOrder = true
 			s.stopRun(t, r, "the instance is due for maintenance")
 		}
 	}
@@ -307,16 +306,21 @@
 		if other == r.task {
 			continue
 		}
-		if !other.atWork() {
+		if !s.atWork(other) {
 			away++
 		}
 	}
 	return r.step.MaxUnavailable == 0 || away < r.step.MaxUnavailable
 }
 
-// atWork reports whether a lasting task serves, as far as is known.
-func (t *task) atWork() bool {
-	return t.run != nil && t.run.phase == present && t.run.percent >= fullPace
+// atWork reports whether a lasting task serves, as far as is known. Nothing is
+// known of a target that doesn't answer.
+func (s *Scheduler) atWork(t *task) bool {
+	if t.run == nil || t.run.phase != present || t.run.percent < fullPace {
+		return false
+	}
+	home := s.targets[t.Target]
+	return home != nil && home.listed && !home.silent(s.clock.Steady)
 }
 
 // orderUpkeep stores the order for an instance and sends it then.
