Size pools by what is urgent and by how arrivals grow

Now a stage asks for the tasks that must run at once to be in time, arrivals of the last 1.5 s are carried on over a move's time, and the spread of a step counts.

--- a/internal/cransched/pools.go
+++ b/internal/cransched/pools.go
@@ -13,15 +13,18 @@
 const (
 	// planEvery is how often the sizes of the pools are planned.
 	planEvery = 100 * time.Millisecond
-	// workHorizon is the time in which a pool ought to get through the work
-	// that it has: about what a job's latency target leaves beside its chain.
-	workHorizon = 1000 * time.Millisecond
+	// moveLead is how long an instance takes to serve another pool, from the
+	// order to its first task.
+	moveLead = 2000 * time.Millisecond
+	// lateHorizon is the time in which work ought to be done that can no longer
+	// be in time.
+	lateHorizon = 5000 * time.Millisecond
 	// fillShare is how much of an instance tasks of several sizes can fill.
 	fillShare = 0.9
 	// keepFor is how long an instance stays wanted after the demand for it has
 	// gone. A move there and back costs as much as about two seconds of an
 	// instance.
-	keepFor = 2500 * time.Millisecond
+	keepFor = 1200 * time.Millisecond
 	// spareInstances stay in each pool beyond its demand: the first jobs of a
 	// surge come sooner than an instance moves.
 	spareInstances = 1
@@ -55,10 +58,11 @@
 
 // demand is what a pool's jobs ask for.
 type demand struct {
-	// steady is the room of lasting tasks.
-	steady cranjob.Resources
-	// cpuMs and memoryMs are room times expected milliseconds of other tasks.
-	cpuMs, memoryMs float64
+	// lasting is the room of lasting tasks, urgent what the other tasks need
+	// at once to be in time, expected what the arrivals will need.
+	lasting, urgent, expected load
+	// instances is how many targets the spread of a step needs.
+	instances int
 }
 
 // planPools moves empty instances between pools. It answers demand that
@@ -179,32 +183,94 @@
 		}
 		j.estimate(s.predictors[j.Queue], s.clock.Steady)
 		for _, st := range j.stages {
-			open := len(st.tasks) - st.done
-			if open == 0 || s.clock.UnixMs+workHorizon.Milliseconds() < j.DueMs(st.name.Occurrence) {
-				continue
+			if !st.complete() && s.comesSoon(j, st) {
+				d.add(st, s.parallel(j, st))
 			}
-			room := st.step.Room()
-			if st.step.Lasting {
-				d.steady = d.steady.Add(cranjob.Resources{CPU: open * room.CPU, Memory: open * room.Memory})
-				continue
-			}
-			ms := float64(open) * j.duration[st.name.Step]
-			d.cpuMs += ms * float64(room.CPU)
-			d.memoryMs += ms * float64(room.Memory)
+		}
+	}
+	for pool, g := range s.surges {
+		if demands[pool] != nil {
+			demands[pool].expected = g.expect(s.clock.Steady, moveLead)
 		}
 	}
 	return demands
 }
 
-// wantedInstances returns how many instances get through a demand in time.
+// arrived remembers the work of a job that has just come.
+func (s *Scheduler) arrived(j *job) {
+	if j.Times > 0 {
+		return
+	}
+	j.estimate(s.predictors[j.Queue], s.clock.Steady)
+	g := s.surges[j.Pool]
+	if g == nil {
+		g = &surge{}
+		s.surges[j.Pool] = g
+	}
+	for i := range j.Steps {
+		step := &j.Steps[i]
+		if step.Lasting {
+			continue
+		}
+		room := step.Room()
+		seconds := float64(step.Count) * j.duration[i] / 1000
+		g.add(load{seconds * float64(room.CPU), seconds * float64(room.Memory)}, s.clock.Steady)
+	}
+}
+
+// comesSoon reports whether a stage's turn comes before an instance could be
+// moved for it.
+func (s *Scheduler) comesSoon(j *job, st *stage) bool {
+	if j.DueMs(st.name.Occurrence) > s.clock.UnixMs+moveLead.Milliseconds() {
+		return false
+	}
+	base := st.name.Occurrence * len(j.Steps)
+	for _, earlier := range st.step.After {
+		if j.stages[base+earlier].waiting > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// parallel returns how many tasks of a stage have to run at once for the job
+// to be in time.
+func (s *Scheduler) parallel(j *job, st *stage) float64 {
+	open := float64(len(st.tasks) - st.done)
+	duration := j.duration[st.name.Step]
+	if st.step.Lasting || st.step.Gang || duration <= 0 {
+		return open
+	}
+	rest := j.chain[st.name.Step] - duration*widest(st.step.Count)
+	available := float64(j.objective(st.name.Occurrence)-s.clock.UnixMs) - rest
+	if available < duration {
+		available = float64(lateHorizon.Milliseconds())
+	}
+	return open * min(duration/available, 1)
+}
+
+// add takes in a stage of which some tasks run at once.
+func (d *demand) add(st *stage, parallel float64) {
+	room := st.step.Room()
+	need := load{parallel * float64(room.CPU), parallel * float64(room.Memory)}
+	if st.step.Lasting {
+		d.lasting = d.lasting.plus(need)
+	} else {
+		d.urgent = d.urgent.plus(need)
+	}
+	if most := st.step.MaxPerTarget; most > 0 {
+		d.instances = max(d.instances, int(math.Ceil(parallel/float64(most))))
+	}
+}
+
+// wantedInstances returns how many instances a demand asks for.
 func (s *Scheduler) wantedInstances(d *demand, p *poolSupply) int {
 	if d == nil || p == nil || p.capacity.CPU == 0 || p.capacity.Memory == 0 {
 		return spareInstances
 	}
-	horizon := float64(workHorizon.Milliseconds())
-	cpu := (float64(d.steady.CPU) + d.cpuMs/horizon) / (fillShare * float64(p.capacity.CPU))
-	memory := (float64(d.steady.Memory) + d.memoryMs/horizon) / (fillShare * float64(p.capacity.Memory))
-	return int(math.Ceil(max(cpu, memory))) + spareInstances
+	cpu := (d.lasting.cpu + max(d.urgent.cpu, d.expected.cpu)) / (fillShare * float64(p.capacity.CPU))
+	memory := (d.lasting.memory + max(d.urgent.memory, d.expected.memory)) / (fillShare * float64(p.capacity.Memory))
+	return max(int(math.Ceil(max(cpu, memory)))+spareInstances, d.instances)
 }
 
 // remember keeps what a pool wanted for a while, so that a short trough moves
--- a/internal/cransched/scheduler.go
+++ b/internal/cransched/scheduler.go
@@ -24,7 +24,9 @@
 	// predictors are by queue.
 	predictors map[string]*predictor
 	fleet      fleet
-	effects    []Effect
+	// surges are by pool.
+	surges  map[string]*surge
+	effects []Effect
 	// gated effects wait for what was decided before them to be stored.
 	gated []Effect
 	// records are stored with the next batch besides the dirty jobs.
@@ -49,7 +51,7 @@
 func New(token uint64, timing Timing, config *Config, book *cranjob.Book, c Clock, formerUntil time.Duration) *Scheduler {
 	s := &Scheduler{
 		token: token, timing: timing, config: config, clock: c, book: book,
-		jobs: map[string]*job{}, targets: map[string]*target{}, cancelled: map[string]bool{}, predictors: map[string]*predictor{},
+		jobs: map[string]*job{}, targets: map[string]*target{}, cancelled: map[string]bool{}, predictors: map[string]*predictor{}, surges: map[string]*surge{},
 		tookOver: c.Steady, formerUntil: formerUntil,
 	}
 	s.fleet = newFleet(book.Orders())
@@ -137,7 +139,9 @@
 	s.jobs[j.ID] = j
 	if s.cancelled[j.ID] {
 		s.cancelJob(j)
+		return
 	}
+	s.arrived(j)
 }
 
 // CancelJob takes in the cancellation of a job.
