--- a/internal/cransched/wave.go
+++ b/internal/cransched/wave.go
@@ -15,6 +15,9 @@
 	// prepareAhead is how many instances beyond those down are emptied ahead,
 	// so that the next is empty when one comes back.
 	prepareAhead = 2
+	// evacuations is how many instances are emptied at a time while there is
+	// time enough: lasting tasks leave one by one, and take seconds to start.
+	evacuations = 2
 	// statusEvery is how often an unfinished wave's status is written again.
 	statusEvery = 10 * time.Second
 )
@@ -121,7 +124,7 @@
 }
 
 // orderMargin is added to the distance between the orders of two owners.
-const orderMargin = 500 * time.Millisecond
+const orderMargin = 200 * time.Millisecond
 
 // mayOrderInstances reports whether orders for instances may leave: those of
 // the former owner for the same instance must lie further back.
@@ -153,20 +156,24 @@
 	}
 	limit := max(w.order.MaxParallel, 1)
 	cordoned := 0
-	urgent := s.urgent(w, open)
+	ahead := evacuations
+	if s.urgent(w, open) {
+		ahead = limit + prepareAhead
+	}
 	for _, m := range s.byEffort(w) {
 		switch {
 		case s.fleet.moves[m.instance] != nil:
-		case m.state == due && !urgent && !s.idle(m):
 		case m.state == asked:
 			if s.clock.Steady-m.sentAt >= orderRepeat && (m.sentAt != 0 || down < limit || s.occupied(m)) {
 				s.sendUpkeep(w, m)
 			}
-		case cordoned < limit+prepareAhead:
-			if s.evacuate(m) && down < limit {
+		case s.idle(m):
+			if down < limit && s.evacuate(m) {
 				down++
 				s.orderUpkeep(w, m)
 			}
+		case cordoned < ahead:
+			s.evacuate(m)
 			cordoned++
 		}
 	}
@@ -242,13 +249,26 @@
 			return 0
 		case t.cordoned:
 			return 1
+		case t.lasting():
+			// Others become empty by themselves.
+			return 2
 		}
-		return 2 + len(t.runs)
+		return 3 + len(t.runs)
 	}
 	slices.SortStableFunc(list, func(a, b *member) int { return effort(a) - effort(b) })
 	return list
 }
 
+// lasting reports whether lasting tasks are at the target.
+func (t *target) lasting() bool {
+	for _, r := range t.runs {
+		if r.step != nil && r.step.Lasting {
+			return true
+		}
+	}
+	return false
+}
+
 // lifeOf returns the target that is the present life of an instance.
 func (s *Scheduler) lifeOf(instance string) *target {
 	if t := s.targets[s.fleet.instances[instance].Target]; t != nil && t.info.ID != "" {
