Take over sooner, and go on with moves at once

Cause: after the loss of an owner nothing was scheduled for 2.4 s and nothing moved for 5.7 s, most of a surge. Claims are renewed every 400 ms and count as silent after 1.5 s, longer while the store is slow; a restarted process claims at once where the newest claim was its predecessor's; every order for an instance is stored before it is sent, so that a successor holds back only those for instances that were ordered lately, and takes over the moves under way. Ruled out: shorter bounds alone (a slow store would replace a sound owner).

--- a/internal/crannode/control.go
+++ b/internal/crannode/control.go
@@ -20,10 +20,12 @@
 	// producer names the scheduler's appends.
 	producer = "scheduler"
 	// claimEvery is how often an owner renews its claim.
-	claimEvery = 600 * time.Millisecond
+	claimEvery = 400 * time.Millisecond
 	// claimSilence is how long an owner's claim may stay away before another
-	// entry instance claims: four renewals.
-	claimSilence = 2400 * time.Millisecond
+	// entry instance claims: more than three renewals, and claimLatencies
+	// answers of a store that is slow.
+	claimSilence   = 1500 * time.Millisecond
+	claimLatencies = 4
 	// claimSpread keeps entry instances from claiming all at once.
 	claimSpread = 300 * time.Millisecond
 	// claimRetry is the pause after a claim that failed.
@@ -54,8 +56,12 @@
 	// claimAt is when a new claim was read, readAt when the book was, and
 	// ownerAt when a record of the owner was.
 	claimAt, readAt, ownerAt time.Duration
-	// formerVacated is true if the owner before the newest claim had vacated.
-	formerVacated bool
+	// former is the claim before the newest one of another epoch.
+	former cranjob.Claim
+	// latency is how long the store takes to answer a read, lately.
+	latency time.Duration
+	// orderAt is when the newest order for each instance was read.
+	orderAt map[string]time.Duration
 	// watchedFrom is since when the book was read without a gap.
 	watchedFrom time.Duration
 	claiming    bool
@@ -96,7 +102,7 @@
 
 func newControl(n *Node) *control {
 	return &control{
-		node: n, targets: map[string]cransched.TargetInfo{},
+		node: n, targets: map[string]cransched.TargetInfo{}, orderAt: map[string]time.Duration{},
 		leaving: make(chan struct{}), vacated: make(chan struct{}),
 	}
 }
@@ -167,17 +173,27 @@
 		c.watchedFrom = now.Steady
 	}
 	c.readAt = now.Steady
+	if len(u.Records) == 0 {
+		c.latency = max(now.Steady-u.Sent-readWait, 0)
+	}
 	n.mu.Lock()
 	changes := make([]cranjob.Change, 0, len(u.Records))
 	for _, r := range u.Records {
+		before := n.book.Claim()
 		change, err := n.book.Apply(r.Key, r.Value, r.Offset)
 		if err != nil {
 			n.log.Emit(cranevent.MalformedRecord, cranevent.Stream("jobs"), cranevent.Offset(r.Offset), cranevent.Err(err))
 			continue
 		}
 		if change.Kind == cranjob.ClaimChanged {
+			if before.Epoch != n.book.Claim().Epoch {
+				c.former = before
+			}
 			c.claimRead(now)
 		}
+		if change.Kind == cranjob.OrderChanged {
+			c.orderAt[change.ID] = now.Steady
+		}
 		if change.Kind == cranjob.ClaimChanged || change.Kind == cranjob.ProgressChanged {
 			c.ownerAt = now.Steady
 		}
@@ -224,7 +240,6 @@
 	if mine && c.owner == nil && !c.node.stopping.Load() && claim.Beat == 0 {
 		c.takeOver(claim, now)
 	}
-	c.formerVacated = claim.Vacated
 }
 
 // considerClaim claims the scheduling when nobody has it.
@@ -236,8 +251,15 @@
 	}
 	claim := n.book.Claim()
 	silence := now - max(c.claimAt, c.watchedFrom)
-	free := claim.Epoch == 0 || claim.Vacated
-	if !free && silence < claimSilence+c.spread() || free && silence < c.spread() {
+	patience := claimSilence + claimLatencies*c.latency + c.spread()
+	switch {
+	case c.isPredecessor(claim):
+		// That process has ended: it was this one's.
+		patience = 0
+	case claim.Epoch == 0 || claim.Vacated:
+		patience = c.spread()
+	}
+	if silence < patience {
 		return
 	}
 	c.claiming = true
@@ -256,6 +278,12 @@
 	}()
 }
 
+// isPredecessor reports whether a claim is of an earlier process of this entry
+// instance, which runs one at a time.
+func (c *control) isPredecessor(claim cranjob.Claim) bool {
+	return claim.Node == c.node.name && claim.Incarnation != c.node.incarnation
+}
+
 // spread is this process's share of claimSpread.
 func (c *control) spread() time.Duration {
 	h := fnv.New32a()
@@ -281,11 +309,15 @@
 	n := c.node
 	// The earlier owner acts for a bounded time after an append that it knows
 	// to be stored, and whatever it stored has been read here since.
-	formerUntil := c.ownerAt + cransched.OwnershipBound
-	if c.formerVacated {
-		formerUntil = now.Steady
+	former := cransched.Former{Until: c.ownerAt + cransched.OwnershipBound, OrderAt: maps.Clone(c.orderAt)}
+	if c.former.Vacated || c.isPredecessor(c.former) {
+		former.Until = now.Steady
+	}
+	if c.isPredecessor(c.former) {
+		// The platform takes both processes for one holder.
+		former.OrderAt = nil
 	}
-	s := cransched.New(claim.Epoch, n.timing, c.config, n.book, now, formerUntil)
+	s := cransched.New(claim.Epoch, n.timing, c.config, n.book, now, former)
 	o := &ownership{scheduler: s, epoch: claim.Epoch, claimed: now.Steady}
 	o.confirmedAt.Store(int64(now.Steady))
 	o.ctx, o.cancel = context.WithCancel(c.work)
--- a/internal/crannode/owner.go
+++ b/internal/crannode/owner.go
@@ -92,8 +92,11 @@
 // allowed reports whether orders may still leave: a successor counts on it
 // that an owner without a confirmed append stops by itself. It is asked right
 // before each call, since the process may have been suspended.
-func (c *control) allowed(o *ownership) bool {
-	return c.node.now().Steady-time.Duration(o.confirmedAt.Load()) < cransched.OwnershipBound
+func (c *control) allowed(o *ownership) bool { return c.confirmed(o, cransched.OwnershipBound) }
+
+// confirmed reports whether the newest confirmed append is newer than a bound.
+func (c *control) confirmed(o *ownership, bound time.Duration) bool {
+	return c.node.now().Steady-time.Duration(o.confirmedAt.Load()) < bound
 }
 
 // perform carries out what the scheduler wants done.
@@ -135,7 +138,7 @@
 		case cransched.Upkeep:
 			c.call(o, callTimeout, func(ctx context.Context) func() {
 				verdict := cransched.VerdictUnanswered
-				if c.allowed(o) {
+				if c.confirmed(o, cransched.OrderBound) {
 					verdict = c.node.orders.Upkeep(ctx, e)
 				}
 				return func() { o.scheduler.UpkeepAnswered(e, verdict) }
@@ -143,7 +146,7 @@
 		case cransched.Move:
 			c.call(o, callTimeout, func(ctx context.Context) func() {
 				verdict := cransched.VerdictUnanswered
-				if c.allowed(o) {
+				if c.confirmed(o, cransched.OrderBound) {
 					verdict = c.node.orders.Move(ctx, e)
 				}
 				return func() { o.scheduler.MoveAnswered(e, verdict) }
--- a/internal/cransched/config.go
+++ b/internal/cransched/config.go
@@ -71,6 +71,9 @@
 	// OwnershipBound is how long an owner acts without a confirmed append. A
 	// successor adds it to the lease of targets that it can't reach.
 	OwnershipBound = 2500 * time.Millisecond
+	// OrderBound is the same for orders about instances. It is shorter, since a
+	// successor waits for it before its first order for the same instance.
+	OrderBound = 1000 * time.Millisecond
 	// silenceBound is how long a target may leave holds unanswered: the longest
 	// wait of a hold, and the pause and the journey of the next.
 	silenceBound = renewEvery + 800*time.Millisecond
--- a/internal/cransched/pools.go
+++ b/internal/cransched/pools.go
@@ -71,7 +71,7 @@
 // is switched off.
 func (s *Scheduler) planPools() {
 	now := s.clock.Steady
-	if !s.mayOrderInstances() || s.config == nil || now < s.fleet.planAt {
+	if s.fleet.listAt == 0 || s.config == nil || now < s.fleet.planAt {
 		return
 	}
 	s.fleet.planAt = now + planEvery
@@ -325,7 +325,7 @@
 // orderMove keeps new work away from an instance and moves it.
 func (s *Scheduler) orderMove(instance, pool string) bool {
 	to := destination{instance, pool}
-	if s.fleet.refused[to] {
+	if s.fleet.refused[to] || !s.mayOrder(instance) {
 		return false
 	}
 	m := &move{destination: to, began: s.clock.Steady}
@@ -341,8 +341,9 @@
 
 func (s *Scheduler) sendMove(m *move) {
 	m.sentAt = s.clock.Steady
-	s.emit(Note{Kind: NoteMove, Target: m.instance, Reason: m.pool})
-	s.emit(Move{Instance: m.instance, Pool: m.pool, Token: s.token})
+	s.storeOrder(m.instance, cranjob.InstanceOrder{Pool: m.pool, SentMs: s.clock.UnixMs})
+	s.gate(Note{Kind: NoteMove, Target: m.instance, Reason: m.pool})
+	s.gate(Move{Instance: m.instance, Pool: m.pool, Token: s.token})
 }
 
 // MoveAnswered takes in the answer to a move.
@@ -382,14 +383,12 @@
 	now := s.clock.Steady
 	for _, id := range slices.Sorted(maps.Keys(s.fleet.moves)) {
 		m := s.fleet.moves[id]
-		if !m.answered {
-			if now-m.sentAt >= moveRepeat {
-				s.sendMove(m)
-			}
-			continue
-		}
 		i, found := s.fleet.instances[id]
 		fresh := s.fleet.listAt > m.sentAt
+		if !m.answered && now-m.sentAt >= moveRepeat && s.mayOrder(id) && (!fresh || found && i.Up && i.Pool != m.pool) {
+			s.sendMove(m)
+			continue
+		}
 		arrived := fresh && found && i.Pool == m.pool && i.Up &&
 			(s.standby(m.pool) || i.Target != m.target && s.targets[i.Target] != nil)
 		if arrived || fresh && !found || now-m.began > movePatience {
--- a/internal/cransched/scheduler.go
+++ b/internal/cransched/scheduler.go
@@ -35,8 +35,15 @@
 	// inFlight is the batch that is being stored.
 	inFlight *batch
 	tookOver time.Duration
-	// formerUntil is when the earlier owner has stopped at the latest.
-	formerUntil time.Duration
+	former   Former
+}
+
+// Former is what a new owner knows of the earlier one.
+type Former struct {
+	// Until is when it has stopped at the latest.
+	Until time.Duration
+	// OrderAt is when its newest order for each instance was read.
+	OrderAt map[string]time.Duration
 }
 
 // batch is what one append carries.
@@ -46,15 +53,14 @@
 }
 
 // New returns the scheduler of a new owner, whose claim has the epoch token.
-// The book must hold everything that lies before the claim. The earlier owner
-// acts until formerUntil at the latest.
-func New(token uint64, timing Timing, config *Config, book *cranjob.Book, c Clock, formerUntil time.Duration) *Scheduler {
+// The book must hold everything that lies before the claim.
+func New(token uint64, timing Timing, config *Config, book *cranjob.Book, c Clock, former Former) *Scheduler {
 	s := &Scheduler{
 		token: token, timing: timing, config: config, clock: c, book: book,
 		jobs: map[string]*job{}, targets: map[string]*target{}, cancelled: map[string]bool{}, predictors: map[string]*predictor{}, surges: map[string]*surge{},
-		tookOver: c.Steady, formerUntil: formerUntil,
+		tookOver: c.Steady, former: former,
 	}
-	s.fleet = newFleet(book.Orders())
+	s.fleet = s.newFleet(book.Orders())
 	ids := slices.Sorted(maps.Keys(book.Jobs()))
 	for _, id := range ids {
 		e := book.Jobs()[id]
@@ -98,7 +104,7 @@
 // lapseBound returns when every lease of earlier owners has ended.
 func (s *Scheduler) lapseBound() time.Duration {
 	lease := time.Duration(float64(s.lease()) / (1 - clockDrift))
-	return s.formerUntil + lease + lapseMargin
+	return s.former.Until + lease + lapseMargin
 }
 
 func (s *Scheduler) lease() time.Duration {
--- a/internal/cransched/wave.go
+++ b/internal/cransched/wave.go
@@ -71,11 +71,19 @@
 	recent map[string]*wanted
 }
 
-func newFleet(orders map[string]cranjob.InstanceOrder) fleet {
-	return fleet{
+// newFleet takes over the stored orders, and the moves that may be under way.
+func (s *Scheduler) newFleet(orders map[string]cranjob.InstanceOrder) fleet {
+	f := fleet{
 		waves: map[int]*wave{}, stored: maps.Clone(orders),
 		moves: map[string]*move{}, refused: map[destination]bool{}, recent: map[string]*wanted{},
 	}
+	for instance, o := range orders {
+		at, recent := s.former.OrderAt[instance]
+		if recent && o.Pool != "" && s.clock.Steady-at < movePatience {
+			f.moves[instance] = &move{destination: destination{instance, o.Pool}, began: at, sentAt: at}
+		}
+	}
+	return f
 }
 
 // SetWaves takes over the waves that the operator asks for, and which of them
@@ -113,7 +121,7 @@
 
 // planWaves empties instances and orders their maintenance.
 func (s *Scheduler) planWaves() {
-	if !s.mayOrderInstances() {
+	if s.fleet.listAt == 0 {
 		return
 	}
 	for _, number := range slices.Sorted(maps.Keys(s.fleet.waves)) {
@@ -126,10 +134,11 @@
 // orderMargin is added to the distance between the orders of two owners.
 const orderMargin = 200 * time.Millisecond
 
-// mayOrderInstances reports whether orders for instances may leave: those of
-// the former owner for the same instance must lie further back.
-func (s *Scheduler) mayOrderInstances() bool {
-	return s.fleet.listAt != 0 && s.clock.Steady >= s.formerUntil+s.timing.OrderLease+orderMargin
+// mayOrder reports whether an order for an instance may leave: that of the
+// former owner for the same instance must lie further back.
+func (s *Scheduler) mayOrder(instance string) bool {
+	at, ordered := s.former.OrderAt[instance]
+	return !ordered || s.clock.Steady >= at+OrderBound+s.timing.OrderLease+orderMargin
 }
 
 func (s *Scheduler) planWave(w *wave) {
@@ -162,7 +171,7 @@
 	}
 	for _, m := range s.byEffort(w) {
 		switch {
-		case s.fleet.moves[m.instance] != nil:
+		case s.fleet.moves[m.instance] != nil || !s.mayOrder(m.instance):
 		case m.state == asked:
 			if s.clock.Steady-m.sentAt >= orderRepeat && (m.sentAt != 0 || down < limit || s.occupied(m)) {
 				s.sendUpkeep(w, m)
@@ -230,8 +239,7 @@
 	m.begunAt = s.clock.Steady
 	order := s.fleet.stored[m.instance]
 	order.Done = true
-	s.fleet.stored[m.instance] = order
-	s.records = append(s.records, cranstore.Record{Key: cranjob.OrderKey(m.instance), Value: cranjob.Encode(order)})
+	s.storeOrder(m.instance, order)
 }
 
 // byEffort returns the members with those under way first, then those whose
@@ -348,20 +356,21 @@
 	m.state = asked
 	m.stored = true
 	m.sentAt = s.clock.Steady
-	order := cranjob.InstanceOrder{Wave: w.order.Wave, SentMs: s.clock.UnixMs}
-	s.fleet.stored[m.instance] = order
-	s.records = append(s.records, cranstore.Record{Key: cranjob.OrderKey(m.instance), Value: cranjob.Encode(order)})
+	s.storeOrder(m.instance, cranjob.InstanceOrder{Wave: w.order.Wave, SentMs: s.clock.UnixMs})
 	s.gate(Note{Kind: NoteUpkeep, Target: m.instance, Run: w.order.Wave})
 	s.gate(Upkeep{Instance: m.instance, Wave: w.order.Wave, Token: s.token})
 }
 
+// storeOrder stores an order with the next batch.
+func (s *Scheduler) storeOrder(instance string, o cranjob.InstanceOrder) {
+	s.fleet.stored[instance] = o
+	s.records = append(s.records, cranstore.Record{Key: cranjob.OrderKey(instance), Value: cranjob.Encode(o)})
+}
+
 func (s *Scheduler) sendUpkeep(w *wave, m *member) {
-	t := s.lifeOf(m.instance)
-	if t != nil && !s.evacuate(m) {
-		return
+	if s.lifeOf(m.instance) == nil || s.evacuate(m) {
+		s.orderUpkeep(w, m)
 	}
-	m.sentAt = s.clock.Steady
-	s.emit(Upkeep{Instance: m.instance, Wave: w.order.Wave, Token: s.token})
 }
 
 // UpkeepAnswered takes in the answer to an order.
--- a/internal/cransched/world_test.go
+++ b/internal/cransched/world_test.go
@@ -132,7 +132,7 @@
 func (w *world) takeOver(former time.Duration) {
 	w.epoch++
 	w.ownerID++
-	w.owner = New(w.epoch, simTiming, w.config, w.book, w.clock(), former)
+	w.owner = New(w.epoch, simTiming, w.config, w.book, w.clock(), Former{Until: former})
 	w.owner.SetTargets(w.listed())
 	w.tick(w.ownerID)
 }
