An unanswered hold renews nothing; claims don't race with accepted jobs

Each unanswered hold put off the lapse of the lease. The epoch and its sequence number already make claims exclusive.

--- a/internal/crancli/node.go
+++ b/internal/crancli/node.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/cranberrypick/cranberrypick/platform"
 )
@@ -18,12 +20,14 @@
 	if path == "" {
 		path = os.Getenv(platform.SettingsVariable)
 	}
-	settings, err := platform.LoadSettings(path)
-	if err != nil {
+	if _, err := platform.LoadSettings(path); err != nil {
 		return usageError{err}
 	}
 	if c.Check {
 		return nil
 	}
-	return platform.Run(ctx, settings, o.out)
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
+	return platform.Run(ctx, path, o.out, reload)
 }
--- a/internal/cranevent/catalogue.go
+++ b/internal/cranevent/catalogue.go
@@ -28,6 +28,10 @@
 		KeyElapsedMs, KeyMember),
 	define(SettingsLoaded, "settingsLoaded", LevelInfo, "the settings are loaded",
 		KeyFile),
+	define(SettingsRefused, "settingsRefused", LevelWarn, "changed settings can't be used",
+		KeyError, KeyFile),
+	define(SettingsNeedRestart, "settingsNeedRestart", LevelWarn, "changed settings take effect at the next start",
+		KeyFile),
 
 	define(ConfigurationAccepted, "configurationAccepted", LevelInfo, "a configuration is accepted",
 		KeyOffset, KeyRevision),
--- a/internal/cranevent/event.go
+++ b/internal/cranevent/event.go
@@ -16,6 +16,9 @@
 	EntryStopping  Event = 104
 	EntryStopped   Event = 105
 	SettingsLoaded Event = 110
+	// SettingsRefused and SettingsNeedRestart follow a change of the file.
+	SettingsRefused     Event = 111
+	SettingsNeedRestart Event = 112
 )
 
 // Events of the published configuration.
--- a/internal/crannode/control.go
+++ b/internal/crannode/control.go
@@ -263,12 +263,13 @@
 		return
 	}
 	c.claiming = true
-	c.attempt = max(claim.Epoch, c.floor, c.attempt) + 1
-	end := n.book.Next()
+	// Claims of one epoch carry the same sequence number, so the store takes
+	// the first of them alone.
+	c.attempt = max(claim.Epoch, c.floor) + 1
 	record := cranstore.Record{Key: cranjob.KeyClaim, Value: cranjob.Encode(cranjob.Claim{
 		Epoch: c.attempt, Node: n.name, Incarnation: n.incarnation,
 	})}
-	o := cranstore.AppendOptions{Producer: producer, Epoch: c.attempt, AtEnd: &end}
+	o := cranstore.AppendOptions{Producer: producer, Epoch: c.attempt}
 	n.log.Emit(cranevent.SchedulerClaiming, cranevent.Epoch(c.attempt), cranevent.Elapsed(silence))
 	go func() {
 		ctx, cancel := context.WithTimeout(c.work, appendTimeout)
--- a/internal/crannode/doc.go
+++ b/internal/crannode/doc.go
@@ -5,8 +5,8 @@
 // them also schedules: the one whose claim is the newest in the store. A claim
 // carries an epoch that fences the appends and the orders of earlier owners.
 // Every entry instance watches for the owner's claims to be renewed; when they
-// stay away, or the owner vacates, it claims the next epoch itself, on the
-// condition that nothing was appended meanwhile.
+// stay away, or the owner vacates, it claims the next epoch itself. Claims of one
+// epoch bear the same sequence number, of which the store takes the first.
 //
 // One goroutine holds the control state: the book, the claim and the
 // scheduler. Requests of callers read the book under a lock, and every call
--- a/internal/cransched/report.go
+++ b/internal/cransched/report.go
@@ -20,6 +20,7 @@
 	}
 	t.holding = false
 	t.holdAt = s.clock.Steady + retryPause
+	t.unanswered = a.Verdict != VerdictDone
 	switch a.Verdict {
 	case VerdictDone:
 		s.report(t, a)
--- a/internal/cransched/rules_test.go
+++ b/internal/cransched/rules_test.go
@@ -101,3 +101,25 @@
 		}
 	}
 }
+
+// TestDarkTarget has a target fall silent for good and expects its tasks to
+// run elsewhere once its lease has lapsed: unanswered holds renew nothing.
+func TestDarkTarget(t *testing.T) {
+	w := newWorld(t, 1, 4)
+	w.takeOver(w.now - time.Hour)
+	w.submit(lastingJob("lasting", 3))
+	w.run(3 * time.Second)
+	for _, x := range w.fleet {
+		if len(x.runs) > 0 {
+			x.cut = true
+		}
+	}
+	w.run(8 * time.Second)
+	running := 0
+	for _, x := range w.fleet {
+		if !x.cut {
+			running += len(x.runs)
+		}
+	}
+	require.Equal(t, 3, running)
+}
--- a/internal/cransched/target.go
+++ b/internal/cransched/target.go
@@ -82,6 +82,8 @@
 	// one is due at holdAt.
 	holding          bool
 	holdSent, holdAt time.Duration
+	// unanswered is true after a hold without an answer.
+	unanswered bool
 	// awaitStore is true when the next hold waits for the ends to be stored.
 	awaitStore bool
 	cordoned   bool
--- a/internal/cransched/targets.go
+++ b/internal/cransched/targets.go
@@ -158,7 +158,13 @@
 	if !t.fenced || len(t.runs) == 0 {
 		wait = 0
 	}
-	s.emit(Hold{Target: t.address(), DeadlineMs: s.grant(t), Token: s.token, Observed: t.stored, Wait: wait})
+	deadline := int64(0)
+	if !t.unanswered {
+		// A hold without an answer may have renewed the lease. Another one would
+		// put off the time from which the runs have certainly ended.
+		deadline = s.grant(t)
+	}
+	s.emit(Hold{Target: t.address(), DeadlineMs: deadline, Token: s.token, Observed: t.stored, Wait: wait})
 }
 
 // holdDue reports whether it is time for the next hold of a target.
