--- a/internal/cranevent/caller_test.go
+++ b/internal/cranevent/caller_test.go
@@ -24,10 +24,7 @@
 	require.Contains(t, keys, "Offset")
 	events := constantEvents(t)
 	calls := 0
-	require.NoError(t, filepath.WalkDir("..", func(path string, _ fs.DirEntry, err error) error {
-		if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
-			return err
-		}
+	walkSources(t, func(path string) {
 		file, err := parser.ParseFile(token.NewFileSet(), path, nil, 0)
 		require.NoError(t, err)
 		ast.Inspect(file, func(n ast.Node) bool {
@@ -43,8 +40,7 @@
 			checkCall(t, path, event, call.Args[1:], keys)
 			return true
 		})
-		return nil
-	}))
+	})
 	require.NotZero(t, calls)
 }
 
@@ -53,17 +49,13 @@
 func TestEveryEventIsEmitted(t *testing.T) {
 	named := map[string]bool{}
 	use := regexp.MustCompile(`\bcranevent\.(\w+)`)
-	require.NoError(t, filepath.WalkDir("..", func(path string, _ fs.DirEntry, err error) error {
-		if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
-			return err
-		}
+	walkSources(t, func(path string) {
 		source, err := os.ReadFile(path)
 		require.NoError(t, err)
 		for _, m := range use.FindAllSubmatch(source, -1) {
 			named[string(m[1])] = true
 		}
-		return nil
-	}))
+	})
 	events := constantEvents(t)
 	require.NotEmpty(t, events)
 	for name := range events {
@@ -71,6 +63,20 @@
 	}
 }
 
+// walkSources visits the sources of the module's own packages and of the
+// adapter to the users' platform.
+func walkSources(t *testing.T, visit func(path string)) {
+	for _, root := range []string{"..", "../../platform"} {
+		require.NoError(t, filepath.WalkDir(root, func(path string, _ fs.DirEntry, err error) error {
+			if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+				return err
+			}
+			visit(path)
+			return nil
+		}))
+	}
+}
+
 func checkCall(t *testing.T, path string, event Event, fields []ast.Expr, keys map[string]Key) {
 	d, _ := event.Definition()
 	for _, f := range fields {
--- a/internal/cranevent/event.go
+++ b/internal/cranevent/event.go
@@ -17,8 +17,8 @@
 	EntryStopped   Event = 105
 	SettingsLoaded Event = 110
 	// SettingsRefused and SettingsNeedRestart follow a change of the file.
-	SettingsRefused     Event = 111
-	SettingsNeedRestart Event = 112
+	SettingsRefused     Event = 113
+	SettingsNeedRestart Event = 114
 )
 
 // Events of the published configuration.
--- /dev/null
+++ b/internal/cranmetric/jobs.go
@@ -0,0 +1,108 @@
+package cranmetric
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/cranberrypick/cranberrypick/internal/cranfault"
+)
+
+// jobBuckets are the bounds of the latency histograms, in seconds: from a call
+// within a data centre to the longest that a caller waits.
+var jobBuckets = []float64{0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5}
+
+// Jobs are the metrics of an entry instance of the job service.
+type Jobs struct {
+	registry *prometheus.Registry
+	refusals, retries, ended, runEnds,
+	orders *prometheus.CounterVec
+	accepted, cancelled, takeovers prometheus.Counter
+	acceptance                     prometheus.Histogram
+	orderTime                      *prometheus.HistogramVec
+	firstStart                     prometheus.Histogram
+}
+
+// NewJobs returns the metrics with every counter of a known reason at zero.
+func NewJobs() *Jobs {
+	counter := func(name, help string) prometheus.Counter {
+		return prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help})
+	}
+	vector := func(name, help string, labels ...string) *prometheus.CounterVec {
+		return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
+	}
+	histogram := func(name, help string) prometheus.HistogramOpts {
+		return prometheus.HistogramOpts{Namespace: namespace, Name: name, Help: help, Buckets: jobBuckets}
+	}
+	m := &Jobs{
+		registry:   prometheus.NewRegistry(),
+		refusals:   vector("job_refusals_total", "Requests of callers that were refused, by reason.", "reason"),
+		retries:    vector("store_retries_total", "Appends that were sent again, by reason.", "reason"),
+		ended:      vector("jobs_ended_total", "Jobs that have ended, by state.", "state"),
+		runEnds:    vector("run_ends_total", "Runs that have ended, by how.", "how"),
+		orders:     vector("orders_total", "Orders to targets and about instances, by kind and outcome.", "order", "outcome"),
+		accepted:   counter("jobs_accepted_total", "Jobs that were accepted and stored."),
+		cancelled:  counter("jobs_cancelled_total", "Cancellations that were stored."),
+		takeovers:  counter("scheduler_takeovers_total", "Times that this process took over the scheduling."),
+		acceptance: prometheus.NewHistogram(histogram("accept_seconds", "Time from a job's arrival until it is stored.")),
+		orderTime:  prometheus.NewHistogramVec(histogram("order_seconds", "Time until an order is answered, by kind."), []string{"order"}),
+		firstStart: prometheus.NewHistogram(histogram("first_start_seconds", "Time from a job's arrival until its first task is placed.")),
+	}
+	for _, k := range cranfault.Kinds() {
+		m.refusals.WithLabelValues(string(k))
+	}
+	for _, reason := range []string{"refused", "unanswered"} {
+		m.retries.WithLabelValues(reason)
+	}
+	m.registry.MustRegister(m.refusals, m.retries, m.ended, m.runEnds, m.orders, m.accepted, m.cancelled,
+		m.takeovers, m.acceptance, m.orderTime, m.firstStart, collectors.NewGoCollector(),
+		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return m
+}
+
+// Handler serves the metrics as text.
+func (m *Jobs) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
+// Accepted counts a job that was stored after a time.
+func (m *Jobs) Accepted(after time.Duration) {
+	m.accepted.Inc()
+	m.acceptance.Observe(after.Seconds())
+}
+
+// Refused counts a refusal.
+func (m *Jobs) Refused(reason cranfault.Kind) { m.refusals.WithLabelValues(string(reason)).Inc() }
+
+// Cancelled counts a cancellation.
+func (m *Jobs) Cancelled() { m.cancelled.Inc() }
+
+// Retried counts an append that is sent again. A refused one had no effect.
+func (m *Jobs) Retried(refused bool) {
+	reason := "unanswered"
+	if refused {
+		reason = "refused"
+	}
+	m.retries.WithLabelValues(reason).Inc()
+}
+
+// TookOver counts a takeover of the scheduling.
+func (m *Jobs) TookOver() { m.takeovers.Inc() }
+
+// Ended counts a job that has ended.
+func (m *Jobs) Ended(state string) { m.ended.WithLabelValues(state).Inc() }
+
+// RunEnded counts a run that has ended.
+func (m *Jobs) RunEnded(how string) { m.runEnds.WithLabelValues(how).Inc() }
+
+// Ordered counts an order and its outcome after a time.
+func (m *Jobs) Ordered(order, outcome string, after time.Duration) {
+	m.orders.WithLabelValues(order, outcome).Inc()
+	m.orderTime.WithLabelValues(order).Observe(after.Seconds())
+}
+
+// FirstStart counts the time until the first task of a job is placed.
+func (m *Jobs) FirstStart(after time.Duration) { m.firstStart.Observe(after.Seconds()) }
--- a/internal/crannode/node.go
+++ b/internal/crannode/node.go
@@ -10,6 +10,7 @@
 
 	"github.com/cranberrypick/cranberrypick/internal/cranevent"
 	"github.com/cranberrypick/cranberrypick/internal/cranjob"
+	"github.com/cranberrypick/cranberrypick/internal/cranmetric"
 	"github.com/cranberrypick/cranberrypick/internal/cransched"
 	"github.com/cranberrypick/cranberrypick/internal/cranstore"
 )
@@ -38,6 +39,7 @@
 	directory   Directory
 	orders      Orders
 	log         *cranevent.Logger
+	metrics     *cranmetric.Jobs
 	now         func() cransched.Clock
 
 	events chan func()
@@ -68,6 +70,9 @@
 // WithLogger sets where events go.
 func WithLogger(l *cranevent.Logger) Option { return func(n *Node) { n.log = l } }
 
+// WithMetrics sets where requests and orders are counted.
+func WithMetrics(m *cranmetric.Jobs) Option { return func(n *Node) { n.metrics = m } }
+
 // WithClock replaces the clock.
 func WithClock(now func() cransched.Clock) Option { return func(n *Node) { n.now = now } }
 
@@ -76,7 +81,7 @@
 func New(name, incarnation string, topic cranstore.Topic, directory Directory, orders Orders, opts ...Option) *Node {
 	n := &Node{
 		name: name, incarnation: incarnation, topic: topic, directory: directory, orders: orders,
-		log: cranevent.Discard(), now: Now, events: make(chan func(), eventQueue),
+		log: cranevent.Discard(), metrics: cranmetric.NewJobs(), now: Now, events: make(chan func(), eventQueue),
 		book: cranjob.NewBook(), advanced: make(chan struct{}),
 	}
 	for _, set := range opts {
--- a/internal/crannode/note.go
+++ b/internal/crannode/note.go
@@ -32,6 +32,15 @@
 
 // note writes a decision of the scheduler to the log.
 func (n *Node) note(e cransched.Note) {
+	switch e.Kind {
+	case cransched.NoteEnd:
+		n.metrics.RunEnded(e.Reason)
+	case cransched.NoteJobEnded:
+		n.metrics.Ended(e.State.String())
+	case cransched.NoteFirstStart:
+		n.metrics.FirstStart(time.Duration(e.AgeMs) * time.Millisecond)
+		return
+	}
 	fields := make([]cranevent.Field, 0, 6)
 	if e.Job != "" {
 		fields = append(fields, cranevent.Job(e.Job))
--- a/internal/crannode/owner.go
+++ b/internal/crannode/owner.go
@@ -52,6 +52,7 @@
 		if err == nil || errors.As(err, &fenced) || errors.As(err, &sequence) || ctx.Err() != nil {
 			return sent, err
 		}
+		n.metrics.Retried(cranstore.IsRefused(err))
 		n.log.Emit(cranevent.AppendRepeated, cranevent.Epoch(o.Epoch), cranevent.Err(err))
 		pause(ctx, appendPause)
 	}
@@ -89,81 +90,85 @@
 	o.scheduler.Stored()
 }
 
-// allowed reports whether orders may still leave: a successor counts on it
-// that an owner without a confirmed append stops by itself. It is asked right
-// before each call, since the process may have been suspended.
-func (c *control) allowed(o *ownership) bool { return c.confirmed(o, cransched.OwnershipBound) }
-
-// confirmed reports whether the newest confirmed append is newer than a bound.
-func (c *control) confirmed(o *ownership, bound time.Duration) bool {
-	return c.node.now().Steady-time.Duration(o.confirmedAt.Load()) < bound
-}
-
 // perform carries out what the scheduler wants done.
 func (c *control) perform(o *ownership) {
-	for _, effect := range o.scheduler.Effects() {
+	n, s := c.node, o.scheduler
+	for _, effect := range s.Effects() {
 		switch e := effect.(type) {
 		case cransched.Hold:
 			c.call(o, e.Wait+callTimeout, func(ctx context.Context) func() {
 				answer := cransched.HoldAnswer{}
-				if c.allowed(o) {
-					answer = c.node.orders.Hold(ctx, e)
-				}
-				return func() { o.scheduler.Held(e.Target, answer) }
+				c.order(o, "hold", cransched.OwnershipBound, func() cransched.Verdict {
+					answer = n.orders.Hold(ctx, e)
+					return answer.Verdict
+				})
+				return func() { s.Held(e.Target, answer) }
 			})
 		case cransched.Start:
 			c.call(o, callTimeout, func(ctx context.Context) func() {
 				answer := cransched.Answer{Verdict: cransched.VerdictUnreached}
-				if c.allowed(o) {
-					answer = c.node.orders.Start(ctx, e)
-				}
-				return func() { o.scheduler.Started(e, answer) }
+				c.order(o, "start", cransched.OwnershipBound, func() cransched.Verdict {
+					answer = n.orders.Start(ctx, e)
+					return answer.Verdict
+				})
+				return func() { s.Started(e, answer) }
 			})
 		case cransched.Stop:
 			c.call(o, callTimeout, func(ctx context.Context) func() {
 				answer := cransched.Answer{}
-				if c.allowed(o) {
-					answer = c.node.orders.Stop(ctx, e)
-				}
-				return func() { o.scheduler.Stopped(e, answer) }
+				c.order(o, "stop", cransched.OwnershipBound, func() cransched.Verdict {
+					answer = n.orders.Stop(ctx, e)
+					return answer.Verdict
+				})
+				return func() { s.Stopped(e, answer) }
 			})
 		case cransched.Pace:
 			c.call(o, callTimeout, func(ctx context.Context) func() {
 				answer := cransched.Answer{}
-				if c.allowed(o) {
-					answer = c.node.orders.Pace(ctx, e)
-				}
-				return func() { o.scheduler.Paced(e, answer) }
+				c.order(o, "pace", cransched.OwnershipBound, func() cransched.Verdict {
+					answer = n.orders.Pace(ctx, e)
+					return answer.Verdict
+				})
+				return func() { s.Paced(e, answer) }
 			})
 		case cransched.Upkeep:
 			c.call(o, callTimeout, func(ctx context.Context) func() {
-				verdict := cransched.VerdictUnanswered
-				if c.confirmed(o, cransched.OrderBound) {
-					verdict = c.node.orders.Upkeep(ctx, e)
-				}
-				return func() { o.scheduler.UpkeepAnswered(e, verdict) }
+				verdict := c.order(o, "upkeep", cransched.OrderBound, func() cransched.Verdict { return n.orders.Upkeep(ctx, e) })
+				return func() { s.UpkeepAnswered(e, verdict) }
 			})
 		case cransched.Move:
 			c.call(o, callTimeout, func(ctx context.Context) func() {
-				verdict := cransched.VerdictUnanswered
-				if c.confirmed(o, cransched.OrderBound) {
-					verdict = c.node.orders.Move(ctx, e)
-				}
-				return func() { o.scheduler.MoveAnswered(e, verdict) }
+				verdict := c.order(o, "move", cransched.OrderBound, func() cransched.Verdict { return n.orders.Move(ctx, e) })
+				return func() { s.MoveAnswered(e, verdict) }
 			})
 		case cransched.WaveStatus:
 			c.call(o, callTimeout, func(ctx context.Context) func() {
-				if err := c.node.orders.Report(ctx, e); err != nil {
-					c.node.log.Emit(cranevent.LogUnavailable, cranevent.Stream("status"), cranevent.Err(err))
+				if err := n.orders.Report(ctx, e); err != nil {
+					n.log.Emit(cranevent.LogUnavailable, cranevent.Stream("status"), cranevent.Err(err))
 				}
 				return func() {}
 			})
 		case cransched.Note:
-			c.node.note(e)
+			n.note(e)
 		}
 	}
 }
 
+// order sends an order unless the ownership was last confirmed too long ago.
+// It is asked right before the call, since the process may have been
+// suspended; an order that has not left counts as unanswered.
+func (c *control) order(o *ownership, kind string, bound time.Duration, send func() cransched.Verdict) cransched.Verdict {
+	n := c.node
+	began := n.now().Steady
+	if began-time.Duration(o.confirmedAt.Load()) >= bound {
+		n.metrics.Ordered(kind, "withheld", 0)
+		return cransched.VerdictUnanswered
+	}
+	verdict := send()
+	n.metrics.Ordered(kind, verdict.String(), n.now().Steady-began)
+	return verdict
+}
+
 // call runs a call in a goroutine of its own and hands its outcome to the
 // control goroutine.
 func (c *control) call(o *ownership, timeout time.Duration, do func(context.Context) func()) {
--- a/internal/crannode/service.go
+++ b/internal/crannode/service.go
@@ -33,19 +33,22 @@
 		return n.refuse(j, cranfault.New(cranfault.LogUnavailable, "submit the job again to another entry instance",
 			"the store doesn't answer this entry instance"))
 	}
+	began := n.now().Steady
 	j.ReceivedMs = n.now().UnixMs
 	record := cranstore.Record{Key: cranjob.SubmissionKey(j.ID), Value: cranjob.Encode(*j)}
 	offset, err := n.store(ctx, record)
 	if err != nil {
 		return n.refuse(j, err)
 	}
-	n.log.Emit(cranevent.JobAccepted, cranevent.Job(j.ID), cranevent.Queue(j.Queue), cranevent.Offset(offset),
-		cranevent.Elapsed(time.Duration(n.now().UnixMs-j.ReceivedMs)*time.Millisecond))
+	took := n.now().Steady - began
+	n.metrics.Accepted(took)
+	n.log.Emit(cranevent.JobAccepted, cranevent.Job(j.ID), cranevent.Queue(j.Queue), cranevent.Offset(offset), cranevent.Elapsed(took))
 	return nil
 }
 
 // refuse logs why a job was not accepted.
 func (n *Node) refuse(j *cranjob.Job, err error) error {
+	n.metrics.Refused(cranfault.KindOf(err))
 	n.log.Emit(cranevent.JobRefused, cranevent.Job(j.ID), cranevent.Queue(j.Queue),
 		cranevent.Reason(cranfault.KindOf(err)), cranevent.Err(err))
 	return err
@@ -70,6 +73,7 @@
 			return 0, cranfault.New(cranfault.LogUnavailable, "try again at another entry instance",
 				"the store has refused the record: %v", err)
 		}
+		n.metrics.Retried(cranstore.IsRefused(err))
 		pause(ctx, storePause)
 	}
 	return 0, cranfault.New(cranfault.Timeout, "ask again; repeating the request is harmless",
@@ -94,6 +98,7 @@
 	if err != nil {
 		return false, err
 	}
+	n.metrics.Cancelled()
 	n.log.Emit(cranevent.JobCancelled, cranevent.Job(id), cranevent.Offset(offset))
 	return true, nil
 }
--- a/internal/cransched/effect.go
+++ b/internal/cransched/effect.go
@@ -101,6 +101,8 @@
 	Run    int
 	Target string
 	Reason string
+	// State is the state of a job that has ended.
+	State cranjob.State
 	// AgeMs is the age of the information that decided it.
 	AgeMs int64
 }
@@ -129,6 +131,8 @@
 	NoteMove
 	NotePace
 	NoteNotStarted
+	// NoteFirstStart is a measurement: AgeMs after its arrival a job began.
+	NoteFirstStart
 )
 
 func (Hold) effect()       {}
--- a/internal/cransched/job.go
+++ b/internal/cransched/job.go
@@ -38,6 +38,8 @@
 	stages    []*stage
 	tasks     []*task
 	cancelled bool
+	// begun is true once a task was placed.
+	begun bool
 	// dirty jobs have progress that is not stored.
 	dirty bool
 	// chain holds, for each step, the expected milliseconds of the longest
@@ -55,6 +57,7 @@
 	if progress != nil {
 		j.state = progress.State
 		j.endedMs = progress.EndedMs
+		j.begun = true
 	}
 	for k := range submission.Occurrences() {
 		for i := range submission.Steps {
--- a/internal/cransched/place.go
+++ b/internal/cransched/place.go
@@ -246,6 +246,10 @@
 
 // start places a task; the order leaves once this is stored.
 func (s *Scheduler) start(t *task, home *target, number int) {
+	if j := t.job; !j.begun && j.Times == 0 {
+		j.begun = true
+		s.gate(Note{Kind: NoteFirstStart, AgeMs: s.clock.UnixMs - j.ReceivedMs})
+	}
 	t.Run = number
 	t.job.setStatus(t, cranjob.Placed)
 	t.Target = home.info.ID
--- a/internal/cransched/scheduler.go
+++ b/internal/cransched/scheduler.go
@@ -172,7 +172,7 @@
 	j.state = state
 	j.endedMs = s.clock.UnixMs
 	s.mark(j)
-	s.gate(Note{Kind: NoteJobEnded, Job: j.ID, Reason: state.String() + ": " + reason})
+	s.gate(Note{Kind: NoteJobEnded, Job: j.ID, State: state, Reason: state.String() + ": " + reason})
 	for _, t := range j.tasks {
 		s.detach(t, reason)
 	}
