--- a/internal/crannode/control.go
+++ b/internal/crannode/control.go
@@ -96,8 +96,10 @@
 	appendNext  time.Duration
 	instancesAt time.Duration
 	asking      bool
-	ctx         context.Context
-	cancel      context.CancelFunc
+	// ticked is when the scheduler looked at everything last.
+	ticked time.Duration
+	ctx    context.Context
+	cancel context.CancelFunc
 }
 
 func newControl(n *Node) *control {
@@ -109,8 +111,8 @@
 
 // run is the control goroutine.
 func (c *control) run(work context.Context) {
-	ticker := time.NewTicker(tickEvery)
-	defer ticker.Stop()
+	timer := time.NewTimer(tickEvery)
+	defer timer.Stop()
 	leaving := c.leaving
 	for {
 		select {
@@ -123,9 +125,9 @@
 		case event := <-c.node.events:
 			event()
 			c.drain()
-		case <-ticker.C:
+		case <-timer.C:
 		}
-		c.step()
+		timer.Reset(c.step())
 	}
 }
 
@@ -141,21 +143,27 @@
 	}
 }
 
-// step does what is due.
-func (c *control) step() {
+// step does what is due and returns when it is to be called again at the
+// latest. What events change is looked at together, a few milliseconds later.
+func (c *control) step() time.Duration {
 	now := c.node.now()
 	if c.owner == nil {
 		c.considerClaim(now.Steady)
-		return
+		return tickEvery
 	}
 	o := c.owner
 	o.scheduler.Advance(now)
-	if !c.node.stopping.Load() {
+	wait := tickEvery
+	if since := now.Steady - o.ticked; since < tickPause {
+		wait = tickPause - since
+	} else if !c.node.stopping.Load() {
+		o.ticked = now.Steady
 		o.scheduler.Tick()
 		c.askInstances(now.Steady)
 	}
 	c.append(now.Steady)
 	c.perform(o)
+	return wait
 }
 
 // read takes in what a read of the book brought.
--- a/internal/crannode/node.go
+++ b/internal/crannode/node.go
@@ -24,8 +24,10 @@
 	// job waits for it.
 	followerPause = 120 * time.Millisecond
 	ownerPause    = 30 * time.Millisecond
-	// tickEvery is the pace of the control goroutine.
+	// tickEvery is the slowest pace of the control goroutine, tickPause the
+	// fastest at which the scheduler looks at everything.
 	tickEvery = 25 * time.Millisecond
+	tickPause = 12 * time.Millisecond
 	// eventQueue bounds the events that wait for the control goroutine.
 	eventQueue = 4096
 )
--- a/internal/cransched/job.go
+++ b/internal/cransched/job.go
@@ -40,8 +40,8 @@
 	cancelled bool
 	// begun is true once a task was placed.
 	begun bool
-	// dirty jobs have progress that is not stored.
-	dirty bool
+	// listed jobs have progress that the next batch stores.
+	listed bool
 	// chain holds, for each step, the expected milliseconds of the longest
 	// chain of work from its beginning on; duration has those of one task.
 	chain, duration []float64
@@ -150,7 +150,6 @@
 		t.Checkpoint = ""
 	}
 	t.Status = status
-	j.dirty = true
 }
 
 // progress returns what is stored of the job.
--- a/internal/cransched/place.go
+++ b/internal/cransched/place.go
@@ -22,7 +22,7 @@
 // least slack, then the rest.
 func (s *Scheduler) place() {
 	byPool := map[string][]*target{}
-	for _, t := range s.sortedTargets() {
+	for _, t := range s.sorted {
 		if t.usable(s.clock.Steady) {
 			byPool[t.info.Pool] = append(byPool[t.info.Pool], t)
 		}
--- a/internal/cransched/scheduler.go
+++ b/internal/cransched/scheduler.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cranberrypick/cranberrypick/internal/cranjob"
@@ -19,6 +20,8 @@
 	book    *cranjob.Book
 	jobs    map[string]*job
 	targets map[string]*target
+	// sorted holds the targets in order of id.
+	sorted []*target
 	// orphans are cancellations of jobs that aren't known yet.
 	cancelled map[string]bool
 	// predictors are by queue.
@@ -90,7 +93,7 @@
 			home = newTarget(TargetInfo{ID: t.Target, Pool: j.Pool}, s.clock.Steady, s.lapseBound())
 			home.listed = false
 			home.unlistedAt = s.clock.Steady
-			s.targets[t.Target] = home
+			s.addTarget(home)
 		}
 		t.run = &run{name: t.name, number: t.Run, room: t.step.Room(), phase: unproved, task: t, step: t.step, pace: fullPace}
 		home.add(t.run)
@@ -195,10 +198,10 @@
 
 // mark has the job's progress stored with the next batch.
 func (s *Scheduler) mark(j *job) {
-	if !slices.Contains(s.dirty, j) {
+	if !j.listed {
+		j.listed = true
 		s.dirty = append(s.dirty, j)
 	}
-	j.dirty = true
 }
 
 func (s *Scheduler) emit(e Effect) { s.effects = append(s.effects, e) }
@@ -230,7 +233,7 @@
 	}
 	records := s.records
 	for _, j := range s.dirty {
-		j.dirty = false
+		j.listed = false
 		records = append(records, cranstore.Record{Key: cranjob.ProgressKey(j.ID), Value: cranjob.Encode(j.progress())})
 	}
 	s.inFlight = &batch{released: s.gated, observed: observed}
@@ -252,7 +255,7 @@
 		}
 		s.emit(e)
 	}
-	for _, t := range s.sortedTargets() {
+	for _, t := range s.sorted {
 		number, found := b.observed[t]
 		if !found {
 			continue
@@ -287,16 +290,23 @@
 	return deadline
 }
 
-// sortedTargets returns the targets in order of id, so that equal events lead
-// to equal effects.
-func (s *Scheduler) sortedTargets() []*target {
-	list := make([]*target, 0, len(s.targets))
-	for _, id := range slices.Sorted(maps.Keys(s.targets)) {
-		list = append(list, s.targets[id])
+// addTarget takes in a target. They are kept in order of id, so that equal
+// events lead to equal effects.
+func (s *Scheduler) addTarget(t *target) {
+	s.targets[t.info.ID] = t
+	at, _ := slices.BinarySearchFunc(s.sorted, t.info.ID, compareTarget)
+	s.sorted = slices.Insert(s.sorted, at, t)
+}
+
+func (s *Scheduler) dropTarget(t *target) {
+	delete(s.targets, t.info.ID)
+	if at, found := slices.BinarySearchFunc(s.sorted, t.info.ID, compareTarget); found {
+		s.sorted = slices.Delete(s.sorted, at, at+1)
 	}
-	return list
 }
 
+func compareTarget(t *target, id string) int { return strings.Compare(t.info.ID, id) }
+
 // settle completes a job whose tasks have all succeeded, and tells apart the
 // jobs that wait from those that run.
 func (s *Scheduler) settle(j *job) {
--- a/internal/cransched/targets.go
+++ b/internal/cransched/targets.go
@@ -21,8 +21,7 @@
 		t := s.targets[info.ID]
 		if t == nil {
 			t = newTarget(info, s.clock.Steady, s.lapseBound())
-			// Nothing of an earlier owner can be at a target that began after it.
-			s.targets[info.ID] = t
+			s.addTarget(t)
 		}
 		if t.info.BornMs != 0 && info.BornMs > t.info.BornMs {
 			s.reborn(t, info.BornMs)
@@ -33,7 +32,7 @@
 		t.listed = true
 		t.unlistedAt = 0
 	}
-	for _, t := range s.sortedTargets() {
+	for _, t := range s.sorted {
 		if !listed[t.info.ID] && t.listed && t.unlistedAt == 0 {
 			t.unlistedAt = s.clock.Steady
 		}
@@ -105,7 +104,7 @@
 // Tick looks after targets that don't answer, tasks whose time has come, and
 // planned work. It is due at least every renewEvery.
 func (s *Scheduler) Tick() {
-	for _, t := range s.sortedTargets() {
+	for _, t := range slices.Clone(s.sorted) {
 		s.watch(t)
 	}
 	s.planWaves()
@@ -134,7 +133,7 @@
 		s.releaseAll(t, "the lease has lapsed")
 	}
 	if !t.listed && len(t.runs) == 0 && silent {
-		delete(s.targets, t.info.ID)
+		s.dropTarget(t)
 		return
 	}
 	if t.info.Draining {
@@ -143,11 +142,21 @@
 	if t.holdDue(now) {
 		s.hold(t)
 	}
-	for _, r := range t.sortedRuns() {
+	for _, r := range t.stopsDue(now) {
+		s.sendStop(t, r)
+	}
+}
+
+// stopsDue returns the runs whose stop is to be sent, or sent again.
+func (t *target) stopsDue(now time.Duration) []*run {
+	var list []*run
+	for _, r := range t.runs {
 		if r.phase == stopping && now >= r.stopAt {
-			s.sendStop(t, r)
+			list = append(list, r)
 		}
 	}
+	slices.SortFunc(list, compareNames)
+	return list
 }
 
 // hold emits the next hold of a target.
--- a/internal/cransched/wave.go
+++ b/internal/cransched/wave.go
@@ -282,7 +282,7 @@
 	if t := s.targets[s.fleet.instances[instance].Target]; t != nil && t.info.ID != "" {
 		return t
 	}
-	for _, t := range s.sortedTargets() {
+	for _, t := range s.sorted {
 		if t.info.Instance == instance && t.listed {
 			return t
 		}
