Lasting tasks find room, waves survive a change of owner, doubtful starts are looked at

Targets that are cordoned no longer count, a pool with a lasting task without room grows, and a target is reserved for it. A successor emptied instances that had been maintained, since a later move replaced the record. Failing before: TestLargeLastingTask, TestWaveSurvivesMoves. Ruled out: the list of instances (fresh), the limit of tasks a target.

--- a/internal/cranjob/progress.go
+++ b/internal/cranjob/progress.go
@@ -83,17 +83,19 @@
 	Vacated bool `cbor:"5,keyasint,omitempty"`
 }
 
-// InstanceOrder is the record of an order for an instance. It is stored before
-// the order is sent.
+// InstanceOrder is the record of the newest orders for an instance. It is
+// stored before an order is sent.
 type InstanceOrder struct {
-	// Wave is the maintenance wave that the order belongs to; 0 for a move.
-	Wave int `cbor:"1,keyasint,omitempty"`
-	// Pool is the destination of a move.
-	Pool string `cbor:"2,keyasint,omitempty"`
-	// SentMs is when the order was decided, in Unix milliseconds.
+	// Wave is the newest maintenance wave that ordered the instance down, and
+	// Begun whether the platform has confirmed that.
+	Wave  int  `cbor:"1,keyasint,omitempty"`
+	Begun bool `cbor:"4,keyasint,omitempty"`
+	// Pool is the destination of the newest move, and Moving whether no other
+	// order came after it.
+	Pool   string `cbor:"2,keyasint,omitempty"`
+	Moving bool   `cbor:"5,keyasint,omitempty"`
+	// SentMs is when the newest order was decided, in Unix milliseconds.
 	SentMs int64 `cbor:"3,keyasint,omitempty"`
-	// Done is set once the platform has confirmed the order.
-	Done bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Kinds of key; the rest of a key is an id.
--- /dev/null
+++ b/internal/cransched/fleet_test.go
@@ -0,0 +1,94 @@
+package cransched
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cranberrypick/cranberrypick/internal/cranjob"
+)
+
+// lastingOn returns the targets on which tasks of a job run.
+func (w *world) lastingOn(job string) int {
+	n := 0
+	for _, x := range w.fleet {
+		for name := range x.runs {
+			if name.Job == job && x.up {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// TestWave has every instance maintained while lasting and other tasks run,
+// and expects it in time, without more instances down at once than allowed
+// and with at most one task of a step away.
+func TestWave(t *testing.T) {
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			w := newWorld(t, seed, 8)
+			w.most, w.judgeAway = 2, true
+			order := WaveOrder{Wave: 1, Duration: 27 * time.Second, MaxParallel: 2, SeenAt: w.now}
+			for id := range w.instances {
+				order.Instances = append(order.Instances, id)
+			}
+			w.takeOver(w.now - time.Hour)
+			w.submit(lastingJob("lasting", 4))
+			w.run(4 * time.Second)
+			w.wave = []WaveOrder{order}
+			w.owner.SetWaves(w.wave, nil)
+			for i := range 20 {
+				w.run(time.Second)
+				w.submit(batchJob(fmt.Sprintf("j%d", i), 4))
+			}
+			w.run(5 * time.Second)
+			require.Len(t, w.upkeeps, len(order.Instances))
+			w.run(5 * time.Second)
+			require.Equal(t, 4, w.lastingOn("lasting"))
+		})
+	}
+}
+
+// TestWaveSurvivesMoves replaces the owner after a wave: instances that were
+// maintained and then moved are not emptied again.
+func TestWaveSurvivesMoves(t *testing.T) {
+	w := newWorld(t, 1, 4)
+	w.most = 2
+	order := WaveOrder{Wave: 1, Duration: 20 * time.Second, MaxParallel: 2, SeenAt: w.now}
+	for id := range w.instances {
+		order.Instances = append(order.Instances, id)
+	}
+	w.wave = []WaveOrder{order}
+	w.takeOver(w.now - time.Hour)
+	w.run(15 * time.Second)
+	require.Len(t, w.upkeeps, 4)
+	w.owner.Advance(w.clock())
+	for _, id := range order.Instances {
+		w.owner.orderMove(id, "off")
+	}
+	w.run(3 * time.Second)
+	w.takeOver(w.now + OwnershipBound)
+	for _, m := range w.owner.fleet.waves[1].members {
+		require.Equal(t, begun, m.state, m.instance)
+	}
+}
+
+// TestLargeLastingTask has a lasting task that fits on no target beside the
+// others while small tasks keep every target busy, and expects room for it.
+func TestLargeLastingTask(t *testing.T) {
+	w := newWorld(t, 1, 3)
+	w.takeOver(w.now - time.Hour)
+	for i := range 30 {
+		w.submit(batchJob(fmt.Sprintf("a%d", i), 6))
+		if i == 5 {
+			large := lastingJob("large", 1)
+			large.Steps[0].Demand = cranjob.Resources{CPU: 1000, Memory: 7000}
+			w.submit(large)
+		}
+		w.run(200 * time.Millisecond)
+	}
+	require.Equal(t, 1, w.lastingOn("large"))
+}
--- a/internal/cransched/outcome.go
+++ b/internal/cransched/outcome.go
@@ -43,11 +43,9 @@
 		s.noteRunning(r)
 	case VerdictUnanswered:
 		s.emit(Note{Kind: NoteStartUnanswered, Job: e.Task.Job, Task: e.Task.String(), Run: e.Run, Target: t.info.ID, AgeMs: (now - a.SentAt).Milliseconds()})
-		s.stopRun(t, r, "the start was not answered")
-		if r.task != nil && r.task.run == r {
-			// The task goes on waiting once the stop is acknowledged.
-			return
-		}
+		r.phase = doubtful
+		r.answeredAt = now
+		t.soon(now)
 	case VerdictOtherLife:
 		s.otherLife(t)
 	default:
--- a/internal/cransched/place.go
+++ b/internal/cransched/place.go
@@ -27,9 +27,11 @@
 			byPool[t.info.Pool] = append(byPool[t.info.Pool], t)
 		}
 	}
+	clear(s.starved)
 	for _, c := range s.candidates() {
 		targets := byPool[c.job.Pool]
 		if len(targets) == 0 {
+			s.starved[c.job.Pool] = s.starved[c.job.Pool] || c.stage.step.Lasting
 			continue
 		}
 		if c.stage.step.Gang {
@@ -42,6 +44,9 @@
 			}
 			home := s.choose(c.stage, targets)
 			if home == nil {
+				if c.stage.step.Lasting {
+					byPool[c.job.Pool] = s.reserve(c.stage, targets)
+				}
 				break
 			}
 			s.start(t, home, t.Run+1)
@@ -49,6 +54,25 @@
 	}
 }
 
+// reserve keeps a target free for a lasting task that finds no room, and
+// returns the others: smaller tasks would take whatever becomes free.
+func (s *Scheduler) reserve(st *stage, targets []*target) []*target {
+	s.starved[st.tasks[0].job.Pool] = true
+	best := -1
+	for i, t := range targets {
+		if !s.suits(st, t) || !t.info.Capacity.Fits(t.lastingRoom().Add(st.step.Room())) {
+			continue
+		}
+		if best < 0 || t.free().Memory > targets[best].free().Memory {
+			best = i
+		}
+	}
+	if best < 0 {
+		return targets
+	}
+	return slices.Delete(slices.Clone(targets), best, best+1)
+}
+
 // candidates returns the stages with waiting tasks in the order in which they
 // are placed.
 func (s *Scheduler) candidates() []candidate {
@@ -119,10 +143,12 @@
 
 // allowed reports whether a target may take a task of a stage.
 func (s *Scheduler) allowed(st *stage, t *target) bool {
+	return t.free().Fits(st.step.Room()) && s.suits(st, t)
+}
+
+// suits reports whether a target may take a task of a stage if it has room.
+func (s *Scheduler) suits(st *stage, t *target) bool {
 	step := st.step
-	if !t.free().Fits(step.Room()) {
-		return false
-	}
 	if step.Requires != "" && !t.hasLabel(step.Requires) {
 		return false
 	}
--- a/internal/cransched/pools.go
+++ b/internal/cransched/pools.go
@@ -83,7 +83,7 @@
 		if s.config.Pools[name].Standby {
 			continue
 		}
-		want := s.remember(name, s.wantedInstances(demands[name], supply[name]))
+		want := s.remember(name, max(s.wantedInstances(demands[name], supply[name]), s.starvedInstances(name, supply[name])))
 		b := poolBalance{pool: name, missing: want - supply[name].total()}
 		if b.missing > 0 {
 			short = append(short, b)
@@ -146,11 +146,11 @@
 			continue
 		}
 		t := s.targets[i.Target]
-		if t == nil || t.info.Draining || t.info.Pool != i.Pool {
+		if t == nil || t.info.Draining || t.cordoned || t.info.Pool != i.Pool {
 			continue
 		}
 		p.members++
-		if t.fenced && len(t.runs) == 0 && !t.cordoned && !t.superseded && t.listed && !t.silent(s.clock.Steady) {
+		if t.fenced && len(t.runs) == 0 && !t.superseded && t.listed && !t.silent(s.clock.Steady) {
 			p.empty = append(p.empty, id)
 		}
 	}
@@ -273,6 +273,15 @@
 	return max(int(math.Ceil(max(cpu, memory)))+spareInstances, d.instances)
 }
 
+// starvedInstances returns how many instances a pool needs for a lasting task
+// that finds no room on any of its targets, though there may be enough in all.
+func (s *Scheduler) starvedInstances(pool string, p *poolSupply) int {
+	if !s.starved[pool] || p == nil {
+		return 0
+	}
+	return p.members + 1
+}
+
 // remember keeps what a pool wanted for a while, so that a short trough moves
 // nothing away.
 func (s *Scheduler) remember(pool string, count int) int {
@@ -341,7 +350,9 @@
 
 func (s *Scheduler) sendMove(m *move) {
 	m.sentAt = s.clock.Steady
-	s.storeOrder(m.instance, cranjob.InstanceOrder{Pool: m.pool, SentMs: s.clock.UnixMs})
+	order := s.fleet.stored[m.instance]
+	order.Pool, order.Moving, order.SentMs = m.pool, true, s.clock.UnixMs
+	s.storeOrder(m.instance, order)
 	s.gate(Note{Kind: NoteMove, Target: m.instance, Reason: m.pool})
 	s.gate(Move{Instance: m.instance, Pool: m.pool, Token: s.token})
 }
--- a/internal/cransched/report.go
+++ b/internal/cransched/report.go
@@ -104,7 +104,7 @@
 	if r == nil {
 		r = s.stray(t, report)
 	}
-	if r.phase == planned || r.phase == ordered || r.phase == unproved {
+	if r.phase == planned || r.phase == ordered || r.phase == doubtful || r.phase == unproved {
 		if r.phase == unproved {
 			r.startedAt = s.clock.Steady
 			r.inherited = true
@@ -154,6 +154,11 @@
 		// The token of this owner was seen before the report was made, so no
 		// order of an earlier owner can start the run any more.
 		s.release(t, r, "a predecessor's order was not carried out")
+	case doubtful:
+		if sentAt > r.answeredAt {
+			// The order may still come: it is shut out by a stop.
+			s.stopRun(t, r, "the start was not answered")
+		}
 	case present:
 		if r.answeredAt > sentAt {
 			return
--- a/internal/cransched/rules_test.go
+++ b/internal/cransched/rules_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -67,7 +69,11 @@
 	jobs := 0
 	for range 60 {
 		w.run(time.Duration(100+w.random.IntN(400)) * time.Millisecond)
-		victim := fmt.Sprintf("t%d", w.random.IntN(6))
+		ids := slices.Sorted(maps.Keys(w.fleet))
+		if len(ids) == 0 {
+			continue
+		}
+		victim := ids[w.random.IntN(len(ids))]
 		switch w.random.IntN(12) {
 		case 0:
 			w.fleet[victim].cut = !w.fleet[victim].cut
--- a/internal/cransched/scheduler.go
+++ b/internal/cransched/scheduler.go
@@ -27,6 +27,8 @@
 	// predictors are by queue.
 	predictors map[string]*predictor
 	fleet      fleet
+	// starved pools have a lasting task that finds no room on any target.
+	starved map[string]bool
 	// surges are by pool.
 	surges  map[string]*surge
 	effects []Effect
@@ -60,7 +62,7 @@
 func New(token uint64, timing Timing, config *Config, book *cranjob.Book, c Clock, former Former) *Scheduler {
 	s := &Scheduler{
 		token: token, timing: timing, config: config, clock: c, book: book,
-		jobs: map[string]*job{}, targets: map[string]*target{}, cancelled: map[string]bool{}, predictors: map[string]*predictor{}, surges: map[string]*surge{},
+		jobs: map[string]*job{}, targets: map[string]*target{}, cancelled: map[string]bool{}, predictors: map[string]*predictor{}, surges: map[string]*surge{}, starved: map[string]bool{},
 		tookOver: c.Steady, former: former,
 	}
 	s.fleet = s.newFleet(book.Orders())
--- a/internal/cransched/target.go
+++ b/internal/cransched/target.go
@@ -15,6 +15,9 @@
 	planned phase = iota
 	// ordered runs are stored; their order has left and isn't answered.
 	ordered
+	// doubtful runs have an order without an answer; the next report tells
+	// whether they are present.
+	doubtful
 	// present runs were confirmed by the target.
 	present
 	// stopping runs are to end; the target may not know them yet.
@@ -172,6 +175,17 @@
 	return t.info.Labels[len(t.info.Labels)-1]
 }
 
+// lastingRoom returns what lasting tasks occupy at the target.
+func (t *target) lastingRoom() cranjob.Resources {
+	var room cranjob.Resources
+	for _, r := range t.runs {
+		if r.step != nil && r.step.Lasting {
+			room = room.Add(r.room)
+		}
+	}
+	return room
+}
+
 // countStep counts the runs of one step on the target.
 func (t *target) countStep(name StepName) int {
 	n := 0
--- a/internal/cransched/wave.go
+++ b/internal/cransched/wave.go
@@ -79,7 +79,7 @@
 	}
 	for instance, o := range orders {
 		at, recent := s.former.OrderAt[instance]
-		if recent && o.Pool != "" && s.clock.Steady-at < movePatience {
+		if recent && o.Moving && s.clock.Steady-at < movePatience {
 			f.moves[instance] = &move{destination: destination{instance, o.Pool}, began: at, sentAt: at}
 		}
 	}
@@ -99,7 +99,7 @@
 			if stored := s.fleet.stored[id]; stored.Wave == o.Wave {
 				m.state = asked
 				m.stored = true
-				if stored.Done {
+				if stored.Begun {
 					m.state = begun
 				}
 			}
@@ -238,7 +238,7 @@
 	m.state = begun
 	m.begunAt = s.clock.Steady
 	order := s.fleet.stored[m.instance]
-	order.Done = true
+	order.Begun = true
 	s.storeOrder(m.instance, order)
 }
 
@@ -257,7 +257,7 @@
 			return 0
 		case t.cordoned:
 			return 1
-		case t.lasting():
+		case t.lastingRoom() != cranjob.Resources{}:
 			// Others become empty by themselves.
 			return 2
 		}
@@ -267,16 +267,6 @@
 	return list
 }
 
-// lasting reports whether lasting tasks are at the target.
-func (t *target) lasting() bool {
-	for _, r := range t.runs {
-		if r.step != nil && r.step.Lasting {
-			return true
-		}
-	}
-	return false
-}
-
 // lifeOf returns the target that is the present life of an instance.
 func (s *Scheduler) lifeOf(instance string) *target {
 	if t := s.targets[s.fleet.instances[instance].Target]; t != nil && t.info.ID != "" {
@@ -356,7 +346,9 @@
 	m.state = asked
 	m.stored = true
 	m.sentAt = s.clock.Steady
-	s.storeOrder(m.instance, cranjob.InstanceOrder{Wave: w.order.Wave, SentMs: s.clock.UnixMs})
+	order := s.fleet.stored[m.instance]
+	order.Wave, order.Begun, order.Moving, order.SentMs = w.order.Wave, false, false, s.clock.UnixMs
+	s.storeOrder(m.instance, order)
 	s.gate(Note{Kind: NoteUpkeep, Target: m.instance, Run: w.order.Wave})
 	s.gate(Upkeep{Instance: m.instance, Wave: w.order.Wave, Token: s.token})
 }
--- a/internal/cransched/world_test.go
+++ b/internal/cransched/world_test.go
@@ -34,6 +34,16 @@
 	// Parts of calls that are lost before or after they take effect, and of
 	// orders that take effect seconds later.
 	lost, unanswered, late float64
+	// judgeAway checks that planned work spares lasting tasks.
+	judgeAway bool
+
+	// instances are the machines behind the targets; most is how many of them
+	// a wave may have down at once.
+	instances map[string]*simInstance
+	wave      []WaveOrder
+	most      int
+	lives     int
+	upkeeps   map[string]int
 
 	jobs map[string]*cranjob.Job
 	// noted holds the ends that targets were told to forget.
@@ -61,6 +71,14 @@
 	up, cut bool
 }
 
+// simInstance is a machine; it is off, or has a target as its present life.
+type simInstance struct {
+	pool, target string
+	// until is when a move or a maintenance ends; 0 while it is up.
+	until  time.Duration
+	upkeep bool
+}
+
 type simRun struct {
 	number  int
 	endsAt  time.Duration
@@ -75,9 +93,10 @@
 		t: t, random: rand.New(rand.NewPCG(seed, 1)), now: time.Hour, book: cranjob.NewBook(),
 		config: &Config{Version: 1, Queues: map[string]*Queue{
 			"q": {Name: "q", Pool: "p", Attempts: 3, Stretch: 1.6, LatencyTarget: 600 * time.Millisecond},
-		}, Pools: map[string]*Pool{"p": {Name: "p"}}},
-		fleet: map[string]*simTarget{}, jobs: map[string]*cranjob.Job{}, noted: map[cranjob.TaskName][]How{},
-		done: map[cranjob.TaskName]bool{},
+		}, Pools: map[string]*Pool{"p": {Name: "p"}, "off": {Name: "off", Standby: true}}},
+		instances: map[string]*simInstance{},
+		fleet:     map[string]*simTarget{}, jobs: map[string]*cranjob.Job{}, noted: map[cranjob.TaskName][]How{},
+		done: map[cranjob.TaskName]bool{}, upkeeps: map[string]int{},
 	}
 	for i := range targets {
 		w.addTarget(fmt.Sprintf("t%d", i))
@@ -86,9 +105,15 @@
 }
 
 func (w *world) addTarget(id string) {
+	w.instances["m"+id] = &simInstance{pool: "p", target: id}
+	w.addLife(id, "m"+id)
+}
+
+// addLife starts a target on an instance.
+func (w *world) addLife(id, instance string) {
 	w.fleet[id] = &simTarget{
 		info: TargetInfo{
-			ID: id, Pool: "p", Address: id, Labels: []string{"a", "r1"}, Instance: "m" + id,
+			ID: id, Pool: "p", Address: id, Labels: []string{"a", "r1"}, Instance: instance,
 			Capacity: cranjob.Resources{CPU: 4000, Memory: 8000}, BornMs: w.unix(),
 		},
 		born: w.now, runs: map[cranjob.TaskName]*simRun{}, closed: map[cranjob.TaskName]int{}, up: true,
@@ -134,6 +159,7 @@
 	w.ownerID++
 	w.owner = New(w.epoch, simTiming, w.config, w.book, w.clock(), Former{Until: former})
 	w.owner.SetTargets(w.listed())
+	w.owner.SetWaves(w.wave, nil)
 	w.tick(w.ownerID)
 }
 
@@ -153,6 +179,7 @@
 	}
 	w.owner.Advance(w.clock())
 	w.owner.SetTargets(w.listed())
+	w.owner.SetInstances(w.list(), w.now)
 	w.owner.Tick()
 	w.settle(w.owner, id)
 	w.after(25*time.Millisecond, func() { w.tick(id) })
@@ -233,6 +260,24 @@
 			held.Answer = a
 			s.Held(e.Target, held)
 		})
+	case Upkeep:
+		w.after(5*time.Millisecond, func() {
+			verdict := w.orderUpkeep(e)
+			if id == w.ownerID {
+				s.Advance(w.clock())
+				s.UpkeepAnswered(e, verdict)
+				w.settle(s, id)
+			}
+		})
+	case Move:
+		w.after(5*time.Millisecond, func() {
+			verdict := w.orderMove(e)
+			if id == w.ownerID {
+				s.Advance(w.clock())
+				s.MoveAnswered(e, verdict)
+				w.settle(s, id)
+			}
+		})
 	case Start:
 		w.call(s, id, e.Target, true, func() Answer { return w.start(e) }, func(a Answer) { s.Started(e, a) })
 	case Stop:
@@ -312,6 +357,9 @@
 		return *refused
 	}
 	x.closed[e.Task] = max(x.closed[e.Task], e.Run)
+	if r := x.runs[e.Task]; r != nil && r.number == e.Run && !r.stopped {
+		w.judgeStop(e.Task)
+	}
 	if r := x.runs[e.Task]; r != nil && r.number == e.Run && !r.stopped {
 		r.stopped, r.how, r.endsAt = true, EndStopped, min(r.endsAt, w.now+simStop)
 	}
@@ -379,6 +427,99 @@
 	}
 }
 
+// judgeStop checks that an order takes a lasting task away only while few
+// enough others of its step are away.
+func (w *world) judgeStop(name cranjob.TaskName) {
+	step := w.jobs[name.Job].Steps[name.Step]
+	e, _ := w.book.Lookup(name.Job)
+	if !step.Lasting || step.MaxUnavailable == 0 || e.Cancelled() || !w.judgeAway {
+		return
+	}
+	away := step.Count - 1
+	for _, x := range w.fleet {
+		for other, r := range x.runs {
+			if other != name && other.Job == name.Job && other.Step == name.Step && !r.stopped && x.up {
+				away--
+			}
+		}
+	}
+	require.Less(w.t, away, step.MaxUnavailable, "%v: %v is stopped while %d others are away", w.now, name, away)
+}
+
+// list returns the platform's list of instances.
+func (w *world) list() []InstanceInfo {
+	var list []InstanceInfo
+	for _, id := range slices.Sorted(maps.Keys(w.instances)) {
+		i := w.instances[id]
+		if i.until != 0 && w.now >= i.until {
+			i.until, i.upkeep = 0, false
+			if i.pool != "off" {
+				w.revive(id, i)
+			}
+		}
+		info := InstanceInfo{Instance: id, Pool: i.pool, Up: i.until == 0, Maintenance: i.upkeep, Capacity: cranjob.Resources{CPU: 4000, Memory: 8000}}
+		if info.Up && i.pool != "off" {
+			info.Target = i.target
+		}
+		list = append(list, info)
+	}
+	return list
+}
+
+// revive gives an instance a new life.
+func (w *world) revive(id string, i *simInstance) {
+	w.lives++
+	name := fmt.Sprintf("l%d", w.lives)
+	w.addLife(name, id)
+	i.target = name
+}
+
+// takeDown ends the life of an instance.
+func (w *world) takeDown(i *simInstance, lasts time.Duration) {
+	if x := w.fleet[i.target]; x != nil && i.pool != "off" {
+		w.advance(x)
+		for name, r := range x.runs {
+			require.False(w.t, w.jobs[name.Job].Steps[name.Step].Lasting && !r.stopped, "%v: an order ends %v", w.now, name)
+		}
+		delete(w.fleet, i.target)
+	}
+	i.until = w.now + lasts
+}
+
+func (w *world) orderUpkeep(e Upkeep) Verdict {
+	i := w.instances[e.Instance]
+	if i.upkeep || w.upkeeps[e.Instance] > 0 {
+		return VerdictDone
+	}
+	if i.until != 0 {
+		return VerdictBusy
+	}
+	down := 0
+	for _, other := range w.instances {
+		if other.upkeep && w.now < other.until {
+			down++
+		}
+	}
+	require.Less(w.t, down, w.most, "%v: %s goes down beside %d others", w.now, e.Instance, down)
+	w.takeDown(i, 2*time.Second)
+	i.upkeep = true
+	w.upkeeps[e.Instance]++
+	return VerdictDone
+}
+
+func (w *world) orderMove(e Move) Verdict {
+	i := w.instances[e.Instance]
+	switch {
+	case i.pool == e.Pool:
+		return VerdictDone
+	case i.until != 0:
+		return VerdictBusy
+	}
+	w.takeDown(i, 1500*time.Millisecond)
+	i.pool = e.Pool
+	return VerdictDone
+}
+
 // submit stores a job and tells the owner of it.
 func (w *world) submit(j *cranjob.Job) {
 	j.Queue, j.Pool, j.ReceivedMs = "q", "p", w.unix()
@@ -405,7 +546,7 @@
 // restart makes a target start again under its id, with nothing of before.
 func (w *world) restart(id string) {
 	old := w.fleet[id]
-	w.addTarget(id)
+	w.addLife(id, old.info.Instance)
 	w.fleet[id].info.BornMs = max(w.unix(), old.info.BornMs+1)
 }
 
