--- a/internal/crannode/owner.go
+++ b/internal/crannode/owner.go
@@ -131,6 +131,8 @@
 				})
 				return func() { s.Paced(e, answer) }
 			})
+		case cransched.Advise:
+			c.advise(o, e)
 		case cransched.Upkeep:
 			c.call(o, callTimeout, func(ctx context.Context) func() {
 				verdict := c.order(o, "upkeep", cransched.OrderBound, func() cransched.Verdict { return n.orders.Upkeep(ctx, e) })
@@ -154,6 +156,24 @@
 	}
 }
 
+// adviceTimeout bounds a call for advice, whose answer takes longer the more
+// targets it names.
+const adviceTimeout = 3 * time.Second
+
+func (c *control) advise(o *ownership, e cransched.Advise) {
+	n := c.node
+	c.call(o, adviceTimeout, func(ctx context.Context) func() {
+		sent := n.now().Steady
+		tickets, valid, err := n.orders.Advise(ctx, e)
+		return func() {
+			if err != nil {
+				n.log.Emit(cranevent.LogUnavailable, cranevent.Stream("advice"), cranevent.Err(err))
+			}
+			o.scheduler.Advised(e, tickets, valid, sent)
+		}
+	})
+}
+
 // order sends an order unless the ownership was last confirmed too long ago.
 // It is asked right before the call, since the process may have been
 // suspended; an order that has not left counts as unanswered.
--- a/internal/crannode/ports.go
+++ b/internal/crannode/ports.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cranberrypick/cranberrypick/internal/cransched"
 	"github.com/cranberrypick/cranberrypick/internal/cranstore"
@@ -25,6 +26,8 @@
 	Stop(ctx context.Context, e cransched.Stop) cransched.Answer
 	Pace(ctx context.Context, e cransched.Pace) cransched.Answer
 	Hold(ctx context.Context, e cransched.Hold) cransched.HoldAnswer
+	// Advise returns the tickets, and how long they hold; 0 if it isn't said.
+	Advise(ctx context.Context, e cransched.Advise) ([]cransched.Ticket, time.Duration, error)
 	Instances(ctx context.Context) ([]cransched.InstanceInfo, error)
 	Upkeep(ctx context.Context, e cransched.Upkeep) cransched.Verdict
 	Move(ctx context.Context, e cransched.Move) cransched.Verdict
--- /dev/null
+++ b/internal/cransched/advice.go
@@ -0,0 +1,80 @@
+package cransched
+
+import "time"
+
+const (
+	// advisedTargets is the most targets that one call for advice names: each
+	// named target makes the answer later.
+	advisedTargets = 30
+	// adviceRetry is the pause after a call for advice that brought no ticket.
+	adviceRetry = 500 * time.Millisecond
+	// ticketMargin is taken off a ticket's life for the start to travel.
+	ticketMargin = 300 * time.Millisecond
+)
+
+// Ticket lets the tasks of one step start at one target for a while.
+type Ticket struct{ Target, Text string }
+
+// consult asks which targets may run a stage, unless some are known or a call
+// is under way. It reports whether the stage needs no advice or has some.
+func (s *Scheduler) consult(c candidate, targets []*target) bool {
+	if c.job.queue == nil || !c.job.queue.Advised {
+		return true
+	}
+	now := s.clock.Steady
+	for _, t := range targets {
+		if t.ticket(c.stage.name, now) != "" {
+			return true
+		}
+	}
+	if now < s.advised[c.stage.name] {
+		return false
+	}
+	var ids []string
+	for _, t := range targets {
+		if len(ids) < advisedTargets && s.allowed(c.stage, t) {
+			ids = append(ids, t.info.ID)
+		}
+	}
+	if len(ids) == 0 {
+		return false
+	}
+	// Until the answer no other call is made for the stage.
+	s.advised[c.stage.name] = now + adviceTimeout
+	s.emit(Advise{Queue: c.job.Queue, Step: c.stage.name, Targets: ids})
+	return false
+}
+
+// adviceTimeout is how long an answer of the advice service is waited for.
+const adviceTimeout = 3 * time.Second
+
+// Advised takes in which targets may run a step, and how long the tickets hold
+// from the sending of the call on; 0 is the queue's own span.
+func (s *Scheduler) Advised(e Advise, tickets []Ticket, valid time.Duration, sentAt time.Duration) {
+	s.advised[e.Step] = s.clock.Steady + adviceRetry
+	if valid == 0 {
+		if q := s.queue(e.Queue); q != nil {
+			valid = q.TicketLife
+		}
+	}
+	for _, k := range tickets {
+		t := s.targets[k.Target]
+		if t == nil {
+			continue
+		}
+		if t.tickets == nil {
+			t.tickets = map[StepName]ticket{}
+		}
+		t.tickets[e.Step] = ticket{text: k.Text, validTo: sentAt + valid - ticketMargin}
+	}
+}
+
+// ticket returns the ticket for a step that is valid at a target.
+func (t *target) ticket(step StepName, now time.Duration) string {
+	k, found := t.tickets[step]
+	if !found || now >= k.validTo {
+		delete(t.tickets, step)
+		return ""
+	}
+	return k.text
+}
--- a/internal/cransched/effect.go
+++ b/internal/cransched/effect.go
@@ -62,7 +62,6 @@
 // Advise asks which targets may run a step.
 type Advise struct {
 	Queue   string
-	Job     string
 	Step    StepName
 	Targets []string
 }
--- a/internal/cransched/place.go
+++ b/internal/cransched/place.go
@@ -34,6 +34,9 @@
 			s.starved[c.job.Pool] = s.starved[c.job.Pool] || c.stage.step.Lasting
 			continue
 		}
+		if !s.consult(c, targets) {
+			continue
+		}
 		if c.stage.step.Gang {
 			s.placeGang(c, targets)
 			continue
@@ -146,12 +149,30 @@
 	return t.free().Fits(st.step.Room()) && s.suits(st, t)
 }
 
+// needsTicket reports whether a stage has been given tickets: before that any
+// target may be asked for.
+func (s *Scheduler) needsTicket(st *stage) bool {
+	q := st.tasks[0].job.queue
+	if q == nil || !q.Advised {
+		return false
+	}
+	for _, t := range s.sorted {
+		if t.ticket(st.name, s.clock.Steady) != "" {
+			return true
+		}
+	}
+	return false
+}
+
 // suits reports whether a target may take a task of a stage if it has room.
 func (s *Scheduler) suits(st *stage, t *target) bool {
 	step := st.step
 	if step.Requires != "" && !t.hasLabel(step.Requires) {
 		return false
 	}
+	if s.needsTicket(st) && t.ticket(st.name, s.clock.Steady) == "" {
+		return false
+	}
 	if step.MaxPerTarget > 0 && t.countStep(st.name) >= step.MaxPerTarget {
 		return false
 	}
@@ -285,5 +306,6 @@
 	s.gate(Note{Kind: NoteStart, Job: t.job.ID, Task: t.name.String(), Run: number, Target: home.info.ID, AgeMs: (s.clock.Steady - home.heardAt).Milliseconds()})
 	s.gate(Start{
 		Target: home.address(), Task: t.name, Run: number, Spec: t.job.Spec, Token: s.token, Checkpoint: t.Checkpoint,
+		Ticket: home.ticket(t.job.stageOf(t).name, s.clock.Steady),
 	})
 }
--- a/internal/cransched/pools.go
+++ b/internal/cransched/pools.go
@@ -367,9 +367,7 @@
 	case VerdictDone:
 		m.answered = true
 		if t := s.targets[m.target]; t != nil {
-			s.releaseAll(t, "the instance has moved")
-			t.listed = false
-			t.info.Address = ""
+			s.leftLife(t, "the instance has moved")
 		}
 	case VerdictUnanswered:
 	case VerdictInvalid:
--- a/internal/cransched/report.go
+++ b/internal/cransched/report.go
@@ -40,7 +40,13 @@
 // otherLife takes in that another target answers at the address.
 func (s *Scheduler) otherLife(t *target) {
 	s.emit(Note{Kind: NoteTargetGone, Target: t.info.ID, Reason: "another target has its address"})
-	s.releaseAll(t, "the target is gone")
+	s.leftLife(t, "the target is gone")
+}
+
+// leftLife takes in that the life of a target has ended for good.
+func (s *Scheduler) leftLife(t *target, reason string) {
+	s.releaseAll(t, reason)
+	t.left = true
 	t.listed = false
 	t.info.Address = ""
 }
--- a/internal/cransched/scheduler.go
+++ b/internal/cransched/scheduler.go
@@ -29,6 +29,8 @@
 	fleet      fleet
 	// starved pools have a lasting task that finds no room on any target.
 	starved map[string]bool
+	// advised tells when a stage may ask for advice again.
+	advised map[StepName]time.Duration
 	// surges are by pool.
 	surges  map[string]*surge
 	effects []Effect
@@ -62,7 +64,7 @@
 func New(token uint64, timing Timing, config *Config, book *cranjob.Book, c Clock, former Former) *Scheduler {
 	s := &Scheduler{
 		token: token, timing: timing, config: config, clock: c, book: book,
-		jobs: map[string]*job{}, targets: map[string]*target{}, cancelled: map[string]bool{}, predictors: map[string]*predictor{}, surges: map[string]*surge{}, starved: map[string]bool{},
+		jobs: map[string]*job{}, targets: map[string]*target{}, cancelled: map[string]bool{}, predictors: map[string]*predictor{}, surges: map[string]*surge{}, starved: map[string]bool{}, advised: map[StepName]time.Duration{},
 		tookOver: c.Steady, former: former,
 	}
 	s.fleet = s.newFleet(book.Orders())
@@ -181,6 +183,9 @@
 	for _, t := range j.tasks {
 		s.detach(t, reason)
 	}
+	for _, st := range j.stages {
+		delete(s.advised, st.name)
+	}
 	delete(s.jobs, j.ID)
 }
 
--- a/internal/cransched/target.go
+++ b/internal/cransched/target.go
@@ -63,6 +63,9 @@
 	// listed is false once the store no longer names it.
 	listed     bool
 	unlistedAt time.Duration
+	// left is true once the life has ended: its instance has moved or is down,
+	// or another target has its address. The store may list it a while longer.
+	left bool
 	// fenced is true once it has answered a hold with this owner's token.
 	fenced bool
 	// superseded is true once it has seen a higher token.
--- a/internal/cransched/targets.go
+++ b/internal/cransched/targets.go
@@ -26,14 +26,21 @@
 		if t.info.BornMs != 0 && info.BornMs > t.info.BornMs {
 			s.reborn(t, info.BornMs)
 		}
+		if t.left {
+			continue
+		}
 		born := max(t.info.BornMs, info.BornMs)
 		t.info = info
 		t.info.BornMs = born
 		t.listed = true
 		t.unlistedAt = 0
 	}
-	for _, t := range s.sorted {
-		if !listed[t.info.ID] && t.listed && t.unlistedAt == 0 {
+	for _, t := range slices.Clone(s.sorted) {
+		switch {
+		case listed[t.info.ID]:
+		case t.left:
+			s.dropTarget(t)
+		case t.listed && t.unlistedAt == 0:
 			t.unlistedAt = s.clock.Steady
 		}
 	}
@@ -46,6 +53,7 @@
 	for _, r := range t.sortedRuns() {
 		s.surviveRebirth(t, r)
 	}
+	t.left = false
 	t.info.BornMs = bornMs
 	t.clockMs, t.clockAt, t.leaseMs, t.lapseAt = 0, 0, 0, 0
 	t.seen, t.stored = 0, 0
@@ -114,6 +122,9 @@
 
 // watch releases what has lapsed at a target and forgets targets that are gone.
 func (s *Scheduler) watch(t *target) {
+	if t.left {
+		return
+	}
 	now := s.clock.Steady
 	if t.unlistedAt != 0 && t.listed && now-t.unlistedAt > missingBound && t.silent(now) {
 		t.listed = false
--- a/internal/cransched/wave.go
+++ b/internal/cransched/wave.go
@@ -377,7 +377,7 @@
 		}
 		if verdict == VerdictDone {
 			if t := s.lifeOf(m.instance); t != nil {
-				s.releaseAll(t, "the instance is down for maintenance")
+				s.leftLife(t, "the instance is down for maintenance")
 			}
 			s.confirm(m)
 		}
--- a/internal/cransched/world_test.go
+++ b/internal/cransched/world_test.go
@@ -45,6 +45,10 @@
 	lives     int
 	upkeeps   map[string]int
 
+	// advice holds the calls for advice, starts the starts that arrived.
+	advice []Advise
+	starts []Start
+
 	jobs map[string]*cranjob.Job
 	// noted holds the ends that targets were told to forget.
 	noted map[cranjob.TaskName][]How
@@ -260,6 +264,8 @@
 			held.Answer = a
 			s.Held(e.Target, held)
 		})
+	case Advise:
+		w.advice = append(w.advice, e)
 	case Upkeep:
 		w.after(5*time.Millisecond, func() {
 			verdict := w.orderUpkeep(e)
@@ -382,6 +388,7 @@
 		return x.answer(w.now, VerdictOld)
 	}
 	w.judge(x, e)
+	w.starts = append(w.starts, e)
 	x.lease = max(x.lease, e.DeadlineMs)
 	step := w.jobs[e.Task.Job].Steps[e.Task.Step]
 	r := &simRun{number: e.Run, endsAt: w.now + time.Duration(float64(step.EstimateMs)*(0.5+w.random.Float64()))*time.Millisecond, how: EndDone}
