--- a/internal/crannode/control.go
+++ b/internal/crannode/control.go
@@ -185,7 +185,6 @@
 		c.latency = max(now.Steady-u.Sent-readWait, 0)
 	}
 	n.mu.Lock()
-	changes := make([]cranjob.Change, 0, len(u.Records))
 	for _, r := range u.Records {
 		before := n.book.Claim()
 		change, err := n.book.Apply(r.Key, r.Value, r.Offset)
@@ -205,7 +204,6 @@
 		if change.Kind == cranjob.ClaimChanged || change.Kind == cranjob.ProgressChanged {
 			c.ownerAt = now.Steady
 		}
-		changes = append(changes, change)
 		if c.owner != nil {
 			c.owner.scheduler.Advance(now)
 			c.feed(change)
--- a/internal/cransched/report.go
+++ b/internal/cransched/report.go
@@ -56,7 +56,6 @@
 	if !s.sameLife(t, a.Answer) {
 		return
 	}
-	first := !t.fenced
 	t.learn(a.Answer, s.clock.Steady)
 	t.fenced = true
 	for _, e := range a.Finished {
@@ -73,7 +72,7 @@
 	}
 	for _, r := range t.sortedRuns() {
 		if !present[runName{r.name, r.number}] {
-			s.absent(t, r, a.SentAt, first)
+			s.absent(t, r, a.SentAt)
 		}
 	}
 	s.pace(t)
@@ -154,7 +153,7 @@
 }
 
 // absent takes in that a report lacks a run.
-func (s *Scheduler) absent(t *target, r *run, sentAt time.Duration, first bool) {
+func (s *Scheduler) absent(t *target, r *run, sentAt time.Duration) {
 	switch r.phase {
 	case unproved:
 		// The token of this owner was seen before the report was made, so no
--- a/internal/cransched/target.go
+++ b/internal/cransched/target.go
@@ -46,15 +46,13 @@
 	// checkpoint.
 	inherited, resumed bool
 	// stopAt is when the stop is due, or due again.
-	stopAt      time.Duration
-	stopReason  string
-	percent     int
-	gauge       int
-	pace        int
-	progressAt  time.Duration
-	missing     int
-	workingFrom time.Duration
-	over        time.Duration
+	stopAt     time.Duration
+	stopReason string
+	percent    int
+	gauge      int
+	pace       int
+	progressAt time.Duration
+	missing    int
 }
 
 // target is one life of a target.
--- a/internal/cransched/wave.go
+++ b/internal/cransched/wave.go
@@ -50,8 +50,6 @@
 	seenAt    time.Duration
 	completed bool
 	statusAt  time.Duration
-	// stored is true once the status that was written last is confirmed.
-	statusKnown bool
 }
 
 // fleet is what planned work on instances needs.
@@ -65,7 +63,7 @@
 	moves map[string]*move
 	// refused holds the moves that the platform doesn't allow.
 	refused map[destination]bool
-	// idleFrom is since when each target has been empty.
+	// planAt is when the sizes of the pools are planned next.
 	planAt time.Duration
 	// recent holds, for each pool, the instances wanted lately.
 	recent map[string]*wanted
