An end that comes after its task was started again is not acknowledged

The owner was short of processor time, took targets for silent, and released their runs when the leases had lapsed; one had ended as done before. Its successor started the task again and then acknowledged that end. Ends of runs that a newer run has replaced stay listed now. Ruled out: an end lost at the takeover (it was never seen by the former owner).

--- a/internal/cranevent/catalogue.go
+++ b/internal/cranevent/catalogue.go
@@ -151,6 +151,8 @@
 		KeyCause, KeyJob, KeyNumber, KeyTarget, KeyTask),
 	limited(define(PaceChanged, "paceChanged", LevelInfo, "a filling task changes its pace",
 		KeyJob, KeyNumber, KeyTarget, KeyTask)),
+	define(EndWithheld, "endWithheld", LevelWarn, "an end comes too late to be acknowledged",
+		KeyJob, KeyNumber, KeyTarget, KeyTask),
 	define(TargetLost, "targetLost", LevelWarn, "a target does not answer",
 		KeyAgeMs, KeyTarget),
 	define(TargetBack, "targetBack", LevelInfo, "a target answers again",
--- a/internal/cranevent/event.go
+++ b/internal/cranevent/event.go
@@ -91,6 +91,7 @@
 	RunUnknown    Event = 1206
 	RunReleased   Event = 1207
 	PaceChanged   Event = 1208
+	EndWithheld   Event = 1209
 )
 
 // Events of targets that run tasks, and of planned work on their instances.
--- a/internal/cranjob/job.go
+++ b/internal/cranjob/job.go
@@ -120,6 +120,15 @@
 	return n
 }
 
+// Position returns the place of a task in order of occurrence, step and index.
+func (j *Job) Position(name TaskName) int {
+	at := name.Occurrence * j.TasksPerOccurrence()
+	for i := range name.Step {
+		at += j.Steps[i].Count
+	}
+	return at + name.Index
+}
+
 // DueMs returns when an occurrence may start, in Unix milliseconds; 0 is now.
 func (j *Job) DueMs(occurrence int) int64 {
 	if j.Times == 0 {
--- a/internal/cranjob/progress.go
+++ b/internal/cranjob/progress.go
@@ -63,8 +63,10 @@
 type Progress struct {
 	_     struct{} `cbor:",toarray"`
 	State State
-	// Tasks are in order of occurrence, step and index.
+	// Tasks are in order of occurrence, step and index; dropped in a final state.
 	Tasks []Task
+	// Runs has the number of each task's newest run, in a final state.
+	Runs []int
 	// EndedMs is when a final state was reached, in Unix milliseconds.
 	EndedMs int64
 }
--- a/internal/crannode/note.go
+++ b/internal/crannode/note.go
@@ -16,6 +16,7 @@
 	cransched.NoteStop:            cranevent.RunStopped,
 	cransched.NoteStray:           cranevent.RunUnknown,
 	cransched.NoteNotStarted:      cranevent.RunReleased,
+	cransched.NoteWithheld:        cranevent.EndWithheld,
 	cransched.NoteLapsed:          cranevent.TargetLapsed,
 	cransched.NoteReborn:          cranevent.TargetReborn,
 	cransched.NoteTargetGone:      cranevent.TargetGone,
--- a/internal/cransched/effect.go
+++ b/internal/cransched/effect.go
@@ -130,6 +130,7 @@
 	NoteMove
 	NotePace
 	NoteNotStarted
+	NoteWithheld
 	// NoteFirstStart is a measurement: AgeMs after its arrival a job began.
 	NoteFirstStart
 )
--- a/internal/cransched/job.go
+++ b/internal/cransched/job.go
@@ -156,6 +156,9 @@
 func (j *job) progress() cranjob.Progress {
 	p := cranjob.Progress{State: j.state, EndedMs: j.endedMs}
 	if j.state.Final() {
+		for _, t := range j.tasks {
+			p.Runs = append(p.Runs, t.Task.Run)
+		}
 		return p
 	}
 	p.Tasks = make([]cranjob.Task, len(j.tasks))
--- a/internal/cransched/report.go
+++ b/internal/cransched/report.go
@@ -79,12 +79,13 @@
 	switch {
 	case t.clockAt > 0 && t.leaseMs == 0:
 		t.holdAt = s.clock.Steady
-	case len(t.runs) == 0 && t.seen == t.stored:
+	case t.withheld > 0, len(t.runs) == 0 && t.seen == t.stored:
+		// A target with an end that is listed again and again answers at once.
 		t.holdAt = s.clock.Steady + renewEvery
 	default:
 		t.holdAt = s.clock.Steady + holdPause
 	}
-	t.awaitStore = t.seen > t.stored
+	t.awaitStore = t.acknowledged() > t.stored
 }
 
 // sameLife takes in which life of a target has answered, and reports whether
@@ -186,6 +187,9 @@
 		t.remove(r)
 	}
 	owner := s.taskOf(e.Task)
+	if r == nil && e.How == EndDone && s.startedAgain(owner, e) {
+		s.withhold(t, e)
+	}
 	s.gate(Note{Kind: NoteEnd, Job: e.Task.Job, Task: e.Task.String(), Run: e.Run, Target: t.info.ID, Reason: string(e.How)})
 	if owner == nil || owner.Status == cranjob.Done {
 		return
@@ -229,18 +233,46 @@
 	p.add(owner.step.EstimateMs, (s.clock.Steady - r.startedAt).Milliseconds())
 }
 
+// startedAgain reports whether a task was started again after a run of which
+// only now is known that it had succeeded.
+func (s *Scheduler) startedAgain(owner *task, e EndReport) bool {
+	if owner != nil {
+		return owner.Task.Run > e.Run && !owner.step.Lasting
+	}
+	entry, found := s.book.Lookup(e.Task.Job)
+	if !found || entry.Progress() == nil || !inside(entry.Job(), e.Task) {
+		return false
+	}
+	at := entry.Job().Position(e.Task)
+	runs := entry.Progress().Runs
+	return at < len(runs) && runs[at] > e.Run
+}
+
+// withhold keeps an end unacknowledged: acknowledging it would confirm a run
+// beside the one that was started in its place after the lease had lapsed.
+func (s *Scheduler) withhold(t *target, e EndReport) {
+	if t.withheld == 0 {
+		t.withheld = e.Number
+	}
+	s.emit(Note{Kind: NoteWithheld, Job: e.Task.Job, Task: e.Task.String(), Run: e.Run, Target: t.info.ID})
+}
+
 // taskOf returns a task of a job that has not ended.
 func (s *Scheduler) taskOf(name cranjob.TaskName) *task {
 	j := s.jobs[name.Job]
 	if j == nil {
 		return nil
 	}
-	stage := name.Occurrence*len(j.Steps) + name.Step
-	if name.Step < 0 || name.Step >= len(j.Steps) || stage < 0 || stage >= len(j.stages) ||
-		name.Index < 0 || name.Index >= len(j.stages[stage].tasks) {
+	if !inside(j.Job, name) {
 		return nil
 	}
-	return j.stages[stage].tasks[name.Index]
+	return j.tasks[j.Position(name)]
+}
+
+// inside reports whether a job has a task of the name.
+func inside(j *cranjob.Job, name cranjob.TaskName) bool {
+	return name.Occurrence >= 0 && name.Occurrence < j.Occurrences() && name.Step >= 0 && name.Step < len(j.Steps) &&
+		name.Index >= 0 && name.Index < j.Steps[name.Step].Count
 }
 
 // succeeded takes in that a run of a task ended as done. One such end stands
--- a/internal/cransched/rules_test.go
+++ b/internal/cransched/rules_test.go
@@ -129,3 +129,33 @@
 	}
 	require.Equal(t, 3, running)
 }
+
+// TestLateEnd has a target finish a task while it can't be reached and come
+// back after the lease has lapsed and the task was started elsewhere: the end
+// must not be acknowledged, as if it had counted all the while.
+func TestLateEnd(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.takeOver(w.now - time.Hour)
+	w.submit(batchJob("j", 1))
+	w.run(100 * time.Millisecond)
+	var first *simTarget
+	for _, x := range w.fleet {
+		if len(x.runs) > 0 {
+			first = x
+		}
+	}
+	first.cut = true
+	name := cranjob.TaskName{Job: "j"}
+	first.runs[name].how = EndDone
+	w.run(6 * time.Second)
+	require.Greater(t, len(w.starts), 1)
+	first.cut = false
+	w.run(5 * time.Second)
+	for _, e := range first.ends {
+		if e.Task == name {
+			require.Equal(t, EndDone, e.How)
+			return
+		}
+	}
+	require.Fail(t, "the end was acknowledged")
+}
--- a/internal/cransched/scheduler.go
+++ b/internal/cransched/scheduler.go
@@ -231,8 +231,8 @@
 	}
 	observed := map[*target]int64{}
 	for _, t := range s.targets {
-		if t.seen > t.stored {
-			observed[t] = t.seen
+		if n := t.acknowledged(); n > t.stored {
+			observed[t] = n
 		}
 	}
 	if len(s.dirty) == 0 && len(s.records) == 0 && len(s.gated) == 0 && len(observed) == 0 {
--- a/internal/cransched/target.go
+++ b/internal/cransched/target.go
@@ -80,8 +80,11 @@
 	// seen is the highest number of an end that was processed, stored the
 	// highest that is stored.
 	seen, stored int64
-	runs         map[runName]*run
-	used         cranjob.Resources
+	// withheld is the number of an end that must not be acknowledged; 0 if
+	// there is none.
+	withheld int64
+	runs     map[runName]*run
+	used     cranjob.Resources
 	// holding is true while a hold is under way, sent at holdSent. The next
 	// one is due at holdAt.
 	holding          bool
@@ -128,6 +131,14 @@
 	}
 }
 
+// acknowledged returns the highest number of an end that may be acknowledged.
+func (t *target) acknowledged() int64 {
+	if t.withheld > 0 {
+		return min(t.seen, t.withheld-1)
+	}
+	return t.seen
+}
+
 func (t *target) free() cranjob.Resources { return t.info.Capacity.Sub(t.used) }
 
 // clock estimates the target's clock. It is late by at most the time that the
--- a/internal/cransched/targets.go
+++ b/internal/cransched/targets.go
@@ -56,7 +56,7 @@
 	t.left = false
 	t.info.BornMs = bornMs
 	t.clockMs, t.clockAt, t.leaseMs, t.lapseAt = 0, 0, 0, 0
-	t.seen, t.stored = 0, 0
+	t.seen, t.stored, t.withheld = 0, 0, 0
 	t.fenced = false
 	t.awaitStore = false
 	t.tickets = nil
@@ -190,7 +190,7 @@
 // holdDue reports whether it is time for the next hold of a target.
 func (t *target) holdDue(now time.Duration) bool {
 	return !t.holding && t.info.Address != "" && !t.superseded && now >= t.holdAt &&
-		(!t.awaitStore || t.stored >= t.seen || now-t.holdSent >= renewEvery)
+		(!t.awaitStore || t.stored >= t.acknowledged() || now-t.holdSent >= renewEvery)
 }
 
 // soon brings the next hold of a target forward.
--- a/internal/cransched/world_test.go
+++ b/internal/cransched/world_test.go
@@ -295,14 +295,14 @@
 
 // advance ends what has come to its end at a target.
 func (w *world) advance(x *simTarget) {
-	if x.lease > 0 && x.clock(w.now) > x.lease {
-		for name, r := range x.runs {
-			w.end(x, name, r, EndLapsed)
-		}
-	}
+	lapsed := x.lease > 0 && x.clock(w.now) > x.lease
 	for _, name := range slices.SortedFunc(maps.Keys(x.runs), func(a, b cranjob.TaskName) int { return a.Index - b.Index }) {
-		if r := x.runs[name]; r.endsAt <= w.now {
+		r := x.runs[name]
+		switch {
+		case r.endsAt <= w.now && (!lapsed || x.clock(r.endsAt) <= x.lease):
 			w.end(x, name, r, r.how)
+		case lapsed:
+			w.end(x, name, r, EndLapsed)
 		}
 	}
 }
