Judge an owner's silence by what was read, and prefer processes with processor time

Silence now counts up to the time that the reads cover, and small processes leave the scheduling to others where they can. Ruled out: the store (no 301 there).

--- a/internal/crannode/control.go
+++ b/internal/crannode/control.go
@@ -28,6 +28,9 @@
 	claimLatencies = 4
 	// claimSpread keeps entry instances from claiming all at once.
 	claimSpread = 300 * time.Millisecond
+	// smallProcessor is the share of a core below which a process leaves the
+	// scheduling to others: at 350 targets it takes 0.3 of a core.
+	smallProcessor = 0.3
 	// claimRetry is the pause after a claim that failed.
 	claimRetry = 400 * time.Millisecond
 	// readGap is the longest time between two reads of the book that still
@@ -58,14 +61,18 @@
 	claimAt, readAt, ownerAt time.Duration
 	// former is the claim before the newest one of another epoch.
 	former cranjob.Claim
+	// knownAt is the time up to which all records were read for certain.
+	knownAt time.Duration
 	// latency is how long the store takes to answer a read, lately.
 	latency time.Duration
 	// orderAt is when the newest order for each instance was read.
 	orderAt map[string]time.Duration
 	// watchedFrom is since when the book was read without a gap.
 	watchedFrom time.Duration
-	claiming    bool
-	claimNext   time.Duration
+	// ableFrom is since when this process could claim; 0 before.
+	ableFrom  time.Duration
+	claiming  bool
+	claimNext time.Duration
 	// floor is an epoch that was seen; the next claim lies above it.
 	floor uint64
 	// attempt is the epoch of this process's newest claim.
@@ -181,8 +188,12 @@
 		c.watchedFrom = now.Steady
 	}
 	c.readAt = now.Steady
-	if len(u.Records) == 0 {
-		c.latency = max(now.Steady-u.Sent-readWait, 0)
+	// A read tells of all that was stored before it was answered; without
+	// records that was at the end of its wait.
+	c.knownAt = u.Sent
+	if len(u.Records) == 0 && !u.Reset {
+		c.latency = max(now.Steady-u.Sent-bookWait, 0)
+		c.knownAt += bookWait
 	}
 	n.mu.Lock()
 	for _, r := range u.Records {
@@ -255,15 +266,20 @@
 		now < c.claimNext || now-c.readAt > readGap {
 		return
 	}
+	if c.ableFrom == 0 {
+		c.ableFrom = now
+	}
 	claim := n.book.Claim()
-	silence := now - max(c.claimAt, c.watchedFrom)
+	// A process short of processor time reads late: what counts is up to when
+	// it knows that no claim was stored.
+	silence := c.knownAt - max(c.claimAt, c.watchedFrom, c.ableFrom)
 	patience := claimSilence + claimLatencies*c.latency + c.spread()
 	switch {
 	case c.isPredecessor(claim):
 		// That process has ended: it was this one's.
-		patience = 0
+		silence, patience = 0, 0
 	case claim.Epoch == 0 || claim.Vacated:
-		patience = c.spread()
+		silence, patience = now-max(c.claimAt, c.ableFrom), c.spread()
 	}
 	if silence < patience {
 		return
@@ -291,11 +307,16 @@
 	return claim.Node == c.node.name && claim.Incarnation != c.node.incarnation
 }
 
-// spread is this process's share of claimSpread.
+// spread is this process's share of claimSpread. A process with little
+// processor time comes after the others.
 func (c *control) spread() time.Duration {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(c.node.incarnation))
-	return time.Duration(h.Sum32()) % claimSpread
+	spread := time.Duration(h.Sum32()) % claimSpread
+	if c.node.processor > 0 && c.node.processor < smallProcessor {
+		spread += claimSpread
+	}
+	return spread
 }
 
 // claimAnswered takes in what became of a claim. A claim that was stored is
--- a/internal/crannode/node.go
+++ b/internal/crannode/node.go
@@ -19,6 +19,8 @@
 	// readWait is how long a read waits for a record; a silent connection is
 	// found out a little later.
 	readWait = time.Second
+	// bookWait is the same for the book. An owner's silence shows at its end.
+	bookWait = 500 * time.Millisecond
 	// followerPause lets the records of some milliseconds share a read where
 	// the book only answers callers; ownerPause is shorter, since an accepted
 	// job waits for it.
@@ -42,7 +44,9 @@
 	orders      Orders
 	log         *cranevent.Logger
 	metrics     *cranmetric.Jobs
-	now         func() cransched.Clock
+	// processor is the share of a core that this process has; 0 if unknown.
+	processor float64
+	now       func() cransched.Clock
 
 	events chan func()
 	// config is replaced as a whole; nil before the first.
@@ -75,6 +79,9 @@
 // WithMetrics sets where requests and orders are counted.
 func WithMetrics(m *cranmetric.Jobs) Option { return func(n *Node) { n.metrics = m } }
 
+// WithProcessor tells what share of a core the process has.
+func WithProcessor(cores float64) Option { return func(n *Node) { n.processor = cores } }
+
 // WithClock replaces the clock.
 func WithClock(now func() cransched.Clock) Option { return func(n *Node) { n.now = now } }
 
@@ -164,7 +171,7 @@
 		}
 		return followerPause
 	}
-	follower := cranstore.NewFollower(n.topic, func() time.Duration { return n.now().Steady }, readWait, pause)
+	follower := cranstore.NewFollower(n.topic, func() time.Duration { return n.now().Steady }, bookWait, pause)
 	follower.Run(ctx, func(u cranstore.Update) {
 		done := make(chan struct{})
 		n.post(ctx, func() {
