--- a/internal/crancli/serve.go
+++ b/internal/crancli/serve.go
@@ -18,16 +18,13 @@
 	"github.com/cranberrypick/cranberrypick/internal/cranevent"
 	"github.com/cranberrypick/cranberrypick/internal/cranmetric"
 	"github.com/cranberrypick/cranberrypick/internal/cranplatform"
+	"github.com/cranberrypick/cranberrypick/internal/cranserver"
 	"github.com/cranberrypick/cranberrypick/internal/cransettings"
 	"github.com/cranberrypick/cranberrypick/internal/cransnapshot"
 	"github.com/cranberrypick/cranberrypick/internal/crantraffic"
 )
 
 const (
-	// headerTimeout bounds the arrival of a request's header.
-	headerTimeout = 10 * time.Second
-	// idleTimeout bounds how long a connection without a request stays open.
-	idleTimeout = 90 * time.Second
 	// shutdownTimeout bounds the end of connections after the last answer.
 	shutdownTimeout = 5 * time.Second
 	// percent is how many parts a share of one has.
@@ -63,8 +60,8 @@
 	}
 	var group run.Group
 	limits := settings.Limits()
-	addServer(&group, newLimitListener(callers, limits.MaxConnections()), host.Handler(), limits.MaxHeader())
-	addServer(&group, admin, adminHandler(host, metrics, settings), limits.MaxHeader())
+	cranserver.Add(&group, newLimitListener(callers, limits.MaxConnections()), host.Handler(), limits.MaxHeader(), shutdownTimeout)
+	cranserver.Add(&group, admin, adminHandler(host, metrics, settings), limits.MaxHeader(), shutdownTimeout)
 	stop, cancel := context.WithCancel(ctx)
 	group.Add(func() error { return host.Run(stop) }, func(error) { cancel() })
 	_, _ = fmt.Fprintf(o.out, "callers %s admin %s peers %s\n", callers.Addr(), admin.Addr(), host.PeerAddress())
@@ -128,24 +125,3 @@
 	l, err := net.Listen("tcp", address.String())
 	return l, eris.Wrapf(err, "listen on %s; free the address or set another", address)
 }
-
-// addServer adds an HTTP server to the group. It is interrupted after
-// everything added behind it has ended.
-func addServer(group *run.Group, l net.Listener, h http.Handler, maxHeader int) {
-	server := &http.Server{
-		Handler:           h,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeader,
-	}
-	group.Add(func() error {
-		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			return err
-		}
-		return nil
-	}, func(error) {
-		ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
-		defer cancel()
-		_ = server.Shutdown(ctx)
-	})
-}
