--- /dev/null
+++ b/internal/crannode/claim_test.go
@@ -0,0 +1,212 @@
+package crannode
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cranberrypick/cranberrypick/internal/cransched"
+	"github.com/cranberrypick/cranberrypick/internal/cranstore"
+)
+
+// memory is a topic in memory, with fencing.
+type memory struct {
+	mu      sync.Mutex
+	records []cranstore.Record
+	epoch   uint64
+	next    uint64
+	changed chan struct{}
+}
+
+func newMemory() *memory { return &memory{changed: make(chan struct{})} }
+
+func (m *memory) Append(_ context.Context, records []cranstore.Record, o cranstore.AppendOptions) (cranstore.Appended, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if o.Producer != "" {
+		switch {
+		case o.Epoch < m.epoch:
+			return cranstore.Appended{}, &cranstore.FencedError{Epoch: m.epoch}
+		case o.Epoch == m.epoch && o.Sequence < m.next:
+			return cranstore.Appended{}, nil
+		case o.Epoch == m.epoch && o.Sequence > m.next:
+			return cranstore.Appended{}, &cranstore.SequenceError{Expected: m.next}
+		}
+		m.epoch, m.next = o.Epoch, o.Sequence+1
+	}
+	for _, r := range records {
+		r.Offset = uint64(len(m.records))
+		m.records = append(m.records, r)
+	}
+	close(m.changed)
+	m.changed = make(chan struct{})
+	return cranstore.Appended{End: uint64(len(m.records))}, nil
+}
+
+func (m *memory) Read(ctx context.Context, from uint64, wait time.Duration) (cranstore.Batch, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		m.mu.Lock()
+		end, changed := uint64(len(m.records)), m.changed
+		batch := cranstore.Batch{Records: append([]cranstore.Record(nil), m.records[from:]...), Next: end, End: end}
+		m.mu.Unlock()
+		if end > from {
+			return batch, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return batch, nil
+		case <-ctx.Done():
+			return cranstore.Batch{}, ctx.Err()
+		}
+	}
+}
+
+func (m *memory) Newest(context.Context) ([]cranstore.Record, uint64, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return append([]cranstore.Record(nil), m.records...), uint64(len(m.records)), nil
+}
+
+// link is the way of one process to a topic.
+type link struct {
+	*memory
+	mu   sync.Mutex
+	cut  bool
+	lags time.Duration
+}
+
+func (l *link) set(cut bool, lags time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cut, l.lags = cut, lags
+}
+
+func (l *link) pass() error {
+	l.mu.Lock()
+	cut, lags := l.cut, l.lags
+	l.mu.Unlock()
+	time.Sleep(lags)
+	if cut {
+		return errors.New("cut off")
+	}
+	return nil
+}
+
+func (l *link) Append(ctx context.Context, records []cranstore.Record, o cranstore.AppendOptions) (cranstore.Appended, error) {
+	if err := l.pass(); err != nil {
+		return cranstore.Appended{}, err
+	}
+	return l.memory.Append(ctx, records, o)
+}
+
+// Read answers late: the records are as old as the lag.
+func (l *link) Read(ctx context.Context, from uint64, wait time.Duration) (cranstore.Batch, error) {
+	batch, err := l.memory.Read(ctx, from, wait)
+	if failed := l.pass(); failed != nil {
+		return cranstore.Batch{}, failed
+	}
+	return batch, err
+}
+
+// noOrders is a platform without targets.
+type noOrders struct{ Orders }
+
+func (noOrders) Instances(context.Context) ([]cransched.InstanceInfo, error) { return nil, nil }
+
+// pair is two entry instances on one topic.
+type pair struct {
+	links [2]*link
+	nodes [2]*Node
+	stops [2]context.CancelFunc
+	group sync.WaitGroup
+}
+
+func newPair(t *testing.T) *pair {
+	p := &pair{}
+	topic, operator, targets := newMemory(), newMemory(), newMemory()
+	_, err := operator.Append(t.Context(), []cranstore.Record{{Key: "config", Value: []byte{1}}}, cranstore.AppendOptions{})
+	require.NoError(t, err)
+	directory := Directory{
+		Operator: operator, Targets: targets,
+		DecodeOperator: func(string, []byte) (any, error) {
+			return &Config{Config: cransched.Config{Version: 1}}, nil
+		},
+	}
+	start := time.Now()
+	clock := func() cransched.Clock {
+		return cransched.Clock{Steady: time.Hour + time.Since(start), UnixMs: time.Now().UnixMilli()}
+	}
+	for i := range p.nodes {
+		p.links[i] = &link{memory: topic}
+		name := string(rune('a' + i))
+		p.nodes[i] = New(name, name+"-1", p.links[i], directory, noOrders{}, WithClock(clock),
+			WithTiming(cransched.Timing{MaxLease: 6 * time.Second, OrderLease: 3 * time.Second}))
+		ctx, cancel := context.WithCancel(context.Background())
+		p.stops[i] = cancel
+		p.group.Go(func() { _ = p.nodes[i].Run(ctx) })
+		// The first one claims.
+		time.Sleep(time.Second)
+	}
+	return p
+}
+
+func (p *pair) close() {
+	for _, stop := range p.stops {
+		stop()
+	}
+	p.group.Wait()
+}
+
+func (p *pair) owns(i int) bool { return p.nodes[i].owning.Load() }
+
+// TestTakeover cuts the owner off the store: the other one takes over within
+// three seconds, and the former owner gives up once it is back.
+func TestTakeover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPair(t)
+		defer p.close()
+		require.True(t, p.owns(0))
+		require.False(t, p.owns(1))
+		p.links[0].set(true, 0)
+		time.Sleep(3 * time.Second)
+		require.True(t, p.owns(1))
+		p.links[0].set(false, 0)
+		time.Sleep(2 * time.Second)
+		require.False(t, p.owns(0))
+		require.True(t, p.owns(1))
+	})
+}
+
+// TestHandover stops the owner gracefully: the other one takes over at once.
+func TestHandover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPair(t)
+		defer p.close()
+		p.stops[0]()
+		time.Sleep(time.Second)
+		require.True(t, p.owns(1))
+	})
+}
+
+// TestLateReader has an entry instance whose reads are answered late: it must
+// not take a sound owner for silent.
+func TestLateReader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPair(t)
+		defer p.close()
+		require.True(t, p.owns(0))
+		for _, lags := range []time.Duration{500 * time.Millisecond, 1500 * time.Millisecond, 2500 * time.Millisecond} {
+			p.links[1].set(false, lags)
+			time.Sleep(20 * time.Second)
+			require.True(t, p.owns(0), lags)
+		}
+	})
+}
--- a/internal/cranstore/follow.go
+++ b/internal/cranstore/follow.go
@@ -9,8 +9,6 @@
 const (
 	// readSlack is added to the longest wait of a read for the answer to travel.
 	readSlack = 1200 * time.Millisecond
-	// newestTimeout bounds a read of the newest records.
-	newestTimeout = 4 * time.Second
 	// followPause and followPauseMax bound the pause after a failed read.
 	followPause    = 50 * time.Millisecond
 	followPauseMax = 400 * time.Millisecond
@@ -77,9 +75,7 @@
 func (f *Follower) read(ctx context.Context, next uint64, loaded bool) (Update, error) {
 	sent := f.clock()
 	if !loaded {
-		limited, cancel := context.WithTimeout(ctx, newestTimeout)
-		defer cancel()
-		records, end, err := f.topic.Newest(limited)
+		records, end, err := f.topic.Newest(ctx)
 		return Update{Reset: true, Records: records, Next: end, End: end, Sent: sent}, err
 	}
 	limited, cancel := context.WithTimeout(ctx, f.wait+readSlack)
--- /dev/null
+++ b/internal/cranstore/follow_test.go
@@ -0,0 +1,73 @@
+package cranstore
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// slowTopic takes a while for the newest records and has expired records.
+type slowTopic struct {
+	newest  time.Duration
+	expired int
+	reads   int
+}
+
+func (s *slowTopic) Append(context.Context, []Record, AppendOptions) (Appended, error) {
+	return Appended{}, nil
+}
+
+func (s *slowTopic) Read(ctx context.Context, from uint64, wait time.Duration) (Batch, error) {
+	s.reads++
+	if s.reads == s.expired {
+		return Batch{}, ErrExpired
+	}
+	sleep(ctx, wait)
+	return Batch{Next: from, End: from}, ctx.Err()
+}
+
+func (s *slowTopic) Newest(ctx context.Context) ([]Record, uint64, error) {
+	sleep(ctx, s.newest)
+	return []Record{{Key: "k", Value: []byte("v"), Offset: 6}}, 7, ctx.Err()
+}
+
+// follow collects the updates of a while.
+func follow(t *testing.T, topic Topic, d time.Duration) []Update {
+	var updates []Update
+	ctx, cancel := context.WithTimeout(t.Context(), d)
+	defer cancel()
+	start := time.Now()
+	f := NewFollower(topic, func() time.Duration { return time.Since(start) }, time.Second, func() time.Duration { return 0 })
+	f.Run(ctx, func(u Update) { updates = append(updates, u) })
+	return updates
+}
+
+// TestLongLoad has a reader for which the newest records take long: it must
+// not give up and begin again, or a slow link never gets to the end.
+func TestLongLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		updates := follow(t, &slowTopic{newest: 10 * time.Second}, 15*time.Second)
+		require.NotEmpty(t, updates)
+		require.NoError(t, updates[0].Err)
+		require.True(t, updates[0].Reset)
+		require.Equal(t, uint64(7), updates[0].Next)
+	})
+}
+
+// TestExpired has the history dropped under a reader: it loads the newest
+// records and goes on.
+func TestExpired(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		resets := 0
+		for _, u := range follow(t, &slowTopic{expired: 3}, 10*time.Second) {
+			require.NoError(t, u.Err)
+			if u.Reset {
+				resets++
+			}
+		}
+		require.Equal(t, 2, resets)
+	})
+}
--- a/internal/cranstore/store.go
+++ b/internal/cranstore/store.go
@@ -54,7 +54,8 @@
 	// Read returns records from an offset on; it waits for the first.
 	Read(ctx context.Context, from uint64, wait time.Duration) (Batch, error)
 	// Newest returns the newest record of each key, and the offset from which
-	// reads go on without a gap.
+	// reads go on without a gap. It bounds the time of each of its calls, not
+	// of all: how many there are depends on the number of keys.
 	Newest(ctx context.Context) ([]Record, uint64, error)
 }
 
