--- a/internal/cranjob/book.go
+++ b/internal/cranjob/book.go
@@ -61,6 +61,8 @@
 	jobs   map[string]*Entry
 	orders map[string]InstanceOrder
 	claim  Claim
+	// durations are by queue.
+	durations map[string]Durations
 	// offsets holds the offset of the newest record applied of each key, so
 	// that pages of newest records and the log may overlap.
 	offsets map[string]uint64
@@ -69,7 +71,7 @@
 
 // NewBook returns an empty book.
 func NewBook() *Book {
-	return &Book{jobs: map[string]*Entry{}, orders: map[string]InstanceOrder{}, offsets: map[string]uint64{}}
+	return &Book{jobs: map[string]*Entry{}, orders: map[string]InstanceOrder{}, durations: map[string]Durations{}, offsets: map[string]uint64{}}
 }
 
 // Next returns the offset to read from next.
@@ -84,6 +86,10 @@
 // Orders returns the orders for instances. The caller must not change them.
 func (b *Book) Orders() map[string]InstanceOrder { return b.orders }
 
+// Durations returns what was learned of each queue. The caller must not change
+// it.
+func (b *Book) Durations() map[string]Durations { return b.durations }
+
 // Jobs returns all jobs. The caller must not change them.
 func (b *Book) Jobs() map[string]*Entry { return b.jobs }
 
@@ -146,6 +152,13 @@
 		}
 		b.entry(id).progress = progress
 		return Change{Kind: ProgressChanged, ID: id}, nil
+	case keyDurations:
+		durations, err := decode[Durations](id, value)
+		if err != nil {
+			return Change{}, err
+		}
+		b.durations[id] = *durations
+		return Change{}, nil
 	case keyOrder:
 		if len(value) == 0 {
 			delete(b.orders, id)
--- a/internal/cranjob/progress.go
+++ b/internal/cranjob/progress.go
@@ -100,12 +100,20 @@
 	SentMs int64 `cbor:"3,keyasint,omitempty"`
 }
 
+// Durations is what was learned of a queue's tasks: sums over the logarithms
+// of estimates (X) and durations (Y), both in milliseconds.
+type Durations struct {
+	_                           struct{} `cbor:",toarray"`
+	N, SumX, SumY, SumXX, SumXY float64
+}
+
 // Kinds of key; the rest of a key is an id.
 const (
 	keySubmission   = 'j'
 	keyCancellation = 'x'
 	keyProgress     = 'p'
 	keyOrder        = 'm'
+	keyDurations    = 'd'
 	// KeyClaim is the whole key of the scheduler's claim.
 	KeyClaim = "scheduler"
 )
@@ -122,6 +130,9 @@
 // OrderKey returns the key of the order for an instance.
 func OrderKey(instance string) string { return string(keyOrder) + instance }
 
+// DurationsKey returns the key of what was learned of a queue.
+func DurationsKey(queue string) string { return string(keyDurations) + queue }
+
 // CancellationMark is the value of a cancellation.
 var CancellationMark = []byte{1}
 
--- a/internal/cransched/estimate.go
+++ b/internal/cransched/estimate.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/cranberrypick/cranberrypick/internal/cranjob"
 )
 
 const (
@@ -16,6 +18,9 @@
 	// widthSpread is the spread of durations within a step, as a part of their
 	// mean: the widest step ends with its longest task.
 	widthSpread = 0.3
+	// storeAfter is how many new observations of a queue are stored together
+	// for the next owner.
+	storeAfter = 50
 	// chainsEvery is how often the chains of work of a job are worked out anew.
 	chainsEvery = 500 * time.Millisecond
 )
@@ -24,7 +29,9 @@
 // estimates: a line between the logarithms. Estimates may be off by a factor
 // of several, each by its own; the more so, the flatter the line.
 type predictor struct {
-	n, sumX, sumY, sumXX, sumXY float64
+	cranjob.Durations
+	// stored is the number of observations that the stored record has.
+	stored float64
 }
 
 // add takes in a task that has succeeded.
@@ -33,24 +40,24 @@
 		return
 	}
 	x, y := math.Log(float64(estimateMs)), math.Log(float64(durationMs))
-	p.n++
-	p.sumX += x
-	p.sumY += y
-	p.sumXX += x * x
-	p.sumXY += x * y
+	p.N++
+	p.SumX += x
+	p.SumY += y
+	p.SumXX += x * x
+	p.SumXY += x * y
 }
 
 // predict returns the expected duration of a task in milliseconds.
 func (p *predictor) predict(estimateMs int64) float64 {
-	if p == nil || p.n == 0 || estimateMs <= 0 {
+	if p == nil || p.N == 0 || estimateMs <= 0 {
 		return float64(estimateMs)
 	}
 	x := math.Log(float64(estimateMs))
-	meanX, meanY := p.sumX/p.n, p.sumY/p.n
-	spread := max(p.sumXX-p.n*meanX*meanX, 0)
-	covered := p.sumXY - p.n*meanX*meanY
+	meanX, meanY := p.SumX/p.N, p.SumY/p.N
+	spread := max(p.SumXX-p.N*meanX*meanX, 0)
+	covered := p.SumXY - p.N*meanX*meanY
 	slope := (covered + slopePrior*slopeSpread) / (spread + slopePrior*slopeSpread)
-	level := (meanY - meanX) * p.n / (p.n + levelPrior)
+	level := (meanY - meanX) * p.N / (p.N + levelPrior)
 	return math.Exp(meanX + level + slope*(x-meanX))
 }
 
--- a/internal/cransched/pools.go
+++ b/internal/cransched/pools.go
@@ -196,8 +196,17 @@
 	return demands
 }
 
-// arrived remembers the work of a job that has just come.
-func (s *Scheduler) arrived(j *job) {
+// recall remembers a job that came shortly before this owner took over: a
+// surge goes on whoever schedules.
+func (s *Scheduler) recall(submission *cranjob.Job) {
+	age := time.Duration(s.clock.UnixMs-submission.ReceivedMs) * time.Millisecond
+	if age >= 0 && age < surgeSlot*surgeSlots {
+		s.arrived(newJob(submission, nil), age)
+	}
+}
+
+// arrived remembers the work of a job that came an age ago.
+func (s *Scheduler) arrived(j *job, age time.Duration) {
 	if j.Times > 0 {
 		return
 	}
@@ -214,7 +223,7 @@
 		}
 		room := step.Room()
 		seconds := float64(step.Count) * j.duration[i] / 1000
-		g.add(load{seconds * float64(room.CPU), seconds * float64(room.Memory)}, s.clock.Steady)
+		g.add(load{seconds * float64(room.CPU), seconds * float64(room.Memory)}, s.clock.Steady, age)
 	}
 }
 
--- a/internal/cransched/report.go
+++ b/internal/cransched/report.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cranberrypick/cranberrypick/internal/cranjob"
+	"github.com/cranberrypick/cranberrypick/internal/cranstore"
 )
 
 // missingReports is how many reports in a row must lack a run that was
@@ -231,6 +232,10 @@
 		s.predictors[owner.job.Queue] = p
 	}
 	p.add(owner.step.EstimateMs, (s.clock.Steady - r.startedAt).Milliseconds())
+	if p.N >= p.stored+storeAfter {
+		p.stored = p.N
+		s.records = append(s.records, cranstore.Record{Key: cranjob.DurationsKey(owner.job.Queue), Value: cranjob.Encode(p.Durations)})
+	}
 }
 
 // startedAgain reports whether a task was started again after a run of which
--- a/internal/cransched/scheduler.go
+++ b/internal/cransched/scheduler.go
@@ -68,9 +68,15 @@
 		tookOver: c.Steady, former: former,
 	}
 	s.fleet = s.newFleet(book.Orders())
+	for queue, d := range book.Durations() {
+		s.predictors[queue] = &predictor{Durations: d, stored: d.N}
+	}
 	ids := slices.Sorted(maps.Keys(book.Jobs()))
 	for _, id := range ids {
 		e := book.Jobs()[id]
+		if e.Job() != nil {
+			s.recall(e.Job())
+		}
 		if e.Job() == nil {
 			s.cancelled[id] = e.Cancelled()
 			continue
@@ -154,7 +160,7 @@
 		s.cancelJob(j)
 		return
 	}
-	s.arrived(j)
+	s.arrived(j, 0)
 }
 
 // CancelJob takes in the cancellation of a job.
--- a/internal/cransched/surge.go
+++ b/internal/cransched/surge.go
@@ -35,10 +35,12 @@
 	g.last = slot
 }
 
-// add takes in work that has arrived, in room times seconds.
-func (g *surge) add(work load, now time.Duration) {
+// add takes in work that arrived an age ago, in room times seconds.
+func (g *surge) add(work load, now, age time.Duration) {
 	g.advance(now)
-	g.slots[surgeSlots-1] = g.slots[surgeSlots-1].plus(work)
+	if slot := surgeSlots - 1 - int(age/surgeSlot); slot >= 0 {
+		g.slots[slot] = g.slots[slot].plus(work)
+	}
 }
 
 // expect returns the load of the arrivals after a lead, if they go on growing
