Spread lasting tasks of which few may be away

New lasting jobs spread over three targets, and the fullest targets are emptied first. TestLastingTasksSpread failed before.

--- a/internal/cransched/fleet_test.go
+++ b/internal/cransched/fleet_test.go
@@ -92,3 +92,17 @@
 	}
 	require.Equal(t, 1, w.lastingOn("large"))
 }
+
+// TestLastingTasksSpread places lasting tasks of which one may be away at a
+// time: one target would be emptied task by task.
+func TestLastingTasksSpread(t *testing.T) {
+	w := newWorld(t, 1, 4)
+	w.takeOver(w.now - time.Hour)
+	w.run(time.Second)
+	w.submit(lastingJob("lasting", 4))
+	w.run(4 * time.Second)
+	for id, x := range w.fleet {
+		require.LessOrEqual(t, len(x.runs), 2, id)
+	}
+	require.Equal(t, 4, w.lastingOn("lasting"))
+}
--- a/internal/cransched/place.go
+++ b/internal/cransched/place.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/cranberrypick/cranberrypick/internal/cranjob"
 )
@@ -149,6 +150,25 @@
 	return t.free().Fits(st.step.Room()) && s.suits(st, t)
 }
 
+// spreadPatience is how long the tasks of a new lasting job wait for targets to
+// spread over; an instance that is switched off serves within two seconds.
+const spreadPatience = 3 * time.Second
+
+// spreadTargets is how many targets the tasks of a lasting step are spread
+// over, if few of them may be away at a time.
+const spreadTargets = 3
+
+// crowded reports whether a target has its share of a new job's lasting tasks.
+func (s *Scheduler) crowded(st *stage, t *target) bool {
+	age := time.Duration(s.clock.UnixMs-st.tasks[0].job.ReceivedMs) * time.Millisecond
+	return st.step.Lasting && st.step.MaxUnavailable > 0 && age < spreadPatience && t.countStep(st.name) >= st.perTarget()
+}
+
+// perTarget returns how many tasks of a lasting step one target should have.
+func (st *stage) perTarget() int {
+	return max(st.step.MaxUnavailable, (st.step.Count+spreadTargets-1)/spreadTargets)
+}
+
 // needsTicket reports whether a stage has been given tickets: before that any
 // target may be asked for.
 func (s *Scheduler) needsTicket(st *stage) bool {
@@ -173,6 +193,9 @@
 	if s.needsTicket(st) && t.ticket(st.name, s.clock.Steady) == "" {
 		return false
 	}
+	if s.crowded(st, t) {
+		return false
+	}
 	if step.MaxPerTarget > 0 && t.countStep(st.name) >= step.MaxPerTarget {
 		return false
 	}
@@ -184,6 +207,9 @@
 	farPenalty = 10
 	// mixPenalty keeps filling tasks apart from serving ones where there is room.
 	mixPenalty = 2
+	// crowdPenalty spreads lasting tasks of which few may be away at a time:
+	// planned work takes them off a target one after the other.
+	crowdPenalty = 1
 	// failurePenalty weighs the share of failures seen at a target.
 	failurePenalty = 3
 )
@@ -196,6 +222,9 @@
 	if st.step.DataRack != "" && !t.hasLabel(st.step.DataRack) {
 		score += farPenalty
 	}
+	if st.step.Lasting && st.step.MaxUnavailable > 0 {
+		score += crowdPenalty * float64(t.countStep(st.name)/st.step.MaxUnavailable)
+	}
 	if st.step.Filling || st.step.TailTargetMs > 0 {
 		score += mixPenalty * float64(t.opposed(st.step))
 	}
--- a/internal/cransched/pools.go
+++ b/internal/cransched/pools.go
@@ -267,7 +267,11 @@
 	} else {
 		d.urgent = d.urgent.plus(need)
 	}
-	if most := st.step.MaxPerTarget; most > 0 {
+	most := st.step.MaxPerTarget
+	if most == 0 && st.step.Lasting && st.step.MaxUnavailable > 0 {
+		most = st.perTarget()
+	}
+	if most > 0 {
 		d.instances = max(d.instances, int(math.Ceil(parallel/float64(most))))
 	}
 }
--- a/internal/cransched/wave.go
+++ b/internal/cransched/wave.go
@@ -256,15 +256,30 @@
 		case t.cordoned:
 			return 1
 		case t.lastingRoom() != cranjob.Resources{}:
-			// Others become empty by themselves.
-			return 2
+			// These take longest: first those with the most tasks of one step.
+			return 2 + maxRuns - t.crowd()
 		}
-		return 3 + len(t.runs)
+		// Others become empty by themselves.
+		return 3 + maxRuns + len(t.runs)
 	}
 	slices.SortStableFunc(list, func(a, b *member) int { return effort(a) - effort(b) })
 	return list
 }
 
+// maxRuns is more than the tasks of one step that a target holds.
+const maxRuns = 1 << 10
+
+// crowd returns the most lasting tasks of one step at the target.
+func (t *target) crowd() int {
+	most := 0
+	for key, r := range t.runs {
+		if r.step != nil && r.step.Lasting {
+			most = max(most, t.countStep(StepName{key.task.Job, key.task.Occurrence, key.task.Step}))
+		}
+	}
+	return min(most, maxRuns)
+}
+
 // lifeOf returns the target that is the present life of an instance.
 func (s *Scheduler) lifeOf(instance string) *target {
 	if t := s.targets[s.fleet.instances[instance].Target]; t != nil && t.info.ID != "" {
