--- a/internal/cransched/wave.go
+++ b/internal/cransched/wave.go
@@ -17,7 +17,7 @@
 	prepareAhead = 2
 	// evacuations is how many instances are emptied at a time while there is
 	// time enough: lasting tasks leave one by one, and take seconds to start.
-	evacuations = 2
+	evacuations = 3
 	// statusEvery is how often an unfinished wave's status is written again.
 	statusEvery = 10 * time.Second
 )
