--- /dev/null
+++ b/internal/cransched/evacuate.go
@@ -0,0 +1,130 @@
+package cransched
+
+import (
+	"slices"
+
+	"github.com/cranberrypick/cranberrypick/internal/cranjob"
+)
+
+// idle reports whether nothing runs on a member's instance.
+func (s *Scheduler) idle(m *member) bool {
+	t := s.lifeOf(m.instance)
+	return t == nil || t.fenced && len(t.runs) == 0
+}
+
+// byEffort returns the members with those under way first, then those whose
+// instances are cordoned, then by the number of runs to be moved.
+func (s *Scheduler) byEffort(w *wave) []*member {
+	list := slices.Clone(w.members)
+	list = slices.DeleteFunc(list, func(m *member) bool { return m.state == begun || !s.stays(m) })
+	effort := func(m *member) int {
+		if m.state == asked {
+			return -1
+		}
+		t := s.lifeOf(m.instance)
+		switch {
+		case t == nil || len(t.runs) == 0:
+			return 0
+		case t.cordoned:
+			return 1
+		case t.lastingRoom() != cranjob.Resources{}:
+			// These take longest: first those with the most tasks of one step.
+			return 2 + maxRuns - t.crowd()
+		}
+		// Others become empty by themselves.
+		return 3 + maxRuns + len(t.runs)
+	}
+	slices.SortStableFunc(list, func(a, b *member) int { return effort(a) - effort(b) })
+	return list
+}
+
+// crowd returns the most lasting tasks of one step at the target.
+func (t *target) crowd() int {
+	most := 0
+	for key, r := range t.runs {
+		if r.step != nil && r.step.Lasting {
+			most = max(most, t.countStep(StepName{key.task.Job, key.task.Occurrence, key.task.Step}))
+		}
+	}
+	return min(most, maxRuns)
+}
+
+// lifeOf returns the target that is the present life of an instance.
+func (s *Scheduler) lifeOf(instance string) *target {
+	if t := s.targets[s.fleet.instances[instance].Target]; t != nil && t.info.ID != "" {
+		return t
+	}
+	for _, t := range s.sorted {
+		if t.info.Instance == instance && t.listed {
+			return t
+		}
+	}
+	return nil
+}
+
+// evacuate keeps new work away from an instance and moves its lasting tasks
+// elsewhere. It reports whether nothing runs there any more.
+func (s *Scheduler) evacuate(m *member) bool {
+	i := s.fleet.instances[m.instance]
+	t := s.lifeOf(m.instance)
+	if t == nil {
+		// An instance that is up has a life that this owner doesn't know yet,
+		// unless its pool is switched off.
+		return i.Up && (i.Target == "" || s.standby(i.Pool))
+	}
+	if !t.cordoned {
+		t.cordoned = true
+		s.emit(Note{Kind: NoteCordoned, Target: t.info.ID, Reason: m.instance})
+	}
+	if !t.fenced {
+		return false
+	}
+	for _, r := range t.sortedRuns() {
+		if r.phase == planned {
+			s.stopRun(t, r, "the instance is due for maintenance")
+			continue
+		}
+		if r.phase == present && r.step != nil && r.step.Lasting && s.mayEvict(r) {
+			s.stopRun(t, r, "the instance is due for maintenance")
+		}
+	}
+	return len(t.runs) == 0
+}
+
+// mayEvict reports whether planned work may take a lasting task away: fewer
+// others of its step than allowed are away, for whatever reason.
+func (s *Scheduler) mayEvict(r *run) bool {
+	if r.task == nil || r.task.run != r {
+		return true
+	}
+	away := 0
+	for _, other := range r.task.job.stageOf(r.task).tasks {
+		if other == r.task {
+			continue
+		}
+		if !s.atWork(other) {
+			away++
+		}
+	}
+	return r.step.MaxUnavailable == 0 || away < r.step.MaxUnavailable
+}
+
+// atWork reports whether a lasting task serves, as far as is known. Nothing is
+// known of a target that doesn't answer.
+func (s *Scheduler) atWork(t *task) bool {
+	if t.run == nil || t.run.phase != present || t.run.percent < fullPace {
+		return false
+	}
+	home := s.targets[t.Target]
+	return home != nil && home.listed && !home.silent(s.clock.Steady)
+}
+
+// uncordon lets the lives of a finished wave take work; those that went down
+// have left anyway.
+func (s *Scheduler) uncordon(w *wave) {
+	for _, m := range w.members {
+		if t := s.lifeOf(m.instance); t != nil {
+			t.cordoned = false
+		}
+	}
+}
--- a/internal/cransched/job.go
+++ b/internal/cransched/job.go
@@ -157,7 +157,7 @@
 	p := cranjob.Progress{State: j.state, EndedMs: j.endedMs}
 	if j.state.Final() {
 		for _, t := range j.tasks {
-			p.Runs = append(p.Runs, t.Task.Run)
+			p.Runs = append(p.Runs, t.Run)
 		}
 		return p
 	}
--- a/internal/cransched/pools.go
+++ b/internal/cransched/pools.go
@@ -37,19 +37,6 @@
 	movesAtOnce = 6
 )
 
-// destination is a pool that an instance may be moved to.
-type destination struct{ instance, pool string }
-
-// move is a move under way.
-type move struct {
-	destination
-	// target is the life that the instance had; empty if it had none.
-	target   string
-	sentAt   time.Duration
-	began    time.Duration
-	answered bool
-}
-
 // wanted remembers how many instances a pool wanted lately.
 type wanted struct {
 	count int
@@ -190,7 +177,7 @@
 	}
 	for pool, g := range s.surges {
 		if demands[pool] != nil {
-			demands[pool].expected = g.expect(s.clock.Steady, moveLead)
+			demands[pool].expected = g.expect(s.clock.Steady)
 		}
 	}
 	return demands
@@ -305,116 +292,3 @@
 	}
 	return w.count
 }
-
-// rebalance moves empty instances to the pools that lack some, first those
-// that are switched off, and switches off what is left over.
-func (s *Scheduler) rebalance(short, spare []poolBalance, supply map[string]*poolSupply) {
-	var donors []string
-	standby := ""
-	for _, name := range slices.Sorted(maps.Keys(s.config.Pools)) {
-		if s.config.Pools[name].Standby {
-			standby = name
-			if p := supply[name]; p != nil {
-				donors = append(donors, p.empty...)
-			}
-		}
-	}
-	switched := len(donors)
-	for _, b := range spare {
-		p := supply[b.pool]
-		donors = append(donors, p.empty[:min(-b.missing, len(p.empty))]...)
-	}
-	ordered := 0
-	for _, b := range short {
-		for n := b.missing; n > 0 && len(donors) > 0 && ordered < movesAtOnce; n-- {
-			if s.orderMove(donors[0], b.pool) {
-				ordered++
-			}
-			donors = donors[1:]
-			switched--
-		}
-	}
-	for _, instance := range donors[max(min(switched, len(donors)), 0):] {
-		if standby == "" || ordered >= movesAtOnce {
-			return
-		}
-		if s.orderMove(instance, standby) {
-			ordered++
-		}
-	}
-}
-
-// orderMove keeps new work away from an instance and moves it.
-func (s *Scheduler) orderMove(instance, pool string) bool {
-	to := destination{instance, pool}
-	if s.fleet.refused[to] || !s.mayOrder(instance) {
-		return false
-	}
-	m := &move{destination: to, began: s.clock.Steady}
-	i := s.fleet.instances[instance]
-	if t := s.targets[i.Target]; t != nil && i.Target != "" {
-		t.cordoned = true
-		m.target = i.Target
-	}
-	s.fleet.moves[instance] = m
-	s.sendMove(m)
-	return true
-}
-
-func (s *Scheduler) sendMove(m *move) {
-	m.sentAt = s.clock.Steady
-	order := s.fleet.stored[m.instance]
-	order.Pool, order.Moving, order.SentMs = m.pool, true, s.clock.UnixMs
-	s.storeOrder(m.instance, order)
-	s.gate(Note{Kind: NoteMove, Target: m.instance, Reason: m.pool})
-	s.gate(Move{Instance: m.instance, Pool: m.pool, Token: s.token})
-}
-
-// MoveAnswered takes in the answer to a move.
-func (s *Scheduler) MoveAnswered(e Move, verdict Verdict) {
-	m := s.fleet.moves[e.Instance]
-	if m == nil || m.pool != e.Pool || m.answered {
-		return
-	}
-	switch verdict {
-	case VerdictDone:
-		m.answered = true
-		if t := s.targets[m.target]; t != nil {
-			s.leftLife(t, "the instance has moved")
-		}
-	case VerdictUnanswered:
-	case VerdictInvalid:
-		s.fleet.refused[m.destination] = true
-		s.endMove(m)
-	default:
-		s.endMove(m)
-	}
-}
-
-// endMove forgets a move that was refused.
-func (s *Scheduler) endMove(m *move) {
-	delete(s.fleet.moves, m.instance)
-	if t := s.targets[m.target]; t != nil {
-		t.cordoned = false
-	}
-}
-
-// watchMoves repeats moves that weren't answered, and forgets those whose
-// instance serves its new pool or is switched off.
-func (s *Scheduler) watchMoves() {
-	now := s.clock.Steady
-	for _, id := range slices.Sorted(maps.Keys(s.fleet.moves)) {
-		m := s.fleet.moves[id]
-		i, found := s.fleet.instances[id]
-		fresh := s.fleet.listAt > m.sentAt
-		if !m.answered && now-m.sentAt >= moveRepeat && s.mayOrder(id) && (!fresh || found && i.Up && i.Pool != m.pool) {
-			s.sendMove(m)
-			continue
-		}
-		arrived := fresh && found && i.Pool == m.pool && i.Up &&
-			(s.standby(m.pool) || i.Target != m.target && s.targets[i.Target] != nil)
-		if arrived || fresh && !found || now-m.began > movePatience {
-			delete(s.fleet.moves, id)
-		}
-	}
-}
--- a/internal/cransched/report.go
+++ b/internal/cransched/report.go
@@ -242,7 +242,7 @@
 // only now is known that it had succeeded.
 func (s *Scheduler) startedAgain(owner *task, e EndReport) bool {
 	if owner != nil {
-		return owner.Task.Run > e.Run && !owner.step.Lasting
+		return owner.Run > e.Run && !owner.step.Lasting
 	}
 	entry, found := s.book.Lookup(e.Task.Job)
 	if !found || entry.Progress() == nil || !inside(entry.Job(), e.Task) {
--- a/internal/cransched/surge.go
+++ b/internal/cransched/surge.go
@@ -43,9 +43,9 @@
 	}
 }
 
-// expect returns the load of the arrivals after a lead, if they go on growing
+// expect returns the load of the arrivals after a move's time, if they go on growing
 // as they did. A load that falls is taken as it is.
-func (g *surge) expect(now, lead time.Duration) load {
+func (g *surge) expect(now time.Duration) load {
 	g.advance(now)
 	var before, lately load
 	for i, s := range g.slots {
@@ -56,7 +56,7 @@
 		}
 	}
 	span := (surgeSlot * surgeSlots / 2).Seconds()
-	ahead := lead.Seconds() / span
+	ahead := moveLead.Seconds() / span
 	grow := func(before, lately float64) float64 {
 		before, lately = before/span, lately/span
 		return min(lately+max(lately-before, 0)*ahead, surgeMost*lately)
--- a/internal/cransched/surge_test.go
+++ b/internal/cransched/surge_test.go
@@ -22,9 +22,9 @@
 	}
 	at := now + (surgeSlots-1)*surgeSlot
 	perSecond := 100 / surgeSlot.Seconds()
-	require.InDelta(t, perSecond, steady.expect(at, 2*time.Second).cpu, 1)
-	require.Greater(t, growing.expect(at, 2*time.Second).cpu, 2*perSecond)
-	require.Zero(t, ended.expect(at+2*time.Second, 2*time.Second).cpu)
+	require.InDelta(t, perSecond, steady.expect(at).cpu, 1)
+	require.Greater(t, growing.expect(at).cpu, 2*perSecond)
+	require.Zero(t, ended.expect(at+2*time.Second).cpu)
 }
 
 // TestSuccessorKnowsTheLoad replaces the owner in a surge: the successor
@@ -36,10 +36,10 @@
 		w.submit(batchJob(string(rune('a'+i%26))+string(rune('a'+i/26)), 3))
 		w.run(100 * time.Millisecond)
 	}
-	before := w.owner.surges["p"].expect(w.now, moveLead)
+	before := w.owner.surges["p"].expect(w.now)
 	learned := w.owner.predictors["q"].predict(800)
 	w.takeOver(w.now + OwnershipBound)
-	after := w.owner.surges["p"].expect(w.now, moveLead)
+	after := w.owner.surges["p"].expect(w.now)
 	require.InDelta(t, before.cpu, after.cpu, before.cpu/2)
 	require.InDelta(t, learned, w.owner.predictors["q"].predict(800), learned/10)
 }
--- a/internal/cransoak/proxy.go
+++ b/internal/cransoak/proxy.go
@@ -1,7 +1,6 @@
 package cransoak
 
 import (
-	"io"
 	"net"
 	"sync"
 	"time"
@@ -140,7 +139,7 @@
 				continue
 			}
 		}
-		if _, err := to.Write(piece[:n]); err != nil && err != io.EOF {
+		if _, err := to.Write(piece[:n]); err != nil {
 			return
 		}
 	}
