An owner's bound runs from the sending of its claim

Cause, found by reading: the bound ran from the reading of the claim, which a suspended process may do seconds later, when a successor already counts on it to have stopped.

--- a/internal/crannode/claim.go
+++ b/internal/crannode/claim.go
@@ -56,6 +56,7 @@
 		return
 	}
 	c.claiming = true
+	c.claimSent = now
 	// Claims of one epoch carry the same sequence number, so the store takes
 	// the first of them alone.
 	c.attempt = max(claim.Epoch, c.floor) + 1
@@ -118,7 +119,7 @@
 	}
 	s := cransched.New(claim.Epoch, n.timing, c.config, n.book, now, former)
 	o := &ownership{scheduler: s, epoch: claim.Epoch, claimed: now.Steady}
-	o.confirmedAt.Store(int64(now.Steady))
+	o.confirmedAt.Store(int64(c.claimSent))
 	o.ctx, o.cancel = context.WithCancel(c.work)
 	c.owner = o
 	n.owning.Store(true)
--- a/internal/crannode/control.go
+++ b/internal/crannode/control.go
@@ -68,7 +68,9 @@
 	// watchedFrom is since when the book was read without a gap.
 	watchedFrom time.Duration
 	// ableFrom is since when this process could claim; 0 before.
-	ableFrom  time.Duration
+	ableFrom time.Duration
+	// claimSent is when this process\'s newest claim was sent.
+	claimSent time.Duration
 	claiming  bool
 	claimNext time.Duration
 	// floor is an epoch that was seen; the next claim lies above it.
