An owner that is late hands the scheduling over, and says how slow the store is

While the store was slow a sound owner was replaced, and an entry instance of 0.19 of a core won: its view was seconds old. Claims tell how long appends take, small processes claim a second later, and an owner that was late eight times vacates. Ruled out: the order of stops (TestWave).

--- a/internal/cranjob/progress.go
+++ b/internal/cranjob/progress.go
@@ -81,6 +81,9 @@
 	Incarnation string `cbor:"3,keyasint"`
 	// Beat counts the claims of one epoch, so that a repeat is no sign of life.
 	Beat uint64 `cbor:"4,keyasint"`
+	// AppendMs is how long the owner's newest append took, in milliseconds: its
+	// claims come later while the store is slow.
+	AppendMs int64 `cbor:"6,keyasint,omitempty"`
 	// Vacated means that the scheduler has stopped and another may follow at once.
 	Vacated bool `cbor:"5,keyasint,omitempty"`
 }
--- a/internal/crannode/claim.go
+++ b/internal/crannode/claim.go
@@ -44,7 +44,8 @@
 	// A process short of processor time reads late: what counts is up to when
 	// it knows that no claim was stored.
 	silence := c.knownAt - max(c.claimAt, c.watchedFrom, c.ableFrom)
-	patience := claimSilence + claimLatencies*c.latency + c.spread()
+	latency := max(c.latency, time.Duration(claim.AppendMs)*time.Millisecond)
+	patience := claimSilence + claimLatencies*latency + c.spread()
 	switch {
 	case c.isPredecessor(claim):
 		// That process has ended: it was this one's.
@@ -86,7 +87,7 @@
 	_, _ = h.Write([]byte(c.node.incarnation))
 	spread := time.Duration(h.Sum32()) % claimSpread
 	if c.node.processor > 0 && c.node.processor < smallProcessor {
-		spread += claimSpread
+		spread += smallDelay
 	}
 	return spread
 }
--- a/internal/crannode/control.go
+++ b/internal/crannode/control.go
@@ -29,6 +29,15 @@
 	// smallProcessor is the share of a core below which a process leaves the
 	// scheduling to others: at 350 targets it takes 0.3 of a core.
 	smallProcessor = 0.3
+	// smallDelay is how much later such a process claims: the others have had
+	// the time for two tries.
+	smallDelay = time.Second
+	// lagBound is the time between two looks of an owner at its work from which
+	// on it is late; after lagLimit of them it leaves the scheduling to others
+	// for lagPause.
+	lagBound = 250 * time.Millisecond
+	lagLimit = 8
+	lagPause = 10 * time.Second
 	// claimRetry is the pause after a claim that failed.
 	claimRetry = 400 * time.Millisecond
 	// readGap is the longest time between two reads of the book that still
@@ -87,6 +96,7 @@
 	// that is done.
 	leaving, vacated chan struct{}
 	leaveOnce        sync.Once
+	vacatedOnce      sync.Once
 }
 
 // ownership is what an owner holds beside its scheduler.
@@ -103,10 +113,14 @@
 	appendNext  time.Duration
 	instancesAt time.Duration
 	asking      bool
-	// ticked is when the scheduler looked at everything last.
+	// ticked is when the scheduler looked at everything last, lags how often
+	// that was late.
 	ticked time.Duration
-	ctx    context.Context
-	cancel context.CancelFunc
+	lags   int
+	// appendTook is how long the newest append took.
+	appendTook time.Duration
+	ctx        context.Context
+	cancel     context.CancelFunc
 }
 
 func newControl(n *Node) *control {
@@ -164,6 +178,9 @@
 	if since := now.Steady - o.ticked; since < tickPause {
 		wait = tickPause - since
 	} else if !c.node.stopping.Load() {
+		if o.ticked != 0 && now.Steady-o.ticked > lagBound {
+			o.lags++
+		}
 		o.ticked = now.Steady
 		o.scheduler.Tick()
 		c.askInstances(now.Steady)
@@ -245,10 +262,16 @@
 // leave asks the control goroutine to hand the scheduling over.
 func (c *control) leave() { c.leaveOnce.Do(func() { close(c.leaving) }) }
 
+// isLeaving reports whether the owner hands the scheduling over: the process
+// stops, or it has too little processor time.
+func (c *control) isLeaving(o *ownership) bool {
+	return c.node.stopping.Load() || o.lags >= lagLimit
+}
+
 // vacate tells the other entry instances that the scheduling is free.
 func (c *control) vacate() {
 	if c.owner == nil {
-		close(c.vacated)
+		c.vacatedOnce.Do(func() { close(c.vacated) })
 		return
 	}
 	c.owner.appendNext = 0
--- a/internal/crannode/owner.go
+++ b/internal/crannode/owner.go
@@ -18,7 +18,7 @@
 	if o.appending || now < o.appendNext {
 		return
 	}
-	leaving := c.node.stopping.Load()
+	leaving := c.isLeaving(o)
 	records, decided := o.scheduler.NextBatch()
 	if !decided && !leaving && now-o.claimed < claimEvery {
 		return
@@ -28,6 +28,7 @@
 		o.claimed = now
 		records = append(records, cranstore.Record{Key: cranjob.KeyClaim, Value: cranjob.Encode(cranjob.Claim{
 			Epoch: o.epoch, Node: c.node.name, Incarnation: c.node.incarnation, Beat: o.beat, Vacated: leaving,
+			AppendMs: o.appendTook.Milliseconds(),
 		})})
 	}
 	o.appending = true
@@ -72,21 +73,24 @@
 	if c.owner != o {
 		return
 	}
-	if err != nil {
-		c.abdicate("an append was refused: " + err.Error())
-		if leaving {
-			close(c.vacated)
+	now := c.node.now()
+	if err != nil || leaving {
+		reason := "vacated"
+		if err != nil {
+			reason = "an append was refused: " + err.Error()
+		}
+		c.abdicate(reason)
+		if c.node.stopping.Load() {
+			c.vacatedOnce.Do(func() { close(c.vacated) })
+		} else if leaving {
+			c.claimNext = now.Steady + lagPause
 		}
 		return
 	}
+	o.appendTook = now.Steady - sent
 	o.confirmedAt.Store(int64(sent))
-	o.appendNext = c.node.now().Steady + batchPause
-	if leaving {
-		c.abdicate("vacated")
-		close(c.vacated)
-		return
-	}
-	o.scheduler.Advance(c.node.now())
+	o.appendNext = now.Steady + batchPause
+	o.scheduler.Advance(now)
 	o.scheduler.Stored()
 }
 
