A successor evicts nothing before the stops of the former owner have ended

The former owner had stopped two lasting tasks 0.4 s before it was replaced; targets list a run until its stop has ended, so the successor counted them as at work and stopped a third. TestSuccessorWaitsForStops failed before. Ruled out: late answers (the reports were fresh).

--- a/internal/cransched/evacuate.go
+++ b/internal/cransched/evacuate.go
@@ -98,6 +98,11 @@
 	if r.task == nil || r.task.run != r {
 		return true
 	}
+	// Targets list a run until it has ended, also one that the former owner
+	// has had stopped.
+	if s.clock.Steady < s.former.Until+s.timing.StopTime+stopMargin {
+		return false
+	}
 	away := 0
 	for _, other := range r.task.job.stageOf(r.task).tasks {
 		if other == r.task {
@@ -110,6 +115,10 @@
 	return r.step.MaxUnavailable == 0 || away < r.step.MaxUnavailable
 }
 
+// stopMargin is added to the time that a stop takes, for the order's journey
+// and the next report.
+const stopMargin = 400 * time.Millisecond
+
 // evidenceBound is how old the word of a target may be that its tasks work: the
 // longest wait of two holds, and their journeys. An owner that is short of
 // processor time reads answers late.
--- a/internal/cransched/fleet_test.go
+++ b/internal/cransched/fleet_test.go
@@ -106,3 +106,26 @@
 	}
 	require.Equal(t, 4, w.lastingOn("lasting"))
 }
+
+// TestSuccessorWaitsForStops replaces the owner while a lasting task is being
+// stopped: its run is listed until it has ended, so the successor must not
+// count it as at work when it looks for the next one.
+func TestSuccessorWaitsForStops(t *testing.T) {
+	w := newWorld(t, 1, 6)
+	w.takeOver(w.now - time.Hour)
+	w.submit(lastingJob("lasting", 4))
+	w.run(4 * time.Second)
+	stopped := w.owner.jobs["lasting"].tasks[0]
+	w.owner.Advance(w.clock())
+	w.owner.stopRun(w.owner.targets[stopped.Target], stopped.run, "the instance is due for maintenance")
+	w.run(100 * time.Millisecond)
+	w.takeOver(w.now)
+	w.run(300 * time.Millisecond)
+	for _, other := range w.owner.jobs["lasting"].tasks[1:] {
+		require.Equal(t, present, other.run.phase)
+		require.False(t, w.owner.mayEvict(other.run), other.name)
+	}
+	w.run(5 * time.Second)
+	require.Equal(t, 4, w.lastingOn("lasting"))
+	require.True(t, w.owner.mayEvict(w.owner.jobs["lasting"].tasks[1].run))
+}
