Drop three fields that were written and never read

Cause, found by reading the change: progressAt, tookOver and seenAt in cransched decide nothing; the bounds of an earlier owner and of a wave's order replaced the last two.

--- a/internal/cransched/outcome.go
+++ b/internal/cransched/outcome.go
@@ -38,7 +38,6 @@
 	case VerdictDone:
 		r.phase = present
 		r.answeredAt = now
-		r.progressAt = now
 		t.soon(now + holdPause)
 		s.noteRunning(r)
 	case VerdictUnanswered:
--- a/internal/cransched/report.go
+++ b/internal/cransched/report.go
@@ -117,13 +117,11 @@
 			r.inherited = true
 		}
 		r.phase = present
-		r.progressAt = s.clock.Steady
 	}
 	r.missing = 0
 	r.started = true
 	if report.Percent != r.percent {
 		r.percent = report.Percent
-		r.progressAt = s.clock.Steady
 	}
 	r.gauge = report.Gauge
 	if r.task == nil || r.task.run != r {
--- a/internal/cransched/scheduler.go
+++ b/internal/cransched/scheduler.go
@@ -41,7 +41,6 @@
 	dirty   []*job
 	// inFlight is the batch that is being stored.
 	inFlight *batch
-	tookOver time.Duration
 	former   Former
 }
 
@@ -65,7 +64,7 @@
 	s := &Scheduler{
 		token: token, timing: timing, config: config, clock: c, book: book,
 		jobs: map[string]*job{}, targets: map[string]*target{}, cancelled: map[string]bool{}, predictors: map[string]*predictor{}, surges: map[string]*surge{}, starved: map[string]bool{}, advised: map[StepName]time.Duration{},
-		tookOver: c.Steady, former: former,
+		former: former,
 	}
 	s.fleet = s.newFleet(book.Orders())
 	for queue, d := range book.Durations() {
--- a/internal/cransched/target.go
+++ b/internal/cransched/target.go
@@ -51,7 +51,6 @@
 	percent    int
 	gauge      int
 	pace       int
-	progressAt time.Duration
 	missing    int
 }
 
--- a/internal/cransched/wave.go
+++ b/internal/cransched/wave.go
@@ -47,7 +47,6 @@
 type wave struct {
 	order     WaveOrder
 	members   []*member
-	seenAt    time.Duration
 	completed bool
 	statusAt  time.Duration
 }
@@ -91,7 +90,7 @@
 		if s.fleet.waves[o.Wave] != nil {
 			continue
 		}
-		w := &wave{order: o, seenAt: s.clock.Steady, completed: completed[o.Wave]}
+		w := &wave{order: o, completed: completed[o.Wave]}
 		for _, id := range o.Instances {
 			m := &member{instance: id}
 			if stored := s.fleet.stored[id]; stored.Wave == o.Wave {
