A successor places nothing where an order of the former owner may land

Its successor took the moves over as under way, but kept new work away only from targets that it had cordoned itself, so lasting tasks were placed there; a second later it repeated the moves without looking, which ended them. The logs show the runs placed at 17.58 s and the repeated moves at 21.50 s. The same holds for maintenance that was ordered and not yet confirmed.

Ruled out: the slow store as such (the store was calm again from 17.4 s), a stale list of instances (the targets were right), evictions beside the wave.

Change: targets whose instance has a stored order that may take effect get no work; an unanswered move is repeated only while its instance is idle, and dropped otherwise; repeated maintenance always looks first. Tests TestSuccessorAndFormerMoves (lost, late) and TestSuccessorAndFormerUpkeep failed before.

--- a/internal/cransched/evacuate.go
+++ b/internal/cransched/evacuate.go
@@ -7,9 +7,9 @@
 	"github.com/cranberrypick/cranberrypick/internal/cranjob"
 )
 
-// idle reports whether nothing runs on a member's instance.
-func (s *Scheduler) idle(m *member) bool {
-	t := s.lifeOf(m.instance)
+// isIdle reports whether nothing runs on an instance.
+func (s *Scheduler) isIdle(instance string) bool {
+	t := s.lifeOf(instance)
 	return t == nil || t.fenced && len(t.runs) == 0
 }
 
--- a/internal/cransched/fleet_test.go
+++ b/internal/cransched/fleet_test.go
@@ -129,3 +129,51 @@
 	require.Equal(t, 4, w.lastingOn("lasting"))
 	require.True(t, w.owner.mayEvict(w.owner.jobs["lasting"].tasks[1].run))
 }
+
+// TestSuccessorAndFormerMoves replaces the owner right after it has ordered the
+// moves of empty instances, which get lost or arrive late: the successor gives
+// them no work that the orders would end, neither theirs nor its own.
+func TestSuccessorAndFormerMoves(t *testing.T) {
+	for _, lost := range []bool{true, false} {
+		t.Run(fmt.Sprintf("lost=%v", lost), func(t *testing.T) {
+			w := newWorld(t, 1, 4)
+			w.takeOver(w.now - time.Hour)
+			w.run(time.Second)
+			w.loseMoves, w.slowOrders = lost, 900*time.Millisecond
+			w.owner.Advance(w.clock())
+			for id := range w.instances {
+				require.True(t, w.owner.orderMove(id, "off"))
+			}
+			w.run(50 * time.Millisecond)
+			w.takeOver(w.now)
+			w.submit(lastingJob("lasting", 4))
+			w.run(300 * time.Millisecond)
+			w.loseMoves = false
+			w.run(20 * time.Second)
+			require.Equal(t, 4, w.lastingOn("lasting"))
+		})
+	}
+}
+
+// TestSuccessorAndFormerUpkeep replaces the owner right after it has ordered
+// maintenance, and expects that nothing is placed where the order ends it.
+func TestSuccessorAndFormerUpkeep(t *testing.T) {
+	w := newWorld(t, 1, 4)
+	w.most = 4
+	order := WaveOrder{Wave: 1, Duration: time.Second, MaxParallel: 4, SeenAt: w.now}
+	for id := range w.instances {
+		order.Instances = append(order.Instances, id)
+	}
+	w.takeOver(w.now - time.Hour)
+	w.run(time.Second)
+	w.wave = []WaveOrder{order}
+	w.slowOrders = 900 * time.Millisecond
+	w.owner.SetWaves(w.wave, nil)
+	w.run(50 * time.Millisecond)
+	require.Len(t, w.orderAt, 4)
+	w.takeOver(w.now)
+	w.submit(lastingJob("lasting", 4))
+	w.run(20 * time.Second)
+	require.Len(t, w.upkeeps, 4)
+	require.Equal(t, 4, w.lastingOn("lasting"))
+}
--- a/internal/cransched/moves.go
+++ b/internal/cransched/moves.go
@@ -121,7 +121,11 @@
 		i, found := s.fleet.instances[id]
 		fresh := s.fleet.listAt > m.sentAt
 		if !m.answered && now-m.sentAt >= moveRepeat && s.mayOrder(id) && (!fresh || found && i.Up && i.Pool != m.pool) {
-			s.sendMove(m)
+			if s.isIdle(id) {
+				s.sendMove(m)
+			} else {
+				s.endMove(m)
+			}
 			continue
 		}
 		arrived := fresh && found && i.Pool == m.pool && i.Up &&
@@ -131,3 +135,13 @@
 		}
 	}
 }
+
+// awaitsOrder reports whether a move or the maintenance of a target's instance
+// is stored and may yet take effect: it ends whatever runs there.
+func (s *Scheduler) awaitsOrder(t *target) bool {
+	if m := s.fleet.moves[t.info.Instance]; m != nil && m.pool != t.info.Pool {
+		return true
+	}
+	o := s.fleet.stored[t.info.Instance]
+	return o.Wave != 0 && !o.Begun
+}
--- a/internal/cransched/place.go
+++ b/internal/cransched/place.go
@@ -24,7 +24,7 @@
 func (s *Scheduler) place() {
 	byPool := map[string][]*target{}
 	for _, t := range s.sorted {
-		if t.usable(s.clock.Steady) {
+		if t.usable(s.clock.Steady) && !s.awaitsOrder(t) {
 			byPool[t.info.Pool] = append(byPool[t.info.Pool], t)
 		}
 	}
--- a/internal/cransched/wave.go
+++ b/internal/cransched/wave.go
@@ -173,7 +173,7 @@
 			if s.clock.Steady-m.sentAt >= orderRepeat && (m.sentAt != 0 || down < limit || s.occupied(m)) {
 				s.sendUpkeep(w, m)
 			}
-		case s.idle(m):
+		case s.isIdle(m.instance):
 			if down < limit && s.evacuate(m) {
 				down++
 				s.orderUpkeep(w, m)
@@ -259,7 +259,7 @@
 }
 
 func (s *Scheduler) sendUpkeep(w *wave, m *member) {
-	if s.lifeOf(m.instance) == nil || s.evacuate(m) {
+	if s.evacuate(m) {
 		s.orderUpkeep(w, m)
 	}
 }
--- a/internal/cransched/world_test.go
+++ b/internal/cransched/world_test.go
@@ -34,6 +34,10 @@
 	// Parts of calls that are lost before or after they take effect, and of
 	// orders that take effect seconds later.
 	lost, unanswered, late float64
+	// slowOrders is how long orders for instances are on their way beyond the
+	// usual; loseMoves drops moves.
+	slowOrders time.Duration
+	loseMoves  bool
 	// judgeAway checks that planned work spares lasting tasks.
 	judgeAway bool
 
@@ -44,6 +48,8 @@
 	most      int
 	lives     int
 	upkeeps   map[string]int
+	// orderAt is when the newest order for each instance was stored.
+	orderAt map[string]time.Duration
 
 	// advice holds the calls for advice, starts the starts that arrived.
 	advice []Advise
@@ -90,8 +96,8 @@
 		config: &Config{Version: 1, Queues: map[string]*Queue{
 			"q": {Name: "q", Pool: "p", Attempts: 3, Stretch: 1.6, LatencyTarget: 600 * time.Millisecond},
 		}, Pools: map[string]*Pool{"p": {Name: "p"}, "off": {Name: "off", Standby: true}}},
-		instances: map[string]*simInstance{},
-		fleet:     map[string]*simTarget{}, jobs: map[string]*cranjob.Job{}, noted: map[cranjob.TaskName][]How{},
+		instances: map[string]*simInstance{}, orderAt: map[string]time.Duration{},
+		fleet: map[string]*simTarget{}, jobs: map[string]*cranjob.Job{}, noted: map[cranjob.TaskName][]How{},
 		done: map[cranjob.TaskName]bool{}, upkeeps: map[string]int{},
 	}
 	for i := range targets {
@@ -153,7 +159,7 @@
 func (w *world) takeOver(former time.Duration) {
 	w.epoch++
 	w.ownerID++
-	w.owner = New(w.epoch, simTiming, w.config, w.book, w.clock(), Former{Until: former})
+	w.owner = New(w.epoch, simTiming, w.config, w.book, w.clock(), Former{Until: former, OrderAt: maps.Clone(w.orderAt)})
 	w.owner.SetTargets(w.listed())
 	w.owner.SetWaves(w.wave, nil)
 	w.tick(w.ownerID)
@@ -190,8 +196,11 @@
 				return
 			}
 			for _, r := range records {
-				_, err := w.book.Apply(r.Key, r.Value, w.offset)
+				change, err := w.book.Apply(r.Key, r.Value, w.offset)
 				require.NoError(w.t, err)
+				if change.Kind == cranjob.OrderChanged {
+					w.orderAt[change.ID] = w.now
+				}
 				w.offset++
 			}
 			if id == w.ownerID {
@@ -259,7 +268,7 @@
 	case Advise:
 		w.advice = append(w.advice, e)
 	case Upkeep:
-		w.after(5*time.Millisecond, func() {
+		w.after(5*time.Millisecond+w.slowOrders, func() {
 			verdict := w.orderUpkeep(e)
 			if id == w.ownerID {
 				s.Advance(w.clock())
@@ -268,7 +277,10 @@
 			}
 		})
 	case Move:
-		w.after(5*time.Millisecond, func() {
+		if w.loseMoves {
+			return
+		}
+		w.after(5*time.Millisecond+w.slowOrders, func() {
 			verdict := w.orderMove(e)
 			if id == w.ownerID {
 				s.Advance(w.clock())
