A wave ends only once its missing instances have been missing for a second

The list is read by pages; while instances come and go, a page boundary shifts and an instance falls between two pages. If it was the last one open, the wave was said to be completed although its maintenance had not begun.

Ruled out: jobs that are shown as completed too early (only the platform's "done" counts), maintenance taken for another wave's (the stored order names the wave).

Change: an instance has left once every list of a whole second misses it. TestWaveWithIncompleteList failed before; TestWaveOfInstancesThatLeft keeps the other side. SetWaves loses an argument that was always nil.

--- a/internal/crannode/claim.go
+++ b/internal/crannode/claim.go
@@ -125,7 +125,7 @@
 	c.owner = o
 	n.owning.Store(true)
 	s.SetTargets(c.targetList())
-	s.SetWaves(c.waves, nil)
+	s.SetWaves(c.waves)
 	n.metrics.TookOver()
 	n.log.Emit(cranevent.SchedulerTaken, cranevent.Epoch(claim.Epoch), cranevent.Offset(n.book.Next()), cranevent.Count(s.Jobs()))
 }
--- a/internal/crannode/control.go
+++ b/internal/crannode/control.go
@@ -306,7 +306,7 @@
 	c.waves = append(c.waves, o)
 	if c.owner != nil {
 		c.owner.scheduler.Advance(c.node.now())
-		c.owner.scheduler.SetWaves(c.waves, nil)
+		c.owner.scheduler.SetWaves(c.waves)
 	}
 }
 
--- a/internal/cransched/fleet_test.go
+++ b/internal/cransched/fleet_test.go
@@ -39,7 +39,7 @@
 			w.submit(lastingJob("lasting", 4))
 			w.run(4 * time.Second)
 			w.wave = []WaveOrder{order}
-			w.owner.SetWaves(w.wave, nil)
+			w.owner.SetWaves(w.wave)
 			for i := range 20 {
 				w.run(time.Second)
 				w.submit(batchJob(fmt.Sprintf("j%d", i), 4))
@@ -168,7 +168,7 @@
 	w.run(time.Second)
 	w.wave = []WaveOrder{order}
 	w.slowOrders = 900 * time.Millisecond
-	w.owner.SetWaves(w.wave, nil)
+	w.owner.SetWaves(w.wave)
 	w.run(50 * time.Millisecond)
 	require.Len(t, w.orderAt, 4)
 	w.takeOver(w.now)
@@ -177,3 +177,36 @@
 	require.Len(t, w.upkeeps, 4)
 	require.Equal(t, 4, w.lastingOn("lasting"))
 }
+
+// TestWaveWithIncompleteList reads a list that misses an instance once, as a
+// list does that is read by pages while instances come and go: the wave isn't
+// over before the instance had its maintenance.
+func TestWaveWithIncompleteList(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.most = 1
+	w.takeOver(w.now - time.Hour)
+	w.run(time.Second)
+	w.wave = []WaveOrder{{Wave: 1, Instances: []string{"mt0"}, Duration: time.Second, MaxParallel: 1, SeenAt: w.now}}
+	w.owner.Advance(w.clock())
+	w.owner.SetWaves(w.wave)
+	complete := w.list()
+	w.owner.SetInstances(complete[1:], w.now)
+	w.owner.Tick()
+	require.False(t, w.owner.fleet.waves[1].completed)
+	w.run(5 * time.Second)
+	require.Len(t, w.upkeeps, 1)
+	require.True(t, w.owner.fleet.waves[1].completed)
+}
+
+// TestWaveOfInstancesThatLeft has a wave whose only instance was removed for good.
+func TestWaveOfInstancesThatLeft(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.most = 1
+	w.takeOver(w.now - time.Hour)
+	w.run(time.Second)
+	delete(w.instances, "mt0")
+	w.wave = []WaveOrder{{Wave: 1, Instances: []string{"mt0"}, Duration: time.Second, MaxParallel: 1, SeenAt: w.now}}
+	w.owner.SetWaves(w.wave)
+	w.run(2 * time.Second)
+	require.True(t, w.owner.fleet.waves[1].completed)
+}
--- a/internal/cransched/wave.go
+++ b/internal/cransched/wave.go
@@ -41,6 +41,9 @@
 	sentAt   time.Duration
 	begunAt  time.Duration
 	stored   bool
+	// missingAt is when the first list in a row without it was read; 0 if the
+	// newest list has it.
+	missingAt time.Duration
 }
 
 // wave is a maintenance wave that goes on.
@@ -83,14 +86,13 @@
 	return f
 }
 
-// SetWaves takes over the waves that the operator asks for, and which of them
-// are known to be completed.
-func (s *Scheduler) SetWaves(orders []WaveOrder, completed map[int]bool) {
+// SetWaves takes over the waves that the operator asks for.
+func (s *Scheduler) SetWaves(orders []WaveOrder) {
 	for _, o := range orders {
 		if s.fleet.waves[o.Wave] != nil {
 			continue
 		}
-		w := &wave{order: o, completed: completed[o.Wave]}
+		w := &wave{order: o}
 		for _, id := range o.Instances {
 			m := &member{instance: id}
 			if stored := s.fleet.stored[id]; stored.Wave == o.Wave {
@@ -200,15 +202,25 @@
 // observe takes in what the list says of a member.
 func (s *Scheduler) observe(m *member) {
 	i, found := s.fleet.instances[m.instance]
+	switch {
+	case found:
+		m.missingAt = 0
+	case m.missingAt == 0:
+		m.missingAt = s.fleet.listAt
+	}
 	if m.state == asked && found && i.Maintenance && s.fleet.listAt > m.sentAt {
 		s.confirm(m)
 	}
 }
 
+// leftBound is how long the lists must miss an instance until it has left for
+// good. A list is read by pages, which may miss one while others come and go;
+// two further lists are read in this time.
+const leftBound = 1000 * time.Millisecond
+
 // stays reports whether the instance still exists.
 func (s *Scheduler) stays(m *member) bool {
-	_, found := s.fleet.instances[m.instance]
-	return found
+	return m.missingAt == 0 || s.fleet.listAt-m.missingAt < leftBound
 }
 
 // occupied reports whether a member counts as down for its maintenance: from
--- a/internal/cransched/world_test.go
+++ b/internal/cransched/world_test.go
@@ -161,7 +161,7 @@
 	w.ownerID++
 	w.owner = New(w.epoch, simTiming, w.config, w.book, w.clock(), Former{Until: former, OrderAt: maps.Clone(w.orderAt)})
 	w.owner.SetTargets(w.listed())
-	w.owner.SetWaves(w.wave, nil)
+	w.owner.SetWaves(w.wave)
 	w.tick(w.ownerID)
 }
 
