An entry instance whose book lags doesn't tell how many jobs wait

An entry on a narrow link whose reads are answered, but bring fewer records than are stored, went on telling a number that is seconds old; the protocol allows 2 s.

Ruled out: jobs counted as begun too early (the state "running" is stored when a target has acknowledged the first start).

Change: the number is told only if a read sent within 2 s and a read's wait left nothing unread; otherwise the caller is sent to another entry instance. TestPendingOfLaggingReader failed before.

--- a/internal/crannode/claim_test.go
+++ b/internal/crannode/claim_test.go
@@ -81,6 +81,8 @@
 	mu   sync.Mutex
 	cut  bool
 	lags time.Duration
+	// most bounds the records of a read; 0 for all.
+	most int
 }
 
 func (l *link) set(cut bool, lags time.Duration) {
@@ -89,6 +91,12 @@
 	l.cut, l.lags = cut, lags
 }
 
+func (l *link) limit(records int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.most = records
+}
+
 func (l *link) pass() error {
 	l.mu.Lock()
 	cut, lags := l.cut, l.lags
@@ -113,6 +121,12 @@
 	if failed := l.pass(); failed != nil {
 		return cranstore.Batch{}, failed
 	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.most > 0 && len(batch.Records) > l.most {
+		batch.Records = batch.Records[:l.most]
+		batch.Next = from + uint64(l.most)
+	}
 	return batch, err
 }
 
@@ -210,3 +224,26 @@
 		}
 	})
 }
+
+// TestPendingOfLaggingReader has an entry instance that reads fewer records
+// than are stored: it doesn't tell how many jobs wait, which it can't know.
+func TestPendingOfLaggingReader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPair(t)
+		defer p.close()
+		_, err := p.nodes[1].Pending("q")
+		require.NoError(t, err)
+		p.links[1].limit(1)
+		for range 100 {
+			for range 40 {
+				_, err := p.links[0].memory.Append(t.Context(), []cranstore.Record{{Key: "jx", Value: []byte{1}}}, cranstore.AppendOptions{})
+				require.NoError(t, err)
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		_, err = p.nodes[1].Pending("q")
+		require.Error(t, err)
+		_, err = p.nodes[0].Pending("q")
+		require.NoError(t, err)
+	})
+}
--- a/internal/crannode/control.go
+++ b/internal/crannode/control.go
@@ -243,6 +243,9 @@
 	n.advanced = make(chan struct{})
 	n.mu.Unlock()
 	n.contactAt.Store(int64(u.Sent))
+	if u.Next >= u.End {
+		n.currentAt.Store(int64(u.Sent))
+	}
 }
 
 // feed tells the scheduler of a change by another process.
--- a/internal/crannode/node.go
+++ b/internal/crannode/node.go
@@ -53,6 +53,8 @@
 	config atomic.Pointer[Config]
 	// contactAt is when the newest successful read of the book was sent.
 	contactAt atomic.Int64
+	// currentAt is when the newest read was sent that left nothing unread.
+	currentAt atomic.Int64
 	owning    atomic.Bool
 	stopping  atomic.Bool
 
@@ -156,9 +158,19 @@
 const reachableBound = 2500 * time.Millisecond
 
 // reachable reports whether the store has answered lately.
-func (n *Node) reachable() bool {
-	at := n.contactAt.Load()
-	return at != 0 && n.now().Steady-time.Duration(at) <= reachableBound
+func (n *Node) reachable() bool { return n.within(&n.contactAt, reachableBound) }
+
+// currentBound is how old the number of waiting jobs may be: 2 s by the
+// platform's protocol, and the wait of the read that brought it.
+const currentBound = 2*time.Second + bookWait
+
+// current reports whether the book lately held all that was stored.
+func (n *Node) current() bool { return n.within(&n.currentAt, currentBound) }
+
+// within reports whether a time lies back by at most a bound.
+func (n *Node) within(at *atomic.Int64, bound time.Duration) bool {
+	t := at.Load()
+	return t != 0 && n.now().Steady-time.Duration(t) <= bound
 }
 
 // Config returns the configuration in force; nil before the first.
--- a/internal/crannode/service.go
+++ b/internal/crannode/service.go
@@ -116,7 +116,7 @@
 func (n *Node) Pending(queue string) (int, error) {
 	n.mu.RLock()
 	defer n.mu.RUnlock()
-	if !n.loaded || !n.reachable() {
+	if !n.loaded || !n.current() {
 		return 0, cranfault.New(cranfault.NotReady, "ask another entry instance", "the jobs aren't known here at the moment")
 	}
 	return n.book.Pending(queue), nil
