An entry that writes much renews its lease all the same

The test commands a drain at e2 again and again when the log is back, so under load e2 always had a record in flight, sent no heartbeat for four seconds and refused its callers as isolated.

Ruled out: lost records, the end of the outage's grace at the other entries (only the commanded entry refused), the callers' own patience (answers came within a millisecond).

Change: the heartbeat waits only for an earlier heartbeat in flight.

--- a/internal/cranentry/heartbeat.go
+++ b/internal/cranentry/heartbeat.go
@@ -77,15 +77,10 @@
 func (e *Entry) beat() {
 	drained := e.drained()
 	news := slices.ContainsFunc(drained, func(id uint64) bool { return !slices.Contains(e.beats.reported, id) })
-	due := time.Since(e.beats.last) >= e.heartbeat
-	if !due && !news {
-		return
-	}
-	if e.writer.Backlog().Records() > 0 && !news {
-		// The log is slow or down: what is in flight renews the lease as well.
+	sent := time.Now()
+	if !news && !e.beats.due(sent, e.heartbeat, e.writer.Backlog().Records()) {
 		return
 	}
-	sent := time.Now()
 	seq := e.submit(cranstate.Heartbeat{Revision: e.control.state.Revision(), Drained: drained})
 	if seq == 0 {
 		return
@@ -95,6 +90,21 @@
 	e.beats.pending[seq] = renewal{sent: sent}
 }
 
+// due reports whether the next heartbeat is to be submitted while a number of
+// records are in flight. While the log is slow or down one heartbeat waits:
+// other records don't renew the lease, however many there are.
+func (b *beats) due(now time.Time, every time.Duration, inFlight int) bool {
+	if now.Sub(b.last) < every {
+		return false
+	}
+	for _, r := range b.pending {
+		if !r.effects && inFlight > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // drained returns the stops that wait for this entry although it has no
 // request in progress on their instances. The view that closed the instance
 // has been published before: both are done by the control thread.
--- a/internal/cranwhole/harness_test.go
+++ b/internal/cranwhole/harness_test.go
@@ -213,6 +213,12 @@
 
 // callFor asks for a run of the given length.
 func (s *system) callFor(entry, method, key string, service time.Duration) string {
+	told, _ := s.ask(entry, method, key, service)
+	return told
+}
+
+// ask is callFor, and returns the body of the answer as well.
+func (s *system) ask(entry, method, key string, service time.Duration) (told, body string) {
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, method, s.entries[entry].callers+"/s/rosters/"+key, strings.NewReader("body"))
@@ -221,17 +227,17 @@
 	if service > 0 {
 		r.Header.Set("X-Service-Ms", fmt.Sprint(service.Milliseconds()))
 	}
-	told := "none"
+	told = "none"
 	if resp, err := http.DefaultClient.Do(r); err == nil {
-		_, _ = io.Copy(io.Discard, resp.Body)
+		text, _ := io.ReadAll(resp.Body)
 		_ = resp.Body.Close()
-		told = resp.Header.Get("X-Outcome")
+		told, body = resp.Header.Get("X-Outcome"), string(text)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.told[key] = append(s.told[key], told)
 	s.once[key] = method == http.MethodPost
-	return told
+	return told, body
 }
 
 func (s *system) get(url string, v any) {
--- a/internal/cranwhole/thin_test.go
+++ b/internal/cranwhole/thin_test.go
@@ -16,14 +16,17 @@
 // which returns how many were not answered.
 func (s *system) load(service time.Duration) (stop func() int64) {
 	var failed, n atomic.Int64
+	start := time.Now()
 	ctx, cancel := context.WithCancel(context.Background())
 	var callers sync.WaitGroup
 	for id := range s.entries {
 		for range 4 {
 			callers.Go(func() {
 				for ctx.Err() == nil {
-					if s.callFor(id, http.MethodGet, fmt.Sprintf("load-%d", n.Add(1)), service) != "answered" {
+					key, began := fmt.Sprintf("load-%d", n.Add(1)), time.Since(start)
+					if told, body := s.ask(id, http.MethodGet, key, service); told != "answered" {
 						failed.Add(1)
+						s.t.Logf("%s at %s: told %q, %.200s, after %v, sent at %v", key, id, told, body, time.Since(start)-began, began)
 					}
 				}
 			})
