A target's clock is reckoned from when its answer came in

A hold waits at the target for up to a second and the clock is read when it answers, so the reckoned clock ran ahead by as much. The lease asked for was too long by the same time and cut to the platform's maximum, and it was taken for lapsed 0.52 s early: 5.1 s + 0.25 s after the grant, where it had 5.1 s + up to 0.9 s.

Change: the clock is known from below only, from the moment at which an answer came in, less the drift; leases asked for and lapses both follow from it, and an answer read late doesn't lower it.

Tests: in the world without a network, targets now answer waiting holds at the end of their wait; TestLapseAfterWaitingHold failed before, and every second seed of TestRulesUnderFaults plays such holds.

--- a/internal/cransched/rules_test.go
+++ b/internal/cransched/rules_test.go
@@ -63,6 +63,7 @@
 
 func playFaults(t *testing.T, seed uint64) {
 	w := newWorld(t, seed, 6)
+	w.lingering = seed%2 == 1
 	w.takeOver(w.now - time.Hour)
 	w.submit(lastingJob("lasting", 4))
 	w.lost, w.unanswered, w.late = 0.02, 0.03, 0.04
@@ -159,3 +160,28 @@
 	}
 	require.Fail(t, "the end was acknowledged")
 }
+
+// TestLapseAfterWaitingHold cuts a target off after holds that it answered at
+// the end of their wait. What runs there goes on until the lease of the newest
+// hold has ended on the target's clock, and no other run may begin before.
+func TestLapseAfterWaitingHold(t *testing.T) {
+	for seed := range uint64(10) {
+		w := newWorld(t, seed, 2)
+		w.lingering = true
+		w.takeOver(w.now - time.Hour)
+		w.submit(lastingJob("lasting", 1))
+		w.run(5*time.Second + time.Duration(seed)*110*time.Millisecond)
+		name := cranjob.TaskName{Job: "lasting"}
+		for _, x := range w.fleet {
+			x.cut = x.runs[name] != nil
+		}
+		w.run(12 * time.Second)
+		held := 0
+		for _, x := range w.fleet {
+			if x.runs[name] != nil && !x.cut {
+				held++
+			}
+		}
+		require.Equal(t, 1, held)
+	}
+}
--- a/internal/cransched/target.go
+++ b/internal/cransched/target.go
@@ -70,7 +70,8 @@
 	// heardAt is when it answered last, askedAt when the newest call left that
 	// it answered: what it said is at least that new.
 	heardAt, askedAt time.Duration
-	// clockMs is its clock, read from an answer to a call sent at clockAt.
+	// clockMs is what its clock showed at the latest at clockAt, when the answer
+	// that told it came in; clockAt is 0 before the first.
 	clockMs int64
 	clockAt time.Duration
 	// leaseMs is the latest deadline, on its clock, that any call carried.
@@ -141,16 +142,16 @@
 
 func (t *target) free() cranjob.Resources { return t.info.Capacity.Sub(t.used) }
 
-// clock estimates the target's clock. It is late by at most the time that the
-// answer travelled, and early by at most the drift since.
+// clock returns the least that the target's clock shows. A call may wait at the
+// target, which reads its clock when it answers.
 func (t *target) clock(now time.Duration) int64 {
-	return t.clockMs + (now - t.clockAt).Milliseconds()
+	return t.clockMs + int64(float64((now-t.clockAt).Milliseconds())*(1-clockDrift))
 }
 
 // learn takes what an answer tells of the target's clock.
 func (t *target) learn(a Answer, now time.Duration) {
-	if a.ClockMs > 0 && a.SentAt >= t.clockAt {
-		t.clockMs, t.clockAt = a.ClockMs, a.SentAt
+	if a.ClockMs > 0 && (t.clockAt == 0 || a.ClockMs >= t.clock(now)) {
+		t.clockMs, t.clockAt = a.ClockMs, now
 	}
 	t.heardAt = now
 	t.askedAt = max(t.askedAt, a.SentAt)
@@ -165,8 +166,7 @@
 	if t.clockAt == 0 {
 		return true
 	}
-	atLeast := t.clockMs + int64(float64((now-t.clockAt).Milliseconds())*(1-clockDrift))
-	return atLeast > t.leaseMs+lapseMargin.Milliseconds()
+	return t.clock(now) > t.leaseMs+lapseMargin.Milliseconds()
 }
 
 // usable reports whether the target may get new work.
--- a/internal/cransched/world_test.go
+++ b/internal/cransched/world_test.go
@@ -38,6 +38,8 @@
 	// usual; loseMoves drops moves.
 	slowOrders time.Duration
 	loseMoves  bool
+	// lingering holds are answered when a run ends or their wait is over.
+	lingering bool
 	// judgeAway checks that planned work spares lasting tasks.
 	judgeAway bool
 
@@ -88,7 +90,11 @@
 	stopped bool
 }
 
-const simStop = 600 * time.Millisecond
+const (
+	simStop = 600 * time.Millisecond
+	// callLimit is how long callers wait for an answer.
+	callLimit = 900 * time.Millisecond
+)
 
 func newWorld(t *testing.T, seed uint64, targets int) *world {
 	w := &world{
@@ -226,7 +232,7 @@
 			w.settle(s, id)
 		}
 	}
-	timeout := func() { w.after(900*time.Millisecond, func() { reply(Answer{}) }) }
+	timeout := func() { w.after(callLimit, func() { reply(Answer{}) }) }
 	p := w.random.Float64()
 	switch {
 	case p < w.lost:
@@ -262,8 +268,7 @@
 				s.Held(e.Target, HoldAnswer{Answer: a})
 				return
 			}
-			held.Answer = a
-			s.Held(e.Target, held)
+			w.linger(s, id, e, a.SentAt, e.Wait, held)
 		})
 	case Advise:
 		w.advice = append(w.advice, e)
@@ -295,6 +300,47 @@
 	}
 }
 
+// lingerStep is how often a target looks whether a waiting hold can be answered.
+const lingerStep = 20 * time.Millisecond
+
+// linger answers a hold once a run has ended, or when its wait is over.
+func (w *world) linger(s *Scheduler, id int, e Hold, sent, wait time.Duration, held HoldAnswer) {
+	if x := w.fleet[e.Target.ID]; held.Verdict == VerdictDone && len(held.Finished) == 0 && wait > 0 && w.lingering && x != nil && x.up {
+		w.after(lingerStep, func() {
+			if held := w.report(e.Target); held.Verdict == VerdictDone {
+				w.linger(s, id, e, sent, wait-lingerStep, held)
+				return
+			}
+			w.after(callLimit, func() { w.linger(s, id, e, sent, 0, HoldAnswer{}) })
+		})
+		return
+	}
+	if id == w.ownerID {
+		held.SentAt = sent
+		s.Advance(w.clock())
+		s.Held(e.Target, held)
+		w.settle(s, id)
+	}
+}
+
+// report returns what a target says by itself.
+func (w *world) report(to Address) HoldAnswer {
+	x := w.fleet[to.ID]
+	if x == nil || !x.up || x.cut {
+		return HoldAnswer{}
+	}
+	w.advance(x)
+	return x.report(w.now)
+}
+
+func (x *simTarget) report(now time.Duration) HoldAnswer {
+	held := HoldAnswer{Answer: x.answer(now, VerdictDone), Finished: slices.Clone(x.ends)}
+	for _, name := range slices.SortedFunc(maps.Keys(x.runs), func(a, b cranjob.TaskName) int { return a.Index - b.Index }) {
+		held.Running = append(held.Running, RunReport{Task: name, Run: x.runs[name].number, Percent: 100})
+	}
+	return held
+}
+
 func (x *simTarget) clock(now time.Duration) int64 { return (now - x.born).Milliseconds() }
 
 // advance ends what has come to its end at a target.
@@ -354,11 +400,7 @@
 		}
 	}
 	x.ends = slices.DeleteFunc(x.ends, func(end EndReport) bool { return end.Number <= e.Observed })
-	held := HoldAnswer{Answer: x.answer(w.now, VerdictDone), Finished: slices.Clone(x.ends)}
-	for _, name := range slices.SortedFunc(maps.Keys(x.runs), func(a, b cranjob.TaskName) int { return a.Index - b.Index }) {
-		held.Running = append(held.Running, RunReport{Task: name, Run: x.runs[name].number, Percent: 100})
-	}
-	return held
+	return x.report(w.now)
 }
 
 func (w *world) stop(e Stop) Answer {
