Submissions lie in a partition of their own, with one append at a time

While the store is slow an append takes 50 ms, so it takes 20 a second, and every entry instance appended each job by itself, tried again after 1.2 s while the first try still waited in the partition, and so kept the scheduler's own appends waiting: nothing was placed from 10.8 s to 16.3 s although the store was slow only until 13.4 s (logs: appends refused with 503 or unanswered, 150 to 260 refused jobs a second).

Ruled out: the rate limit of calls (answers were 503, not 429), lags of the owner (it was idle), the takeover (it came 4 s after).

Change: callers' records go to a partition of their own; an entry instance has one append under way that carries what all its callers wait for (cranstore.Batcher), and learns from its reads that an append whose answer is lost has succeeded. A new owner reads all submissions after its claim before it begins. Tests: TestBatcherUnderSlowStore, TestBatcherLostAnswer, TestBatcherTellsTheTruth, TestTakeoverAwaitsSubmissions.

--- a/internal/cranjob/book.go
+++ b/internal/cranjob/book.go
@@ -66,7 +66,6 @@
 	// offsets holds the offset of the newest record applied of each key, so
 	// that pages of newest records and the log may overlap.
 	offsets map[string]uint64
-	next    uint64
 }
 
 // NewBook returns an empty book.
@@ -74,12 +73,6 @@
 	return &Book{jobs: map[string]*Entry{}, orders: map[string]InstanceOrder{}, durations: map[string]Durations{}, offsets: map[string]uint64{}}
 }
 
-// Next returns the offset to read from next.
-func (b *Book) Next() uint64 { return b.next }
-
-// SetNext sets the offset to read from next.
-func (b *Book) SetNext(offset uint64) { b.next = offset }
-
 // Claim returns the newest claim of a scheduler.
 func (b *Book) Claim() Claim { return b.claim }
 
--- a/internal/crannode/claim.go
+++ b/internal/crannode/claim.go
@@ -13,8 +13,9 @@
 	"github.com/cranberrypick/cranberrypick/internal/cranstore"
 )
 
-// claimRead takes in the newest claim. A process owns the scheduling from the
-// moment at which it reads its own claim: the book holds everything before it.
+// claimRead takes in the newest claim. A process owns the scheduling once it
+// has read its own claim, so that the book holds all that was stored before it,
+// and every submission that an earlier owner may have known.
 func (c *control) claimRead(now cransched.Clock) {
 	claim := c.node.book.Claim()
 	c.claimAt = now.Steady
@@ -25,15 +26,18 @@
 	if claim.Beat == 0 {
 		c.node.log.Emit(cranevent.SchedulerChanged, cranevent.Member(claim.Node), cranevent.Epoch(claim.Epoch))
 	}
+	if c.taking != nil && claim.Epoch > c.taking.claim.Epoch {
+		c.taking = nil
+	}
 	if mine && c.owner == nil && !c.node.stopping.Load() && claim.Beat == 0 {
-		c.takeOver(claim, now)
+		c.beginTakeover(claim, now)
 	}
 }
 
 // considerClaim claims the scheduling when nobody has it.
 func (c *control) considerClaim(now time.Duration) {
 	n := c.node
-	if c.claiming || n.stopping.Load() || !n.loaded || c.config == nil || !c.targetsKnown ||
+	if c.claiming || c.taking != nil || n.stopping.Load() || !n.loaded() || c.config == nil || !c.targetsKnown ||
 		now < c.claimNext || now-c.readAt > readGap {
 		return
 	}
@@ -69,7 +73,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(c.work, appendTimeout)
 		defer cancel()
-		_, err := n.topic.Append(ctx, []cranstore.Record{record}, o)
+		_, err := n.progress.topic.Append(ctx, []cranstore.Record{record}, o)
 		n.post(c.work, func() { c.claimAnswered(err) })
 	}()
 }
@@ -106,8 +110,22 @@
 	}
 }
 
-func (c *control) takeOver(claim cranjob.Claim, now cransched.Clock) {
-	n := c.node
+// takeover is a claim that is in force, and whose owner does not yet know all
+// submissions.
+type takeover struct {
+	claim  cranjob.Claim
+	former cransched.Former
+	// end is where the submissions ended after the claim; known once the store
+	// has told.
+	end   uint64
+	known bool
+	// asking is true while the store is asked for the end, again from askNext on.
+	asking  bool
+	askNext time.Duration
+}
+
+// beginTakeover notes what is known of the former owner.
+func (c *control) beginTakeover(claim cranjob.Claim, now cransched.Clock) {
 	// The earlier owner acts for a bounded time after an append that it knows
 	// to be stored, and whatever it stored has been read here since.
 	former := cransched.Former{Until: c.ownerAt + cransched.OwnershipBound, OrderAt: maps.Clone(c.orderAt)}
@@ -118,7 +136,42 @@
 		// The platform takes both processes for one holder.
 		former.OrderAt = nil
 	}
-	s := cransched.New(claim.Epoch, n.timing, c.config, n.book, now, former)
+	c.taking = &takeover{claim: claim, former: former}
+}
+
+// continueTakeover takes over once the book holds the submissions.
+func (c *control) continueTakeover(now cransched.Clock) {
+	t := c.taking
+	switch {
+	case t == nil:
+	case c.node.stopping.Load():
+		c.taking = nil
+	case t.known:
+		c.node.mu.Lock()
+		defer c.node.mu.Unlock()
+		if c.node.submissions.next >= t.end {
+			c.taking = nil
+			c.takeOver(t, now)
+		}
+	case !t.asking && now.Steady >= t.askNext:
+		t.asking = true
+		go func() {
+			end, err := c.node.end(c.work)
+			c.node.post(c.work, func() {
+				t.asking, t.known, t.end = false, err == nil, end
+				t.askNext = c.node.now().Steady + claimRetry
+				if err != nil {
+					c.node.log.Emit(cranevent.LogUnavailable, cranevent.Stream(c.node.submissions.name), cranevent.Err(err))
+				}
+			})
+		}()
+	}
+}
+
+// takeOver begins to schedule. The caller holds the node's lock.
+func (c *control) takeOver(t *takeover, now cransched.Clock) {
+	n, claim := c.node, t.claim
+	s := cransched.New(claim.Epoch, n.timing, c.config, n.book, now, t.former)
 	o := &ownership{scheduler: s, epoch: claim.Epoch, claimed: now.Steady}
 	o.confirmedAt.Store(int64(c.claimSent))
 	o.ctx, o.cancel = context.WithCancel(c.work)
@@ -127,7 +180,7 @@
 	s.SetTargets(c.targetList())
 	s.SetWaves(c.waves)
 	n.metrics.TookOver()
-	n.log.Emit(cranevent.SchedulerTaken, cranevent.Epoch(claim.Epoch), cranevent.Offset(n.book.Next()), cranevent.Count(s.Jobs()))
+	n.log.Emit(cranevent.SchedulerTaken, cranevent.Epoch(claim.Epoch), cranevent.Offset(n.progress.next), cranevent.Count(s.Jobs()))
 }
 
 // abdicate gives up the scheduling without a word to the store.
--- a/internal/crannode/claim_test.go
+++ b/internal/crannode/claim_test.go
@@ -137,15 +137,16 @@
 
 // pair is two entry instances on one topic.
 type pair struct {
-	links [2]*link
-	nodes [2]*Node
-	stops [2]context.CancelFunc
-	group sync.WaitGroup
+	// links lead to the scheduler's records, submissions to the callers'.
+	links, submissions [2]*link
+	nodes              [2]*Node
+	stops              [2]context.CancelFunc
+	group              sync.WaitGroup
 }
 
 func newPair(t *testing.T) *pair {
 	p := &pair{}
-	topic, operator, targets := newMemory(), newMemory(), newMemory()
+	progress, submissions, operator, targets := newMemory(), newMemory(), newMemory(), newMemory()
 	_, err := operator.Append(t.Context(), []cranstore.Record{{Key: "config", Value: []byte{1}}}, cranstore.AppendOptions{})
 	require.NoError(t, err)
 	directory := Directory{
@@ -159,9 +160,10 @@
 		return cransched.Clock{Steady: time.Hour + time.Since(start), UnixMs: time.Now().UnixMilli()}
 	}
 	for i := range p.nodes {
-		p.links[i] = &link{memory: topic}
+		p.links[i] = &link{memory: progress}
+		p.submissions[i] = &link{memory: submissions}
 		name := string(rune('a' + i))
-		p.nodes[i] = New(name, name+"-1", p.links[i], directory, noOrders{}, WithClock(clock),
+		p.nodes[i] = New(name, name+"-1", Topics{Progress: p.links[i], Submissions: p.submissions[i]}, directory, noOrders{}, WithClock(clock),
 			WithTiming(cransched.Timing{MaxLease: 6 * time.Second, OrderLease: 3 * time.Second}))
 		ctx, cancel := context.WithCancel(context.Background())
 		p.stops[i] = cancel
@@ -233,10 +235,10 @@
 		defer p.close()
 		_, err := p.nodes[1].Pending("q")
 		require.NoError(t, err)
-		p.links[1].limit(1)
+		p.submissions[1].limit(1)
 		for range 100 {
 			for range 40 {
-				_, err := p.links[0].memory.Append(t.Context(), []cranstore.Record{{Key: "jx", Value: []byte{1}}}, cranstore.AppendOptions{})
+				_, err := p.submissions[0].memory.Append(t.Context(), []cranstore.Record{{Key: "jx", Value: []byte{1}}}, cranstore.AppendOptions{})
 				require.NoError(t, err)
 			}
 			time.Sleep(100 * time.Millisecond)
@@ -247,3 +249,20 @@
 		require.NoError(t, err)
 	})
 }
+
+// TestTakeoverAwaitsSubmissions replaces an owner by an entry instance that
+// can't read the submissions: it schedules only once it can, since the records
+// of jobs that it doesn't know may be there already.
+func TestTakeoverAwaitsSubmissions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPair(t)
+		defer p.close()
+		p.submissions[1].set(true, 0)
+		p.links[0].set(true, 0)
+		time.Sleep(6 * time.Second)
+		require.False(t, p.owns(1))
+		p.submissions[1].set(false, 0)
+		time.Sleep(2 * time.Second)
+		require.True(t, p.owns(1))
+	})
+}
--- a/internal/crannode/control.go
+++ b/internal/crannode/control.go
@@ -8,7 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cranberrypick/cranberrypick/internal/cranevent"
 	"github.com/cranberrypick/cranberrypick/internal/cranjob"
 	"github.com/cranberrypick/cranberrypick/internal/cransched"
 	"github.com/cranberrypick/cranberrypick/internal/cranstore"
@@ -61,8 +60,6 @@
 type control struct {
 	node *Node
 	work context.Context
-	// lost is true while the store doesn't answer.
-	lost bool
 	// claimAt is when a new claim was read, readAt when the book was, and
 	// ownerAt when a record of the owner was.
 	claimAt, readAt, ownerAt time.Duration
@@ -86,6 +83,8 @@
 	floor uint64
 	// attempt is the epoch of this process's newest claim.
 	attempt uint64
+	// taking is a takeover under way; nil if there is none.
+	taking  *takeover
 	owner   *ownership
 	config  *cransched.Config
 	waves   []cransched.WaveOrder
@@ -169,6 +168,7 @@
 func (c *control) step() time.Duration {
 	now := c.node.now()
 	if c.owner == nil {
+		c.continueTakeover(now)
 		c.considerClaim(now.Steady)
 		return tickEvery
 	}
@@ -190,16 +190,9 @@
 	return wait
 }
 
-// read takes in what a read of the book brought.
-func (c *control) read(u cranstore.Update) {
+// readProgress takes in what a read of the scheduler's records brought.
+func (c *control) readProgress(u cranstore.Update) {
 	n := c.node
-	if (u.Err != nil) != c.lost {
-		c.lost = u.Err != nil
-		n.dependency("jobs", u.Err)
-	}
-	if u.Err != nil {
-		return
-	}
 	now := n.now()
 	if u.Sent-c.readAt > readGap || c.readAt == 0 {
 		c.watchedFrom = now.Steady
@@ -213,11 +206,11 @@
 		c.knownAt += bookWait
 	}
 	n.mu.Lock()
+	defer n.mu.Unlock()
 	for _, r := range u.Records {
 		before := n.book.Claim()
-		change, err := n.book.Apply(r.Key, r.Value, r.Offset)
-		if err != nil {
-			n.log.Emit(cranevent.MalformedRecord, cranevent.Stream("jobs"), cranevent.Offset(r.Offset), cranevent.Err(err))
+		change, applied := n.apply(n.progress, r)
+		if !applied {
 			continue
 		}
 		if change.Kind == cranjob.ClaimChanged {
@@ -232,20 +225,25 @@
 		if change.Kind == cranjob.ClaimChanged || change.Kind == cranjob.ProgressChanged {
 			c.ownerAt = now.Steady
 		}
-		if c.owner != nil {
-			c.owner.scheduler.Advance(now)
+	}
+	n.advance(n.progress, u)
+}
+
+// readSubmissions takes in what a read of the callers' records brought.
+func (c *control) readSubmissions(u cranstore.Update) {
+	n := c.node
+	n.batcher.Observe(u.Records)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if c.owner != nil {
+		c.owner.scheduler.Advance(n.now())
+	}
+	for _, r := range u.Records {
+		if change, applied := n.apply(n.submissions, r); applied && c.owner != nil {
 			c.feed(change)
 		}
 	}
-	n.book.SetNext(u.Next)
-	n.loaded = true
-	close(n.advanced)
-	n.advanced = make(chan struct{})
-	n.mu.Unlock()
-	n.contactAt.Store(int64(u.Sent))
-	if u.Next >= u.End {
-		n.currentAt.Store(int64(u.Sent))
-	}
+	n.advance(n.submissions, u)
 }
 
 // feed tells the scheduler of a change by another process.
--- a/internal/crannode/doc.go
+++ b/internal/crannode/doc.go
@@ -8,6 +8,10 @@
 // stay away, or the owner vacates, it claims the next epoch itself. Claims of one
 // epoch bear the same sequence number, of which the store takes the first.
 //
+// What callers ask for and what the scheduler stores lie in two topics, since a
+// topic takes its appends in turn. A new owner reads its own claim first, and
+// then every submission that the store holds by then.
+//
 // One goroutine holds the control state: the book, the claim and the
 // scheduler. Requests of callers read the book under a lock, and every call
 // to the store, a target or the platform runs in a goroutine of its own.
--- a/internal/crannode/node.go
+++ b/internal/crannode/node.go
@@ -23,9 +23,11 @@
 	bookWait = 500 * time.Millisecond
 	// followerPause lets the records of some milliseconds share a read where
 	// the book only answers callers; ownerPause is shorter, since an accepted
-	// job waits for it.
-	followerPause = 120 * time.Millisecond
-	ownerPause    = 30 * time.Millisecond
+	// job waits for it. Submissions by others matter to the owner alone, and to
+	// callers who ask for a job at another entry instance.
+	followerPause    = 120 * time.Millisecond
+	submissionsPause = 250 * time.Millisecond
+	ownerPause       = 30 * time.Millisecond
 	// tickEvery is the slowest pace of the control goroutine, tickPause the
 	// fastest at which the scheduler looks at everything.
 	tickEvery = 25 * time.Millisecond
@@ -39,30 +41,27 @@
 	name        string
 	incarnation string
 	timing      cransched.Timing
-	topic       cranstore.Topic
-	directory   Directory
-	orders      Orders
-	log         *cranevent.Logger
-	metrics     *cranmetric.Jobs
+	progress    *stream
+	submissions *stream
+	// batcher stores what callers ask for.
+	batcher   *cranstore.Batcher
+	directory Directory
+	orders    Orders
+	log       *cranevent.Logger
+	metrics   *cranmetric.Jobs
 	// processor is the share of a core that this process has; 0 if unknown.
 	processor float64
 	now       func() cransched.Clock
 
 	events chan func()
 	// config is replaced as a whole; nil before the first.
-	config atomic.Pointer[Config]
-	// contactAt is when the newest successful read of the book was sent.
-	contactAt atomic.Int64
-	// currentAt is when the newest read was sent that left nothing unread.
-	currentAt atomic.Int64
-	owning    atomic.Bool
-	stopping  atomic.Bool
+	config   atomic.Pointer[Config]
+	owning   atomic.Bool
+	stopping atomic.Bool
 
 	mu sync.RWMutex
 	// book is written by the control goroutine alone.
 	book *cranjob.Book
-	// loaded is true once the book was read.
-	loaded bool
 	// advanced is closed and replaced whenever the book was read further.
 	advanced chan struct{}
 
@@ -89,15 +88,18 @@
 
 // New returns an entry instance. The incarnation must differ between all
 // processes that ever bear the name.
-func New(name, incarnation string, topic cranstore.Topic, directory Directory, orders Orders, opts ...Option) *Node {
+func New(name, incarnation string, topics Topics, directory Directory, orders Orders, opts ...Option) *Node {
 	n := &Node{
-		name: name, incarnation: incarnation, topic: topic, directory: directory, orders: orders,
+		name: name, incarnation: incarnation, directory: directory, orders: orders,
 		log: cranevent.Discard(), metrics: cranmetric.NewJobs(), now: Now, events: make(chan func(), eventQueue),
 		book: cranjob.NewBook(), advanced: make(chan struct{}),
 	}
 	for _, set := range opts {
 		set(n)
 	}
+	n.progress = &stream{name: "progress", topic: topics.Progress}
+	n.submissions = &stream{name: "submissions", topic: topics.Submissions}
+	n.batcher = cranstore.NewBatcher(topics.Submissions, n.metrics.Retried)
 	n.control = newControl(n)
 	return n
 }
@@ -121,7 +123,8 @@
 	work, cancel := context.WithCancel(context.Background())
 	n.control.work = work
 	var group sync.WaitGroup
-	group.Go(func() { n.followBook(work) })
+	group.Go(func() { n.follow(work, n.progress, followerPause, n.control.readProgress) })
+	group.Go(func() { n.follow(work, n.submissions, submissionsPause, n.control.readSubmissions) })
 	group.Go(func() { n.followOperator(work) })
 	group.Go(func() { n.control.run(work) })
 	group.Go(func() { n.control.followTargets(work) })
@@ -130,6 +133,7 @@
 	n.control.leave()
 	n.control.awaitVacated()
 	cancel()
+	n.batcher.Close()
 	group.Wait()
 	return nil
 }
@@ -151,52 +155,12 @@
 
 // Ready reports whether callers should be sent here.
 func (n *Node) Ready() bool {
-	return n.config.Load() != nil && !n.stopping.Load() && n.reachable()
-}
-
-// reachableBound is how old the last word of the store may be.
-const reachableBound = 2500 * time.Millisecond
-
-// reachable reports whether the store has answered lately.
-func (n *Node) reachable() bool { return n.within(&n.contactAt, reachableBound) }
-
-// currentBound is how old the number of waiting jobs may be: 2 s by the
-// platform's protocol, and the wait of the read that brought it.
-const currentBound = 2*time.Second + bookWait
-
-// current reports whether the book lately held all that was stored.
-func (n *Node) current() bool { return n.within(&n.currentAt, currentBound) }
-
-// within reports whether a time lies back by at most a bound.
-func (n *Node) within(at *atomic.Int64, bound time.Duration) bool {
-	t := at.Load()
-	return t != 0 && n.now().Steady-time.Duration(t) <= bound
+	return n.config.Load() != nil && !n.stopping.Load() && (n.submissions.reachable(n.now().Steady) || n.progress.reachable(n.now().Steady))
 }
 
 // Config returns the configuration in force; nil before the first.
 func (n *Node) Config() *Config { return n.config.Load() }
 
-func (n *Node) followBook(ctx context.Context) {
-	pause := func() time.Duration {
-		if n.owning.Load() {
-			return ownerPause
-		}
-		return followerPause
-	}
-	follower := cranstore.NewFollower(n.topic, func() time.Duration { return n.now().Steady }, bookWait, pause)
-	follower.Run(ctx, func(u cranstore.Update) {
-		done := make(chan struct{})
-		n.post(ctx, func() {
-			defer close(done)
-			n.control.read(u)
-		})
-		select {
-		case <-done:
-		case <-ctx.Done():
-		}
-	})
-}
-
 func (n *Node) followOperator(ctx context.Context) {
 	follower := cranstore.NewFollower(n.directory.Operator, func() time.Duration { return n.now().Steady }, readWait,
 		func() time.Duration { return 0 })
--- a/internal/crannode/owner.go
+++ b/internal/crannode/owner.go
@@ -46,7 +46,7 @@
 	for {
 		sent := n.now().Steady
 		limited, cancel := context.WithTimeout(ctx, appendTimeout)
-		_, err := n.topic.Append(limited, records, o)
+		_, err := n.progress.topic.Append(limited, records, o)
 		cancel()
 		var fenced *cranstore.FencedError
 		var sequence *cranstore.SequenceError
--- a/internal/crannode/service.go
+++ b/internal/crannode/service.go
@@ -11,10 +11,8 @@
 )
 
 const (
-	// storeTry bounds one try to store what a caller asks for.
-	storeTry = 1200 * time.Millisecond
-	// storePause is the pause after a try that the store has refused.
-	storePause = 120 * time.Millisecond
+	// endTry bounds one call that asks where the submissions end.
+	endTry = 1200 * time.Millisecond
 	// answerReserve is kept of a caller's time for the answer to travel.
 	answerReserve = 150 * time.Millisecond
 )
@@ -29,7 +27,7 @@
 	if _, known := n.lookup(j.ID); known {
 		return nil
 	}
-	if !n.reachable() {
+	if !n.submissions.reachable(n.now().Steady) {
 		return n.refuse(j, cranfault.New(cranfault.LogUnavailable, "submit the job again to another entry instance",
 			"the store doesn't answer this entry instance"))
 	}
@@ -56,28 +54,16 @@
 
 // store appends a record that may be stored twice without harm.
 func (n *Node) store(ctx context.Context, record cranstore.Record) (uint64, error) {
-	doubtful := false
-	var last error
-	for ctx.Err() == nil {
-		limited, cancel := context.WithTimeout(ctx, storeTry)
-		appended, err := n.topic.Append(limited, []cranstore.Record{record}, cranstore.AppendOptions{})
-		cancel()
-		if err == nil {
-			return appended.First, nil
-		}
-		last = err
-		if !cranstore.IsRefused(err) {
-			doubtful = true
-		} else if !doubtful {
-			// Nothing was stored: another entry instance may do better.
-			return 0, cranfault.New(cranfault.LogUnavailable, "try again at another entry instance",
-				"the store has refused the record: %v", err)
-		}
-		n.metrics.Retried(cranstore.IsRefused(err))
-		pause(ctx, storePause)
-	}
-	return 0, cranfault.New(cranfault.Timeout, "ask again; repeating the request is harmless",
-		"the store has not answered in time: %v", last)
+	offset, err := n.batcher.Append(ctx, record)
+	switch {
+	case err == nil:
+		return offset, nil
+	case cranstore.IsRefused(err):
+		// Nothing was stored: another entry instance may do better.
+		return 0, cranfault.New(cranfault.LogUnavailable, "try again at another entry instance",
+			"the store has refused the record: %v", err)
+	}
+	return 0, cranfault.New(cranfault.Timeout, "ask again; repeating the request is harmless", "%v", err)
 }
 
 // Cancel cancels a job, and returns once that is stored. It reports false if
@@ -90,7 +76,7 @@
 	if e.cancelled || e.state.Final() {
 		return true, nil
 	}
-	if !n.reachable() {
+	if !n.submissions.reachable(n.now().Steady) {
 		return false, cranfault.New(cranfault.LogUnavailable, "cancel the job at another entry instance",
 			"the store doesn't answer this entry instance")
 	}
@@ -116,7 +102,7 @@
 func (n *Node) Pending(queue string) (int, error) {
 	n.mu.RLock()
 	defer n.mu.RUnlock()
-	if !n.loaded || !n.current() {
+	if now := n.now().Steady; !n.submissions.current(now) || !n.progress.current(now) {
 		return 0, cranfault.New(cranfault.NotReady, "ask another entry instance", "the jobs aren't known here at the moment")
 	}
 	return n.book.Pending(queue), nil
@@ -151,7 +137,7 @@
 	}
 	for {
 		n.mu.RLock()
-		next, advanced := n.book.Next(), n.advanced
+		next, advanced := n.submissions.next, n.advanced
 		n.mu.RUnlock()
 		if e, found := n.lookup(id); found {
 			return e, nil
@@ -171,14 +157,14 @@
 // end asks the store where the records end.
 func (n *Node) end(ctx context.Context) (uint64, error) {
 	n.mu.RLock()
-	next, loaded := n.book.Next(), n.loaded
+	next, loaded := n.submissions.next, n.submissions.loaded
 	n.mu.RUnlock()
 	if !loaded {
 		return 0, cranfault.New(cranfault.NotReady, "ask another entry instance", "the jobs aren't known here yet")
 	}
-	limited, cancel := context.WithTimeout(ctx, storeTry)
+	limited, cancel := context.WithTimeout(ctx, endTry)
 	defer cancel()
-	batch, err := n.topic.Read(limited, next, 0)
+	batch, err := n.submissions.topic.Read(limited, next, 0)
 	if err != nil {
 		return 0, cranfault.New(cranfault.LogUnavailable, "ask another entry instance",
 			"the store doesn't say whether the job exists: %v", err)
--- /dev/null
+++ b/internal/cranstore/batcher_test.go
@@ -0,0 +1,135 @@
+package cranstore
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// queueTopic takes one append at a time, each of which takes a while.
+type queueTopic struct {
+	Topic
+	turn sync.Mutex
+	mu   sync.Mutex
+	// takes is how long an append takes, lose drops its answer, refuse refuses.
+	takes        time.Duration
+	lose, refuse bool
+	records      []Record
+	appends      int
+}
+
+func (q *queueTopic) Append(ctx context.Context, records []Record, _ AppendOptions) (Appended, error) {
+	q.turn.Lock()
+	time.Sleep(q.takes)
+	q.mu.Lock()
+	q.appends++
+	lose, refuse, first := q.lose, q.refuse, uint64(len(q.records))
+	if !refuse {
+		q.records = append(q.records, records...)
+	}
+	q.mu.Unlock()
+	q.turn.Unlock()
+	switch {
+	case refuse:
+		return Appended{}, Refused(errors.New("the store is full"))
+	case lose:
+		<-ctx.Done()
+		return Appended{}, ctx.Err()
+	}
+	return Appended{First: first, End: first + uint64(len(records))}, nil
+}
+
+func (q *queueTopic) all() []Record {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return append([]Record(nil), q.records...)
+}
+
+func keyed(i int) Record { return Record{Key: fmt.Sprintf("j%d", i), Value: []byte{byte(i)}} }
+
+// TestBatcherUnderSlowStore answers the load of a slow partition: 40 callers at
+// once, where each append takes 50 ms, are served within three appends.
+func TestBatcherUnderSlowStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		topic := &queueTopic{takes: 50 * time.Millisecond}
+		b := NewBatcher(topic, func(bool) {})
+		defer b.Close()
+		var callers sync.WaitGroup
+		offsets := make([]uint64, 40)
+		for i := range offsets {
+			callers.Go(func() {
+				at, err := b.Append(t.Context(), keyed(i))
+				require.NoError(t, err)
+				offsets[i] = at
+			})
+		}
+		start := time.Now()
+		callers.Wait()
+		require.LessOrEqual(t, time.Since(start), 150*time.Millisecond)
+		records := topic.all()
+		require.Len(t, records, 40)
+		for i, at := range offsets {
+			require.Equal(t, keyed(i), records[at])
+		}
+	})
+}
+
+// TestBatcherLostAnswer learns from what it reads that an append has succeeded
+// whose answer never came, and goes on with the next at once.
+func TestBatcherLostAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		topic := &queueTopic{lose: true}
+		b := NewBatcher(topic, func(bool) {})
+		defer b.Close()
+		done := make(chan error, 1)
+		go func() {
+			_, err := b.Append(t.Context(), keyed(1))
+			done <- err
+		}()
+		synctest.Wait()
+		b.Observe(topic.all())
+		require.NoError(t, <-done)
+		topic.mu.Lock()
+		topic.lose = false
+		topic.mu.Unlock()
+		start := time.Now()
+		_, err := b.Append(t.Context(), keyed(2))
+		require.NoError(t, err)
+		require.Less(t, time.Since(start), time.Second)
+	})
+}
+
+// TestBatcherTellsTheTruth distinguishes what certainly isn't stored from what
+// may be.
+func TestBatcherTellsTheTruth(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		topic := &queueTopic{refuse: true}
+		b := NewBatcher(topic, func(bool) {})
+		defer b.Close()
+		_, err := b.Append(t.Context(), keyed(1))
+		require.True(t, IsRefused(err))
+		topic.refuse, topic.lose = false, true
+		short, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		first := make(chan error, 1)
+		go func() {
+			_, err := b.Append(short, keyed(2))
+			first <- err
+		}()
+		synctest.Wait()
+		// The second one waits behind the first and never leaves.
+		_, err = b.Append(short, keyed(3))
+		require.True(t, IsRefused(err))
+		err = <-first
+		require.Error(t, err)
+		require.False(t, IsRefused(err))
+		time.Sleep(5 * time.Second)
+		require.Len(t, topic.all(), 1)
+	})
+}
