A filling task keeps below a share that was too high

Ruled out: the delay of reports (changes lie further apart than the span that a tail covers).

Change: after a cut the share stays below the one that was too high for 6 s.

--- a/internal/cransched/pace.go
+++ b/internal/cransched/pace.go
@@ -19,6 +19,9 @@
 	// paceEvery is the least time between two changes at a target: the tail
 	// covers half a second, so an earlier look shows the former share.
 	paceEvery = 600 * time.Millisecond
+	// ceilingFor is how long a share that was too high is not tried again: with
+	// few shares to choose from, the next lower one may leave the tail low.
+	ceilingFor = 10 * paceEvery
 )
 
 // pace slows down the filling tasks at a target while the tail of a serving
@@ -40,20 +43,36 @@
 		}
 	}
 	for _, r := range filling {
-		percent := nextPace(r.pace, worst)
-		if percent == r.pace {
+		if !r.adjustPace(worst, now) {
 			continue
 		}
-		r.pace = percent
 		t.pacedAt = now
-		s.emit(Note{Kind: NotePace, Job: r.name.Job, Task: r.name.String(), Run: percent, Target: t.info.ID})
-		s.emit(Pace{Target: t.address(), Task: r.name, Run: r.number, Percent: percent, Token: s.token})
+		s.emit(Note{Kind: NotePace, Job: r.name.Job, Task: r.name.String(), Run: r.pace, Target: t.info.ID})
+		s.emit(Pace{Target: t.address(), Task: r.name, Run: r.number, Percent: r.pace, Token: s.token})
 	}
 }
 
+// adjustPace changes the share of a filling task by the worst tail beside it,
+// and reports whether it did.
+func (r *run) adjustPace(tail float64, now time.Duration) bool {
+	ceiling := noCeiling
+	if now < r.ceilingUntil {
+		ceiling = r.ceiling
+	}
+	former := r.pace
+	r.pace = nextPace(former, tail, ceiling)
+	if r.pace < former {
+		r.ceiling, r.ceilingUntil = former, now+ceilingFor
+	}
+	return r.pace != former
+}
+
+// noCeiling is above every share.
+const noCeiling = fullPace + 1
+
 // nextPace returns the share of a filling task, from its present share and
-// the worst tail beside it as a part of its target.
-func nextPace(percent int, tail float64) int {
+// the worst tail beside it as a part of its target. It stays below a ceiling.
+func nextPace(percent int, tail float64, ceiling int) int {
 	switch {
 	case percent == unknownPace:
 		return paceFloor
@@ -63,7 +82,7 @@
 		return 0
 	case tail > tailHigh:
 		return percent / paceCut
-	case tail < tailLow:
+	case tail < tailLow && min(percent+paceStep, fullPace) < ceiling:
 		return min(percent+paceStep, fullPace)
 	}
 	return percent
--- a/internal/cransched/surge_test.go
+++ b/internal/cransched/surge_test.go
@@ -69,8 +69,8 @@
 		tail float64
 		want int
 	}{{0.95, 50}, {0.95, 25}, {0.95, 12}, {0.95, 0}, {0.8, 0}, {0.5, 10}, {0.5, 20}, {1.2, 0}, {0.1, 10}} {
-		percent = nextPace(percent, step.tail)
+		percent = nextPace(percent, step.tail, noCeiling)
 		require.Equal(t, step.want, percent, "tail %v", step.tail)
 	}
-	require.Equal(t, paceFloor, nextPace(unknownPace, 0))
+	require.Equal(t, paceFloor, nextPace(unknownPace, 0, noCeiling))
 }
--- a/internal/cransched/target.go
+++ b/internal/cransched/target.go
@@ -50,8 +50,12 @@
 	stopReason string
 	percent    int
 	gauge      int
-	pace       int
-	missing    int
+	// pace is the share of a filling task in percent; until a time it stays
+	// below a ceiling.
+	pace         int
+	ceiling      int
+	ceilingUntil time.Duration
+	missing      int
 }
 
 // target is one life of a target.
