--- a/internal/crancli/cli_test.go
+++ b/internal/crancli/cli_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -129,3 +130,26 @@
 	require.NoError(t, json.Unmarshal([]byte(out), &status))
 	require.EqualValues(t, 7, status.Revision)
 }
+
+// TestExplainFromLogs prints the life of a job from the logs of two entry
+// instances, and what they leave open.
+func TestExplainFromLogs(t *testing.T) {
+	first := file(t, "a.log", []byte(`{"time":"2026-02-10T10:00:00.000Z","process":"a","event":1001,"name":"jobAccepted","job":"j1"}
+{"time":"2026-02-10T10:00:00.100Z","process":"a","event":1201,"name":"runPlaced","job":"j1","task":"j1.0.0.0","number":1,"target":"t1"}
+`))
+	second := file(t, "b.log", []byte(`{"time":"2026-02-10T10:00:02.000Z","process":"b","event":1103,"name":"schedulerTaken","epoch":2}
+{"time":"2026-02-10T10:00:03.000Z","process":"b","event":1204,"name":"runEnded","job":"j1","task":"j1.0.0.0","number":1,"target":"t1","cause":"done"}
+`))
+	code, out, _ := runLine("explain", "--log", first, "--log", second, "j1")
+	require.Zero(t, code)
+	lines := strings.Split(strings.TrimSpace(out), "\n")
+	require.Len(t, lines, 5)
+	require.Contains(t, lines[1], "0.100")
+	require.Contains(t, lines[2], "schedulerTaken")
+	require.Equal(t, "gap: nothing is said of the end of j1; it may go on", lines[4])
+	code, _, failures := runLine("explain", "--log", first, "j9")
+	require.NotZero(t, code)
+	require.Contains(t, failures, "add the logs")
+	code, _, _ = runLine("explain", "--log", first)
+	require.NotZero(t, code)
+}
--- a/internal/crancli/operate.go
+++ b/internal/crancli/operate.go
@@ -189,11 +189,15 @@
 
 type explainCommand struct {
 	entryFlags
-	Subject string `arg:"" optional:"" help:"Instance, or number of a wave; everything by default."`
+	Subject string   `arg:"" optional:"" help:"Instance, or number of a wave; everything by default. With --log, id of a job."`
+	Log     []string `help:"Log of an entry instance of the job service; may be repeated. Prints the life of a job." type:"existingfile" sep:"none"`
 }
 
-// Run prints who blocks what.
+// Run prints who blocks what, or the life of a job.
 func (c *explainCommand) Run(ctx context.Context, o *output) error {
+	if len(c.Log) > 0 {
+		return explainJob(o, c.Log, c.Subject)
+	}
 	ctx, cancel := c.bounded(ctx)
 	defer cancel()
 	list, err := c.client().Explain(ctx, c.Subject)
