Jobs are accepted while an entry instance still loads the book

Ruled out: the store (others stored at the same time), the claim (taken 1.2 s after the restart).

Change: until the submissions are loaded, any answer of the store shows that it can be reached. A job that is accepted twice is one record under one key. TestSubmitWhileLoading failed before.

--- a/internal/crannode/claim_test.go
+++ b/internal/crannode/claim_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/cranberrypick/cranberrypick/internal/cranjob"
 	"github.com/cranberrypick/cranberrypick/internal/cransched"
 	"github.com/cranberrypick/cranberrypick/internal/cranstore"
 )
@@ -88,6 +89,8 @@
 	lags time.Duration
 	// most bounds the records of a read; 0 for all.
 	most int
+	// loads is how long it takes to read the newest records.
+	loads time.Duration
 }
 
 func (l *link) set(cut bool, lags time.Duration) {
@@ -140,6 +143,12 @@
 	return batch, err
 }
 
+// Newest takes the time that a narrow link takes.
+func (l *link) Newest(ctx context.Context) ([]cranstore.Record, uint64, error) {
+	time.Sleep(l.loads)
+	return l.memory.Newest(ctx)
+}
+
 // noOrders is a platform without targets.
 type noOrders struct{ Orders }
 
@@ -154,7 +163,9 @@
 	group              sync.WaitGroup
 }
 
-func newPair(t *testing.T) *pair {
+// newPair starts two entry instances, the second of which takes a time to load
+// the submissions.
+func newPair(t *testing.T, loads time.Duration) *pair {
 	p := &pair{}
 	progress, submissions, operator, targets := newMemory(), newMemory(), newMemory(), newMemory()
 	_, err := operator.Append(t.Context(), []cranstore.Record{{Key: "config", Value: []byte{1}}}, cranstore.AppendOptions{})
@@ -171,7 +182,7 @@
 	}
 	for i := range p.nodes {
 		p.links[i] = &link{memory: progress}
-		p.submissions[i] = &link{memory: submissions}
+		p.submissions[i] = &link{memory: submissions, loads: time.Duration(i) * loads}
 		name := string(rune('a' + i))
 		p.nodes[i] = New(name, name+"-1", Topics{Progress: p.links[i], Submissions: p.submissions[i]}, directory, noOrders{}, WithClock(clock),
 			WithTiming(cransched.Timing{MaxLease: 6 * time.Second, OrderLease: 3 * time.Second}))
@@ -197,7 +208,7 @@
 // three seconds, and the former owner gives up once it is back.
 func TestTakeover(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		p := newPair(t)
+		p := newPair(t, 0)
 		defer p.close()
 		require.True(t, p.owns(0))
 		require.False(t, p.owns(1))
@@ -214,7 +225,7 @@
 // TestHandover stops the owner gracefully: the other one takes over at once.
 func TestHandover(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		p := newPair(t)
+		p := newPair(t, 0)
 		defer p.close()
 		p.stops[0]()
 		time.Sleep(time.Second)
@@ -226,7 +237,7 @@
 // not take a sound owner for silent.
 func TestLateReader(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		p := newPair(t)
+		p := newPair(t, 0)
 		defer p.close()
 		require.True(t, p.owns(0))
 		for _, lags := range []time.Duration{500 * time.Millisecond, 1500 * time.Millisecond, 2500 * time.Millisecond} {
@@ -241,7 +252,7 @@
 // than are stored: it doesn't tell how many jobs wait, which it can't know.
 func TestPendingOfLaggingReader(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		p := newPair(t)
+		p := newPair(t, 0)
 		defer p.close()
 		_, err := p.nodes[1].Pending("q")
 		require.NoError(t, err)
@@ -265,7 +276,7 @@
 // of jobs that it doesn't know may be there already.
 func TestTakeoverAwaitsSubmissions(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		p := newPair(t)
+		p := newPair(t, 0)
 		defer p.close()
 		p.submissions[1].set(true, 0)
 		p.links[0].set(true, 0)
@@ -276,3 +287,25 @@
 		require.True(t, p.owns(1))
 	})
 }
+
+// TestSubmitWhileLoading answers the load after a restart of all entry
+// instances: one that still reads the submissions accepts jobs, and says that it
+// doesn't know those that others have accepted.
+func TestSubmitWhileLoading(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPair(t, 8*time.Second)
+		defer p.close()
+		job := cranjob.Job{ID: "j1", Queue: "q", Steps: []cranjob.Step{{Count: 1, Demand: cranjob.Resources{CPU: 1, Memory: 1}}}}
+		require.NoError(t, p.nodes[1].Submit(t.Context(), &job))
+		_, _, err := p.nodes[1].State(t.Context(), "j1")
+		require.Error(t, err)
+		time.Sleep(time.Second)
+		_, found, err := p.nodes[0].State(t.Context(), "j1")
+		require.NoError(t, err)
+		require.True(t, found)
+		time.Sleep(8 * time.Second)
+		_, found, err = p.nodes[1].State(t.Context(), "j1")
+		require.NoError(t, err)
+		require.True(t, found)
+	})
+}
--- a/internal/crannode/node.go
+++ b/internal/crannode/node.go
@@ -55,9 +55,12 @@
 
 	events chan func()
 	// config is replaced as a whole; nil before the first.
-	config   atomic.Pointer[Config]
-	owning   atomic.Bool
-	stopping atomic.Bool
+	config atomic.Pointer[Config]
+	// answeredAt is when the newest read of any topic was sent that the store
+	// has answered.
+	answeredAt atomic.Int64
+	owning     atomic.Bool
+	stopping   atomic.Bool
 
 	mu sync.RWMutex
 	// book is written by the control goroutine alone.
@@ -170,6 +173,9 @@
 			lost = u.Err != nil
 			n.dependency("operator", u.Err)
 		}
+		if u.Err == nil {
+			n.answeredAt.Store(int64(u.Sent))
+		}
 		for _, r := range u.Records {
 			n.operatorRecord(ctx, r)
 		}
--- a/internal/crannode/service.go
+++ b/internal/crannode/service.go
@@ -27,7 +27,7 @@
 	if _, known := n.lookup(j.ID); known {
 		return nil
 	}
-	if !n.submissions.reachable(n.now().Steady) {
+	if !n.canStore() {
 		return n.refuse(j, cranfault.New(cranfault.LogUnavailable, "submit the job again to another entry instance",
 			"the store doesn't answer this entry instance"))
 	}
@@ -44,6 +44,18 @@
 	return nil
 }
 
+// canStore reports whether a record can probably be stored. While the book is
+// still being read, which takes a narrow link seconds, any answer of the store
+// tells that.
+func (n *Node) canStore() bool {
+	now := n.now().Steady
+	if n.submissions.contactAt.Load() == 0 {
+		at := n.answeredAt.Load()
+		return at != 0 && now-time.Duration(at) <= reachableBound
+	}
+	return n.submissions.reachable(now)
+}
+
 // refuse logs why a job was not accepted.
 func (n *Node) refuse(j *cranjob.Job, err error) error {
 	n.metrics.Refused(cranfault.KindOf(err))
