Ended jobs are trimmed among the submissions again

Cause (found reading the change that gave submissions a partition of their own): the scheduler replaced the submission of an ended job by one without its specification in its own batch, which now lies in the other partition. The submissions kept every specification, and the progress got a second copy, so whoever started read more than before.

Change: the smaller record is an effect of its own that goes to the submissions once the end is stored; losing it does no harm.

--- a/internal/crannode/control.go
+++ b/internal/crannode/control.go
@@ -52,6 +52,9 @@
 	instancesEvery = 500 * time.Millisecond
 	// callTimeout bounds a call to a target or to the platform.
 	callTimeout = 900 * time.Millisecond
+	// trimTimeout bounds how long a smaller record of an ended job waits for its
+	// append, behind those of callers.
+	trimTimeout = 5 * time.Second
 	// vacateTimeout bounds the handing over of the scheduling at a stop.
 	vacateTimeout = 1500 * time.Millisecond
 )
--- a/internal/crannode/owner.go
+++ b/internal/crannode/owner.go
@@ -154,6 +154,13 @@
 				}
 				return func() {}
 			})
+		case cransched.Trim:
+			c.call(o, trimTimeout, func(ctx context.Context) func() {
+				if _, err := n.batcher.Append(ctx, e.Record); err != nil {
+					n.log.Emit(cranevent.LogUnavailable, cranevent.Stream(n.submissions.name), cranevent.Err(err))
+				}
+				return func() {}
+			})
 		case cransched.Note:
 			n.note(e)
 		}
--- a/internal/cransched/effect.go
+++ b/internal/cransched/effect.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/cranberrypick/cranberrypick/internal/cranjob"
+	"github.com/cranberrypick/cranberrypick/internal/cranstore"
 )
 
 // Address names one life of a target.
@@ -106,6 +107,10 @@
 	AgeMs int64
 }
 
+// Trim replaces the submission of a job that has ended by a smaller record,
+// beside the other submissions. Losing it does no harm.
+type Trim struct{ Record cranstore.Record }
+
 // NoteKind says what was decided.
 type NoteKind uint8
 
@@ -143,4 +148,5 @@
 func (Upkeep) effect()     {}
 func (Move) effect()       {}
 func (WaveStatus) effect() {}
+func (Trim) effect()       {}
 func (Note) effect()       {}
--- a/internal/cransched/scheduler.go
+++ b/internal/cransched/scheduler.go
@@ -187,7 +187,7 @@
 	// Nobody needs the specification any more, and newcomers read every job.
 	trimmed := *j.Job
 	trimmed.Spec = ""
-	s.records = append(s.records, cranstore.Record{Key: cranjob.SubmissionKey(j.ID), Value: cranjob.Encode(trimmed)})
+	s.gate(Trim{cranstore.Record{Key: cranjob.SubmissionKey(j.ID), Value: cranjob.Encode(trimmed)}})
 	s.gate(Note{Kind: NoteJobEnded, Job: j.ID, State: state, Reason: state.String() + ": " + reason})
 	for _, t := range j.tasks {
 		s.detach(t, reason)
