--- /dev/null
+++ b/internal/cransched/bench_test.go
@@ -0,0 +1,89 @@
+package cransched
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cranberrypick/cranberrypick/internal/cranjob"
+)
+
+// benchScheduler returns a scheduler with idle targets that have answered.
+func benchScheduler(book *cranjob.Book, targets int) *Scheduler {
+	config := &Config{Version: 1, Queues: map[string]*Queue{
+		"q": {Name: "q", Pool: "p", Attempts: 3, Stretch: 1.6, LatencyTarget: 600 * time.Millisecond},
+	}, Pools: map[string]*Pool{"p": {Name: "p"}}}
+	c := Clock{Steady: time.Hour, UnixMs: 1_700_000_000_000}
+	s := New(1, simTiming, config, book, c, Former{})
+	var list []TargetInfo
+	for i := range targets {
+		id := fmt.Sprintf("t%03d", i)
+		list = append(list, TargetInfo{
+			ID: id, Pool: "p", Address: id, Labels: []string{"a", fmt.Sprintf("r%d", i/8)},
+			Capacity: cranjob.Resources{CPU: 32000, Memory: 128000}, BornMs: 1,
+		})
+	}
+	s.SetTargets(list)
+	for _, t := range list {
+		s.Held(Address{ID: t.ID, Address: t.Address}, HoldAnswer{Answer: Answer{Verdict: VerdictDone, ClockMs: 1000, BornMs: 1, SentAt: c.Steady}})
+	}
+	return s
+}
+
+// BenchmarkPlace places a job of 16 tasks on 100 targets.
+func BenchmarkPlace(b *testing.B) {
+	s := benchScheduler(cranjob.NewBook(), 100)
+	b.ReportAllocs()
+	n := 0
+	for b.Loop() {
+		b.StopTimer()
+		if n%100 == 0 {
+			s = benchScheduler(cranjob.NewBook(), 100)
+		}
+		s.AddJob(benchJob(n))
+		n++
+		b.StartTimer()
+		s.place()
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(16*b.N), "ns/task")
+}
+
+func benchJob(n int) *cranjob.Job {
+	return &cranjob.Job{ID: fmt.Sprintf("%016x", n), Queue: "q", Pool: "p", Spec: "spec", Steps: []cranjob.Step{
+		{Count: 16, Demand: cranjob.Resources{CPU: 1500, Memory: 3000}, EstimateMs: 1000},
+	}}
+}
+
+// BenchmarkTakeover takes 1,000 running tasks on 100 targets over, up to the
+// holds that ask what runs there.
+func BenchmarkTakeover(b *testing.B) {
+	book := cranjob.NewBook()
+	offset := uint64(0)
+	apply := func(key string, value []byte) {
+		if _, err := book.Apply(key, value, offset); err != nil {
+			b.Fatal(err)
+		}
+		offset++
+	}
+	bytes := 0
+	for n := range 63 {
+		j := benchJob(n)
+		p := cranjob.Progress{State: cranjob.Running}
+		for i := range 16 {
+			p.Tasks = append(p.Tasks, cranjob.Task{Status: cranjob.Placed, Run: 1, Target: fmt.Sprintf("t%03d", (n*16+i)%100)})
+		}
+		record := cranjob.Encode(p)
+		bytes += len(record)
+		apply(cranjob.SubmissionKey(j.ID), cranjob.Encode(*j))
+		apply(cranjob.ProgressKey(j.ID), record)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		s := benchScheduler(book, 100)
+		s.Tick()
+		if len(s.Effects()) < 100 {
+			b.Fatal("not every target is held")
+		}
+	}
+	b.ReportMetric(float64(bytes)/63, "B/job")
+}
