--- a/internal/crannode/node.go
+++ b/internal/crannode/node.go
@@ -158,7 +158,8 @@
 
 // Ready reports whether callers should be sent here.
 func (n *Node) Ready() bool {
-	return n.config.Load() != nil && !n.stopping.Load() && (n.submissions.reachable(n.now().Steady) || n.progress.reachable(n.now().Steady))
+	now := n.now().Steady
+	return n.config.Load() != nil && !n.stopping.Load() && (n.submissions.reachable(now) || n.progress.reachable(now))
 }
 
 // Config returns the configuration in force; nil before the first.
--- a/internal/crannode/service.go
+++ b/internal/crannode/service.go
@@ -73,7 +73,7 @@
 	case cranstore.IsRefused(err):
 		// Nothing was stored: another entry instance may do better.
 		return 0, cranfault.New(cranfault.LogUnavailable, "try again at another entry instance",
-			"the store has refused the record: %v", err)
+			"the record was not stored: %v", err)
 	}
 	return 0, cranfault.New(cranfault.Timeout, "ask again; repeating the request is harmless", "%v", err)
 }
