Waves empty as many instances at a time as their end demands

Lasting tasks leave one by one, so the last instances with many of them were late: 1 to 17 of 140 to 189 were left.

Ruled out: the number that may be down at once (60 of 161; seldom reached).

Change: the instances with lasting tasks are spread over what is left of the wave, less a fifth that is kept for an owner that is replaced and the like. TestWaveOfManyLastingTasks, with nobody scheduling for a fifth of the wave, failed before (29 of 30).

--- a/internal/cransched/fleet_test.go
+++ b/internal/cransched/fleet_test.go
@@ -52,6 +52,33 @@
 	}
 }
 
+// TestWaveOfManyLastingTasks has every instance maintained in time although all
+// hold lasting tasks, of which a step lets one go at a time, and nobody schedules
+// for a fifth of the wave.
+func TestWaveOfManyLastingTasks(t *testing.T) {
+	const targets, duration = 30, 24 * time.Second
+	w := newWorld(t, 1, targets)
+	w.most, w.judgeAway = 12, true
+	order := WaveOrder{Wave: 1, Duration: duration, MaxParallel: 12, SeenAt: w.now}
+	for id := range w.instances {
+		order.Instances = append(order.Instances, id)
+	}
+	w.takeOver(w.now - time.Hour)
+	for i := range 3 {
+		w.submit(lastingJob(fmt.Sprintf("lasting%d", i), 20))
+	}
+	w.run(4 * time.Second)
+	order.SeenAt = w.now
+	w.wave = []WaveOrder{order}
+	w.owner.SetWaves(w.wave)
+	w.run(duration / 2)
+	w.ownerID++
+	w.run(duration / 5)
+	w.takeOver(w.now)
+	w.run(duration - duration/2 - duration/5)
+	require.Len(t, w.upkeeps, targets)
+}
+
 // TestWaveSurvivesMoves replaces the owner after a wave: instances that were
 // maintained and then moved are not emptied again.
 func TestWaveSurvivesMoves(t *testing.T) {
--- a/internal/cransched/wave.go
+++ b/internal/cransched/wave.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -15,9 +16,16 @@
 	// prepareAhead is how many instances beyond those down are emptied ahead,
 	// so that the next is empty when one comes back.
 	prepareAhead = 2
-	// evacuations is how many instances are emptied at a time while there is
-	// time enough: lasting tasks leave one by one, and take seconds to start.
+	// evacuations is how many instances are emptied at a time at least while
+	// there is time enough: lasting tasks leave one by one, and take seconds to
+	// start.
 	evacuations = 3
+	// waveReserve is the part of a wave's time that is kept for what goes wrong
+	// meanwhile, such as an owner that is replaced.
+	waveReserve = 0.2
+	// evacuationTime is how long an instance with lasting tasks takes to become
+	// empty, while others of their steps leave theirs.
+	evacuationTime = 4000 * time.Millisecond
 	// statusEvery is how often an unfinished wave's status is written again.
 	statusEvery = 10 * time.Second
 )
@@ -164,7 +172,7 @@
 	}
 	limit := max(w.order.MaxParallel, 1)
 	cordoned := 0
-	ahead := evacuations
+	ahead := max(evacuations, s.evacuationsDue(w))
 	if s.urgent(w, open) {
 		ahead = limit + prepareAhead
 	}
@@ -191,6 +199,23 @@
 // list shows it up again.
 const upkeepTime = 3500 * time.Millisecond
 
+// evacuationsDue returns how many instances have to be emptied at a time for
+// those with lasting tasks to be maintained by the end of the wave.
+func (s *Scheduler) evacuationsDue(w *wave) int {
+	busy := 0
+	for _, m := range w.members {
+		if t := s.lifeOf(m.instance); m.state == due && t != nil && t.lastingRoom() != (cranjob.Resources{}) {
+			busy++
+		}
+	}
+	reserve := time.Duration(waveReserve * float64(w.order.Duration))
+	left := w.order.SeenAt + w.order.Duration - reserve - s.clock.Steady - upkeepTime
+	if left < evacuationTime {
+		return busy
+	}
+	return int(math.Ceil(float64(busy) * evacuationTime.Seconds() / left.Seconds()))
+}
+
 // urgent reports whether a wave must empty instances to be done in time.
 // Before that, those that happen to be empty go first.
 func (s *Scheduler) urgent(w *wave, open int) bool {
