What nobody reads is no longer decoded or passed on

An append now returns its offset alone.

No check or expectation changes; test topics follow the signature.

--- a/internal/crannode/claim_test.go
+++ b/internal/crannode/claim_test.go
@@ -26,17 +26,17 @@
 
 func newMemory() *memory { return &memory{changed: make(chan struct{})} }
 
-func (m *memory) Append(_ context.Context, records []cranstore.Record, o cranstore.AppendOptions) (cranstore.Appended, error) {
+func (m *memory) Append(_ context.Context, records []cranstore.Record, o cranstore.AppendOptions) (uint64, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if o.Producer != "" {
 		switch {
 		case o.Epoch < m.epoch:
-			return cranstore.Appended{}, &cranstore.FencedError{Epoch: m.epoch}
+			return 0, &cranstore.FencedError{Epoch: m.epoch}
 		case o.Epoch == m.epoch && o.Sequence < m.next:
-			return cranstore.Appended{}, nil
+			return 0, nil
 		case o.Epoch == m.epoch && o.Sequence > m.next:
-			return cranstore.Appended{}, &cranstore.SequenceError{Expected: m.next}
+			return 0, &cranstore.SequenceError{Expected: m.next}
 		}
 		m.epoch, m.next = o.Epoch, o.Sequence+1
 	}
@@ -46,7 +46,7 @@
 	}
 	close(m.changed)
 	m.changed = make(chan struct{})
-	return cranstore.Appended{End: uint64(len(m.records))}, nil
+	return uint64(len(m.records) - len(records)), nil
 }
 
 func (m *memory) Read(ctx context.Context, from uint64, wait time.Duration) (cranstore.Batch, error) {
@@ -116,9 +116,9 @@
 	return nil
 }
 
-func (l *link) Append(ctx context.Context, records []cranstore.Record, o cranstore.AppendOptions) (cranstore.Appended, error) {
+func (l *link) Append(ctx context.Context, records []cranstore.Record, o cranstore.AppendOptions) (uint64, error) {
 	if err := l.pass(); err != nil {
-		return cranstore.Appended{}, err
+		return 0, err
 	}
 	return l.memory.Append(ctx, records, o)
 }
--- a/internal/cransched/config.go
+++ b/internal/cransched/config.go
@@ -26,8 +26,6 @@
 	Name string
 	// Standby pools hold instances that are switched off.
 	Standby bool
-	// Guarded targets refuse what doesn't fit.
-	Guarded bool
 }
 
 // Config is a configuration in force.
@@ -45,11 +43,6 @@
 	StopTime time.Duration
 	// OrderLease is how far the orders of two owners for one instance lie apart.
 	OrderLease time.Duration
-	// Notice is how long a lasting task may be away before it counts as
-	// unavailable for any cause.
-	Notice time.Duration
-	// FarFactor is how much longer a task takes away from its data.
-	FarFactor float64
 }
 
 const (
--- a/internal/cransched/event.go
+++ b/internal/cransched/event.go
@@ -16,15 +16,13 @@
 
 // TargetInfo is what a target says of itself in the store.
 type TargetInfo struct {
-	ID, Pool, Address, DataCentre string
+	ID, Pool, Address string
 	// Instance is the machine whose present life the target is.
 	Instance string
 	// Labels are the target's kind and its rack.
 	Labels   []string
 	Capacity cranjob.Resources
 	Draining bool
-	// RemainingMs is the least time that a draining target has left.
-	RemainingMs int64
 	// BornMs is the start of the target's process in Unix milliseconds.
 	BornMs int64
 }
@@ -120,9 +118,7 @@
 	// Up instances serve; Maintenance means that the upkeep is going on.
 	Up, Maintenance bool
 	// Target is the id of its present life; empty while there is none.
-	Target string
-	// Labels are its kind and its rack.
-	Labels   []string
+	Target   string
 	Capacity cranjob.Resources
 }
 
--- a/internal/cransched/world_test.go
+++ b/internal/cransched/world_test.go
@@ -131,7 +131,7 @@
 	}
 }
 
-var simTiming = Timing{MaxLease: 6 * time.Second, StopTime: 900 * time.Millisecond, OrderLease: 3 * time.Second, Notice: 4500 * time.Millisecond, FarFactor: 2}
+var simTiming = Timing{MaxLease: 6 * time.Second, StopTime: 900 * time.Millisecond, OrderLease: 3 * time.Second}
 
 // takeOver makes a new owner, as soon as the former one can't act any more or
 // has vacated; until a bound it may go on.
--- a/internal/cranstore/batcher.go
+++ b/internal/cranstore/batcher.go
@@ -170,11 +170,11 @@
 			cancel()
 			return
 		}
-		appended, err := b.topic.Append(try, records, AppendOptions{})
+		first, err := b.topic.Append(try, records, AppendOptions{})
 		cancel()
 		refused := IsRefused(err)
 		if err == nil || refused && !doubtful || b.ctx.Err() != nil {
-			b.settle(appended.First, err)
+			b.settle(first, err)
 			return
 		}
 		doubtful = doubtful || !refused
--- a/internal/cranstore/batcher_test.go
+++ b/internal/cranstore/batcher_test.go
@@ -24,7 +24,7 @@
 	appends      int
 }
 
-func (q *queueTopic) Append(ctx context.Context, records []Record, _ AppendOptions) (Appended, error) {
+func (q *queueTopic) Append(ctx context.Context, records []Record, _ AppendOptions) (uint64, error) {
 	q.turn.Lock()
 	time.Sleep(q.takes)
 	q.mu.Lock()
@@ -37,12 +37,12 @@
 	q.turn.Unlock()
 	switch {
 	case refuse:
-		return Appended{}, Refused(errors.New("the store is full"))
+		return 0, Refused(errors.New("the store is full"))
 	case lose:
 		<-ctx.Done()
-		return Appended{}, ctx.Err()
+		return 0, ctx.Err()
 	}
-	return Appended{First: first, End: first + uint64(len(records))}, nil
+	return first, nil
 }
 
 func (q *queueTopic) all() []Record {
--- a/internal/cranstore/follow_test.go
+++ b/internal/cranstore/follow_test.go
@@ -16,8 +16,8 @@
 	reads   int
 }
 
-func (s *slowTopic) Append(context.Context, []Record, AppendOptions) (Appended, error) {
-	return Appended{}, nil
+func (s *slowTopic) Append(context.Context, []Record, AppendOptions) (uint64, error) {
+	return 0, nil
 }
 
 func (s *slowTopic) Read(ctx context.Context, from uint64, wait time.Duration) (Batch, error) {
--- a/internal/cranstore/store.go
+++ b/internal/cranstore/store.go
@@ -25,32 +25,25 @@
 // Batch is the answer to a read.
 type Batch struct {
 	Records []Record
-	// First is the oldest retained offset, End the offset of the next append.
-	First, End uint64
+	// End is the offset of the next append.
+	End uint64
 	// Next is the offset to read from next.
 	Next uint64
 }
 
-// Appended tells where records lie.
-type Appended struct {
-	// First is the offset of the first record, End the end behind the last.
-	First, End uint64
-}
-
-// AppendOptions make an append conditional.
+// AppendOptions fence an append.
 type AppendOptions struct {
 	// Producer, if set, fences by Epoch and drops repeats by Sequence.
 	Producer        string
 	Epoch, Sequence uint64
-	// AtEnd, if set, is the end that the topic must have.
-	AtEnd *uint64
 }
 
 // Topic is one topic of the store.
 type Topic interface {
-	// Append adds records, all or none. An error that isn't one of this
-	// package's says nothing about whether they were added, now or later.
-	Append(ctx context.Context, records []Record, o AppendOptions) (Appended, error)
+	// Append adds records, all or none, and returns the offset of the first. An
+	// error that isn't one of this package's says nothing about whether they were
+	// added, now or later.
+	Append(ctx context.Context, records []Record, o AppendOptions) (uint64, error)
 	// Read returns records from an offset on; it waits for the first.
 	Read(ctx context.Context, from uint64, wait time.Duration) (Batch, error)
 	// End returns the offset of the next append. The reader names the offset up
@@ -81,14 +74,6 @@
 	return fmt.Sprintf("out of sequence: %d is expected; take a new epoch", e.Expected)
 }
 
-// MovedError refuses a conditional append: the topic has another end.
-type MovedError struct{ End uint64 }
-
-// Error names the end.
-func (e *MovedError) Error() string {
-	return fmt.Sprintf("the topic ends at %d; read on and decide again", e.End)
-}
-
 // refusedError marks a call that had no effect and will have none.
 type refusedError struct{ cause error }
 
@@ -103,6 +88,5 @@
 func IsRefused(err error) bool {
 	var refused *refusedError
 	var fenced *FencedError
-	var moved *MovedError
-	return errors.As(err, &refused) || errors.As(err, &fenced) || errors.As(err, &moved)
+	return errors.As(err, &refused) || errors.As(err, &fenced)
 }
