Loading the newest records, with its repeats, is the store boundary's work

The adapter went through the pages, bounded each and repeated those that failed. That is recovery, not translation: a topic now returns one page, and cranstore.Load does the rest for every topic.

TestNewestRepeatsPages and TestLongLoad keep their assertions; the slow topic of the latter takes its ten seconds over five pages.

--- a/internal/crannode/claim_test.go
+++ b/internal/crannode/claim_test.go
@@ -75,10 +75,10 @@
 	return batch.End, err
 }
 
-func (m *memory) Newest(context.Context) ([]cranstore.Record, uint64, error) {
+func (m *memory) Newest(context.Context, string) (cranstore.Page, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return append([]cranstore.Record(nil), m.records...), uint64(len(m.records)), nil
+	return cranstore.Page{Records: append([]cranstore.Record(nil), m.records...), End: uint64(len(m.records))}, nil
 }
 
 // link is the way of one process to a topic.
@@ -144,9 +144,9 @@
 }
 
 // Newest takes the time that a narrow link takes.
-func (l *link) Newest(ctx context.Context) ([]cranstore.Record, uint64, error) {
+func (l *link) Newest(ctx context.Context, after string) (cranstore.Page, error) {
 	time.Sleep(l.loads)
-	return l.memory.Newest(ctx)
+	return l.memory.Newest(ctx, after)
 }
 
 // noOrders is a platform without targets.
--- a/internal/cranstore/follow.go
+++ b/internal/cranstore/follow.go
@@ -75,7 +75,7 @@
 func (f *Follower) read(ctx context.Context, next uint64, loaded bool) (Update, error) {
 	sent := f.clock()
 	if !loaded {
-		records, end, err := f.topic.Newest(ctx)
+		records, end, err := Load(ctx, f.topic)
 		return Update{Reset: true, Records: records, Next: end, End: end, Sent: sent}, err
 	}
 	limited, cancel := context.WithTimeout(ctx, f.wait+readSlack)
--- a/internal/cranstore/follow_test.go
+++ b/internal/cranstore/follow_test.go
@@ -9,7 +9,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// slowTopic takes a while for the newest records and has expired records.
+// slowTopic takes a while for all of the newest records and has expired records.
 type slowTopic struct {
 	newest  time.Duration
 	expired int
@@ -29,14 +29,16 @@
 	return Batch{Next: from, End: from}, ctx.Err()
 }
 
-func (s *slowTopic) Newest(ctx context.Context) ([]Record, uint64, error) {
-	sleep(ctx, s.newest)
-	return []Record{{Key: "k", Value: []byte("v"), Offset: 6}}, 7, ctx.Err()
+// Newest returns one record a page.
+func (s *slowTopic) Newest(ctx context.Context, after string) (Page, error) {
+	const pages = 5
+	sleep(ctx, s.newest/pages)
+	return Page{Records: []Record{{Key: after + "k", Value: []byte("v"), Offset: 6}}, More: len(after) < pages-1, End: 7}, ctx.Err()
 }
 
-// follow collects the updates of a while.
 func (s *slowTopic) End(_ context.Context, from uint64) (uint64, error) { return from, nil }
 
+// follow collects the updates of a while.
 func follow(t *testing.T, topic Topic, d time.Duration) []Update {
 	var updates []Update
 	ctx, cancel := context.WithTimeout(t.Context(), d)
--- a/internal/cranstore/store.go
+++ b/internal/cranstore/store.go
@@ -31,6 +31,16 @@
 	Next uint64
 }
 
+// Page is a part of the newest record of each key. Pages are no snapshot: reads
+// from the end that the first page tells miss nothing.
+type Page struct {
+	Records []Record
+	// More is true if other pages follow.
+	More bool
+	// End is the offset of the next append.
+	End uint64
+}
+
 // AppendOptions fence an append.
 type AppendOptions struct {
 	// Producer, if set, fences by Epoch and drops repeats by Sequence.
@@ -49,10 +59,9 @@
 	// End returns the offset of the next append. The reader names the offset up
 	// to which it has read; it gets next to nothing of what lies behind.
 	End(ctx context.Context, from uint64) (uint64, error)
-	// Newest returns the newest record of each key, and the offset from which
-	// reads go on without a gap. It bounds the time of each of its calls, not
-	// of all: how many there are depends on the number of keys.
-	Newest(ctx context.Context) ([]Record, uint64, error)
+	// Newest returns a page of the newest record of each key, in order of key,
+	// behind a key; the first page is behind none.
+	Newest(ctx context.Context, after string) (Page, error)
 }
 
 // ErrExpired is returned for a read below the oldest retained offset.
