One way to read a topic, one way to send an order

Every reader of a topic kept for itself whether the topic was lost, built its follower and chose its pause: the two streams, the operator's and the targets' topics now share Node.follow. The orders about runs shared twenty lines of shape, those about instances and the writes that may get lost likewise.

Behaviour: an answer of any topic now shows that the store can be reached, as the field says, not the operator's alone.

--- a/internal/crannode/node.go
+++ b/internal/crannode/node.go
@@ -126,8 +126,8 @@
 	work, cancel := context.WithCancel(context.Background())
 	n.control.work = work
 	var group sync.WaitGroup
-	group.Go(func() { n.follow(work, n.progress, followerPause, n.control.readProgress) })
-	group.Go(func() { n.follow(work, n.submissions, submissionsPause, n.control.readSubmissions) })
+	group.Go(func() { n.followStream(work, n.progress, followerPause, n.control.readProgress) })
+	group.Go(func() { n.followStream(work, n.submissions, submissionsPause, n.control.readSubmissions) })
 	group.Go(func() { n.followOperator(work) })
 	group.Go(func() { n.control.run(work) })
 	group.Go(func() { n.control.followTargets(work) })
@@ -165,18 +165,39 @@
 // Config returns the configuration in force; nil before the first.
 func (n *Node) Config() *Config { return n.config.Load() }
 
-func (n *Node) followOperator(ctx context.Context) {
-	follower := cranstore.NewFollower(n.directory.Operator, func() time.Duration { return n.now().Steady }, readWait,
-		func() time.Duration { return 0 })
+// reading says how a topic is read: how long a read waits for a record, and the
+// pause between two reads, of which that of the owner is shorter.
+type reading struct {
+	name              string
+	topic             cranstore.Topic
+	wait              time.Duration
+	pause, ownerPause time.Duration
+}
+
+// follow delivers what a topic brings until ctx ends, and logs when the topic is
+// lost and regained.
+func (n *Node) follow(ctx context.Context, r reading, deliver func(cranstore.Update)) {
+	pause := func() time.Duration {
+		if n.owning.Load() {
+			return r.ownerPause
+		}
+		return r.pause
+	}
 	lost := false
-	follower.Run(ctx, func(u cranstore.Update) {
+	cranstore.NewFollower(r.topic, func() time.Duration { return n.now().Steady }, r.wait, pause).Run(ctx, func(u cranstore.Update) {
 		if (u.Err != nil) != lost {
 			lost = u.Err != nil
-			n.dependency("operator", u.Err)
+			n.dependency(r.name, u.Err)
 		}
 		if u.Err == nil {
 			n.answeredAt.Store(int64(u.Sent))
+			deliver(u)
 		}
+	})
+}
+
+func (n *Node) followOperator(ctx context.Context) {
+	n.follow(ctx, reading{name: "operator", topic: n.directory.Operator, wait: readWait}, func(u cranstore.Update) {
 		for _, r := range u.Records {
 			n.operatorRecord(ctx, r)
 		}
--- a/internal/crannode/owner.go
+++ b/internal/crannode/owner.go
@@ -109,57 +109,30 @@
 				return func() { s.Held(e.Target, answer) }
 			})
 		case cransched.Start:
-			c.call(o, callTimeout, func(ctx context.Context) func() {
-				answer := cransched.Answer{Verdict: cransched.VerdictUnreached}
-				c.order(o, "start", cransched.OwnershipBound, func() cransched.Verdict {
-					answer = n.orders.Start(ctx, e)
-					return answer.Verdict
-				})
-				return func() { s.Started(e, answer) }
-			})
+			// A start that is withheld has certainly not left.
+			withheld := cransched.Answer{Verdict: cransched.VerdictUnreached}
+			c.orderRun(o, "start", withheld, func(ctx context.Context) cransched.Answer { return n.orders.Start(ctx, e) },
+				func(a cransched.Answer) { s.Started(e, a) })
 		case cransched.Stop:
-			c.call(o, callTimeout, func(ctx context.Context) func() {
-				answer := cransched.Answer{}
-				c.order(o, "stop", cransched.OwnershipBound, func() cransched.Verdict {
-					answer = n.orders.Stop(ctx, e)
-					return answer.Verdict
-				})
-				return func() { s.Stopped(e, answer) }
-			})
+			c.orderRun(o, "stop", cransched.Answer{}, func(ctx context.Context) cransched.Answer { return n.orders.Stop(ctx, e) },
+				func(a cransched.Answer) { s.Stopped(e, a) })
 		case cransched.Pace:
-			c.call(o, callTimeout, func(ctx context.Context) func() {
-				answer := cransched.Answer{}
-				c.order(o, "pace", cransched.OwnershipBound, func() cransched.Verdict {
-					answer = n.orders.Pace(ctx, e)
-					return answer.Verdict
-				})
-				return func() { s.Paced(e, answer) }
-			})
+			c.orderRun(o, "pace", cransched.Answer{}, func(ctx context.Context) cransched.Answer { return n.orders.Pace(ctx, e) },
+				func(a cransched.Answer) { s.Paced(e, a) })
 		case cransched.Advise:
 			c.advise(o, e)
 		case cransched.Upkeep:
-			c.call(o, callTimeout, func(ctx context.Context) func() {
-				verdict := c.order(o, "upkeep", cransched.OrderBound, func() cransched.Verdict { return n.orders.Upkeep(ctx, e) })
-				return func() { s.UpkeepAnswered(e, verdict) }
-			})
+			c.orderInstance(o, "upkeep", func(ctx context.Context) cransched.Verdict { return n.orders.Upkeep(ctx, e) },
+				func(v cransched.Verdict) { s.UpkeepAnswered(e, v) })
 		case cransched.Move:
-			c.call(o, callTimeout, func(ctx context.Context) func() {
-				verdict := c.order(o, "move", cransched.OrderBound, func() cransched.Verdict { return n.orders.Move(ctx, e) })
-				return func() { s.MoveAnswered(e, verdict) }
-			})
+			c.orderInstance(o, "move", func(ctx context.Context) cransched.Verdict { return n.orders.Move(ctx, e) },
+				func(v cransched.Verdict) { s.MoveAnswered(e, v) })
 		case cransched.WaveStatus:
-			c.call(o, callTimeout, func(ctx context.Context) func() {
-				if err := n.orders.Report(ctx, e); err != nil {
-					n.log.Emit(cranevent.LogUnavailable, cranevent.Stream("status"), cranevent.Err(err))
-				}
-				return func() {}
-			})
+			c.write(o, "status", callTimeout, func(ctx context.Context) error { return n.orders.Report(ctx, e) })
 		case cransched.Trim:
-			c.call(o, trimTimeout, func(ctx context.Context) func() {
-				if _, err := n.batcher.Append(ctx, e.Record); err != nil {
-					n.log.Emit(cranevent.LogUnavailable, cranevent.Stream(n.submissions.name), cranevent.Err(err))
-				}
-				return func() {}
+			c.write(o, n.submissions.name, trimTimeout, func(ctx context.Context) error {
+				_, err := n.batcher.Append(ctx, e.Record)
+				return err
 			})
 		case cransched.Note:
 			n.note(e)
@@ -167,6 +140,40 @@
 	}
 }
 
+// orderRun sends an order about a run and takes in its answer.
+func (c *control) orderRun(o *ownership, kind string, withheld cransched.Answer,
+	send func(context.Context) cransched.Answer, answered func(cransched.Answer),
+) {
+	c.call(o, callTimeout, func(ctx context.Context) func() {
+		answer := withheld
+		c.order(o, kind, cransched.OwnershipBound, func() cransched.Verdict {
+			answer = send(ctx)
+			return answer.Verdict
+		})
+		return func() { answered(answer) }
+	})
+}
+
+// orderInstance sends an order about an instance and takes in what became of it.
+func (c *control) orderInstance(o *ownership, kind string,
+	send func(context.Context) cransched.Verdict, answered func(cransched.Verdict),
+) {
+	c.call(o, callTimeout, func(ctx context.Context) func() {
+		verdict := c.order(o, kind, cransched.OrderBound, func() cransched.Verdict { return send(ctx) })
+		return func() { answered(verdict) }
+	})
+}
+
+// write stores what may get lost without harm; a failure is logged.
+func (c *control) write(o *ownership, stream string, timeout time.Duration, store func(context.Context) error) {
+	c.call(o, timeout, func(ctx context.Context) func() {
+		if err := store(ctx); err != nil {
+			c.node.log.Emit(cranevent.LogUnavailable, cranevent.Stream(stream), cranevent.Err(err))
+		}
+		return func() {}
+	})
+}
+
 // adviceTimeout bounds a call for advice, whose answer takes longer the more
 // targets it names.
 const adviceTimeout = 3 * time.Second
@@ -240,23 +247,9 @@
 
 // followTargets keeps the list of targets up to date.
 func (c *control) followTargets(ctx context.Context) {
-	n := c.node
-	pause := func() time.Duration {
-		if n.owning.Load() {
-			return targetsPauseOwner
-		}
-		return targetsPause
-	}
-	follower := cranstore.NewFollower(n.directory.Targets, func() time.Duration { return n.now().Steady }, readWait, pause)
-	lost := false
-	follower.Run(ctx, func(u cranstore.Update) {
-		if (u.Err != nil) != lost {
-			lost = u.Err != nil
-			n.dependency("targets", u.Err)
-		}
-		if u.Err == nil {
-			n.post(ctx, func() { c.targetsRead(u) })
-		}
+	r := reading{"targets", c.node.directory.Targets, readWait, targetsPause, targetsPauseOwner}
+	c.node.follow(ctx, r, func(u cranstore.Update) {
+		c.node.post(ctx, func() { c.targetsRead(u) })
 	})
 }
 
--- a/internal/crannode/stream.go
+++ b/internal/crannode/stream.go
@@ -24,9 +24,6 @@
 type stream struct {
 	name  string
 	topic cranstore.Topic
-	// lost is true while the store doesn't answer. The control goroutine alone
-	// uses it.
-	lost bool
 	// next is the offset to read from next, loaded true after the first read.
 	// Both are guarded by the node's lock.
 	next   uint64
@@ -55,27 +52,14 @@
 	return at != 0 && now-time.Duration(at) <= currentBound
 }
 
-// follow reads a stream until ctx ends; the control goroutine takes in what it
-// brings.
-func (n *Node) follow(ctx context.Context, s *stream, pause time.Duration, read func(cranstore.Update)) {
-	pauses := func() time.Duration {
-		if n.owning.Load() {
-			return ownerPause
-		}
-		return pause
-	}
-	follower := cranstore.NewFollower(s.topic, func() time.Duration { return n.now().Steady }, bookWait, pauses)
-	follower.Run(ctx, func(u cranstore.Update) {
+// followStream reads a stream into the book until ctx ends; the control goroutine
+// takes in what it brings before more is read.
+func (n *Node) followStream(ctx context.Context, s *stream, pause time.Duration, read func(cranstore.Update)) {
+	n.follow(ctx, reading{s.name, s.topic, bookWait, pause, ownerPause}, func(u cranstore.Update) {
 		done := make(chan struct{})
 		n.post(ctx, func() {
 			defer close(done)
-			if (u.Err != nil) != s.lost {
-				s.lost = u.Err != nil
-				n.dependency(s.name, u.Err)
-			}
-			if u.Err == nil {
-				read(u)
-			}
+			read(u)
 		})
 		select {
 		case <-done:
