--- a/internal/cranlog/backoff.go
+++ b/internal/cranlog/backoff.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"time"
+
+	"github.com/cranberrypick/cranberrypick/internal/cranpause"
 )
 
 // Backoff is a capped exponential pause between attempts, with jitter.
@@ -37,16 +39,6 @@
 // Wait pauses after the given number of failed attempts, or until ctx ends,
 // and returns the error of ctx.
 func (b Backoff) Wait(ctx context.Context, failures int) error {
-	pause(ctx, b.Delay(failures))
+	cranpause.For(ctx, b.Delay(failures))
 	return ctx.Err()
 }
-
-// pause waits for d or the end of ctx.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/cranlog/commit.go
+++ b/internal/cranlog/commit.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cranberrypick/cranberrypick/internal/cranfault"
+	"github.com/cranberrypick/cranberrypick/internal/cranpause"
 )
 
 // run commits one batch after another until the writer is closed.
@@ -35,7 +36,7 @@
 	}
 	early := w.settings.batchSpacing - time.Since(last)
 	if early > 0 {
-		pause(ctx, early)
+		cranpause.For(ctx, early)
 	}
 	w.waitWindow(ctx)
 	return w.cut()
--- a/internal/cranlog/poll.go
+++ b/internal/cranlog/poll.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cranberrypick/cranberrypick/internal/cranfault"
+	"github.com/cranberrypick/cranberrypick/internal/cranpause"
 	"github.com/cranberrypick/cranberrypick/internal/cranplatform"
 )
 
@@ -26,7 +27,7 @@
 			continue
 		}
 		failures++
-		pause(ctx, t.settings.backoff.Delay(failures))
+		cranpause.For(ctx, t.settings.backoff.Delay(failures))
 	}
 }
 
@@ -97,11 +98,11 @@
 func (t *Tailer) pace(ctx context.Context, batch cranplatform.Batch, sent time.Time) {
 	short := t.settings.backoff.base
 	if len(batch.Records) == 0 && time.Since(sent) < short {
-		pause(ctx, short)
+		cranpause.For(ctx, short)
 		return
 	}
 	if left := t.settings.readInterval - time.Since(sent); left > 0 && len(batch.Records) < t.settings.readRecords {
-		pause(ctx, left)
+		cranpause.For(ctx, left)
 	}
 }
 
--- a/internal/crannode/owner.go
+++ b/internal/crannode/owner.go
@@ -7,6 +7,7 @@
 
 	"github.com/cranberrypick/cranberrypick/internal/cranevent"
 	"github.com/cranberrypick/cranberrypick/internal/cranjob"
+	"github.com/cranberrypick/cranberrypick/internal/cranpause"
 	"github.com/cranberrypick/cranberrypick/internal/cransched"
 	"github.com/cranberrypick/cranberrypick/internal/cranstore"
 )
@@ -55,16 +56,7 @@
 		}
 		n.metrics.Retried(cranstore.IsRefused(err))
 		n.log.Emit(cranevent.AppendRepeated, cranevent.Epoch(o.Epoch), cranevent.Err(err))
-		pause(ctx, appendPause)
-	}
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
+		cranpause.For(ctx, appendPause)
 	}
 }
 
--- /dev/null
+++ b/internal/cranpause/pause.go
@@ -0,0 +1,20 @@
+// Package cranpause waits for a while or until a context ends.
+package cranpause
+
+import (
+	"context"
+	"time"
+)
+
+// For waits for d or the end of ctx.
+func For(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/internal/cransoak/judge.go
+++ b/internal/cransoak/judge.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/cranberrypick/cranberrypick/internal/cranpause"
 	"github.com/cranberrypick/cranberrypick/platform/standin"
 )
 
@@ -33,7 +34,7 @@
 	}
 	if id := jobID(0); s.outcomes[id] == standin.Accepted {
 		for s.deployment.Ledger().Running(id) != lastingTasks && limited.Err() == nil {
-			wait(limited, judgePoll)
+			cranpause.For(limited, judgePoll)
 		}
 		if n := s.deployment.Ledger().Running(id); n != lastingTasks {
 			r.Broken = append(r.Broken, fmt.Sprintf("%d of %d lasting tasks run", n, lastingTasks))
@@ -62,7 +63,7 @@
 			if outcome == standin.Missing || state == "completed" || state == "failed" || state == "cancelled" || lasting && state == "running" {
 				break
 			}
-			wait(ctx, judgePoll)
+			cranpause.For(ctx, judgePoll)
 		}
 		switch {
 		case outcome == standin.Missing:
--- a/internal/cransoak/soak.go
+++ b/internal/cransoak/soak.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cranberrypick/cranberrypick/internal/cranpause"
 	"github.com/cranberrypick/cranberrypick/platform/standin"
 )
 
@@ -138,11 +139,11 @@
 					s.cancel(ctx, n, front)
 				}
 			})
-			wait(limited, time.Duration(callers.Int64N(int64(submitGap))))
+			cranpause.For(limited, time.Duration(callers.Int64N(int64(submitGap))))
 		}
 	})
 	for limited.Err() == nil {
-		wait(limited, time.Duration(s.random.Int64N(int64(faultGap))))
+		cranpause.For(limited, time.Duration(s.random.Int64N(int64(faultGap))))
 		if err := s.fault(limited); err != nil {
 			return err
 		}
@@ -151,15 +152,6 @@
 	return nil
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // submit hands a job in, and again elsewhere while the outcome is unknown.
 func (s *soak) submit(ctx context.Context, n int, front string, tasks int, lasting bool) {
 	outcome := standin.Refused
@@ -173,7 +165,7 @@
 			break
 		}
 		front = s.entries[(n+try)%s.Entries].front
-		wait(ctx, submitGap)
+		cranpause.For(ctx, submitGap)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -209,7 +201,7 @@
 	case 0, 1, 2, 3:
 		proxy.Set(mode)
 		s.group.Go(func() {
-			wait(ctx, length)
+			cranpause.For(ctx, length)
 			proxy.Set(Pass)
 		})
 	case 4:
@@ -220,7 +212,7 @@
 		if err := e.signal(syscall.SIGSTOP); err != nil {
 			return err
 		}
-		wait(ctx, length)
+		cranpause.For(ctx, length)
 		return e.signal(syscall.SIGCONT)
 	case 7:
 		s.version++
@@ -250,10 +242,10 @@
 		store.Forget()
 	case 1:
 		store.LoseAnswers(2 + s.random.IntN(4))
-		s.group.Go(func() { wait(ctx, length); store.LoseAnswers(0) })
+		s.group.Go(func() { cranpause.For(ctx, length); store.LoseAnswers(0) })
 	case 2:
 		store.Refuse(true)
-		s.group.Go(func() { wait(ctx, length); store.Refuse(false) })
+		s.group.Go(func() { cranpause.For(ctx, length); store.Refuse(false) })
 	}
 }
 
--- a/internal/cranstore/batcher.go
+++ b/internal/cranstore/batcher.go
@@ -6,6 +6,8 @@
 	"errors"
 	"sync"
 	"time"
+
+	"github.com/cranberrypick/cranberrypick/internal/cranpause"
 )
 
 const (
@@ -179,7 +181,7 @@
 		}
 		doubtful = doubtful || !refused
 		b.retried(refused)
-		sleep(b.ctx, batchPause)
+		cranpause.For(b.ctx, batchPause)
 	}
 }
 
--- a/internal/cranstore/follow.go
+++ b/internal/cranstore/follow.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"time"
+
+	"github.com/cranberrypick/cranberrypick/internal/cranpause"
 )
 
 const (
@@ -59,7 +61,7 @@
 				continue
 			}
 			deliver(Update{Err: err})
-			sleep(ctx, backoff)
+			cranpause.For(ctx, backoff)
 			backoff = min(2*backoff, followPauseMax)
 			continue
 		}
@@ -67,7 +69,7 @@
 		loaded, next = true, update.Next
 		deliver(update)
 		if len(update.Records) > 0 {
-			sleep(ctx, f.pause())
+			cranpause.For(ctx, f.pause())
 		}
 	}
 }
@@ -83,15 +85,3 @@
 	batch, err := f.topic.Read(limited, next, f.wait)
 	return Update{Records: batch.Records, Next: batch.Next, End: batch.End, Sent: sent}, err
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/cranstore/follow_test.go
+++ b/internal/cranstore/follow_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/cranberrypick/cranberrypick/internal/cranpause"
 )
 
 // slowTopic takes a while for all of the newest records and has expired records.
@@ -25,14 +27,14 @@
 	if s.reads == s.expired {
 		return Batch{}, ErrExpired
 	}
-	sleep(ctx, wait)
+	cranpause.For(ctx, wait)
 	return Batch{Next: from, End: from}, ctx.Err()
 }
 
 // Newest returns one record a page.
 func (s *slowTopic) Newest(ctx context.Context, after string) (Page, error) {
 	const pages = 5
-	sleep(ctx, s.newest/pages)
+	cranpause.For(ctx, s.newest/pages)
 	return Page{Records: []Record{{Key: after + "k", Value: []byte("v"), Offset: 6}}, More: len(after) < pages-1, End: 7}, ctx.Err()
 }
 
