Routes belong to the configuration, not to the adapter

The adapter kept a table of routes of its own, rebuilt whenever the configuration was replaced; and submit asked for the configuration a second time, so that a queue which a newer one dropped in between would have been a nil pointer.

--- a/internal/crannode/ports.go
+++ b/internal/crannode/ports.go
@@ -8,17 +8,6 @@
 	"github.com/cranberrypick/cranberrypick/internal/cranstore"
 )
 
-// Route leads from a request to a queue.
-type Route struct {
-	Host, Prefix, Queue string
-}
-
-// Config is a configuration in force, with what leads to its queues.
-type Config struct {
-	cransched.Config
-	Routes []Route
-}
-
 // Orders are the calls to targets and about instances. Each returns within
 // the time of its context.
 type Orders interface {
