Names of tasks are parsed and ordered where they are made

Two ways to take in that a job runs become one, which names the states instead of 0 and 1; some assignments lose conditions that changed nothing.

--- a/internal/cranjob/job.go
+++ b/internal/cranjob/job.go
@@ -1,7 +1,10 @@
 package cranjob
 
 import (
+	"cmp"
 	"fmt"
+	"strconv"
+	"strings"
 
 	"github.com/cranberrypick/cranberrypick/internal/cranfault"
 )
@@ -190,3 +193,28 @@
 func (n TaskName) String() string {
 	return fmt.Sprintf("%s.%d.%d.%d", n.Job, n.Occurrence, n.Step, n.Index)
 }
+
+// ParseTaskName returns the task of a name as targets know it, and whether there
+// can be one.
+func ParseTaskName(text string) (TaskName, bool) {
+	parts := strings.Split(text, ".")
+	if len(parts) != 4 {
+		return TaskName{}, false
+	}
+	var numbers [3]int
+	for i := range numbers {
+		n, err := strconv.Atoi(parts[i+1])
+		if err != nil || n < 0 {
+			return TaskName{}, false
+		}
+		numbers[i] = n
+	}
+	return TaskName{Job: parts[0], Occurrence: numbers[0], Step: numbers[1], Index: numbers[2]}, true
+}
+
+// Compare orders names by job, occurrence, step and index.
+func (n TaskName) Compare(other TaskName) int {
+	return cmp.Or(
+		strings.Compare(n.Job, other.Job), n.Occurrence-other.Occurrence, n.Step-other.Step, n.Index-other.Index,
+	)
+}
--- a/internal/cransched/outcome.go
+++ b/internal/cransched/outcome.go
@@ -1,6 +1,10 @@
 package cransched
 
-import "time"
+import (
+	"time"
+
+	"github.com/cranberrypick/cranberrypick/internal/cranjob"
+)
 
 const (
 	// roomPause is how long a target that refused a start for want of room
@@ -60,12 +64,13 @@
 	}
 }
 
+// noteRunning takes in that a target has a run of a job.
 func (s *Scheduler) noteRunning(r *run) {
 	if r.task == nil {
 		return
 	}
-	if j := r.task.job; j.state == 0 {
-		j.state = 1
+	if j := r.task.job; j.state == cranjob.Queued {
+		j.state = cranjob.Running
 		s.mark(j)
 	}
 }
@@ -99,8 +104,6 @@
 		// The order has not left and will not.
 		s.release(t, r, reason)
 		return
-	case unproved:
-		r.stopReason = reason
 	}
 	r.phase = stopping
 	r.answeredAt = 0
--- a/internal/cransched/report.go
+++ b/internal/cransched/report.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/cranberrypick/cranberrypick/internal/cranjob"
@@ -120,20 +119,14 @@
 	}
 	r.missing = 0
 	r.started = true
-	if report.Percent != r.percent {
-		r.percent = report.Percent
-	}
-	r.gauge = report.Gauge
+	r.percent, r.gauge = report.Percent, report.Gauge
 	if r.task == nil || r.task.run != r {
 		return
 	}
-	if report.Checkpoint != "" && report.Checkpoint != r.task.Checkpoint {
+	if report.Checkpoint != "" {
 		r.task.Checkpoint = report.Checkpoint
 	}
-	if r.task.job.state == cranjob.Queued {
-		r.task.job.state = cranjob.Running
-		s.mark(r.task.job)
-	}
+	s.noteRunning(r)
 }
 
 // stray takes in a run that nothing is known of, and has it stopped. It
@@ -322,17 +315,3 @@
 	}
 	owner.notBefore = s.clock.Steady + pause
 }
-
-// compareNames orders the names of tasks.
-func compareNames(a, b *run) int {
-	if c := strings.Compare(a.name.Job, b.name.Job); c != 0 {
-		return c
-	}
-	if c := a.name.Occurrence - b.name.Occurrence; c != 0 {
-		return c
-	}
-	if c := a.name.Step - b.name.Step; c != 0 {
-		return c
-	}
-	return a.name.Index - b.name.Index
-}
--- a/internal/cransched/scheduler.go
+++ b/internal/cransched/scheduler.go
@@ -22,7 +22,7 @@
 	targets map[string]*target
 	// sorted holds the targets in order of id.
 	sorted []*target
-	// orphans are cancellations of jobs that aren't known yet.
+	// cancelled holds the cancellations of jobs that aren't known yet.
 	cancelled map[string]bool
 	// predictors are by queue.
 	predictors map[string]*predictor
@@ -63,23 +63,22 @@
 func New(token uint64, timing Timing, config *Config, book *cranjob.Book, c Clock, former Former) *Scheduler {
 	s := &Scheduler{
 		token: token, timing: timing, config: config, clock: c, book: book,
-		jobs: map[string]*job{}, targets: map[string]*target{}, cancelled: map[string]bool{}, predictors: map[string]*predictor{}, surges: map[string]*surge{}, starved: map[string]bool{}, advised: map[StepName]time.Duration{},
+		jobs: map[string]*job{}, targets: map[string]*target{}, cancelled: map[string]bool{},
+		predictors: map[string]*predictor{}, surges: map[string]*surge{},
+		starved: map[string]bool{}, advised: map[StepName]time.Duration{},
 		former: former,
 	}
 	s.fleet = s.newFleet(book.Orders())
 	for queue, d := range book.Durations() {
 		s.predictors[queue] = &predictor{Durations: d, stored: d.N}
 	}
-	ids := slices.Sorted(maps.Keys(book.Jobs()))
-	for _, id := range ids {
+	for _, id := range slices.Sorted(maps.Keys(book.Jobs())) {
 		e := book.Jobs()[id]
-		if e.Job() != nil {
-			s.recall(e.Job())
-		}
 		if e.Job() == nil {
 			s.cancelled[id] = e.Cancelled()
 			continue
 		}
+		s.recall(e.Job())
 		if p := e.Progress(); p != nil && p.State.Final() {
 			continue
 		}
@@ -271,11 +270,7 @@
 		}
 		s.emit(e)
 	}
-	for _, t := range s.sorted {
-		number, found := b.observed[t]
-		if !found {
-			continue
-		}
+	for t, number := range b.observed {
 		t.stored = number
 	}
 }
--- a/internal/cransched/targets.go
+++ b/internal/cransched/targets.go
@@ -1,6 +1,7 @@
 package cransched
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -100,15 +101,16 @@
 	for _, r := range t.runs {
 		list = append(list, r)
 	}
-	slices.SortFunc(list, func(a, b *run) int {
-		if c := compareNames(a, b); c != 0 {
-			return c
-		}
-		return a.number - b.number
-	})
+	slices.SortFunc(list, compareRuns)
 	return list
 }
 
+// compareRuns orders runs by task and number, so that equal events lead to equal
+// effects.
+func compareRuns(a, b *run) int {
+	return cmp.Or(a.name.Compare(b.name), a.number-b.number)
+}
+
 // Tick looks after targets that don't answer, tasks whose time has come, and
 // planned work. It is due at least every renewEvery.
 func (s *Scheduler) Tick() {
@@ -166,7 +168,7 @@
 			list = append(list, r)
 		}
 	}
-	slices.SortFunc(list, compareNames)
+	slices.SortFunc(list, compareRuns)
 	return list
 }
 
