--- a/internal/crannode/node.go
+++ b/internal/crannode/node.go
@@ -40,6 +40,7 @@
 type Node struct {
 	name        string
 	incarnation string
+	dataCentre  string
 	timing      cransched.Timing
 	progress    *stream
 	submissions *stream
@@ -83,6 +84,9 @@
 // WithMetrics sets where requests and orders are counted.
 func WithMetrics(m *cranmetric.Jobs) Option { return func(n *Node) { n.metrics = m } }
 
+// WithDataCentre tells where the process runs.
+func WithDataCentre(name string) Option { return func(n *Node) { n.dataCentre = name } }
+
 // WithProcessor tells what share of a core the process has.
 func WithProcessor(cores float64) Option { return func(n *Node) { n.processor = cores } }
 
