The exchange with processes that may fall silent leaves the adapter

It opens connections and says whether a request can have left; nothing of it knows the users' platform. platform/exchange.go becomes internal/cranexchange, with the numbers of connections left where the clients are made.

--- a/platform/exchange.go
+++ b/internal/cranexchange/exchange.go
@@ -1,4 +1,7 @@
-package platform
+// Package cranexchange sends requests over HTTP to processes that may fall
+// silent: connections whose data isn't acknowledged end soon, and an error tells
+// whether the request can have left.
+package cranexchange
 
 import (
 	"bytes"
@@ -21,27 +24,15 @@
 	dialTimeout = 800 * time.Millisecond
 	// userTimeout is TCP_USER_TIMEOUT: unacknowledged data ends a connection.
 	userTimeout = 1500 * time.Millisecond
-	// storeConnections is how many connections to the store stay open: the
-	// reads that wait, and appends for callers.
-	storeConnections = 8
-	// targetConnections bounds the connections to one target: the hold that
-	// waits and a few orders in parallel. Each new one costs a handshake.
-	targetConnections = 4
 	// idleTimeout closes connections that nobody uses.
 	idleTimeout = 60 * time.Second
-	// maxAnswer bounds an answer of the platform or of a target, in bytes.
+	// maxAnswer bounds an answer, in bytes.
 	maxAnswer = 4 << 20
 )
 
-// NewStoreClient returns the HTTP client for the platform.
-func NewStoreClient() *http.Client { return newClient(storeConnections, 0) }
-
-// NewTargetClient returns the HTTP client for targets.
-func NewTargetClient() *http.Client { return newClient(targetConnections, targetConnections) }
-
-// newClient returns a client that keeps some connections to an address open,
+// NewClient returns a client that keeps some connections to an address open,
 // and opens at most so many; 0 is no bound.
-func newClient(idle, most int) *http.Client {
+func NewClient(idle, most int) *http.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: time.Second, Control: setUserTimeout}
 	return &http.Client{Transport: &http.Transport{
 		DialContext:         dialer.DialContext,
@@ -62,9 +53,9 @@
 	return errors.Join(err, failed)
 }
 
-// exchange sends one request and reads the whole answer. When no connection
+// Do sends one request and reads the whole answer. When no connection
 // could be opened, the error is marked as cranstore.Refused.
-func exchange(ctx context.Context, c *http.Client, method, address string, body io.Reader, header http.Header) (int, []byte, error) {
+func Do(ctx context.Context, c *http.Client, method, address string, body io.Reader, header http.Header) (int, []byte, error) {
 	request, err := http.NewRequestWithContext(ctx, method, address, body)
 	if err != nil {
 		return 0, nil, cranstore.Refused(err)
