One topic in memory, and the ledger, outside the adapter's folder

The stand-in of the store and the tests of claims each had a fenced log in memory; cranmemory.Topic is that log with tests of its own, and the stand-in only translates it to the protocol. The ledger knows no word of the platform and becomes cranledger. The tests' world sends both orders about instances in one way.

--- a/platform/standin/ledger.go
+++ b/internal/cranledger/ledger.go
@@ -1,4 +1,6 @@
-package standin
+// Package cranledger judges what all targets of a session saw: tasks that run
+// twice, that nobody submitted, or that start again after they were done.
+package cranledger
 
 import (
 	"fmt"
@@ -22,8 +24,8 @@
 	begun, seen map[string]bool
 }
 
-// NewLedger returns an empty ledger.
-func NewLedger() *Ledger {
+// New returns an empty ledger.
+func New() *Ledger {
 	return &Ledger{
 		at: map[string]string{}, done: map[string]bool{}, specs: map[string]string{}, lasts: map[string]bool{},
 		begun: map[string]bool{}, seen: map[string]bool{}, again: map[string]bool{}, noted: map[string]bool{},
@@ -57,14 +59,16 @@
 	return n
 }
 
-func (l *Ledger) lasting(task string) bool {
+// Lasting reports whether a task goes on until it is stopped.
+func (l *Ledger) Lasting(task string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	job, _, _ := strings.Cut(task, ".")
 	return l.lasts[job]
 }
 
-func (l *Ledger) started(task, target, spec string) {
+// Start takes in that a target has started a task.
+func (l *Ledger) Start(task, target, spec string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	job, _, _ := strings.Cut(task, ".")
@@ -85,7 +89,8 @@
 	l.begun[job], l.seen[task] = true, true
 }
 
-func (l *Ledger) ended(task, target, how string) {
+// End takes in how a run of a task has ended at a target.
+func (l *Ledger) End(task, target, how string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.at[task] == target {
@@ -115,8 +120,8 @@
 	return true
 }
 
-// acknowledged takes in that a target was told to forget a done end.
-func (l *Ledger) acknowledged(task string) {
+// Acknowledge takes in that a target was told to forget a done end.
+func (l *Ledger) Acknowledge(task string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.noted[task] = true
--- a/internal/crannode/claim_test.go
+++ b/internal/crannode/claim_test.go
@@ -11,79 +11,14 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cranberrypick/cranberrypick/internal/cranjob"
+	"github.com/cranberrypick/cranberrypick/internal/cranmemory"
 	"github.com/cranberrypick/cranberrypick/internal/cransched"
 	"github.com/cranberrypick/cranberrypick/internal/cranstore"
 )
 
-// memory is a topic in memory, with fencing.
-type memory struct {
-	mu      sync.Mutex
-	records []cranstore.Record
-	epoch   uint64
-	next    uint64
-	changed chan struct{}
-}
-
-func newMemory() *memory { return &memory{changed: make(chan struct{})} }
-
-func (m *memory) Append(_ context.Context, records []cranstore.Record, o cranstore.AppendOptions) (uint64, error) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if o.Producer != "" {
-		switch {
-		case o.Epoch < m.epoch:
-			return 0, &cranstore.FencedError{Epoch: m.epoch}
-		case o.Epoch == m.epoch && o.Sequence < m.next:
-			return 0, nil
-		case o.Epoch == m.epoch && o.Sequence > m.next:
-			return 0, &cranstore.SequenceError{Expected: m.next}
-		}
-		m.epoch, m.next = o.Epoch, o.Sequence+1
-	}
-	for _, r := range records {
-		r.Offset = uint64(len(m.records))
-		m.records = append(m.records, r)
-	}
-	close(m.changed)
-	m.changed = make(chan struct{})
-	return uint64(len(m.records) - len(records)), nil
-}
-
-func (m *memory) Read(ctx context.Context, from uint64, wait time.Duration) (cranstore.Batch, error) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	for {
-		m.mu.Lock()
-		end, changed := uint64(len(m.records)), m.changed
-		batch := cranstore.Batch{Records: append([]cranstore.Record(nil), m.records[from:]...), Next: end, End: end}
-		m.mu.Unlock()
-		if end > from {
-			return batch, nil
-		}
-		select {
-		case <-changed:
-		case <-timer.C:
-			return batch, nil
-		case <-ctx.Done():
-			return cranstore.Batch{}, ctx.Err()
-		}
-	}
-}
-
-func (m *memory) End(ctx context.Context, from uint64) (uint64, error) {
-	batch, err := m.Read(ctx, from, 0)
-	return batch.End, err
-}
-
-func (m *memory) Newest(context.Context, string) (cranstore.Page, error) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return cranstore.Page{Records: append([]cranstore.Record(nil), m.records...), End: uint64(len(m.records))}, nil
-}
-
 // link is the way of one process to a topic.
 type link struct {
-	*memory
+	*cranmemory.Topic
 	mu   sync.Mutex
 	cut  bool
 	lags time.Duration
@@ -120,7 +55,7 @@
 	if err := l.pass(); err != nil {
 		return 0, err
 	}
-	return l.memory.Append(ctx, records, o)
+	return l.Topic.Append(ctx, records, o)
 }
 
 func (l *link) End(ctx context.Context, from uint64) (uint64, error) {
@@ -130,7 +65,7 @@
 
 // Read answers late: the records are as old as the lag.
 func (l *link) Read(ctx context.Context, from uint64, wait time.Duration) (cranstore.Batch, error) {
-	batch, err := l.memory.Read(ctx, from, wait)
+	batch, err := l.Topic.Read(ctx, from, wait)
 	if failed := l.pass(); failed != nil {
 		return cranstore.Batch{}, failed
 	}
@@ -146,7 +81,7 @@
 // Newest takes the time that a narrow link takes.
 func (l *link) Newest(ctx context.Context, after string) (cranstore.Page, error) {
 	time.Sleep(l.loads)
-	return l.memory.Newest(ctx, after)
+	return l.Topic.Newest(ctx, after)
 }
 
 // noOrders is a platform without targets.
@@ -167,7 +102,7 @@
 // the submissions.
 func newPair(t *testing.T, loads time.Duration) *pair {
 	p := &pair{}
-	progress, submissions, operator, targets := newMemory(), newMemory(), newMemory(), newMemory()
+	progress, submissions, operator, targets := cranmemory.New(), cranmemory.New(), cranmemory.New(), cranmemory.New()
 	_, err := operator.Append(t.Context(), []cranstore.Record{{Key: "config", Value: []byte{1}}}, cranstore.AppendOptions{})
 	require.NoError(t, err)
 	directory := Directory{
@@ -181,8 +116,8 @@
 		return cransched.Clock{Steady: time.Hour + time.Since(start), UnixMs: time.Now().UnixMilli()}
 	}
 	for i := range p.nodes {
-		p.links[i] = &link{memory: progress}
-		p.submissions[i] = &link{memory: submissions, loads: time.Duration(i) * loads}
+		p.links[i] = &link{Topic: progress}
+		p.submissions[i] = &link{Topic: submissions, loads: time.Duration(i) * loads}
 		name := string(rune('a' + i))
 		p.nodes[i] = New(name, name+"-1", Topics{Progress: p.links[i], Submissions: p.submissions[i]}, directory, noOrders{}, WithClock(clock),
 			WithTiming(cransched.Timing{MaxLease: 6 * time.Second, OrderLease: 3 * time.Second}))
@@ -259,7 +194,7 @@
 		p.submissions[1].limit(1)
 		for range 100 {
 			for range 40 {
-				_, err := p.submissions[0].memory.Append(t.Context(), []cranstore.Record{{Key: "jx", Value: []byte{1}}}, cranstore.AppendOptions{})
+				_, err := p.submissions[0].Topic.Append(t.Context(), []cranstore.Record{{Key: "jx", Value: []byte{1}}}, cranstore.AppendOptions{})
 				require.NoError(t, err)
 			}
 			time.Sleep(100 * time.Millisecond)
--- a/internal/cransched/world_test.go
+++ b/internal/cransched/world_test.go
@@ -230,6 +230,18 @@
 	}
 }
 
+// order carries out an order about an instance, and answers the owner.
+func (w *world) order(s *Scheduler, id int, do func() Verdict, answered func(Verdict)) {
+	w.after(5*time.Millisecond+w.slowOrders, func() {
+		verdict := do()
+		if id == w.ownerID {
+			s.Advance(w.clock())
+			answered(verdict)
+			w.settle(s, id)
+		}
+	})
+}
+
 func (w *world) perform(s *Scheduler, id int, e Effect) {
 	switch e := e.(type) {
 	case Note:
@@ -246,26 +258,12 @@
 	case Advise:
 		w.advice = append(w.advice, e)
 	case Upkeep:
-		w.after(5*time.Millisecond+w.slowOrders, func() {
-			verdict := w.orderUpkeep(e)
-			if id == w.ownerID {
-				s.Advance(w.clock())
-				s.UpkeepAnswered(e, verdict)
-				w.settle(s, id)
-			}
-		})
+		w.order(s, id, func() Verdict { return w.orderUpkeep(e) }, func(v Verdict) { s.UpkeepAnswered(e, v) })
 	case Move:
 		if w.loseMoves {
 			return
 		}
-		w.after(5*time.Millisecond+w.slowOrders, func() {
-			verdict := w.orderMove(e)
-			if id == w.ownerID {
-				s.Advance(w.clock())
-				s.MoveAnswered(e, verdict)
-				w.settle(s, id)
-			}
-		})
+		w.order(s, id, func() Verdict { return w.orderMove(e) }, func(v Verdict) { s.MoveAnswered(e, v) })
 	case Start:
 		w.call(s, id, e.Target, true, func() Answer { return w.start(e) }, func(a Answer) { s.Started(e, a) })
 	case Stop:
