A wave ranks each member once, and its tests take instances in order

byEffort worked a member's effort out in every comparison of the sort, each time looking for the instance's life among all targets: some 16 times a member at 180 members, 80 times a second. It does so once a member now, with the same order.

Five tests gathered a wave's instances in the order of a map, which differs from run to run; they share waveOfAll, which sorts them.

--- a/internal/cransched/evacuate.go
+++ b/internal/cransched/evacuate.go
@@ -16,29 +16,37 @@
 // byEffort returns the members with those under way first, then those whose
 // instances are cordoned, then by the number of runs to be moved.
 func (s *Scheduler) byEffort(w *wave) []*member {
-	list := slices.Clone(w.members)
-	list = slices.DeleteFunc(list, func(m *member) bool { return m.state == begun || !s.stays(m) })
-	effort := func(m *member) int {
-		if m.state == asked {
-			return -1
-		}
-		t := s.lifeOf(m.instance)
-		switch {
-		case t == nil || len(t.runs) == 0:
-			return 0
-		case t.cordoned:
-			return 1
-		case t.lastingRoom() != cranjob.Resources{}:
-			// These take longest: first those with the most tasks of one step.
-			return 2 + maxRuns - t.crowd()
+	efforts := make(map[*member]int, len(w.members))
+	list := make([]*member, 0, len(w.members))
+	for _, m := range w.members {
+		if m.state != begun && s.stays(m) {
+			efforts[m] = s.effort(m)
+			list = append(list, m)
 		}
-		// Others become empty by themselves.
-		return 3 + maxRuns + len(t.runs)
 	}
-	slices.SortStableFunc(list, func(a, b *member) int { return effort(a) - effort(b) })
+	slices.SortStableFunc(list, func(a, b *member) int { return efforts[a] - efforts[b] })
 	return list
 }
 
+// effort ranks a member that has not begun its maintenance.
+func (s *Scheduler) effort(m *member) int {
+	if m.state == asked {
+		return -1
+	}
+	t := s.lifeOf(m.instance)
+	switch {
+	case t == nil || len(t.runs) == 0:
+		return 0
+	case t.cordoned:
+		return 1
+	case t.lastingRoom() != cranjob.Resources{}:
+		// These take longest: first those with the most tasks of one step.
+		return 2 + maxRuns - t.crowd()
+	}
+	// Others become empty by themselves.
+	return 3 + maxRuns + len(t.runs)
+}
+
 // crowd returns the most lasting tasks of one step at the target.
 func (t *target) crowd() int {
 	most := 0
--- a/internal/cransched/fleet_test.go
+++ b/internal/cransched/fleet_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -10,6 +12,13 @@
 	"github.com/cranberrypick/cranberrypick/internal/cranjob"
 )
 
+// waveOfAll asks for the maintenance of every instance.
+func (w *world) waveOfAll(duration time.Duration, parallel int) WaveOrder {
+	return WaveOrder{
+		Wave: 1, Instances: slices.Sorted(maps.Keys(w.instances)), Duration: duration, MaxParallel: parallel, SeenAt: w.now,
+	}
+}
+
 // lastingOn returns the targets on which tasks of a job run.
 func (w *world) lastingOn(job string) int {
 	n := 0
@@ -31,10 +40,7 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			w := newWorld(t, seed, 8)
 			w.most, w.judgeAway = 2, true
-			order := WaveOrder{Wave: 1, Duration: 27 * time.Second, MaxParallel: 2, SeenAt: w.now}
-			for id := range w.instances {
-				order.Instances = append(order.Instances, id)
-			}
+			order := w.waveOfAll(27*time.Second, 2)
 			w.takeOver(w.now - time.Hour)
 			w.submit(lastingJob("lasting", 4))
 			w.run(4 * time.Second)
@@ -59,10 +65,7 @@
 	const targets, duration = 30, 24 * time.Second
 	w := newWorld(t, 1, targets)
 	w.most, w.judgeAway = 12, true
-	order := WaveOrder{Wave: 1, Duration: duration, MaxParallel: 12, SeenAt: w.now}
-	for id := range w.instances {
-		order.Instances = append(order.Instances, id)
-	}
+	order := w.waveOfAll(duration, 12)
 	w.takeOver(w.now - time.Hour)
 	for i := range 3 {
 		w.submit(lastingJob(fmt.Sprintf("lasting%d", i), 20))
@@ -84,10 +87,7 @@
 func TestWaveSurvivesMoves(t *testing.T) {
 	w := newWorld(t, 1, 4)
 	w.most = 2
-	order := WaveOrder{Wave: 1, Duration: 20 * time.Second, MaxParallel: 2, SeenAt: w.now}
-	for id := range w.instances {
-		order.Instances = append(order.Instances, id)
-	}
+	order := w.waveOfAll(20*time.Second, 2)
 	w.wave = []WaveOrder{order}
 	w.takeOver(w.now - time.Hour)
 	w.run(15 * time.Second)
@@ -187,10 +187,7 @@
 func TestSuccessorAndFormerUpkeep(t *testing.T) {
 	w := newWorld(t, 1, 4)
 	w.most = 4
-	order := WaveOrder{Wave: 1, Duration: time.Second, MaxParallel: 4, SeenAt: w.now}
-	for id := range w.instances {
-		order.Instances = append(order.Instances, id)
-	}
+	order := w.waveOfAll(time.Second, 4)
 	w.takeOver(w.now - time.Hour)
 	w.run(time.Second)
 	w.wave = []WaveOrder{order}
@@ -245,10 +242,7 @@
 	for seed := range uint64(6) {
 		w := newWorld(t, seed, 8)
 		w.most = 3
-		order := WaveOrder{Wave: 1, Duration: 30 * time.Second, MaxParallel: 3, SeenAt: w.now}
-		for id := range w.instances {
-			order.Instances = append(order.Instances, id)
-		}
+		order := w.waveOfAll(30*time.Second, 3)
 		w.wave = []WaveOrder{order}
 		w.takeOver(w.now - time.Hour)
 		for i := range 6 {
