crannode: log and measure how far the reads of a topic come

The log could not tell a read that never began from one that was cut short: it had neither offset nor bytes, and no metric showed which topic lags.

Change: 301 has the offset of the failed read, the number of records behind, the bytes received, the time to the first byte and the time it took; 302 the length of the outage; 203 the age of the read, the time to decode, and the versions still unread. Metrics: reads, bytes, lag and time to the first byte of each topic, the revision in force. A response above 4 MiB is an error that says so; it was cut without one. No other behaviour.

--- a/internal/cranevent/catalogue.go
+++ b/internal/cranevent/catalogue.go
@@ -40,10 +40,10 @@
 	define(ConfigurationRefused, "configurationRefused", LevelWarn, "a configuration is refused",
 		KeyError, KeyOffset, KeyReason, KeyRevision),
 	define(ConfigurationInForce, "configurationInForce", LevelInfo, "a configuration is in effect on this entry instance",
-		KeyElapsedMs, KeyOffset, KeyRevision),
+		KeyAgeMs, KeyBehind, KeyElapsedMs, KeyOffset, KeyRevision),
 
 	define(LogUnavailable, "logUnavailable", LevelWarn, "the log can't be reached",
-		KeyError, KeyOffset, KeyStream),
+		KeyBehind, KeyBytes, KeyElapsedMs, KeyError, KeyFirstByte, KeyOffset, KeyStream),
 	define(LogAvailable, "logBack", LevelInfo, "the log can be reached again",
 		KeyElapsedMs, KeyOffset, KeyStream),
 	define(RecordsExpired, "recordsExpired", LevelWarn, "records have expired before they were read",
--- a/internal/cranevent/field.go
+++ b/internal/cranevent/field.go
@@ -17,6 +17,7 @@
 	KeyAction     Key = "action"
 	KeyAddress    Key = "address"
 	KeyAgeMs      Key = "ageMs"
+	KeyBehind     Key = "behind"
 	KeyBytes      Key = "bytes"
 	KeyCause      Key = "cause"
 	KeyCount      Key = "count"
@@ -27,6 +28,7 @@
 	KeyEpoch      Key = "epoch"
 	KeyError      Key = "error"
 	KeyFile       Key = "file"
+	KeyFirstByte  Key = "firstByteMs"
 	KeyFromPhase  Key = "fromPhase"
 	KeyInstance   Key = "instance"
 	KeyJob        Key = "job"
@@ -76,6 +78,9 @@
 // Address returns a field with an IP address and port.
 func Address(a fmt.Stringer) Field { return textField(KeyAddress, a.String()) }
 
+// Behind returns a field with the number of records that are stored but not read yet.
+func Behind(records uint64) Field { return unsignedField(KeyBehind, records) }
+
 // Bytes returns a field with a size in bytes.
 func Bytes(n int) Field { return integerField(KeyBytes, int64(n)) }
 
@@ -109,6 +114,16 @@
 // File returns a field with the path of a file.
 func File(path string) Field { return textField(KeyFile, path) }
 
+// FirstByte returns a field with the time until a response began, in whole milliseconds. It
+// writes nothing for 0, which means that no response began.
+func FirstByte(d time.Duration) Field {
+	return Field{key: KeyFirstByte, write: func(e *log.Entry, name string) {
+		if d > 0 {
+			e.Int64(name, d.Milliseconds())
+		}
+	}}
+}
+
 // FromPhase returns a field with the phase that an instance has left.
 func FromPhase[P ~string](phase P) Field { return textField(KeyFromPhase, string(phase)) }
 
--- a/internal/cranexchange/exchange.go
+++ b/internal/cranexchange/exchange.go
@@ -54,9 +54,47 @@
 	return errors.Join(err, sockErr)
 }
 
+// ErrTooLarge is returned for a response with a body above the limit.
+var ErrTooLarge = errors.New("the response exceeds 4 MiB; request a smaller part")
+
+// Option configures one exchange.
+type Option func(*exchange)
+
+// exchange holds the options of one call of Do.
+type exchange struct {
+	// received is called with the size of each part of the response.
+	received func(bytes int)
+}
+
+// WithReceived sets a function that Do calls with the size of each part of the body, in
+// bytes, as it arrives, and before that with 0 for the header.
+func WithReceived(received func(bytes int)) Option {
+	return func(e *exchange) { e.received = received }
+}
+
+// observedReader reports the size of each part that is read.
+type observedReader struct {
+	io.Reader
+	received func(bytes int)
+}
+
+// Read reads from the underlying reader.
+func (r observedReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if n > 0 {
+		r.received(n)
+	}
+	return n, err
+}
+
 // Do sends one request and reads the whole response. If no connection could be opened,
-// the error is marked by cranstore.Refused.
-func Do(ctx context.Context, c *http.Client, method, address string, body io.Reader, header http.Header) (int, []byte, error) {
+// the error is marked by cranstore.Refused. If the response breaks off, Do returns the
+// part that has arrived along with the error.
+func Do(ctx context.Context, c *http.Client, method, address string, body io.Reader, header http.Header, options ...Option) (int, []byte, error) {
+	e := exchange{received: func(int) {}}
+	for _, set := range options {
+		set(&e)
+	}
 	request, err := http.NewRequestWithContext(ctx, method, address, body)
 	if err != nil {
 		return 0, nil, cranstore.Refused(err)
@@ -79,9 +117,11 @@
 		return 0, nil, err
 	}
 	defer func() { _ = response.Body.Close() }()
+	e.received(0)
 	var text bytes.Buffer
-	if _, err := text.ReadFrom(io.LimitReader(response.Body, maxResponseBytes)); err != nil {
-		return 0, nil, err
+	_, err = text.ReadFrom(io.LimitReader(observedReader{response.Body, e.received}, maxResponseBytes+1))
+	if err == nil && text.Len() > maxResponseBytes {
+		err = ErrTooLarge
 	}
-	return response.StatusCode, text.Bytes(), nil
+	return response.StatusCode, text.Bytes(), err
 }
--- a/internal/cranmemory/topic.go
+++ b/internal/cranmemory/topic.go
@@ -101,14 +101,14 @@
 	return first
 }
 
-// Read returns the records from an offset on. It waits up to wait if there is none
-// yet.
-func (t *Topic) Read(ctx context.Context, from uint64, wait time.Duration) (cranstore.Batch, error) {
-	timer := time.NewTimer(wait)
+// Read returns the records from an offset on. It waits for the first of them if there
+// is none yet.
+func (t *Topic) Read(ctx context.Context, from uint64, o cranstore.ReadOptions) (cranstore.Batch, error) {
+	timer := time.NewTimer(o.Wait)
 	defer timer.Stop()
 	for {
-		batch, changed, err := t.readAvailable(from)
-		if err != nil || len(batch.Records) > 0 || wait <= 0 {
+		batch, changed, err := t.readAvailable(from, o.MaxBytes)
+		if err != nil || len(batch.Records) > 0 || o.Wait <= 0 {
 			return batch, err
 		}
 		select {
@@ -121,9 +121,9 @@
 	}
 }
 
-// readAvailable returns the present records from an offset on, and a channel that
-// is closed at the next append.
-func (t *Topic) readAvailable(from uint64) (cranstore.Batch, <-chan struct{}, error) {
+// readAvailable returns the present records from an offset on, up to a total size, and a
+// channel that is closed at the next append.
+func (t *Topic) readAvailable(from uint64, maxBytes int) (cranstore.Batch, <-chan struct{}, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if from < t.first {
@@ -131,11 +131,25 @@
 	}
 	batch := cranstore.Batch{Next: from, End: t.end()}
 	if from < t.end() {
-		batch.Records, batch.Next = slices.Clone(t.records[from-t.first:]), t.end()
+		batch.Records = slices.Clone(limitBytes(t.records[from-t.first:], maxBytes))
+		batch.Next = from + uint64(len(batch.Records))
 	}
 	return batch, t.changed, nil
 }
 
+// limitBytes returns the first record and those after it that fit into maxBytes together
+// with it; 0 means no limit.
+func limitBytes(records []cranstore.Record, maxBytes int) []cranstore.Record {
+	size := 0
+	for i, r := range records {
+		size += len(r.Key) + len(r.Value)
+		if maxBytes > 0 && size > maxBytes && i > 0 {
+			return records[:i]
+		}
+	}
+	return records
+}
+
 // First returns the oldest retained offset.
 func (t *Topic) First() uint64 {
 	t.mu.Lock()
@@ -152,7 +166,7 @@
 
 // Newest returns a page of the newest record of each key, in order of key, that
 // starts after a key.
-func (t *Topic) Newest(_ context.Context, after string) (cranstore.Page, error) {
+func (t *Topic) Newest(_ context.Context, after string, _ func(bytes int)) (cranstore.Page, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	page := cranstore.Page{End: t.end()}
--- a/internal/cranmemory/topic_test.go
+++ b/internal/cranmemory/topic_test.go
@@ -54,7 +54,7 @@
 	require.NoError(t, err)
 	require.Len(t, records, 1099)
 	require.EqualValues(t, 1101, end)
-	_, err = topic.Read(t.Context(), 5, 0)
+	_, err = topic.Read(t.Context(), 5, cranstore.ReadOptions{})
 	require.ErrorIs(t, err, cranstore.ErrExpired)
 }
 
@@ -64,12 +64,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		topic := New()
 		start := time.Now()
-		batch, err := topic.Read(t.Context(), 0, time.Second)
+		batch, err := topic.Read(t.Context(), 0, cranstore.ReadOptions{Wait: time.Second})
 		require.NoError(t, err)
 		require.Empty(t, batch.Records)
 		require.Equal(t, time.Second, time.Since(start))
 		time.AfterFunc(300*time.Millisecond, func() { topic.Put("a", []byte{1}) })
-		batch, err = topic.Read(t.Context(), 0, time.Second)
+		batch, err = topic.Read(t.Context(), 0, cranstore.ReadOptions{Wait: time.Second})
 		require.NoError(t, err)
 		require.Len(t, batch.Records, 1)
 		require.Equal(t, 1300*time.Millisecond, time.Since(start))
--- a/internal/cranmetric/jobs.go
+++ b/internal/cranmetric/jobs.go
@@ -26,6 +26,13 @@
 	acceptance                     prometheus.Histogram
 	orderTime                      *prometheus.HistogramVec
 	firstStart                     prometheus.Histogram
+	// The topic metrics are by topic; configApply and configRevision are those of the
+	// configuration in force.
+	reads, readBytes *prometheus.CounterVec
+	behind           *prometheus.GaugeVec
+	firstByte        *prometheus.HistogramVec
+	configApply      prometheus.Histogram
+	configRevision   prometheus.Gauge
 }
 
 // NewJobs returns the metrics. The series of all known reasons of refusals and retries
@@ -54,6 +61,15 @@
 		orderTime:  prometheus.NewHistogramVec(histogram("order_seconds", "Time until an order is answered, by kind."), []string{"order"}),
 		firstStart: prometheus.NewHistogram(histogram("first_start_seconds", "Time from a job's arrival until its first task is placed.")),
 	}
+	gauge := func(name, help string) prometheus.GaugeOpts {
+		return prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}
+	}
+	m.reads = vector("topic_reads_total", "Reads of a topic, by outcome.", "topic", "outcome")
+	m.readBytes = vector("topic_read_bytes_total", "Bytes received by reads of a topic, failed reads included.", "topic")
+	m.behind = prometheus.NewGaugeVec(gauge("topic_behind_records", "Records of a topic that were stored but not read at its newest read."), []string{"topic"})
+	m.firstByte = prometheus.NewHistogramVec(histogram("topic_first_byte_seconds", "Time until the response to a read of a topic began, its wait included."), []string{"topic"})
+	m.configApply = prometheus.NewHistogram(histogram("configuration_apply_seconds", "Time to decode a configuration and to put it in force."))
+	m.configRevision = prometheus.NewGauge(gauge("configuration_revision", "Revision of the configuration in force."))
 	for _, k := range cranfault.Kinds() {
 		m.refusals.WithLabelValues(string(k))
 	}
@@ -61,7 +77,7 @@
 		m.retries.WithLabelValues(reason)
 	}
 	m.registry.MustRegister(m.refusals, m.retries, m.ended, m.runEnds, m.orders, m.accepted, m.cancelled,
-		m.takeovers, m.acceptance, m.orderTime, m.firstStart, collectors.NewGoCollector(),
+		m.takeovers, m.acceptance, m.orderTime, m.firstStart, m.reads, m.readBytes, m.behind, m.firstByte, m.configApply, m.configRevision, collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -111,3 +127,24 @@
 
 // FirstStart observes the time from a job's arrival until its first task is placed.
 func (m *Jobs) FirstStart(after time.Duration) { m.firstStart.Observe(after.Seconds()) }
+
+// ReadTopic counts a read of a topic. It received a number of bytes, the first of them after
+// firstByte (0 if there was none), and left behind records unread.
+func (m *Jobs) ReadTopic(topic string, failed bool, bytes int, firstByte time.Duration, behind uint64) {
+	outcome := "complete"
+	if failed {
+		outcome = "failed"
+	}
+	m.reads.WithLabelValues(topic, outcome).Inc()
+	m.readBytes.WithLabelValues(topic).Add(float64(bytes))
+	m.behind.WithLabelValues(topic).Set(float64(behind))
+	if firstByte > 0 {
+		m.firstByte.WithLabelValues(topic).Observe(firstByte.Seconds())
+	}
+}
+
+// ConfigInForce records that a configuration was put in force, and how long that took.
+func (m *Jobs) ConfigInForce(revision int64, after time.Duration) {
+	m.configRevision.Set(float64(revision))
+	m.configApply.Observe(after.Seconds())
+}
--- a/internal/crannode/claim_test.go
+++ b/internal/crannode/claim_test.go
@@ -60,13 +60,13 @@
 }
 
 func (l *link) End(ctx context.Context, from uint64) (uint64, error) {
-	batch, err := l.Read(ctx, from, 0)
+	batch, err := l.Read(ctx, from, cranstore.ReadOptions{})
 	return batch.End, err
 }
 
 // Read delays the answer after reading, so that the records are as old as the lag.
-func (l *link) Read(ctx context.Context, from uint64, wait time.Duration) (cranstore.Batch, error) {
-	batch, err := l.Topic.Read(ctx, from, wait)
+func (l *link) Read(ctx context.Context, from uint64, o cranstore.ReadOptions) (cranstore.Batch, error) {
+	batch, err := l.Topic.Read(ctx, from, o)
 	if faultErr := l.applyFault(); faultErr != nil {
 		return cranstore.Batch{}, faultErr
 	}
@@ -80,9 +80,9 @@
 }
 
 // Newest takes loadTime, like a read over a slow link.
-func (l *link) Newest(ctx context.Context, after string) (cranstore.Page, error) {
+func (l *link) Newest(ctx context.Context, after string, received func(int)) (cranstore.Page, error) {
 	time.Sleep(l.loadTime)
-	return l.Topic.Newest(ctx, after)
+	return l.Topic.Newest(ctx, after, received)
 }
 
 // noInstances is an OrderSender for a platform without instances.
--- a/internal/crannode/node.go
+++ b/internal/crannode/node.go
@@ -199,10 +199,17 @@
 		return r.pause
 	}
 	unavailable := false
+	var lostAt time.Duration
 	cranstore.NewFollower(r.topic, func() time.Duration { return n.now().Steady }, r.wait, pause).Run(ctx, func(u cranstore.Update) {
-		if (u.Err != nil) != unavailable {
-			unavailable = u.Err != nil
-			n.logAvailability(r.name, u.Err)
+		n.metrics.ReadTopic(r.name, u.Err != nil, u.Transfer.Bytes, u.Transfer.FirstByte, u.End-u.Next)
+		now := n.now().Steady
+		switch {
+		case u.Err != nil && !unavailable:
+			unavailable, lostAt = true, now
+			n.logReadFailed(r.name, u)
+		case u.Err == nil && unavailable:
+			unavailable = false
+			n.log.Emit(cranevent.LogAvailable, cranevent.Stream(r.name), cranevent.Offset(u.Next), cranevent.Elapsed(now-lostAt))
 		}
 		if u.Err == nil {
 			n.answeredAt.Store(int64(u.Sent))
@@ -214,24 +221,24 @@
 func (n *Node) followOperator(ctx context.Context) {
 	n.follow(ctx, readOptions{name: "operator", topic: n.directory.Operator, wait: readWait}, func(u cranstore.Update) {
 		for _, r := range u.Records {
-			n.applyOperatorRecord(ctx, r)
+			n.applyOperatorRecord(ctx, r, u)
 		}
 	})
 }
 
-// logAvailability logs that a topic has become unavailable or available again.
-func (n *Node) logAvailability(topic string, err error) {
-	if err != nil {
-		n.log.Emit(cranevent.LogUnavailable, cranevent.Stream(topic), cranevent.Err(err))
-		return
-	}
-	n.log.Emit(cranevent.LogAvailable, cranevent.Stream(topic))
+// logReadFailed logs that a topic has become unavailable, and how far the read came.
+func (n *Node) logReadFailed(topic string, u cranstore.Update) {
+	n.log.Emit(cranevent.LogUnavailable, cranevent.Stream(topic), cranevent.Err(u.Err), cranevent.Offset(u.Next),
+		cranevent.Behind(u.End-u.Next), cranevent.Bytes(u.Transfer.Bytes), cranevent.FirstByte(u.Transfer.FirstByte),
+		cranevent.Elapsed(u.Transfer.Elapsed))
 }
 
-func (n *Node) applyOperatorRecord(ctx context.Context, r cranstore.Record) {
+// applyOperatorRecord applies a record that was read with the update u.
+func (n *Node) applyOperatorRecord(ctx context.Context, r cranstore.Record, u cranstore.Update) {
 	if len(r.Value) == 0 {
 		return
 	}
+	start := n.now().Steady
 	decoded, err := n.directory.DecodeOperatorRecord(r.Key, r.Value)
 	if err != nil {
 		n.log.Emit(cranevent.MalformedRecord, cranevent.Stream("operator"), cranevent.Offset(r.Offset), cranevent.Err(err))
@@ -243,7 +250,10 @@
 			return
 		}
 		n.config.Store(v)
-		n.log.Emit(cranevent.ConfigurationInForce, cranevent.Offset(r.Offset), cranevent.Revision(uint64(v.Version)))
+		now := n.now().Steady
+		n.metrics.ConfigInForce(v.Version, now-start)
+		n.log.Emit(cranevent.ConfigurationInForce, cranevent.Offset(r.Offset), cranevent.Revision(uint64(v.Version)),
+			cranevent.Age(now-u.Sent), cranevent.Elapsed(now-start), cranevent.Behind(max(u.End, r.Offset+1)-r.Offset-1))
 		n.post(ctx, func() { n.control.setConfig(&v.Config) })
 	case *cransched.WaveOrder:
 		n.post(ctx, func() { n.control.addWave(*v) })
--- a/internal/cranstore/follow.go
+++ b/internal/cranstore/follow.go
@@ -29,7 +29,10 @@
 	// Sent is the follower's clock when the read was sent. The update includes
 	// every record that was stored before.
 	Sent time.Duration
-	// Err is the error of a failed read; the other fields are zero then.
+	// Transfer measures the response to the read.
+	Transfer Transfer
+	// Err is the error of a failed read. Records is empty then, Next is the offset of
+	// the failed read, and End is the newest one known.
 	Err error
 }
 
@@ -52,7 +55,7 @@
 
 // Run reads the topic and passes each update to deliver until ctx ends.
 func (f *Follower) Run(ctx context.Context, deliver func(Update)) {
-	var next uint64
+	var next, end uint64
 	loaded := false
 	backoff := followPause
 	for ctx.Err() == nil {
@@ -65,13 +68,14 @@
 				loaded = false
 				continue
 			}
-			deliver(Update{Err: err})
+			update.Next, update.End, update.Err = next, max(end, next), err
+			deliver(update)
 			cranpause.Sleep(ctx, backoff)
 			backoff = min(2*backoff, followPauseMax)
 			continue
 		}
 		backoff = followPause
-		loaded, next = true, update.Next
+		loaded, next, end = true, update.Next, update.End
 		deliver(update)
 		if len(update.Records) > 0 {
 			cranpause.Sleep(ctx, f.pause())
@@ -80,13 +84,16 @@
 }
 
 func (f *Follower) read(ctx context.Context, next uint64, loaded bool) (Update, error) {
-	sent := f.clock()
+	m := newMeter(f.clock)
 	if !loaded {
-		records, end, err := Load(ctx, f.topic)
-		return Update{Reset: true, Records: records, Next: end, End: end, Sent: sent}, err
+		records, end, err := load(ctx, f.topic, m.received)
+		return Update{Reset: true, Records: records, Next: end, End: end, Sent: m.sent, Transfer: m.measured()}, err
 	}
 	limited, cancel := context.WithTimeout(ctx, f.wait+readSlack)
 	defer cancel()
-	batch, err := f.topic.Read(limited, next, f.wait)
-	return Update{Records: batch.Records, Next: batch.Next, End: batch.End, Sent: sent}, err
+	batch, err := f.topic.Read(limited, next, ReadOptions{Wait: f.wait, Received: m.received})
+	if err != nil {
+		batch = Batch{}
+	}
+	return Update{Records: batch.Records, Next: batch.Next, End: batch.End, Sent: m.sent, Transfer: m.measured()}, err
 }
--- a/internal/cranstore/follow_test.go
+++ b/internal/cranstore/follow_test.go
@@ -25,17 +25,17 @@
 	return 0, nil
 }
 
-func (s *slowTopic) Read(ctx context.Context, from uint64, wait time.Duration) (Batch, error) {
+func (s *slowTopic) Read(ctx context.Context, from uint64, o ReadOptions) (Batch, error) {
 	s.reads++
 	if s.reads == s.expiredRead {
 		return Batch{}, ErrExpired
 	}
-	cranpause.Sleep(ctx, wait)
+	cranpause.Sleep(ctx, o.Wait)
 	return Batch{Next: from, End: from}, ctx.Err()
 }
 
 // Newest returns one record per page.
-func (s *slowTopic) Newest(ctx context.Context, after string) (Page, error) {
+func (s *slowTopic) Newest(ctx context.Context, after string, _ func(int)) (Page, error) {
 	const pages = 5
 	cranpause.Sleep(ctx, s.loadTime/pages)
 	return Page{Records: []Record{{Key: after + "k", Value: []byte("v"), Offset: 6}}, More: len(after) < pages-1, End: 7}, ctx.Err()
--- a/internal/cranstore/load.go
+++ b/internal/cranstore/load.go
@@ -17,13 +17,17 @@
 // continue without a gap. It limits the time of each page but not of the whole
 // load, since the number of pages depends on the number of keys.
 func Load(ctx context.Context, t Topic) ([]Record, uint64, error) {
-	first, err := loadPage(ctx, t, "")
+	return load(ctx, t, nil)
+}
+
+func load(ctx context.Context, t Topic, received func(bytes int)) ([]Record, uint64, error) {
+	first, err := loadPage(ctx, t, "", received)
 	if err != nil {
 		return nil, 0, err
 	}
 	records := first.Records
 	for page := first; page.More && len(page.Records) > 0; {
-		if page, err = loadPage(ctx, t, page.Records[len(page.Records)-1].Key); err != nil {
+		if page, err = loadPage(ctx, t, page.Records[len(page.Records)-1].Key, received); err != nil {
 			return nil, 0, err
 		}
 		records = append(records, page.Records...)
@@ -33,10 +37,10 @@
 
 // loadPage reads the page of the keys after a key. It retries a failed read itself,
 // since a new load would read the earlier pages again.
-func loadPage(ctx context.Context, t Topic, after string) (page Page, err error) {
+func loadPage(ctx context.Context, t Topic, after string, received func(bytes int)) (page Page, err error) {
 	for attempt := 0; attempt < pageAttempts && ctx.Err() == nil; attempt++ {
 		limited, cancel := context.WithTimeout(ctx, pageTimeout)
-		page, err = t.Newest(limited, after)
+		page, err = t.Newest(limited, after, received)
 		cancel()
 		if err == nil {
 			return page, nil
--- a/internal/cranstore/store.go
+++ b/internal/cranstore/store.go
@@ -43,6 +43,18 @@
 	End uint64
 }
 
+// ReadOptions bound one read of a topic.
+type ReadOptions struct {
+	// Wait is how long the read waits for a record if there is none yet.
+	Wait time.Duration
+	// MaxBytes bounds the total size of the records; 0 means the default of the
+	// store. The first record is returned whatever its size.
+	MaxBytes int
+	// Received, if set, is called with the size of each part of the response as it
+	// arrives. It may run in another goroutine.
+	Received func(bytes int)
+}
+
 // AppendOptions hold the fencing data of an append.
 type AppendOptions struct {
 	// Producer names the producer. If it is set, Epoch fences the append, and
@@ -59,16 +71,16 @@
 	// The records may have been added or may still be added later after any error
 	// but a SequenceError and one for which IsRefused is true.
 	Append(ctx context.Context, records []Record, o AppendOptions) (uint64, error)
-	// Read returns the records from an offset on. It waits up to wait if there is
-	// none yet.
-	Read(ctx context.Context, from uint64, wait time.Duration) (Batch, error)
+	// Read returns the records from an offset on.
+	Read(ctx context.Context, from uint64, o ReadOptions) (Batch, error)
 	// End returns the offset of the next append. The caller passes the offset up
 	// to which it has read, since a store may return the end only with a read. An
 	// implementation then reads as few records as possible from that offset on.
 	End(ctx context.Context, from uint64) (uint64, error)
 	// Newest returns a page of the newest record of each key, in order of key. It
-	// starts after the key that the caller passes; the first page has none.
-	Newest(ctx context.Context, after string) (Page, error)
+	// starts after the key that the caller passes; the first page has none. The
+	// function received may be nil; see ReadOptions.
+	Newest(ctx context.Context, after string, received func(bytes int)) (Page, error)
 }
 
 // ErrExpired is returned for a read below the oldest retained offset.
