tests: reproduce reads that repeat without progress on a slow link

The stand-in of a topic gets a link with a rate that several topics share (cranmemory.Link).

Reads of 0.5 to 1.0 MB begin within 0.44 s and end at their deadline, again and again from one offset (docs/incidents).

--- /dev/null
+++ b/internal/cranstore/link_test.go
@@ -0,0 +1,70 @@
+package cranstore_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cranberrypick/cranberrypick/internal/cranmemory"
+	"github.com/cranberrypick/cranberrypick/internal/cranstore"
+)
+
+// slowLinkRate is the rate of the slowest supported link, 10 Mbit/s, in bytes per second.
+const slowLinkRate = 10_000_000 / 8
+
+// followLink follows a topic over a link until the test ends, and passes the updates to
+// deliver.
+func followLink(t *testing.T, topic cranstore.Topic, deliver func(cranstore.Update)) {
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	start := time.Now()
+	f := cranstore.NewFollower(topic, func() time.Duration { return time.Since(start) }, 500*time.Millisecond, func() time.Duration { return 0 })
+	go func() {
+		defer close(done)
+		f.Run(ctx, deliver)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+}
+
+// TestBacklogLargerThanTimeoutIsRead guards against reads that repeat without progress
+// because the records stored during an outage take longer than one read may last.
+func TestBacklogLargerThanTimeoutIsRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const count, records, size = 4, 1000, 1000
+		link := cranmemory.NewLink(slowLinkRate)
+		var topics [count]*cranmemory.Topic
+		var next, end [count]uint64
+		for i := range topics {
+			topics[i] = cranmemory.New()
+			topics[i].Put("k", []byte{1})
+			followLink(t, link.Connect(topics[i]), func(u cranstore.Update) {
+				if u.Err == nil {
+					next[i] = u.Next
+				}
+			})
+		}
+		time.Sleep(2 * time.Second)
+		link.SetCut(true)
+		for i := range topics {
+			for r := range records {
+				topics[i].Put(fmt.Sprintf("k%d", r), make([]byte, size))
+			}
+			end[i] = records + 1
+		}
+		time.Sleep(3 * time.Second)
+		link.SetCut(false)
+		before := link.Received()
+		// The four backlogs take 3.2 s at the rate of the link. A deployment of this size
+		// allows 6 s to catch up.
+		time.Sleep(6 * time.Second)
+		require.Equal(t, end, next)
+		require.Less(t, link.Received()-before, count*records*size*3/2)
+	})
+}
