cranstore: bound a read by its progress, and adapt its size to the link

Cause: a read asked for all that it had missed, up to 1,024 KB, had 1.7 or 2.2 s for the whole transfer, discarded what had arrived, and started again from the same offset. The reads of four topics share a link of 10 Mbit/s. A page of a load had the same kind of bound, and after three failures the load began again with its first page.

Change: a read is cancelled when its response doesn't begin within the wait and 1.2 s, or stalls for 1.2 s; its duration has no bound. The complete records of a response that breaks off are used. The size of reads shrinks when one fails or takes over 0.3 s to receive and grows while they are quick (cranwindow). A read after a failed one doesn't wait, a follower that is behind doesn't pause, and a load continues with the page that failed, also after an outage.

TestPendingOfLaggingReader limited each read to one record, of a topic that answers at once. A reader that is behind no longer pauses, so it kept up and didn't lag; the reads now take 5 ms each, half of the speed of the writer. The check is the same.

--- a/internal/crannode/claim_test.go
+++ b/internal/crannode/claim_test.go
@@ -195,6 +195,8 @@
 		defer p.close()
 		_, err := p.nodes[1].Pending("q")
 		require.NoError(t, err)
+		// Records are stored at 400 per second and read at 200 per second.
+		p.submissions[1].setFault(false, 5*time.Millisecond)
 		p.submissions[1].limit(1)
 		for range 100 {
 			for range 40 {
--- a/internal/crannode/node.go
+++ b/internal/crannode/node.go
@@ -187,6 +187,7 @@
 	topic             cranstore.Topic
 	wait              time.Duration
 	pause, ownerPause time.Duration
+	options           []cranstore.FollowerOption
 }
 
 // follow passes the updates of a topic to deliver until ctx ends, and logs when the
@@ -200,7 +201,8 @@
 	}
 	unavailable := false
 	var lostAt time.Duration
-	cranstore.NewFollower(r.topic, func() time.Duration { return n.now().Steady }, r.wait, pause).Run(ctx, func(u cranstore.Update) {
+	options := append([]cranstore.FollowerOption{cranstore.WithWait(r.wait), cranstore.WithPause(pause)}, r.options...)
+	cranstore.NewFollower(r.topic, func() time.Duration { return n.now().Steady }, options...).Run(ctx, func(u cranstore.Update) {
 		n.metrics.ReadTopic(r.name, u.Err != nil, u.Transfer.Bytes, u.Transfer.FirstByte, u.End-u.Next)
 		now := n.now().Steady
 		switch {
--- a/internal/crannode/stream.go
+++ b/internal/crannode/stream.go
@@ -57,7 +57,7 @@
 // followStream reads a stream into the replica until ctx ends. The control goroutine
 // applies each update before the next read.
 func (n *Node) followStream(ctx context.Context, s *stream, pause time.Duration, read func(cranstore.Update)) {
-	n.follow(ctx, readOptions{s.name, s.topic, replicaReadWait, pause, ownerPause}, func(u cranstore.Update) {
+	n.follow(ctx, readOptions{name: s.name, topic: s.topic, wait: replicaReadWait, pause: pause, ownerPause: ownerPause}, func(u cranstore.Update) {
 		done := make(chan struct{})
 		n.post(ctx, func() {
 			defer close(done)
--- a/internal/cranstore/follow.go
+++ b/internal/cranstore/follow.go
@@ -6,15 +6,25 @@
 	"time"
 
 	"github.com/cranberrypick/cranberrypick/internal/cranpause"
+	"github.com/cranberrypick/cranberrypick/internal/cranwindow"
 )
 
 const (
-	// readSlack is added to the longest wait of a read to allow for the network.
-	readSlack = 1200 * time.Millisecond
+	// responseSlack is added to the wait of a read for the time until its response
+	// begins. It allows for the network and a slow store.
+	responseSlack = 1200 * time.Millisecond
 	// followPause is the pause after the first failed read. It doubles with each
 	// further failure up to followPauseMax.
 	followPause    = 50 * time.Millisecond
 	followPauseMax = 400 * time.Millisecond
+	// minReadBytes, startReadBytes and maxReadBytes bound the size of one read and give
+	// the size of the first one. minReadBytes takes 13 ms on a link of 10 Mbit/s.
+	minReadBytes   = 16 << 10
+	startReadBytes = 128 << 10
+	maxReadBytes   = 1 << 20
+	// maxReceiveTime is the time above which receiving a response counts as slow, so
+	// that the next read is smaller.
+	maxReceiveTime = 300 * time.Millisecond
 )
 
 // Update is the outcome of one read of a topic.
@@ -27,8 +37,10 @@
 	// next append at the time of the read.
 	Next, End uint64
 	// Sent is the follower's clock when the read was sent. The update includes
-	// every record that was stored before.
+	// every record that was stored before, if Next is at End.
 	Sent time.Duration
+	// Waited is how long the store waited for a record in vain.
+	Waited time.Duration
 	// Transfer measures the response to the read.
 	Transfer Transfer
 	// Err is the error of a failed read. Records is empty then, Next is the offset of
@@ -36,64 +48,128 @@
 	Err error
 }
 
+// CurrentAt returns the time up to which every stored record was read. It reports false
+// if records are left unread.
+func (u Update) CurrentAt() (time.Duration, bool) {
+	return u.Sent + u.Waited, u.Err == nil && u.Next >= u.End
+}
+
 // Follower loads the newest record of each key of a topic and then reads the
 // records that follow.
+//
+// A read is bounded by the time without progress, not by its duration, and records that
+// arrived before a read failed are delivered. The size of reads adapts to the link.
 type Follower struct {
 	topic Topic
 	clock func() time.Duration
 	wait  time.Duration
-	// pause returns the current pause after a read that returned records.
 	pause func() time.Duration
+
+	window *cranwindow.Window
+	// loading is the load in progress; nil once the topic has been loaded.
+	loading *loader
+	// next is the offset of the next read, and end the newest known end.
+	next, end uint64
+	// failed is true if the newest read has failed.
+	failed bool
 }
 
-// NewFollower returns a follower whose reads wait up to wait for a record. After
-// a read that returned records it pauses, so that the next read returns the
-// records of several milliseconds together. Update.Sent is taken from clock.
-func NewFollower(topic Topic, clock func() time.Duration, wait time.Duration, pause func() time.Duration) *Follower {
-	return &Follower{topic: topic, clock: clock, wait: wait, pause: pause}
+// FollowerOption configures a Follower.
+type FollowerOption func(*Follower)
+
+// WithWait sets how long a read waits for a record; without it reads don't wait.
+func WithWait(wait time.Duration) FollowerOption { return func(f *Follower) { f.wait = wait } }
+
+// WithPause sets a function that returns the pause after a read that has returned all
+// records, so that the next read returns the records of several milliseconds together.
+func WithPause(pause func() time.Duration) FollowerOption {
+	return func(f *Follower) { f.pause = pause }
+}
+
+// NewFollower returns a follower. The times in updates are taken from clock.
+func NewFollower(topic Topic, clock func() time.Duration, options ...FollowerOption) *Follower {
+	f := &Follower{
+		topic: topic, clock: clock, pause: func() time.Duration { return 0 },
+		window: cranwindow.New(startReadBytes, minReadBytes, maxReadBytes), loading: &loader{topic: topic},
+	}
+	for _, set := range options {
+		set(f)
+	}
+	return f
 }
 
 // Run reads the topic and passes each update to deliver until ctx ends.
 func (f *Follower) Run(ctx context.Context, deliver func(Update)) {
-	var next, end uint64
-	loaded := false
 	backoff := followPause
 	for ctx.Err() == nil {
-		update, err := f.read(ctx, next, loaded)
+		update, complete := f.step(ctx)
 		if ctx.Err() != nil {
 			return
 		}
-		if err != nil {
-			if errors.Is(err, ErrExpired) {
-				loaded = false
-				continue
-			}
-			update.Next, update.End, update.Err = next, max(end, next), err
+		f.failed = update.Err != nil
+		switch {
+		case errors.Is(update.Err, ErrExpired):
+			f.loading = &loader{topic: f.topic}
+		case f.failed:
+			update.Next, update.End = f.next, max(f.end, f.next)
 			deliver(update)
 			cranpause.Sleep(ctx, backoff)
 			backoff = min(2*backoff, followPauseMax)
-			continue
-		}
-		backoff = followPause
-		loaded, next, end = true, update.Next, update.End
-		deliver(update)
-		if len(update.Records) > 0 {
-			cranpause.Sleep(ctx, f.pause())
+		case complete:
+			backoff = followPause
+			f.next, f.end = update.Next, update.End
+			deliver(update)
+			if len(update.Records) > 0 && update.Next >= update.End {
+				cranpause.Sleep(ctx, f.pause())
+			}
 		}
 	}
 }
 
-func (f *Follower) read(ctx context.Context, next uint64, loaded bool) (Update, error) {
-	m := newMeter(f.clock)
-	if !loaded {
-		records, end, err := load(ctx, f.topic, m.received)
-		return Update{Reset: true, Records: records, Next: end, End: end, Sent: m.sent, Transfer: m.measured()}, err
+// step reads once, or loads one page. It reports false if the update is not complete,
+// because further pages have to be loaded.
+func (f *Follower) step(ctx context.Context) (Update, bool) {
+	if f.loading == nil {
+		return f.read(ctx), true
+	}
+	l := f.loading
+	transfer, err := l.loadPage(ctx, f.clock)
+	if err != nil || !l.done {
+		return Update{Transfer: transfer, Err: err}, false
+	}
+	f.loading = nil
+	return Update{Reset: true, Records: l.records, Next: l.end, End: l.end, Sent: l.sent, Transfer: transfer}, true
+}
+
+// read reads the next records. A read after a failed one doesn't wait, so that the
+// follower soon knows whether it is behind.
+func (f *Follower) read(ctx context.Context) Update {
+	wait := f.wait
+	if f.failed {
+		wait = 0
+	}
+	watched, w := newWatch(ctx, f.clock, wait+responseSlack)
+	batch, err := f.topic.Read(watched, f.next, ReadOptions{Wait: wait, MaxBytes: f.window.Size(), Received: w.received})
+	err = stalled(watched, err)
+	transfer := w.stop()
+	f.adaptWindow(batch, transfer, err)
+	if err != nil && len(batch.Records) == 0 {
+		return Update{Transfer: transfer, Err: err}
+	}
+	u := Update{Records: batch.Records, Next: batch.Next, End: batch.End, Sent: w.sent, Transfer: transfer}
+	if len(batch.Records) == 0 {
+		u.Waited = wait
 	}
-	limited, cancel := context.WithTimeout(ctx, f.wait+readSlack)
-	defer cancel()
-	batch, err := f.topic.Read(limited, next, ReadOptions{Wait: f.wait, Received: m.received})
-	if err != nil {
-		batch = Batch{}
+	return u
+}
+
+// adaptWindow sets the size of the next read according to how the present one went.
+func (f *Follower) adaptWindow(batch Batch, transfer Transfer, err error) {
+	receiving := transfer.Elapsed - transfer.FirstByte
+	switch {
+	case err != nil, receiving > maxReceiveTime:
+		f.window.Shrink()
+	case batch.Next < batch.End && 2*receiving <= maxReceiveTime && transfer.Bytes <= f.window.Size():
+		f.window.Grow()
 	}
-	return Update{Records: batch.Records, Next: batch.Next, End: batch.End, Sent: m.sent, Transfer: m.measured()}, err
 }
--- a/internal/cranstore/follow_test.go
+++ b/internal/cranstore/follow_test.go
@@ -49,7 +49,7 @@
 	ctx, cancel := context.WithTimeout(t.Context(), d)
 	defer cancel()
 	start := time.Now()
-	f := NewFollower(topic, func() time.Duration { return time.Since(start) }, time.Second, func() time.Duration { return 0 })
+	f := NewFollower(topic, func() time.Duration { return time.Since(start) }, WithWait(time.Second))
 	f.Run(ctx, func(u Update) { updates = append(updates, u) })
 	return updates
 }
--- a/internal/cranstore/link_test.go
+++ b/internal/cranstore/link_test.go
@@ -22,7 +22,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	start := time.Now()
-	f := cranstore.NewFollower(topic, func() time.Duration { return time.Since(start) }, 500*time.Millisecond, func() time.Duration { return 0 })
+	f := cranstore.NewFollower(topic, func() time.Duration { return time.Since(start) }, cranstore.WithWait(500*time.Millisecond))
 	go func() {
 		defer close(done)
 		f.Run(ctx, deliver)
--- a/internal/cranstore/load.go
+++ b/internal/cranstore/load.go
@@ -6,48 +6,61 @@
 )
 
 const (
-	// pageTimeout bounds the read of one page. A page has up to 1 MB, which takes
-	// about a second over the slowest supported link of 10 Mbit/s.
-	pageTimeout = 4 * time.Second
-	// pageAttempts is how often a page is requested before the load fails.
+	// pageResponseTime bounds the time until the response to the request of a page begins.
+	// The store looks up to 500 keys up for it.
+	pageResponseTime = 4 * time.Second
+	// pageAttempts is how often Load requests a page before it fails.
 	pageAttempts = 3
 )
 
 // Load returns the newest record of each key, and the offset from which reads
-// continue without a gap. It limits the time of each page but not of the whole
-// load, since the number of pages depends on the number of keys.
+// continue without a gap.
 func Load(ctx context.Context, t Topic) ([]Record, uint64, error) {
-	return load(ctx, t, nil)
-}
-
-func load(ctx context.Context, t Topic, received func(bytes int)) ([]Record, uint64, error) {
-	first, err := loadPage(ctx, t, "", received)
-	if err != nil {
-		return nil, 0, err
-	}
-	records := first.Records
-	for page := first; page.More && len(page.Records) > 0; {
-		if page, err = loadPage(ctx, t, page.Records[len(page.Records)-1].Key, received); err != nil {
-			return nil, 0, err
+	start := time.Now()
+	l := loader{topic: t}
+	for failures := 0; !l.done; {
+		if _, err := l.loadPage(ctx, func() time.Duration { return time.Since(start) }); err != nil {
+			if failures++; failures == pageAttempts || ctx.Err() != nil {
+				return nil, 0, err
+			}
+			continue
 		}
-		records = append(records, page.Records...)
+		failures = 0
 	}
-	return records, first.End, nil
+	return l.records, l.end, nil
 }
 
-// loadPage reads the page of the keys after a key. It retries a failed read itself,
-// since a new load would read the earlier pages again.
-func loadPage(ctx context.Context, t Topic, after string, received func(bytes int)) (page Page, err error) {
-	for attempt := 0; attempt < pageAttempts && ctx.Err() == nil; attempt++ {
-		limited, cancel := context.WithTimeout(ctx, pageTimeout)
-		page, err = t.Newest(limited, after, received)
-		cancel()
-		if err == nil {
-			return page, nil
-		}
+// loader collects the newest record of each key, page by page. After a page that failed
+// it continues with that page, however long ago the earlier ones were loaded: reads from
+// end on return every change made since.
+type loader struct {
+	topic   Topic
+	records []Record
+	// end is the offset at which the topic ended when the first page was read. It is
+	// valid once started is true.
+	end           uint64
+	started, done bool
+	// sent is when the first page was requested.
+	sent time.Duration
+}
+
+// loadPage requests the next page.
+func (l *loader) loadPage(ctx context.Context, clock func() time.Duration) (Transfer, error) {
+	after := ""
+	if len(l.records) > 0 {
+		after = l.records[len(l.records)-1].Key
+	}
+	watched, w := newWatch(ctx, clock, pageResponseTime)
+	page, err := l.topic.Newest(watched, after, w.received)
+	err = stalled(watched, err)
+	transfer := w.stop()
+	if err != nil {
+		return transfer, err
 	}
-	if err == nil {
-		err = ctx.Err()
+	if !l.started {
+		l.started, l.end, l.sent = true, page.End, w.sent
 	}
-	return page, err
+	l.records = append(l.records, page.Records...)
+	l.done = !page.More || len(page.Records) == 0
+	return transfer, nil
 }
--- a/internal/cranstore/transfer.go
+++ b/internal/cranstore/transfer.go
@@ -1,6 +1,8 @@
 package cranstore
 
 import (
+	"context"
+	"fmt"
 	"sync"
 	"time"
 )
@@ -16,32 +18,80 @@
 	Elapsed time.Duration
 }
 
-// meter measures a transfer.
-type meter struct {
+// StalledError is the error of a read whose response didn't begin, or stopped arriving, for
+// the time Silence.
+type StalledError struct {
+	Silence time.Duration
+	// Bytes is the size of the part of the response that has arrived.
+	Bytes int
+}
+
+// Error returns a message with the time and the bytes received.
+func (e *StalledError) Error() string {
+	return fmt.Sprintf("no data for %v after %d bytes; check the link to the store", e.Silence, e.Bytes)
+}
+
+// stallTimeout bounds the time between two parts of a response. The duration of a whole
+// response has no bound, since it depends on the rate of the link.
+const stallTimeout = 1200 * time.Millisecond
+
+// watch measures a transfer and cancels it when it makes no progress.
+type watch struct {
 	clock func() time.Duration
 	// sent is when the request was sent, by clock.
-	sent time.Duration
-	// mu guards transfer, since parts of a response arrive in another goroutine.
+	sent   time.Duration
+	timer  *time.Timer
+	cancel context.CancelCauseFunc
+
+	// mu guards the fields below, since parts of a response arrive in another goroutine.
 	mu       sync.Mutex
 	transfer Transfer
+	// patience is the silence after which the transfer is cancelled.
+	patience time.Duration
+}
+
+// newWatch returns a watch that cancels the returned context if the response hasn't begun
+// within the time begin, or stalls after that. The caller calls stop after the transfer.
+func newWatch(ctx context.Context, clock func() time.Duration, begin time.Duration) (context.Context, *watch) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	w := &watch{clock: clock, sent: clock(), cancel: cancel, patience: begin}
+	w.timer = time.AfterFunc(begin, w.expire)
+	return ctx, w
 }
 
-func newMeter(clock func() time.Duration) *meter { return &meter{clock: clock, sent: clock()} }
+// expire cancels the transfer.
+func (w *watch) expire() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cancel(&StalledError{Silence: w.patience, Bytes: w.transfer.Bytes})
+}
 
 // received records that a part of the response has arrived.
-func (m *meter) received(bytes int) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.transfer.FirstByte == 0 {
-		m.transfer.FirstByte = m.clock() - m.sent
+func (w *watch) received(bytes int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.transfer.FirstByte == 0 {
+		w.transfer.FirstByte = w.clock() - w.sent
 	}
-	m.transfer.Bytes += bytes
+	w.transfer.Bytes += bytes
+	w.patience = stallTimeout
+	w.timer.Reset(stallTimeout)
 }
 
-// measured returns the transfer up to now.
-func (m *meter) measured() Transfer {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.transfer.Elapsed = m.clock() - m.sent
-	return m.transfer
+// stop ends the watch and returns the measured transfer.
+func (w *watch) stop() Transfer {
+	w.timer.Stop()
+	w.cancel(nil)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.transfer.Elapsed = w.clock() - w.sent
+	return w.transfer
+}
+
+// stalled returns the StalledError that ended a transfer, or else err.
+func stalled(ctx context.Context, err error) error {
+	if cause, is := context.Cause(ctx).(*StalledError); is && err != nil {
+		return cause
+	}
+	return err
 }
