cranstore: load the newest records instead of reading those that they replace

Cause: an entry instance read and decoded every version, though each replaces the one before. Ten versions a second are 3.1 MB/s, a small link carries 1.25 MB/s, so its lag grew for as long as the storm lasted.

Change: a follower with WithNewestOnly delivers the newest record of each key of an update, and loads the newest records when that takes fewer bytes than reading on. The configuration, the waves and the targets are followed so. The topics of the replica aren't: their order matters to claims.

TestReplacedRecordsAreSkipped covers several keys and deletions.

--- a/internal/crannode/node.go
+++ b/internal/crannode/node.go
@@ -221,7 +221,9 @@
 }
 
 func (n *Node) followOperator(ctx context.Context) {
-	n.follow(ctx, readOptions{name: "operator", topic: n.directory.Operator, wait: readWait}, func(u cranstore.Update) {
+	n.follow(ctx, readOptions{
+		name: "operator", topic: n.directory.Operator, wait: readWait, options: []cranstore.FollowerOption{cranstore.WithNewestOnly()},
+	}, func(u cranstore.Update) {
 		for _, r := range u.Records {
 			n.applyOperatorRecord(ctx, r, u)
 		}
--- a/internal/crannode/owner.go
+++ b/internal/crannode/owner.go
@@ -244,7 +244,10 @@
 
 // followTargets keeps the list of targets up to date until ctx ends.
 func (c *control) followTargets(ctx context.Context) {
-	r := readOptions{name: "targets", topic: c.node.directory.Targets, wait: readWait, pause: targetsPause, ownerPause: ownerTargetsPause}
+	r := readOptions{
+		name: "targets", topic: c.node.directory.Targets, wait: readWait, pause: targetsPause, ownerPause: ownerTargetsPause,
+		options: []cranstore.FollowerOption{cranstore.WithNewestOnly()},
+	}
 	c.node.follow(ctx, r, func(u cranstore.Update) {
 		c.node.post(ctx, func() { c.applyTargets(u) })
 	})
--- a/internal/cranstore/follow.go
+++ b/internal/cranstore/follow.go
@@ -64,6 +64,10 @@
 	clock func() time.Duration
 	wait  time.Duration
 	pause func() time.Duration
+	// sizes is the size of the newest record of each key, and liveBytes their sum; nil
+	// if every record is delivered.
+	sizes     map[string]int
+	liveBytes int
 
 	window *cranwindow.Window
 	// loading is the load in progress; nil once the topic has been loaded.
@@ -86,6 +90,12 @@
 	return func(f *Follower) { f.pause = pause }
 }
 
+// WithNewestOnly makes the follower deliver only the newest record of each key. When it is
+// far behind, it loads the newest records instead of reading those that they replace.
+func WithNewestOnly() FollowerOption {
+	return func(f *Follower) { f.sizes = map[string]int{} }
+}
+
 // NewFollower returns a follower. The times in updates are taken from clock.
 func NewFollower(topic Topic, clock func() time.Duration, options ...FollowerOption) *Follower {
 	f := &Follower{
@@ -118,6 +128,7 @@
 		case complete:
 			backoff = followPause
 			f.next, f.end = update.Next, update.End
+			f.chooseRead(&update)
 			deliver(update)
 			if len(update.Records) > 0 && update.Next >= update.End {
 				cranpause.Sleep(ctx, f.pause())
@@ -173,3 +184,40 @@
 		f.window.Grow()
 	}
 }
+
+// chooseRead drops records that later ones in the update replace, and starts a load if
+// that takes fewer bytes than reading the remaining records.
+func (f *Follower) chooseRead(u *Update) {
+	if f.sizes == nil {
+		return
+	}
+	if u.Reset {
+		clear(f.sizes)
+		f.liveBytes = 0
+	}
+	newest := make(map[string]uint64, len(u.Records))
+	read := 0
+	for _, r := range u.Records {
+		newest[r.Key] = r.Offset
+		read += len(r.Value)
+		f.liveBytes += len(r.Value) - f.sizes[r.Key]
+		f.sizes[r.Key] = len(r.Value)
+		if len(r.Value) == 0 {
+			delete(f.sizes, r.Key)
+		}
+	}
+	kept := make([]Record, 0, len(newest))
+	for _, r := range u.Records {
+		if newest[r.Key] == r.Offset {
+			kept = append(kept, r)
+		}
+	}
+	if unread := u.End - u.Next; unread > 0 && len(u.Records) > 0 && read/len(u.Records)*int(unread) > loadCost(f.liveBytes) {
+		f.loading = &loader{topic: f.topic}
+	}
+	u.Records = kept
+}
+
+// loadCost returns the number of bytes in which the newest records are loaded, given the
+// total size of their values, which the store returns in base64.
+func loadCost(liveBytes int) int { return liveBytes / 3 * 4 }
--- a/internal/cranstore/link_test.go
+++ b/internal/cranstore/link_test.go
@@ -18,11 +18,11 @@
 
 // followLink follows a topic over a link until the test ends, and passes the updates to
 // deliver.
-func followLink(t *testing.T, topic cranstore.Topic, deliver func(cranstore.Update)) {
+func followLink(t *testing.T, topic cranstore.Topic, deliver func(cranstore.Update), options ...cranstore.FollowerOption) {
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	start := time.Now()
-	f := cranstore.NewFollower(topic, func() time.Duration { return time.Since(start) }, cranstore.WithWait(500*time.Millisecond))
+	f := cranstore.NewFollower(topic, func() time.Duration { return time.Since(start) }, append(options, cranstore.WithWait(500*time.Millisecond))...)
 	go func() {
 		defer close(done)
 		f.Run(ctx, deliver)
@@ -68,3 +68,43 @@
 		require.Less(t, link.Received()-before, count*records*size*3/2)
 	})
 }
+
+// TestReplacedRecordsAreSkipped checks that a follower of the newest records delivers each
+// key at most once for each read, ends with the newest record of every key, and receives
+// far less than all records.
+func TestReplacedRecordsAreSkipped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const versions, size = 50, 100_000
+		link := cranmemory.NewLink(slowLinkRate)
+		topic := cranmemory.New()
+		topic.Put("small", []byte{1})
+		topic.Put("gone", []byte{1})
+		newest := map[string]byte{}
+		followLink(t, link.Connect(topic), func(u cranstore.Update) {
+			if u.Reset {
+				clear(newest)
+			}
+			seen := map[string]bool{}
+			for _, r := range u.Records {
+				require.False(t, seen[r.Key], r.Key)
+				seen[r.Key] = true
+				newest[r.Key] = 0
+				if len(r.Value) == 0 {
+					delete(newest, r.Key)
+				} else {
+					newest[r.Key] = r.Value[0]
+				}
+			}
+		}, cranstore.WithNewestOnly())
+		time.Sleep(time.Second)
+		require.Len(t, newest, 2)
+		topic.Put("gone", nil)
+		for v := range byte(versions) {
+			topic.Put("large", append([]byte{v}, make([]byte, size)...))
+		}
+		topic.Put("small", []byte{2})
+		time.Sleep(2 * time.Second)
+		require.Equal(t, map[string]byte{"small": 2, "large": versions - 1}, newest)
+		require.Less(t, link.Received(), versions*size/5)
+	})
+}
