crannode: refuse requests while the configuration may be outdated

Cause: an entry instance routed by the configuration that it had, however old. It stayed ready as long as any topic of the replica answered, and no line or metric showed that the configuration was old.

Change: each read of the operator's topic that leaves nothing unread confirms the configuration as of the time when it was sent. A request is routed only by a configuration confirmed within config_apply_ms, less 0.1 s: a 404 or an acceptance can't rest on an older one, whatever delays the process. Otherwise the answer is 503 with Retry-After, at once, and readiness is false, so that callers go elsewhere. The operator's topic is read four times within that bound, so that a lost response doesn't exceed it. Routing decisions move from the adapter to crannode, where they are logged (1006) and counted; 204 and 205 log the loss and the return, and a metric has the time of the last confirmation.

TestLostResponseLeavesConfigurationConfirmed covers single losses.

--- a/internal/cranevent/event.go
+++ b/internal/cranevent/event.go
@@ -26,6 +26,10 @@
 	ConfigurationAccepted Event = 201
 	ConfigurationRefused  Event = 202
 	ConfigurationInForce  Event = 203
+	// ConfigurationOutdated means that a newer configuration may have been in effect
+	// elsewhere for longer than allowed.
+	ConfigurationOutdated  Event = 204
+	ConfigurationConfirmed Event = 205
 )
 
 // Events of the log and of snapshots.
@@ -68,6 +72,9 @@
 	JobCancelled Event = 1003
 	JobUnknown   Event = 1004
 	JobEnded     Event = 1005
+	// RequestNotRouted reports a request for which the configuration in force has no
+	// queue, or that arrived while the configuration might be outdated.
+	RequestNotRouted Event = 1006
 	// JobEntryStarting reports the start of an entry instance of the job service.
 	JobEntryStarting Event = 1010
 )
--- a/internal/cranmetric/jobs.go
+++ b/internal/cranmetric/jobs.go
@@ -33,6 +33,7 @@
 	firstByte        *prometheus.HistogramVec
 	configApply      prometheus.Histogram
 	configRevision   prometheus.Gauge
+	configConfirmed  prometheus.Gauge
 }
 
 // NewJobs returns the metrics. The series of all known reasons of refusals and retries
@@ -70,6 +71,7 @@
 	m.firstByte = prometheus.NewHistogramVec(histogram("topic_first_byte_seconds", "Time until the response to a read of a topic began, its wait included."), []string{"topic"})
 	m.configApply = prometheus.NewHistogram(histogram("configuration_apply_seconds", "Time to decode a configuration and to put it in force."))
 	m.configRevision = prometheus.NewGauge(gauge("configuration_revision", "Revision of the configuration in force."))
+	m.configConfirmed = prometheus.NewGauge(gauge("configuration_confirmed_timestamp_seconds", "Unix time at which the configuration in force was last known to be the newest."))
 	for _, k := range cranfault.Kinds() {
 		m.refusals.WithLabelValues(string(k))
 	}
@@ -77,7 +79,7 @@
 		m.retries.WithLabelValues(reason)
 	}
 	m.registry.MustRegister(m.refusals, m.retries, m.ended, m.runEnds, m.orders, m.accepted, m.cancelled,
-		m.takeovers, m.acceptance, m.orderTime, m.firstStart, m.reads, m.readBytes, m.behind, m.firstByte, m.configApply, m.configRevision, collectors.NewGoCollector(),
+		m.takeovers, m.acceptance, m.orderTime, m.firstStart, m.reads, m.readBytes, m.behind, m.firstByte, m.configApply, m.configRevision, m.configConfirmed, collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -148,3 +150,7 @@
 	m.configRevision.Set(float64(revision))
 	m.configApply.Observe(after.Seconds())
 }
+
+// ConfigConfirmed records that the configuration in force was the newest one at a time, in
+// Unix milliseconds.
+func (m *Jobs) ConfigConfirmed(unixMs int64) { m.configConfirmed.Set(float64(unixMs) / 1000) }
--- a/internal/crannode/config_test.go
+++ b/internal/crannode/config_test.go
@@ -118,3 +118,24 @@
 		require.True(t, l.progress.current(now))
 	})
 }
+
+// TestLostResponseLeavesConfigurationConfirmed guards against refusing requests because the
+// response to a single read of the configuration was lost.
+func TestLostResponseLeavesConfigurationConfirmed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const bound = 2 * time.Second
+		l := newLinkedNode(t, WithConfigBound(bound))
+		l.publish(1, 100)
+		time.Sleep(bound)
+		for range 20 {
+			l.link.SetCut(true)
+			time.Sleep(bound / configReadsPerBound)
+			l.link.SetCut(false)
+			for range 40 {
+				time.Sleep(100 * time.Millisecond)
+				require.True(t, l.configConfirmed())
+				require.True(t, l.Ready())
+			}
+		}
+	})
+}
--- a/internal/crannode/control.go
+++ b/internal/crannode/control.go
@@ -99,6 +99,7 @@
 	// pendingTakeover is the takeover in progress; nil if there is none.
 	pendingTakeover *takeover
 	owner           *ownership
+	configWatch     configWatch
 	config          *cransched.Config
 	waves           []cransched.WaveOrder
 	targets         map[string]cransched.TargetInfo
@@ -184,6 +185,7 @@
 // several events.
 func (c *control) step() time.Duration {
 	now := c.node.now()
+	c.configWatch.check(c.node, now.Steady)
 	if c.owner == nil {
 		c.continueTakeover(now)
 		c.claimIfUnowned(now.Steady)
--- a/internal/crannode/node.go
+++ b/internal/crannode/node.go
@@ -63,6 +63,11 @@
 	events chan func()
 	// config is replaced as a whole; nil until the first configuration arrives.
 	config atomic.Pointer[Config]
+	// configReadAt is the time up to which all stored configurations were read; 0 before
+	// the first read. It is set after config.
+	configReadAt atomic.Int64
+	// configBound is the time within which a stored configuration must be in effect.
+	configBound time.Duration
 	// answeredAt is when the newest read that the store has answered was sent, over all
 	// topics.
 	answeredAt atomic.Int64
@@ -107,7 +112,7 @@
 	n := &Node{
 		name: name, incarnation: incarnation, directory: directory, orders: orders,
 		log: cranevent.Discard(), metrics: cranmetric.NewJobs(), now: Now, events: make(chan func(), eventQueueSize),
-		replica: cranjob.NewReplica(), advanced: make(chan struct{}),
+		configBound: defaultConfigBound, replica: cranjob.NewReplica(), advanced: make(chan struct{}),
 	}
 	for _, set := range opts {
 		set(n)
@@ -174,12 +179,9 @@
 // Ready reports whether the entry instance can serve callers.
 func (n *Node) Ready() bool {
 	now := n.now().Steady
-	return n.config.Load() != nil && !n.stopping.Load() && (n.submissions.reachable(now) || n.progress.reachable(now))
+	return n.configConfirmed() && !n.stopping.Load() && (n.submissions.reachable(now) || n.progress.reachable(now))
 }
 
-// Config returns the configuration in force; nil until the first one arrives.
-func (n *Node) Config() *Config { return n.config.Load() }
-
 // readOptions defines how a topic is read: how long a read waits for a record, and the
 // pause between two reads, which is different for the owner.
 type readOptions struct {
@@ -220,46 +222,9 @@
 	})
 }
 
-func (n *Node) followOperator(ctx context.Context) {
-	n.follow(ctx, readOptions{
-		name: "operator", topic: n.directory.Operator, wait: readWait, options: []cranstore.FollowerOption{cranstore.WithNewestOnly()},
-	}, func(u cranstore.Update) {
-		for _, r := range u.Records {
-			n.applyOperatorRecord(ctx, r, u)
-		}
-	})
-}
-
 // logReadFailed logs that a topic has become unavailable, and how far the read came.
 func (n *Node) logReadFailed(topic string, u cranstore.Update) {
 	n.log.Emit(cranevent.LogUnavailable, cranevent.Stream(topic), cranevent.Err(u.Err), cranevent.Offset(u.Next),
 		cranevent.Behind(u.End-u.Next), cranevent.Bytes(u.Transfer.Bytes), cranevent.FirstByte(u.Transfer.FirstByte),
 		cranevent.Elapsed(u.Transfer.Elapsed))
 }
-
-// applyOperatorRecord applies a record that was read with the update u.
-func (n *Node) applyOperatorRecord(ctx context.Context, r cranstore.Record, u cranstore.Update) {
-	if len(r.Value) == 0 {
-		return
-	}
-	start := n.now().Steady
-	decoded, err := n.directory.DecodeOperatorRecord(r.Key, r.Value)
-	if err != nil {
-		n.log.Emit(cranevent.MalformedRecord, cranevent.Stream("operator"), cranevent.Offset(r.Offset), cranevent.Err(err))
-		return
-	}
-	switch v := decoded.(type) {
-	case *Config:
-		if old := n.config.Load(); old != nil && old.Version >= v.Version {
-			return
-		}
-		n.config.Store(v)
-		now := n.now().Steady
-		n.metrics.ConfigInForce(v.Version, now-start)
-		n.log.Emit(cranevent.ConfigurationInForce, cranevent.Offset(r.Offset), cranevent.Revision(uint64(v.Version)),
-			cranevent.Age(now-u.Sent), cranevent.Elapsed(now-start), cranevent.Behind(max(u.End, r.Offset+1)-r.Offset-1))
-		n.post(ctx, func() { n.control.setConfig(&v.Config) })
-	case *cransched.WaveOrder:
-		n.post(ctx, func() { n.control.addWave(*v) })
-	}
-}
--- a/internal/cranstore/transfer.go
+++ b/internal/cranstore/transfer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -90,8 +91,9 @@
 
 // stalled returns the StalledError that ended a transfer, or else err.
 func stalled(ctx context.Context, err error) error {
-	if cause, is := context.Cause(ctx).(*StalledError); is && err != nil {
-		return cause
+	var stall *StalledError
+	if err != nil && errors.As(context.Cause(ctx), &stall) {
+		return stall
 	}
 	return err
 }
