cranlog: adapt the size of a tailer's reads

An entry instance of the product's own path that lags far behind on a slow link would stay behind for ever, with an old configuration.

A tailer's read asks for 1,024 records and may last 2 s; one that fails is repeated with the same size. A response above the client's limit is refused with the advice to ask for fewer records, which nothing did.

Change: the number of records is halved after a failed read and doubled after a full read that took less than a quarter of its time.

Evidence: TestBacklogLargerThanTimeoutIsTailed failed before (0 of 1,000 records delivered in 20 s) and passes now.

--- a/internal/cranlog/fake_test.go
+++ b/internal/cranlog/fake_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cranberrypick/cranberrypick/internal/cranfault"
+	"github.com/cranberrypick/cranberrypick/internal/cranpause"
 	"github.com/cranberrypick/cranberrypick/internal/cranplatform"
 )
 
@@ -43,7 +44,9 @@
 	logf    func(format string, args ...any)
 	// readDelay delays the responses that have records.
 	readDelay time.Duration
-	changed   chan struct{}
+	// recordTime is how long each record of a response takes to arrive.
+	recordTime time.Duration
+	changed    chan struct{}
 }
 
 func newFakeLog() *fakeLog {
@@ -110,6 +113,10 @@
 		batch, changed, err := f.readNow(from, limit)
 		if err != nil || len(batch.Records) > 0 {
 			time.Sleep(f.readDelay)
+			cranpause.Sleep(ctx, time.Duration(len(batch.Records))*f.recordTime)
+			if err == nil && f.recordTime > 0 && ctx.Err() != nil {
+				return cranplatform.Batch{}, ctx.Err()
+			}
 			return batch, err
 		}
 		select {
--- a/internal/cranlog/poll.go
+++ b/internal/cranlog/poll.go
@@ -10,6 +10,10 @@
 	"github.com/cranberrypick/cranberrypick/internal/cranplatform"
 )
 
+// quickReadFraction defines which reads count as quick: those that take less than this
+// fraction of the time that a read may last.
+const quickReadFraction = 4
+
 // run reads from the log until the tailer is closed or its next record has
 // expired.
 func (t *Tailer) run(ctx context.Context) {
@@ -48,15 +52,21 @@
 	batch, err := t.read(ctx, from, wait)
 	if err != nil {
 		t.countReadFailure(ctx, err)
+		// The read may have failed because of its size.
+		t.window.Shrink()
 		return err
 	}
+	requested := t.window.Size()
+	if len(batch.Records) >= requested && time.Since(sent) < t.settings.attemptTimeout/quickReadFraction {
+		t.window.Grow()
+	}
 	err = t.checkBatch(batch, from)
 	if err != nil {
 		return err
 	}
 	t.deliverBatch(batch, sent)
 	if wait == t.settings.pollWait {
-		t.paceReads(ctx, batch, sent)
+		t.paceReads(ctx, batch, requested, sent)
 	}
 	return nil
 }
@@ -64,7 +74,7 @@
 func (t *Tailer) read(ctx context.Context, from uint64, wait time.Duration) (cranplatform.Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+t.settings.attemptTimeout)
 	defer cancel()
-	return t.log.Read(ctx, t.stream, from, t.settings.readRecords, int(wait.Milliseconds()))
+	return t.log.Read(ctx, t.stream, from, t.window.Size(), int(wait.Milliseconds()))
 }
 
 func (t *Tailer) deliverBatch(batch cranplatform.Batch, sent time.Time) {
@@ -99,13 +109,13 @@
 // paceReads waits before the next read. It limits the load on a log that responds
 // to an empty read immediately instead of waiting, and it enforces the read interval,
 // so that records accumulate between two reads. It doesn't wait after a full read.
-func (t *Tailer) paceReads(ctx context.Context, batch cranplatform.Batch, sent time.Time) {
+func (t *Tailer) paceReads(ctx context.Context, batch cranplatform.Batch, requested int, sent time.Time) {
 	minInterval := t.settings.backoff.base
 	if len(batch.Records) == 0 && time.Since(sent) < minInterval {
 		cranpause.Sleep(ctx, minInterval)
 		return
 	}
-	if left := t.settings.readInterval - time.Since(sent); left > 0 && len(batch.Records) < t.settings.readRecords {
+	if left := t.settings.readInterval - time.Since(sent); left > 0 && len(batch.Records) < requested {
 		cranpause.Sleep(ctx, left)
 	}
 }
--- a/internal/cranlog/tailer.go
+++ b/internal/cranlog/tailer.go
@@ -7,6 +7,7 @@
 
 	"github.com/cranberrypick/cranberrypick/internal/cranfault"
 	"github.com/cranberrypick/cranberrypick/internal/cranplatform"
+	"github.com/cranberrypick/cranberrypick/internal/cranwindow"
 )
 
 // Position holds the progress of a tailer and what it knows about the log.
@@ -50,8 +51,11 @@
 	stream   string
 	handler  func(Entry)
 	settings settings
-	cancel   context.CancelFunc
-	done     chan struct{}
+	// window is the number of records that the next read requests. Only the reading
+	// goroutine uses it.
+	window *cranwindow.Window
+	cancel context.CancelFunc
+	done   chan struct{}
 
 	// delivery serialises calls of the handler; it is locked before mu.
 	delivery sync.Mutex
@@ -75,6 +79,7 @@
 		stream:   stream,
 		handler:  handler,
 		settings: s,
+		window:   cranwindow.New(s.readRecords, 1, s.readRecords),
 		cancel:   cancel,
 		done:     make(chan struct{}),
 		position: Position{next: from},
--- a/internal/cranlog/tailer_test.go
+++ b/internal/cranlog/tailer_test.go
@@ -102,3 +102,23 @@
 		require.True(t, tailer.Position().CaughtUp())
 	})
 }
+
+// TestBacklogLargerThanTimeoutIsTailed guards against a tailer that repeats a read without
+// progress because the records stored during an outage take longer than one read may last.
+func TestBacklogLargerThanTimeoutIsTailed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const records = 1000
+		log := newFakeLog()
+		log.recordTime = 5 * time.Millisecond
+		for seq := range uint64(records) {
+			log.put(payload(t, "a", seq+1))
+		}
+		got := 0
+		tailer := NewTailer(log, "control", 0, func(Entry) { got++ })
+		// All records take 5 s to arrive, one read may last 2 s. The rest is for reads that
+		// fail before the size fits.
+		time.Sleep(20 * time.Second)
+		require.NoError(t, tailer.Close())
+		require.Equal(t, records, got)
+	})
+}
