--- a/internal/cransnapshot/start_test.go
+++ b/internal/cransnapshot/start_test.go
@@ -9,6 +9,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cranberrypick/cranberrypick/internal/cranfault"
+	"github.com/cranberrypick/cranberrypick/internal/cranpause"
+	"github.com/cranberrypick/cranberrypick/internal/cranplatform"
 	"github.com/cranberrypick/cranberrypick/internal/cranstandin"
 )
 
@@ -125,3 +127,38 @@
 		require.ErrorIs(t, err, cranfault.MatchKind(cranfault.NotReady))
 	})
 }
+
+// slowLog is a log over a slow link, on which each record takes recordTime.
+type slowLog struct {
+	cranplatform.Log
+	recordTime time.Duration
+}
+
+func (l slowLog) Read(ctx context.Context, stream string, from uint64, limit, waitMs int) (cranplatform.Batch, error) {
+	batch, err := l.Log.Read(ctx, stream, from, limit, waitMs)
+	cranpause.Sleep(ctx, time.Duration(len(batch.Records))*l.recordTime)
+	if ctx.Err() != nil {
+		return cranplatform.Batch{}, ctx.Err()
+	}
+	return batch, err
+}
+
+// TestSnapshotLoadsOverSlowLink guards against a start that never ends because a window of
+// the snapshot takes longer than one read may last.
+func TestSnapshotLoadsOverSlowLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := cranstandin.NewLog()
+		defer func() { require.NoError(t, log.Close()) }()
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
+		_, err := log.Append(ctx, "control", [][]byte{{1}, {2}, {3}})
+		require.NoError(t, err)
+		log.Expire("control", 1)
+		require.NoError(t, Write(ctx, log, stream, New(2, stateOf(100)), WithChunkBytes(1), fastBackoff))
+		// A window of 16 records takes 8 s, and a read may last 2 s.
+		s, origin, err := AwaitInitial(ctx, slowLog{log, 500 * time.Millisecond}, streams, nil, fastBackoff)
+		require.NoError(t, err)
+		require.Equal(t, OriginLog, origin)
+		require.EqualValues(t, 2, s.Offset())
+	})
+}
