crannode: append a large batch of the scheduler in parts

An owner whose decisions exceed the store's limit of a call, or what a slow link carries in 1.5 s, would repeat the same append until another process claims, and its successor would do the same.

Cause: a batch holds the progress of every job that has changed, without a bound, and an append that fails is repeated unchanged.

Change: a batch is appended in parts of at most 256 KB, each with a sequence number of its own and a renewal of the claim. Effects are still released only after all parts are stored.

Evidence: TestBatchAboveLimitOfAppendIsStored; with one append for the whole batch, as before, it never ends, since the topic refuses the append each time.

--- a/internal/crannode/control.go
+++ b/internal/crannode/control.go
@@ -49,6 +49,9 @@
 	appendInterval = 25 * time.Millisecond
 	// appendTimeout bounds one attempt of an append.
 	appendTimeout = 1500 * time.Millisecond
+	// maxAppendBytes bounds the records of one append. On a link of 10 Mbit/s they take
+	// 0.2 s; the store's own limit for a call is several times as high.
+	maxAppendBytes = 256 << 10
 	// appendRetryPause is the pause after a failed attempt.
 	appendRetryPause = 80 * time.Millisecond
 	// instancesInterval is how often an owner reads the list of instances.
--- a/internal/crannode/owner.go
+++ b/internal/crannode/owner.go
@@ -12,8 +12,10 @@
 	"github.com/cranberrypick/cranberrypick/internal/cranstore"
 )
 
-// append stores the scheduler's decisions and renews the claim. Only one append is in
-// progress at a time.
+// append stores the scheduler's decisions and renews the claim. Only one batch is in
+// progress at a time. A large batch is appended in parts, since the store refuses a call
+// above its limit and a slow link can't carry it in the time of one attempt. Each part
+// renews the claim.
 func (c *control) append(now time.Duration) {
 	o := c.owner
 	if o.appending || now < o.nextAppendAt {
@@ -24,23 +26,60 @@
 	if !decided && !releasing && now-o.claimedAt < claimInterval {
 		return
 	}
-	if releasing || now-o.claimedAt >= claimInterval || len(records) == 0 {
-		o.renewals++
+	parts := splitBatch(records, maxAppendBytes)
+	if releasing || now-o.claimedAt >= claimInterval || len(parts) != 1 {
+		if len(parts) == 0 {
+			parts = [][]cranstore.Record{nil}
+		}
 		o.claimedAt = now
-		records = append(records, cranstore.Record{Key: cranjob.KeyClaim, Value: cranjob.Encode(cranjob.Claim{
-			Epoch: o.epoch, Node: c.node.name, Incarnation: c.node.incarnation, Renewal: o.renewals, Released: releasing,
-			AppendMs: o.appendLatency.Milliseconds(),
-		})})
+		for i, part := range parts {
+			o.renewals++
+			parts[i] = append(part, cranstore.Record{Key: cranjob.KeyClaim, Value: cranjob.Encode(cranjob.Claim{
+				Epoch: o.epoch, Node: c.node.name, Incarnation: c.node.incarnation, Renewal: o.renewals,
+				Released: releasing && i == len(parts)-1, AppendMs: o.appendLatency.Milliseconds(),
+			})})
+		}
 	}
 	o.appending = true
-	o.sequence++
-	options := cranstore.AppendOptions{Producer: producer, Epoch: o.epoch, Sequence: o.sequence}
+	options := cranstore.AppendOptions{Producer: producer, Epoch: o.epoch, Sequence: o.sequence + 1}
+	o.sequence += uint64(len(parts))
 	go func() {
-		sent, err := c.node.appendUntilAnswered(o.ctx, records, options)
+		sent, err := c.node.appendParts(o.ctx, parts, options)
 		c.node.post(c.runCtx, func() { c.appendCompleted(o, sent, err, releasing) })
 	}()
 }
 
+// splitBatch divides records into parts of at most maxBytes, or of one record if that is
+// larger.
+func splitBatch(records []cranstore.Record, maxBytes int) [][]cranstore.Record {
+	var parts [][]cranstore.Record
+	first, size := 0, 0
+	for i, r := range records {
+		bytes := len(r.Key) + len(r.Value)
+		if i > first && size+bytes > maxBytes {
+			parts = append(parts, records[first:i:i])
+			first, size = i, 0
+		}
+		size += bytes
+	}
+	if first < len(records) {
+		parts = append(parts, records[first:len(records):len(records)])
+	}
+	return parts
+}
+
+// appendParts appends the parts of a batch one after the other. It returns when the last
+// append was sent.
+func (n *Node) appendParts(ctx context.Context, parts [][]cranstore.Record, o cranstore.AppendOptions) (sent time.Duration, err error) {
+	for _, part := range parts {
+		if sent, err = n.appendUntilAnswered(ctx, part, o); err != nil {
+			return sent, err
+		}
+		o.Sequence++
+	}
+	return sent, nil
+}
+
 // appendUntilAnswered repeats an append until its outcome is known. The sequence number
 // makes repeats safe.
 func (n *Node) appendUntilAnswered(ctx context.Context, records []cranstore.Record, o cranstore.AppendOptions) (time.Duration, error) {
