crannode: bound each page of the list of instances by itself

On a fleet whose list has more pages than fit into 0.9 s, the list would never be read, so nothing would be moved or maintained.

Cause: one time limit for all pages together; after it expired, the next attempt began with the first page.

Change: the loop over the pages moves from the adapter to crannode. Each page has 0.9 s, and a page without an answer is requested up to three times.

Evidence: TestLongListOfInstancesIsRead; 16 pages of 0.3 s took 4.8 s and exceeded the limit of 0.9 s before.

--- a/internal/crannode/claim_test.go
+++ b/internal/crannode/claim_test.go
@@ -88,7 +88,9 @@
 // noInstances is an OrderSender for a platform without instances.
 type noInstances struct{ OrderSender }
 
-func (noInstances) ListInstances(context.Context) ([]cransched.InstanceInfo, error) { return nil, nil }
+func (noInstances) ListInstances(context.Context, string) ([]cransched.InstanceInfo, string, error) {
+	return nil, "", nil
+}
 
 // pair is two entry instances that share their topics.
 type pair struct {
--- a/internal/crannode/control.go
+++ b/internal/crannode/control.go
@@ -56,6 +56,10 @@
 	appendRetryPause = 80 * time.Millisecond
 	// instancesInterval is how often an owner reads the list of instances.
 	instancesInterval = 500 * time.Millisecond
+	// instancesTimeout bounds the read of the whole list, and instancePageAttempts how
+	// often one page is requested.
+	instancesTimeout     = 20 * time.Second
+	instancePageAttempts = 3
 	// callTimeout bounds a call to a target or to the platform.
 	callTimeout = 900 * time.Millisecond
 	// trimTimeout bounds the append that replaces the submission of an ended job by a
--- a/internal/crannode/owner.go
+++ b/internal/crannode/owner.go
@@ -268,8 +268,8 @@
 	}
 	o.listingInstances = true
 	o.nextInstancesAt = now + instancesInterval
-	c.callAsync(o, callTimeout, func(ctx context.Context) func() {
-		list, err := c.node.orders.ListInstances(ctx)
+	c.callAsync(o, instancesTimeout, func(ctx context.Context) func() {
+		list, err := c.node.listInstances(ctx)
 		return func() {
 			o.listingInstances = false
 			if err != nil {
@@ -281,6 +281,30 @@
 	})
 }
 
+// listInstances reads the whole list of instances. Each page has a time limit of its own,
+// since the number of pages depends on the number of instances. A page without an answer is
+// requested again without the earlier ones.
+func (n *Node) listInstances(ctx context.Context) ([]cransched.InstanceInfo, error) {
+	var list []cransched.InstanceInfo
+	token := ""
+	for failures := 0; ; {
+		limited, cancel := context.WithTimeout(ctx, callTimeout)
+		page, next, err := n.orders.ListInstances(limited, token)
+		cancel()
+		if err != nil {
+			if failures++; failures == instancePageAttempts || cranstore.IsRefused(err) || ctx.Err() != nil {
+				return nil, err
+			}
+			continue
+		}
+		failures = 0
+		list = append(list, page...)
+		if token = next; token == "" {
+			return list, nil
+		}
+	}
+}
+
 // followTargets keeps the list of targets up to date until ctx ends.
 func (c *control) followTargets(ctx context.Context) {
 	r := readOptions{
--- a/internal/crannode/owner_test.go
+++ b/internal/crannode/owner_test.go
@@ -2,11 +2,16 @@
 
 import (
 	"context"
+	"strconv"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/cranberrypick/cranberrypick/internal/cranmemory"
+	"github.com/cranberrypick/cranberrypick/internal/cranpause"
+	"github.com/cranberrypick/cranberrypick/internal/cransched"
 	"github.com/cranberrypick/cranberrypick/internal/cranstore"
 )
 
@@ -51,3 +56,39 @@
 	require.NoError(t, err)
 	require.Empty(t, splitBatch(nil, 1))
 }
+
+// pagedInstances is a list of instances with one instance a page. Each page takes pageTime,
+// and every third request fails.
+type pagedInstances struct {
+	noInstances
+	pages    int
+	pageTime time.Duration
+	requests int
+}
+
+func (p *pagedInstances) ListInstances(ctx context.Context, page string) ([]cransched.InstanceInfo, string, error) {
+	p.requests++
+	cranpause.Sleep(ctx, p.pageTime)
+	if ctx.Err() != nil || p.requests%3 == 0 {
+		return nil, "", context.DeadlineExceeded
+	}
+	number, _ := strconv.Atoi(page)
+	next := strconv.Itoa(number + 1)
+	if number+1 == p.pages {
+		next = ""
+	}
+	return []cransched.InstanceInfo{{Instance: page}}, next, nil
+}
+
+// TestLongListOfInstancesIsRead guards against a list that is never read because all of its
+// pages together take longer than one call may last.
+func TestLongListOfInstancesIsRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const pages = 16
+		orders := &pagedInstances{pages: pages, pageTime: callTimeout / 3}
+		n := New("a", "a-1", Topics{Progress: cranmemory.New(), Submissions: cranmemory.New()}, Directory{}, orders)
+		list, err := n.listInstances(t.Context())
+		require.NoError(t, err)
+		require.Len(t, list, pages)
+	})
+}
--- a/internal/crannode/ports.go
+++ b/internal/crannode/ports.go
@@ -18,7 +18,9 @@
 	// RequestTickets returns the tickets for a step and how long they are valid. The
 	// duration is 0 if the response does not contain one.
 	RequestTickets(ctx context.Context, e cransched.RequestTickets) ([]cransched.Ticket, time.Duration, error)
-	ListInstances(ctx context.Context) ([]cransched.InstanceInfo, error)
+	// ListInstances returns a page of the platform's list of instances, and the token of
+	// the next page. The first page has an empty token, and so has the end of the list.
+	ListInstances(ctx context.Context, page string) ([]cransched.InstanceInfo, string, error)
 	Maintain(ctx context.Context, e cransched.Maintain) cransched.CallStatus
 	MoveInstance(ctx context.Context, e cransched.MoveInstance) cransched.CallStatus
 	ReportWave(ctx context.Context, s cransched.WaveStatus) error
