cransoak: check answers about routes while configurations and links change

A 404 for a route that was added, or a 200 for one that was removed, longer than config_apply_ms before the request is a violation.

--- a/internal/cransoak/check.go
+++ b/internal/cransoak/check.go
@@ -15,7 +15,7 @@
 const jobPollInterval = 200 * time.Millisecond
 
 // checkResults adds all violations to the report and returns it. It checks the
-// violations that the targets recorded, whether each process is ready and has never
+// violations that the targets recorded and those of answers about routes, whether each process is ready and has never
 // panicked, the state of each job at each entry instance, and whether all tasks of the
 // long-running job are running if it was accepted.
 func (s *soak) checkResults(ctx context.Context) Report {
@@ -23,6 +23,7 @@
 	defer cancel()
 	r := &s.report
 	r.Violations = append(r.Violations, s.deployment.Ledger().Violations()...)
+	r.Violations = append(r.Violations, s.configs.violations...)
 	for _, e := range s.entries {
 		if err := e.awaitReady(boundedCtx); err != nil {
 			r.Violations = append(r.Violations, err.Error())
--- a/internal/cransoak/proxy.go
+++ b/internal/cransoak/proxy.go
@@ -1,9 +1,12 @@
 package cransoak
 
 import (
+	"context"
 	"net"
 	"sync"
 	"time"
+
+	"golang.org/x/time/rate"
 )
 
 // Mode is the fault that a proxy injects into connections.
@@ -41,6 +44,9 @@
 	// group counts the goroutines that accept and forward connections.
 	group sync.WaitGroup
 
+	// limiter bounds the rate of all responses together.
+	limiter *rate.Limiter
+
 	mu   sync.Mutex
 	mode Mode
 	// conns holds both ends of each open connection.
@@ -53,7 +59,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{listener: l, backend: backend, conns: map[net.Conn]bool{}}
+	p := &Proxy{listener: l, backend: backend, limiter: rate.NewLimiter(rate.Inf, bufferSize), conns: map[net.Conn]bool{}}
 	p.group.Go(p.accept)
 	return p, nil
 }
@@ -71,6 +77,16 @@
 	}
 }
 
+// SetRate bounds the rate of the responses on all connections together, in bytes per second;
+// 0 means no bound.
+func (p *Proxy) SetRate(bytesPerSecond int) {
+	limit := rate.Limit(bytesPerSecond)
+	if bytesPerSecond == 0 {
+		limit = rate.Inf
+	}
+	p.limiter.SetLimit(limit)
+}
+
 // Close stops the proxy, closes its connections and waits for its goroutines.
 func (p *Proxy) Close() error {
 	err := p.listener.Close()
@@ -146,6 +162,10 @@
 				continue
 			}
 		}
+		if responses {
+			// The burst of the limiter is the size of the buffer, so the wait can't fail.
+			_ = p.limiter.WaitN(context.Background(), n)
+		}
 		if _, err := to.Write(buffer[:n]); err != nil {
 			return
 		}
--- a/internal/cransoak/soak.go
+++ b/internal/cransoak/soak.go
@@ -68,7 +68,8 @@
 	targetProxies []*Proxy
 	caller        *standin.Caller
 	// group counts the submissions and the faults that are in progress.
-	group sync.WaitGroup
+	group   sync.WaitGroup
+	configs *configs
 
 	mu     sync.Mutex
 	report Report
@@ -76,15 +77,13 @@
 	// which a cancellation was sent.
 	outcomes  map[string]standin.Outcome
 	cancelled map[string]bool
-	// configVersion is the newest version of the configuration.
-	configVersion int
 }
 
 // Run runs a soak: it starts the processes, submits jobs and injects faults for the
 // given duration, ends all faults and checks the results.
 func Run(ctx context.Context, o Options) (report Report, err error) {
 	s := &soak{
-		Options: o, random: rand.New(rand.NewPCG(o.Seed, 0)), configVersion: 1,
+		Options: o, random: rand.New(rand.NewPCG(o.Seed, 0)),
 		outcomes: map[string]standin.Outcome{}, cancelled: map[string]bool{},
 	}
 	s.deployment, err = standin.NewDeployment(o.Targets, taskDuration, func(address string) (string, error) {
@@ -99,6 +98,7 @@
 		return Report{}, err
 	}
 	defer func() { err = errors.Join(err, s.close()) }()
+	s.configs = &configs{deployment: s.deployment, version: 1}
 	s.caller = s.deployment.NewCaller(callerTimeout)
 	if err := s.startEntries(ctx); err != nil {
 		return s.report, err
@@ -156,6 +156,7 @@
 			cranpause.Sleep(boundedCtx, time.Duration(callerRandom.Int64N(int64(maxSubmitInterval))))
 		}
 	})
+	s.runConfigs(boundedCtx)
 	for boundedCtx.Err() == nil {
 		cranpause.Sleep(boundedCtx, time.Duration(s.random.Int64N(int64(maxFaultInterval))))
 		if err := s.injectFault(boundedCtx); err != nil {
@@ -233,8 +234,7 @@
 		cranpause.Sleep(ctx, duration)
 		return e.signal(syscall.SIGCONT)
 	case 7:
-		s.configVersion++
-		s.deployment.PublishConfig(s.configVersion)
+		s.configs.publish()
 		return e.signal(syscall.SIGHUP)
 	case 8:
 		s.injectStoreFault(ctx, duration)
@@ -277,6 +277,7 @@
 	}
 	for _, e := range s.entries {
 		e.proxy.SetMode(Pass)
+		e.proxy.SetRate(0)
 	}
 }
 
