cransched: order as many moves as the platform accepts

The surge needs some 150 instances more than the pool has, and is over before they have come. The bound was the rate of the small deployments, 64 orders a second; the platform's settings name the rate of each deployment, 215 for the grown ones.

Change: the settings' duty_per_s gives the number of moves in a round: 6 at 64, 20 at 215, 6 if it is unknown. A twentieth stays for maintenance and repeats.

Ruled out: processor time of the owner (0.12 of a core at most), maintenance (ten of 182 instances a second while the pool lacks capacity).

--- a/internal/cransched/config.go
+++ b/internal/cransched/config.go
@@ -44,6 +44,9 @@
 	// OrderLease is the minimum time that the platform requires between the orders of two
 	// owners for the same instance.
 	OrderLease time.Duration
+	// OrdersPerSecond is how many orders about instances the platform accepts per second.
+	// 0 means that it is not known.
+	OrdersPerSecond float64
 }
 
 const (
--- a/internal/cransched/moves.go
+++ b/internal/cransched/moves.go
@@ -41,9 +41,9 @@
 		p := supply[b.pool]
 		donors = append(donors, p.empty[:min(-b.missing, len(p.empty))]...)
 	}
-	orderCount := 0
+	orderCount, maxOrders := 0, s.maxMovesPerPlan()
 	for _, b := range shortages {
-		for n := b.missing; n > 0 && len(donors) > 0 && orderCount < maxMovesPerPlan; n-- {
+		for n := b.missing; n > 0 && len(donors) > 0 && orderCount < maxOrders; n-- {
 			if s.orderMove(donors[0], b.pool) {
 				orderCount++
 			}
@@ -52,7 +52,7 @@
 		}
 	}
 	for _, instance := range donors[max(min(standbyCount, len(donors)), 0):] {
-		if standby == "" || orderCount >= maxMovesPerPlan {
+		if standby == "" || orderCount >= maxOrders {
 			return
 		}
 		if s.orderMove(instance, standby) {
--- a/internal/cransched/pools.go
+++ b/internal/cransched/pools.go
@@ -32,11 +32,22 @@
 	moveTimeout = 8 * time.Second
 	// moveRetryInterval is the time after which an unanswered move is sent again.
 	moveRetryInterval = 1000 * time.Millisecond
-	// maxMovesPerPlan limits the moves that one planning round orders. The platform
-	// accepts a few dozen orders per second.
-	maxMovesPerPlan = 6
+	// defaultOrdersPerSecond is how many orders about instances the platform is assumed to
+	// accept per second, and moveShare the fraction of them that may be moves. The rest is
+	// for maintenance and for repeated orders.
+	defaultOrdersPerSecond = 64
+	moveShare              = 0.95
 )
 
+// maxMovesPerPlan returns how many moves one planning round may order.
+func (s *Scheduler) maxMovesPerPlan() int {
+	rate := s.timing.OrdersPerSecond
+	if rate <= 0 {
+		rate = defaultOrdersPerSecond
+	}
+	return max(int(moveShare*rate*planInterval.Seconds()), 1)
+}
+
 // peakDemand is the largest number of instances that a pool needed recently, kept until a
 // time.
 type peakDemand struct {
