cranstore: split the follower's handling of an update

The sizes of the newest records, the choice between reading on and loading, and the pause become functions of their own.

--- a/internal/cranstore/follow.go
+++ b/internal/cranstore/follow.go
@@ -127,16 +127,39 @@
 			backoff = min(2*backoff, followPauseMax)
 		case complete:
 			backoff = followPause
-			f.next, f.end = update.Next, update.End
-			f.chooseRead(&update)
+			f.accept(&update)
 			deliver(update)
-			if len(update.Records) > 0 && update.Next >= update.End {
-				cranpause.Sleep(ctx, f.pause())
-			}
+			cranpause.Sleep(ctx, f.pauseAfter(update))
 		}
 	}
 }
 
+// accept continues after an update. If only the newest records are wanted, it drops the
+// others from the update, and starts a load if that is cheaper than reading on.
+func (f *Follower) accept(u *Update) {
+	f.next, f.end = u.Next, u.End
+	if f.sizes == nil {
+		return
+	}
+	f.recordSizes(*u)
+	if f.shouldReload(*u) {
+		f.loading = &loader{topic: f.topic}
+	}
+	u.Records = newestOnly(u.Records)
+}
+
+// pauseAfter returns the pause after an update. A follower that is behind reads on at once,
+// unless the next record didn't fit into the read, which then grows.
+func (f *Follower) pauseAfter(u Update) time.Duration {
+	switch behind := u.Next < u.End; {
+	case behind && len(u.Records) == 0:
+		return followPause
+	case behind || len(u.Records) == 0:
+		return 0
+	}
+	return f.pause()
+}
+
 // step reads once, or loads one page. It reports false if the update is not complete,
 // because further pages have to be loaded.
 func (f *Follower) step(ctx context.Context) (Update, bool) {
@@ -185,39 +208,48 @@
 	}
 }
 
-// chooseRead drops records that later ones in the update replace, and starts a load if
-// that takes fewer bytes than reading the remaining records.
-func (f *Follower) chooseRead(u *Update) {
-	if f.sizes == nil {
-		return
-	}
+// recordSizes keeps track of the size of the newest records.
+func (f *Follower) recordSizes(u Update) {
 	if u.Reset {
 		clear(f.sizes)
 		f.liveBytes = 0
 	}
-	newest := make(map[string]uint64, len(u.Records))
-	read := 0
 	for _, r := range u.Records {
-		newest[r.Key] = r.Offset
-		read += len(r.Value)
 		f.liveBytes += len(r.Value) - f.sizes[r.Key]
 		f.sizes[r.Key] = len(r.Value)
 		if len(r.Value) == 0 {
 			delete(f.sizes, r.Key)
 		}
 	}
-	kept := make([]Record, 0, len(newest))
+}
+
+// shouldReload reports whether loading the newest records takes fewer bytes than reading the
+// remaining ones, if these are as large as those in the update.
+func (f *Follower) shouldReload(u Update) bool {
+	unread := u.End - u.Next
+	if unread == 0 || len(u.Records) == 0 {
+		return false
+	}
+	read := 0
 	for _, r := range u.Records {
+		read += len(r.Value)
+	}
+	// The store returns the newest records in base64.
+	loadBytes := f.liveBytes / 3 * 4
+	return read/len(u.Records)*int(unread) > loadBytes
+}
+
+// newestOnly returns the records that no later one replaces, in their order.
+func newestOnly(records []Record) []Record {
+	newest := make(map[string]uint64, len(records))
+	for _, r := range records {
+		newest[r.Key] = r.Offset
+	}
+	kept := make([]Record, 0, len(newest))
+	for _, r := range records {
 		if newest[r.Key] == r.Offset {
 			kept = append(kept, r)
 		}
 	}
-	if unread := u.End - u.Next; unread > 0 && len(u.Records) > 0 && read/len(u.Records)*int(unread) > loadCost(f.liveBytes) {
-		f.loading = &loader{topic: f.topic}
-	}
-	u.Records = kept
+	return kept
 }
-
-// loadCost returns the number of bytes in which the newest records are loaded, given the
-// total size of their values, which the store returns in base64.
-func loadCost(liveBytes int) int { return liveBytes / 3 * 4 }
