--- a/internal/crannode/config.go
+++ b/internal/crannode/config.go
@@ -36,38 +36,43 @@
 // Config returns the configuration in force, however old; nil until the first one arrives.
 func (n *Node) Config() *Config { return n.config.Load() }
 
-// configAge returns how long ago the configuration in force was certainly the newest one.
-// It reports false before the first configuration.
-func (n *Node) configAge() (time.Duration, bool) {
-	at := n.configReadAt.Load()
-	return n.now().Steady - time.Duration(at), at != 0 && n.config.Load() != nil
+// freshness tells how new the configuration in force is.
+type freshness struct {
+	// known is false before the first configuration; the other fields are zero then.
+	known bool
+	// age is the time since the configuration was certainly the newest one.
+	age time.Duration
+	// confirmed is true if every configuration that must be in effect by now is.
+	confirmed bool
 }
 
-// configConfirmed reports whether every configuration that must be in effect by now is.
-func (n *Node) configConfirmed() bool {
-	age, known := n.configAge()
-	return known && age <= n.configBound-configMargin
+// configFreshness returns the freshness of the configuration in force. A configuration that
+// is loaded after the call is at least as new.
+func (n *Node) configFreshness() freshness {
+	at := n.configReadAt.Load()
+	if at == 0 || n.config.Load() == nil {
+		return freshness{}
+	}
+	age := n.now().Steady - time.Duration(at)
+	return freshness{known: true, age: age, confirmed: age <= n.configBound-configMargin}
 }
 
 // FindQueue returns the queue to which a request is routed, and its path without the
 // route's prefix. It returns a fault of kind UnknownService if there is no such queue, and
 // of kind NotReady if that can't be known, because the configuration may be outdated.
 func (n *Node) FindQueue(host, path string) (*cransched.Queue, string, error) {
-	// The time must be checked before the configuration is loaded, which is then at least
-	// as new.
-	age, known := n.configAge()
-	confirmed := n.configConfirmed()
+	f := n.configFreshness()
+	if !f.known {
+		return nil, "", n.refuseRoute(0, f.age, cranfault.New(cranfault.NotReady, "try another entry instance", "no configuration is known here yet"))
+	}
 	config := n.config.Load()
-	switch {
-	case !known:
-		return nil, "", n.refuseRoute(0, age, cranfault.New(cranfault.NotReady, "try another entry instance", "no configuration is known here yet"))
-	case !confirmed:
-		return nil, "", n.refuseRoute(config.Version, age, cranfault.New(cranfault.NotReady, "try another entry instance",
-			"the configuration has not been confirmed for %v", age.Round(time.Millisecond)))
+	if !f.confirmed {
+		return nil, "", n.refuseRoute(config.Version, f.age, cranfault.New(cranfault.NotReady, "try another entry instance",
+			"the configuration has not been confirmed for %v", f.age.Round(time.Millisecond)))
 	}
 	queue, rest := config.FindQueue(host, path)
 	if queue == nil {
-		return nil, "", n.refuseRoute(config.Version, age, cranfault.New(cranfault.UnknownService, "correct the host and the path", "no queue is at %s%s", host, path))
+		return nil, "", n.refuseRoute(config.Version, f.age, cranfault.New(cranfault.UnknownService, "correct the host and the path", "no queue is at %s%s", host, path))
 	}
 	return queue, rest, nil
 }
@@ -134,16 +139,16 @@
 
 // check logs a change since the last call.
 func (w *configWatch) check(n *Node, now time.Duration) {
-	age, known := n.configAge()
-	if !known || n.configConfirmed() != w.outdated {
+	f := n.configFreshness()
+	if !f.known || f.confirmed != w.outdated {
 		return
 	}
 	w.outdated = !w.outdated
 	revision := cranevent.Revision(uint64(n.config.Load().Version))
 	if w.outdated {
 		w.since = now
-		n.log.Emit(cranevent.ConfigurationOutdated, revision, cranevent.Age(age))
+		n.log.Emit(cranevent.ConfigurationOutdated, revision, cranevent.Age(f.age))
 		return
 	}
-	n.log.Emit(cranevent.ConfigurationConfirmed, revision, cranevent.Age(age), cranevent.Elapsed(now-w.since))
+	n.log.Emit(cranevent.ConfigurationConfirmed, revision, cranevent.Age(f.age), cranevent.Elapsed(now-w.since))
 }
--- a/internal/crannode/config_test.go
+++ b/internal/crannode/config_test.go
@@ -133,7 +133,7 @@
 			l.link.SetCut(false)
 			for range 40 {
 				time.Sleep(100 * time.Millisecond)
-				require.True(t, l.configConfirmed())
+				require.True(t, l.configFreshness().confirmed)
 				require.True(t, l.Ready())
 			}
 		}
--- a/internal/crannode/node.go
+++ b/internal/crannode/node.go
@@ -179,7 +179,7 @@
 // Ready reports whether the entry instance can serve callers.
 func (n *Node) Ready() bool {
 	now := n.now().Steady
-	return n.configConfirmed() && !n.stopping.Load() && (n.submissions.reachable(now) || n.progress.reachable(now))
+	return n.configFreshness().confirmed && !n.stopping.Load() && (n.submissions.reachable(now) || n.progress.reachable(now))
 }
 
 // readOptions defines how a topic is read: how long a read waits for a record, and the
