--- a/internal/cranmetric/jobs.go
+++ b/internal/cranmetric/jobs.go
@@ -133,7 +133,7 @@
 // ReadTopic counts a read of a topic. It received a number of bytes, the first of them after
 // firstByte (0 if there was none), and left behind records unread.
 func (m *Jobs) ReadTopic(topic string, failed bool, bytes int, firstByte time.Duration, behind uint64) {
-	outcome := "complete"
+	outcome := "delivered"
 	if failed {
 		outcome = "failed"
 	}
--- a/internal/cransoak/config.go
+++ b/internal/cransoak/config.go
@@ -23,7 +23,7 @@
 	fillerRoutes = 800
 	fillerBytes  = 200
 	// narrowRate is the rate of a narrowed link, in bytes per second. It carries a
-	// configuration in half a second.
+	// configuration in two thirds of a second.
 	narrowRate = 400_000
 	// maxRoutes is the number of probed routes in a configuration.
 	maxRoutes = 4
