crannode: measure the silence of an owner up to what was read

What callers saw: nothing yet; found while reading. An entry instance could claim the scheduling up to 0.5 s early, while the owner was well.

Cause: since reads after a failure don't wait, an empty read no longer means that the store waited 0.5 s in vain, but applyProgress still added that time.

Change: the update says how long the store waited.

Evidence: TestReadWithoutWaitIsOnlyAsNewAsItsRequest failed before and passes now.

--- a/internal/crannode/claim_test.go
+++ b/internal/crannode/claim_test.go
@@ -252,3 +252,14 @@
 		require.True(t, found)
 	})
 }
+
+// TestReadWithoutWaitIsOnlyAsNewAsItsRequest guards against an early claim: a read that did
+// not wait says nothing about the time after it was sent.
+func TestReadWithoutWaitIsOnlyAsNewAsItsRequest(t *testing.T) {
+	n := New("a", "a-1", Topics{Progress: cranmemory.New(), Submissions: cranmemory.New()}, Directory{}, noInstances{})
+	sent := n.now().Steady
+	n.control.applyProgress(cranstore.Update{Sent: sent})
+	require.Equal(t, sent, n.control.readThrough)
+	n.control.applyProgress(cranstore.Update{Sent: sent, Waited: replicaReadWait})
+	require.Equal(t, sent+replicaReadWait, n.control.readThrough)
+}
--- a/internal/crannode/control.go
+++ b/internal/crannode/control.go
@@ -226,10 +226,9 @@
 	c.progressReadAt = now.Steady
 	// A read returns everything stored before it was answered. A read without records
 	// was answered at the end of its wait.
-	c.readThrough = u.Sent
+	c.readThrough = u.Sent + u.Waited
 	if len(u.Records) == 0 && !u.Reset {
-		c.readLatency = max(now.Steady-u.Sent-replicaReadWait, 0)
-		c.readThrough += replicaReadWait
+		c.readLatency = max(now.Steady-c.readThrough, 0)
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
