--- a/internal/cransnapshot/load.go
+++ b/internal/cransnapshot/load.go
@@ -7,6 +7,7 @@
 	"github.com/cranberrypick/cranberrypick/internal/cranfault"
 	"github.com/cranberrypick/cranberrypick/internal/cranlog"
 	"github.com/cranberrypick/cranberrypick/internal/cranplatform"
+	"github.com/cranberrypick/cranberrypick/internal/cranwindow"
 )
 
 // maxAssemblies is the maximum number of incomplete snapshots that a loader holds.
@@ -18,9 +19,10 @@
 // snapshot and older records can't complete a later one. Of the complete snapshots
 // read, it returns the one with the highest offset. It fails with
 // cranfault.NotReady if the stream has no complete snapshot. It returns errors of
-// the log without retrying.
+// the log without retrying, unless a smaller read may succeed.
 func LoadLatest(ctx context.Context, log cranplatform.Log, stream string, options ...Option) (Snapshot, error) {
 	l := loader{log: log, stream: stream, settings: newSettings(options), partial: map[identity]*assembly{}}
+	l.window = cranwindow.New(int(l.settings.windowRecords), 1, int(l.settings.windowRecords))
 	bounds, err := l.bounds(ctx)
 	if err != nil {
 		return Snapshot{}, err
@@ -49,6 +51,8 @@
 	log      cranplatform.Log
 	stream   string
 	settings settings
+	// window is the number of records that the next read requests at most.
+	window *cranwindow.Window
 	// partial holds the incomplete snapshots that are later than best, at most
 	// maxAssemblies.
 	partial map[identity]*assembly
@@ -82,7 +86,7 @@
 // read.
 func (l *loader) readWindow(ctx context.Context, from, end, oldest uint64) (uint64, error) {
 	for from < end {
-		batch, err := l.read(ctx, from, int(end-from))
+		batch, err := l.read(ctx, from, min(int(end-from), l.window.Size()))
 		if errors.Is(err, cranfault.MatchKind(cranfault.RecordsExpired)) {
 			bounds, err := l.bounds(ctx)
 			if err != nil {
@@ -92,6 +96,11 @@
 			from = oldest
 			continue
 		}
+		if err != nil && l.window.Size() > 1 && ctx.Err() == nil {
+			// The records may take longer than one read may last.
+			l.window.Shrink()
+			continue
+		}
 		if err != nil {
 			return oldest, err
 		}
--- a/internal/cransnapshot/start.go
+++ b/internal/cransnapshot/start.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"slices"
 
 	"github.com/cranberrypick/cranberrypick/internal/cranfault"
 	"github.com/cranberrypick/cranberrypick/internal/cranlog"
 	"github.com/cranberrypick/cranberrypick/internal/cranplatform"
-	"github.com/cranberrypick/cranberrypick/internal/cranwindow"
 )
 
 // Origin says where a starting process gets its initial state from. Its text is a
@@ -104,22 +102,19 @@
 }
 
 // AwaitInitial repeats FindInitial until it finds a state. When ctx ends first, it
-// returns the last fault. Each attempt reads windows half as large as the one before, since
-// it may have failed because a window takes too long on a slow link.
+// returns the last fault.
 func AwaitInitial(
 	ctx context.Context, log cranplatform.Log, streams Streams, peers PeerSource, options ...Option,
 ) (Snapshot, Origin, error) {
 	set := newSettings(options)
-	window := cranwindow.New(int(set.windowRecords), 1, int(set.windowRecords))
 	for failures := 1; ; failures++ {
-		s, origin, err := FindInitial(ctx, log, streams, peers, append(slices.Clone(options), WithWindow(window.Size()))...)
+		s, origin, err := FindInitial(ctx, log, streams, peers, options...)
 		if err == nil {
 			return s, origin, nil
 		}
 		if set.backoff.Wait(ctx, failures) != nil {
 			return Snapshot{}, OriginNone, err
 		}
-		window.Shrink()
 	}
 }
 
--- a/internal/cransnapshot/start_test.go
+++ b/internal/cransnapshot/start_test.go
@@ -154,9 +154,9 @@
 		_, err := log.Append(ctx, "control", [][]byte{{1}, {2}, {3}})
 		require.NoError(t, err)
 		log.Expire("control", 1)
-		require.NoError(t, Write(ctx, log, stream, New(2, stateOf(100)), WithChunkBytes(1), fastBackoff))
-		// A window of 16 records takes 8 s, and a read may last 2 s.
-		s, origin, err := AwaitInitial(ctx, slowLog{log, 500 * time.Millisecond}, streams, nil, fastBackoff)
+		require.NoError(t, Write(ctx, log, stream, New(2, stateOf(40)), WithChunkBytes(1), fastBackoff))
+		// A window of 16 records takes 4.8 s, and a read may last 2 s. All records take 12 s.
+		s, origin, err := AwaitInitial(ctx, slowLog{log, 300 * time.Millisecond}, streams, nil, fastBackoff)
 		require.NoError(t, err)
 		require.Equal(t, OriginLog, origin)
 		require.EqualValues(t, 2, s.Offset())
