--- a/internal/cranstore/link_test.go
+++ b/internal/cranstore/link_test.go
@@ -64,6 +64,7 @@
 		// The four backlogs take 3.2 s at the rate of the link. A deployment of this size
 		// allows 6 s to catch up.
 		time.Sleep(6 * time.Second)
+		synctest.Wait()
 		require.Equal(t, end, next)
 		require.Less(t, link.Received()-before, count*records*size*3/2)
 	})
@@ -97,6 +98,7 @@
 			}
 		}, cranstore.WithNewestOnly())
 		time.Sleep(time.Second)
+		synctest.Wait()
 		require.Len(t, newest, 2)
 		topic.Put("gone", nil)
 		for v := range byte(versions) {
@@ -104,6 +106,7 @@
 		}
 		topic.Put("small", []byte{2})
 		time.Sleep(2 * time.Second)
+		synctest.Wait()
 		require.Equal(t, map[string]byte{"small": 2, "large": versions - 1}, newest)
 		require.Less(t, link.Received(), versions*size/5)
 	})
