crannode: read a claim back at once

The store answers a read late if the record is stored just as the read arrives, and a claim is always sent as a read begins, since an empty read is what shows that the owner is silent.

Change: once the claim is stored, the wait of the read in progress ends and another read follows at once (Follower.Poke).

Evidence: TestPokeReadsRecordThatWaitMisses; without the call it fails.

--- a/internal/crannode/claim.go
+++ b/internal/crannode/claim.go
@@ -109,7 +109,10 @@
 	}
 	if err != nil {
 		c.node.log.Emit(cranevent.SchedulerRefused, cranevent.Epoch(c.claimedEpoch), cranevent.Err(err))
+		return
 	}
+	// The claim takes effect once it is read back.
+	c.node.progress.follower.Poke()
 }
 
 // takeover is this process's own claim, stored and read back, while the process has not
--- a/internal/crannode/config.go
+++ b/internal/crannode/config.go
@@ -87,11 +87,11 @@
 
 // followOperator keeps the configuration and the waves up to date until ctx ends.
 func (n *Node) followOperator(ctx context.Context) {
-	r := readOptions{
-		name: "operator", topic: n.directory.Operator, wait: min(readWait, n.configBound/configReadsPerBound),
+	f := n.newFollower(readOptions{
+		topic: n.directory.Operator, wait: min(readWait, n.configBound/configReadsPerBound),
 		options: []cranstore.FollowerOption{cranstore.WithNewestOnly()},
-	}
-	n.follow(ctx, r, func(u cranstore.Update) {
+	})
+	n.follow(ctx, "operator", f, func(u cranstore.Update) {
 		for _, record := range u.Records {
 			n.applyOperatorRecord(ctx, record, u)
 		}
--- a/internal/crannode/node.go
+++ b/internal/crannode/node.go
@@ -117,8 +117,8 @@
 	for _, set := range opts {
 		set(n)
 	}
-	n.progress = &stream{name: "progress", topic: topics.Progress}
-	n.submissions = &stream{name: "submissions", topic: topics.Submissions}
+	n.progress = n.newStream("progress", topics.Progress, followerPause)
+	n.submissions = n.newStream("submissions", topics.Submissions, submissionsPause)
 	n.batcher = cranstore.NewBatcher(topics.Submissions, n.metrics.Retried)
 	n.control = newControl(n)
 	return n
@@ -145,8 +145,8 @@
 	runCtx, cancel := context.WithCancel(context.Background())
 	n.control.runCtx = runCtx
 	var group sync.WaitGroup
-	group.Go(func() { n.followStream(runCtx, n.progress, followerPause, n.control.applyProgress) })
-	group.Go(func() { n.followStream(runCtx, n.submissions, submissionsPause, n.control.applySubmissions) })
+	group.Go(func() { n.followStream(runCtx, n.progress, n.control.applyProgress) })
+	group.Go(func() { n.followStream(runCtx, n.submissions, n.control.applySubmissions) })
 	group.Go(func() { n.followOperator(runCtx) })
 	group.Go(func() { n.control.run(runCtx) })
 	group.Go(func() { n.control.followTargets(runCtx) })
@@ -185,35 +185,39 @@
 // readOptions defines how a topic is read: how long a read waits for a record, and the
 // pause between two reads, which is different for the owner.
 type readOptions struct {
-	name              string
 	topic             cranstore.Topic
 	wait              time.Duration
 	pause, ownerPause time.Duration
 	options           []cranstore.FollowerOption
 }
 
-// follow passes the updates of a topic to deliver until ctx ends, and logs when the
-// topic becomes unavailable and available again.
-func (n *Node) follow(ctx context.Context, r readOptions, deliver func(cranstore.Update)) {
+// newFollower returns a follower that reads a topic as defined.
+func (n *Node) newFollower(r readOptions) *cranstore.Follower {
 	pause := func() time.Duration {
 		if n.owning.Load() {
 			return r.ownerPause
 		}
 		return r.pause
 	}
+	options := append([]cranstore.FollowerOption{cranstore.WithWait(r.wait), cranstore.WithPause(pause)}, r.options...)
+	return cranstore.NewFollower(r.topic, func() time.Duration { return n.now().Steady }, options...)
+}
+
+// follow passes the updates of a topic to deliver until ctx ends, and logs when the
+// topic becomes unavailable and available again.
+func (n *Node) follow(ctx context.Context, name string, f *cranstore.Follower, deliver func(cranstore.Update)) {
 	unavailable := false
 	var lostAt time.Duration
-	options := append([]cranstore.FollowerOption{cranstore.WithWait(r.wait), cranstore.WithPause(pause)}, r.options...)
-	cranstore.NewFollower(r.topic, func() time.Duration { return n.now().Steady }, options...).Run(ctx, func(u cranstore.Update) {
-		n.metrics.ReadTopic(r.name, u.Err != nil, u.Transfer.Bytes, u.Transfer.FirstByte, u.End-u.Next)
+	f.Run(ctx, func(u cranstore.Update) {
+		n.metrics.ReadTopic(name, u.Err != nil, u.Transfer.Bytes, u.Transfer.FirstByte, u.End-u.Next)
 		now := n.now().Steady
 		switch {
 		case u.Err != nil && !unavailable:
 			unavailable, lostAt = true, now
-			n.logReadFailed(r.name, u)
+			n.logReadFailed(name, u)
 		case u.Err == nil && unavailable:
 			unavailable = false
-			n.log.Emit(cranevent.LogAvailable, cranevent.Stream(r.name), cranevent.Offset(u.Next), cranevent.Elapsed(now-lostAt))
+			n.log.Emit(cranevent.LogAvailable, cranevent.Stream(name), cranevent.Offset(u.Next), cranevent.Elapsed(now-lostAt))
 		}
 		if u.Err == nil {
 			n.answeredAt.Store(int64(u.Sent))
--- a/internal/crannode/owner.go
+++ b/internal/crannode/owner.go
@@ -307,11 +307,11 @@
 
 // followTargets keeps the list of targets up to date until ctx ends.
 func (c *control) followTargets(ctx context.Context) {
-	r := readOptions{
-		name: "targets", topic: c.node.directory.Targets, wait: readWait, pause: targetsPause, ownerPause: ownerTargetsPause,
+	f := c.node.newFollower(readOptions{
+		topic: c.node.directory.Targets, wait: readWait, pause: targetsPause, ownerPause: ownerTargetsPause,
 		options: []cranstore.FollowerOption{cranstore.WithNewestOnly()},
-	}
-	c.node.follow(ctx, r, func(u cranstore.Update) {
+	})
+	c.node.follow(ctx, "targets", f, func(u cranstore.Update) {
 		c.node.post(ctx, func() { c.applyTargets(u) })
 	})
 }
--- a/internal/crannode/stream.go
+++ b/internal/crannode/stream.go
@@ -25,6 +25,8 @@
 type stream struct {
 	name  string
 	topic cranstore.Topic
+	// follower reads the topic.
+	follower *cranstore.Follower
 	// next is the offset of the next read. loaded is true after the first read. The
 	// node's lock guards both.
 	next   uint64
@@ -34,6 +36,13 @@
 	contactAt, currentAt atomic.Int64
 }
 
+// newStream returns a stream that pauses between reads, unless this process owns the
+// scheduling.
+func (n *Node) newStream(name string, topic cranstore.Topic, pause time.Duration) *stream {
+	r := readOptions{topic: topic, wait: replicaReadWait, pause: pause, ownerPause: ownerPause}
+	return &stream{name: name, topic: topic, follower: n.newFollower(r)}
+}
+
 // reachableFor is how long the store counts as reachable after a successful read was
 // sent.
 const reachableFor = 2500 * time.Millisecond
@@ -56,8 +65,8 @@
 
 // followStream reads a stream into the replica until ctx ends. The control goroutine
 // applies each update before the next read.
-func (n *Node) followStream(ctx context.Context, s *stream, pause time.Duration, read func(cranstore.Update)) {
-	n.follow(ctx, readOptions{name: s.name, topic: s.topic, wait: replicaReadWait, pause: pause, ownerPause: ownerPause}, func(u cranstore.Update) {
+func (n *Node) followStream(ctx context.Context, s *stream, read func(cranstore.Update)) {
+	n.follow(ctx, s.name, s.follower, func(u cranstore.Update) {
 		done := make(chan struct{})
 		n.post(ctx, func() {
 			defer close(done)
--- a/internal/cranstore/follow.go
+++ b/internal/cranstore/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/cranberrypick/cranberrypick/internal/cranpause"
@@ -74,8 +75,15 @@
 	loading *loader
 	// next is the offset of the next read, and end the newest known end.
 	next, end uint64
-	// failed is true if the newest read has failed.
-	failed bool
+	// immediate is true if the next read doesn't wait, because the newest one has failed.
+	immediate bool
+
+	// mu guards the fields below, which Poke uses.
+	mu sync.Mutex
+	// poked is true if the next read doesn't wait, because of Poke.
+	poked bool
+	// reading is the watch of the read in progress; nil if there is none.
+	reading *watch
 }
 
 // FollowerOption configures a Follower.
@@ -108,6 +116,18 @@
 	return f
 }
 
+// Poke ends the wait of the read in progress, and reads at once. It is for a caller who knows
+// that a record has been stored: the store answers a waiting read late if the record was
+// stored just as the read arrived. Poke is safe for concurrent use.
+func (f *Follower) Poke() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.poked = true
+	if f.reading != nil {
+		f.reading.interrupt()
+	}
+}
+
 // Run reads the topic and passes each update to deliver until ctx ends.
 func (f *Follower) Run(ctx context.Context, deliver func(Update)) {
 	backoff := followPause
@@ -116,11 +136,12 @@
 		if ctx.Err() != nil {
 			return
 		}
-		f.failed = update.Err != nil
+		f.immediate = update.Err != nil
 		switch {
 		case errors.Is(update.Err, ErrExpired):
 			f.loading = &loader{topic: f.topic}
-		case f.failed:
+		case errors.Is(update.Err, errInterrupted):
+		case update.Err != nil:
 			update.Next, update.End = f.next, max(f.end, f.next)
 			deliver(update)
 			cranpause.Sleep(ctx, backoff)
@@ -178,14 +199,13 @@
 // read reads the next records. A read after a failed one doesn't wait, so that the
 // follower soon knows whether it is behind.
 func (f *Follower) read(ctx context.Context) Update {
-	wait := f.wait
-	if f.failed {
-		wait = 0
-	}
-	watched, w := newWatch(ctx, f.clock, wait+responseSlack)
+	watched, w, wait := f.beginRead(ctx)
 	batch, err := f.topic.Read(watched, f.next, ReadOptions{Wait: wait, MaxBytes: f.window.Size(), Received: w.received})
-	err = stalled(watched, err)
-	transfer := w.stop()
+	err = failure(watched, err)
+	transfer := f.endRead(w)
+	if errors.Is(err, errInterrupted) {
+		return Update{Err: err}
+	}
 	f.adaptWindow(batch, transfer, err)
 	if err != nil && len(batch.Records) == 0 {
 		return Update{Transfer: transfer, Err: err}
@@ -197,6 +217,27 @@
 	return u
 }
 
+// beginRead starts the watch of a read and returns how long the read waits.
+func (f *Follower) beginRead(ctx context.Context) (context.Context, *watch, time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	wait := f.wait
+	if f.immediate || f.poked {
+		wait = 0
+	}
+	watched, w := newWatch(ctx, f.clock, wait+responseSlack)
+	f.poked, f.reading = false, w
+	return watched, w, wait
+}
+
+// endRead ends the watch of a read.
+func (f *Follower) endRead(w *watch) Transfer {
+	f.mu.Lock()
+	f.reading = nil
+	f.mu.Unlock()
+	return w.stop()
+}
+
 // adaptWindow sets the size of the next read according to how the present one went.
 func (f *Follower) adaptWindow(batch Batch, transfer Transfer, err error) {
 	receiving := transfer.Elapsed - transfer.FirstByte
--- a/internal/cranstore/link_test.go
+++ b/internal/cranstore/link_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cranberrypick/cranberrypick/internal/cranmemory"
+	"github.com/cranberrypick/cranberrypick/internal/cranpause"
 	"github.com/cranberrypick/cranberrypick/internal/cranstore"
 )
 
@@ -111,3 +112,48 @@
 		require.Less(t, link.Received(), versions*size/5)
 	})
 }
+
+// deafTopic doesn't answer reads that wait for a record before the end of their wait.
+type deafTopic struct{ *cranmemory.Topic }
+
+func (d deafTopic) Read(ctx context.Context, from uint64, o cranstore.ReadOptions) (cranstore.Batch, error) {
+	if batch, err := d.Topic.Read(ctx, from, cranstore.ReadOptions{}); err != nil || len(batch.Records) > 0 {
+		return batch, err
+	}
+	cranpause.Sleep(ctx, o.Wait)
+	if ctx.Err() != nil {
+		return cranstore.Batch{}, ctx.Err()
+	}
+	return d.Topic.Read(ctx, from, cranstore.ReadOptions{})
+}
+
+// TestPokeReadsRecordThatWaitMisses guards against a process that reads its own claim only at
+// the end of a wait, because the store received the claim just after the read.
+func TestPokeReadsRecordThatWaitMisses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		topic := cranmemory.New()
+		var read, failed int
+		start := time.Now()
+		f := cranstore.NewFollower(deafTopic{topic}, func() time.Duration { return time.Since(start) }, cranstore.WithWait(time.Second))
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			f.Run(ctx, func(u cranstore.Update) {
+				read += len(u.Records)
+				if u.Err != nil {
+					failed++
+				}
+			})
+		}()
+		time.Sleep(1100 * time.Millisecond)
+		topic.Put("claim", []byte{1})
+		f.Poke()
+		time.Sleep(10 * time.Millisecond)
+		synctest.Wait()
+		require.Equal(t, 1, read)
+		require.Zero(t, failed)
+		cancel()
+		<-done
+	})
+}
--- a/internal/cranstore/load.go
+++ b/internal/cranstore/load.go
@@ -52,7 +52,7 @@
 	}
 	watched, w := newWatch(ctx, clock, pageResponseTime)
 	page, err := l.topic.Newest(watched, after, w.received)
-	err = stalled(watched, err)
+	err = failure(watched, err)
 	transfer := w.stop()
 	if err != nil {
 		return transfer, err
--- a/internal/cranstore/transfer.go
+++ b/internal/cranstore/transfer.go
@@ -67,6 +67,15 @@
 	w.cancel(&StalledError{Silence: w.patience, Bytes: w.transfer.Bytes})
 }
 
+// interrupt cancels the transfer if its response hasn't begun.
+func (w *watch) interrupt() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.transfer.FirstByte == 0 {
+		w.cancel(errInterrupted)
+	}
+}
+
 // received records that a part of the response has arrived.
 func (w *watch) received(bytes int) {
 	w.mu.Lock()
@@ -89,11 +98,15 @@
 	return w.transfer
 }
 
-// stalled returns the StalledError that ended a transfer, or else err.
-func stalled(ctx context.Context, err error) error {
+// errInterrupted is the error of a read whose wait was ended by Follower.Poke.
+var errInterrupted = errors.New("the wait of the read was interrupted")
+
+// failure returns why a transfer with the context of a watch has failed: the reason of the
+// watch if it cancelled the transfer, or else err.
+func failure(ctx context.Context, err error) error {
 	var stall *StalledError
-	if err != nil && errors.As(context.Cause(ctx), &stall) {
-		return stall
+	if cause := context.Cause(ctx); err != nil && (errors.As(cause, &stall) || errors.Is(cause, errInterrupted)) {
+		return cause
 	}
 	return err
 }
