cransoak: listen on ports that no outgoing connection takes

Cause: the soak asked the kernel for a free port, closed it, and started the process that listens on it later. The port was from the kernel's range for outgoing connections (32768 to 60999 here), and a connection took it meanwhile.

--- a/internal/cransoak/process.go
+++ b/internal/cransoak/process.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -40,24 +39,15 @@
 		name: name, program: program, proxy: proxy,
 		settingsFile: filepath.Join(dir, name+".yaml"), logFile: filepath.Join(dir, name+".log"),
 	}
-	if e.frontAddress, err = freeAddress(); err != nil {
+	if e.frontAddress, err = standin.FreeAddress(); err != nil {
 		return nil, err
 	}
-	if e.readyAddress, err = freeAddress(); err != nil {
+	if e.readyAddress, err = standin.FreeAddress(); err != nil {
 		return nil, err
 	}
 	return e, os.WriteFile(e.settingsFile, d.Settings(name, e.frontAddress, e.readyAddress, proxy.Address()), 0o600)
 }
 
-// freeAddress returns a loopback address with a port that is not in use.
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	return l.Addr().String(), l.Close()
-}
-
 // start starts the process and appends its output to the log of its earlier runs.
 func (e *entry) start() error {
 	output, err := os.OpenFile(e.logFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
