--- a/internal/cranevent/event.go
+++ b/internal/cranevent/event.go
@@ -79,7 +79,7 @@
 	JobEntryStarting Event = 1010
 )
 
-// Events of the scheduler role, which one entry instance holds at a time.
+// Events of the layout and of the owners of the shards.
 const (
 	SchedulerClaiming Event = 1101
 	SchedulerRefused  Event = 1102
@@ -87,6 +87,9 @@
 	SchedulerLost     Event = 1104
 	SchedulerChanged  Event = 1105
 	AppendRepeated    Event = 1106
+	LayoutInForce     Event = 1107
+	// LayoutRefused means that this entry instance can't lay out the shards.
+	LayoutRefused Event = 1108
 )
 
 // Events of the runs of tasks.
--- a/internal/cranmetric/jobs.go
+++ b/internal/cranmetric/jobs.go
@@ -34,6 +34,8 @@
 	configApply      prometheus.Histogram
 	configRevision   prometheus.Gauge
 	configConfirmed  prometheus.Gauge
+	ownedShards      prometheus.Gauge
+	digestJobs       prometheus.Gauge
 }
 
 // NewJobs returns the metrics. The series of all known reasons of refusals and retries
@@ -57,7 +59,7 @@
 		orders:     vector("orders_total", "Orders to targets and about instances, by kind and outcome.", "order", "outcome"),
 		accepted:   counter("jobs_accepted_total", "Jobs that were accepted and stored."),
 		cancelled:  counter("jobs_cancelled_total", "Cancellations that were stored."),
-		takeovers:  counter("scheduler_takeovers_total", "Times that this process took over the scheduling."),
+		takeovers:  counter("scheduler_takeovers_total", "Times that this process took over a shard."),
 		acceptance: prometheus.NewHistogram(histogram("accept_seconds", "Time from a job's arrival until it is stored.")),
 		orderTime:  prometheus.NewHistogramVec(histogram("order_seconds", "Time until an order is answered, by kind."), []string{"order"}),
 		firstStart: prometheus.NewHistogram(histogram("first_start_seconds", "Time from a job's arrival until its first task is placed.")),
@@ -72,6 +74,8 @@
 	m.configApply = prometheus.NewHistogram(histogram("configuration_apply_seconds", "Time to decode a configuration and to put it in force."))
 	m.configRevision = prometheus.NewGauge(gauge("configuration_revision", "Revision of the configuration in force."))
 	m.configConfirmed = prometheus.NewGauge(gauge("configuration_confirmed_timestamp_seconds", "Unix time at which the configuration in force was last known to be the newest."))
+	m.ownedShards = prometheus.NewGauge(gauge("owned_shards", "Shards that this process schedules."))
+	m.digestJobs = prometheus.NewGauge(gauge("digest_jobs", "Jobs of which this process knows the state."))
 	for _, k := range cranfault.Kinds() {
 		m.refusals.WithLabelValues(string(k))
 	}
@@ -79,7 +83,7 @@
 		m.retries.WithLabelValues(reason)
 	}
 	m.registry.MustRegister(m.refusals, m.retries, m.ended, m.runEnds, m.orders, m.accepted, m.cancelled,
-		m.takeovers, m.acceptance, m.orderTime, m.firstStart, m.reads, m.readBytes, m.behind, m.firstByte, m.configApply, m.configRevision, m.configConfirmed, collectors.NewGoCollector(),
+		m.takeovers, m.acceptance, m.orderTime, m.firstStart, m.reads, m.readBytes, m.behind, m.firstByte, m.configApply, m.configRevision, m.configConfirmed, m.ownedShards, m.digestJobs, collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -111,7 +115,13 @@
 	m.retries.WithLabelValues(reason).Inc()
 }
 
-// TookOver counts a takeover of the scheduler role by this process.
+// OwnedShards records how many shards this process schedules.
+func (m *Jobs) OwnedShards(n int) { m.ownedShards.Set(float64(n)) }
+
+// DigestJobs records of how many jobs this process knows the state.
+func (m *Jobs) DigestJobs(n int) { m.digestJobs.Set(float64(n)) }
+
+// TookOver counts a takeover of a shard by this process.
 func (m *Jobs) TookOver() { m.takeovers.Inc() }
 
 // Ended counts a job that has reached a final state.
--- a/internal/crannode/claim.go
+++ b/internal/crannode/claim.go
@@ -4,202 +4,154 @@
 	"context"
 	"errors"
 	"hash/fnv"
-	"maps"
 	"time"
 
+	"github.com/cranberrypick/cranberrypick/internal/crandigest"
 	"github.com/cranberrypick/cranberrypick/internal/cranevent"
 	"github.com/cranberrypick/cranberrypick/internal/cranjob"
 	"github.com/cranberrypick/cranberrypick/internal/cransched"
 	"github.com/cranberrypick/cranberrypick/internal/cranstore"
 )
 
-// observeClaim handles the newest claim read from the log. A process becomes the owner
-// only after it has read its own claim back, because its replica then holds every record
-// that earlier owners stored. Earlier owners may also have acted on submissions, which are
-// in another topic; the takeover waits for these separately.
-func (c *control) observeClaim(now cransched.Clock) {
-	claim := c.node.replica.Claim()
-	c.claimReadAt = now.Steady
-	isOwn := claim.Incarnation == c.node.incarnation && claim.Epoch == c.claimedEpoch && !claim.Released
-	if c.owner != nil && claim.Epoch > c.owner.epoch {
-		c.stopScheduling("another entry instance has claimed")
+const (
+	// claimInterval is how often an owner renews its claim.
+	claimInterval = 400 * time.Millisecond
+	// claimTimeout and claimLatencyFactor define how long an owner may go without
+	// renewing its claim before another entry instance claims: more than three
+	// renewals, plus claimLatencyFactor times the store's latency, so that a slow store
+	// does not look like a lost owner.
+	claimTimeout       = 1500 * time.Millisecond
+	claimLatencyFactor = 8
+	// maxClaimJitter bounds the delay that differs between entry instances, so that
+	// they do not all claim at once.
+	maxClaimJitter = 300 * time.Millisecond
+	// ownedDelay is how much later a process claims for each shard that it owns, so that the
+	// shards spread over the entry instances.
+	ownedDelay = 450 * time.Millisecond
+	// maxCapacityDelay is how much later a process without any capacity would claim. One that
+	// has half of what a shard takes claims half as much later.
+	maxCapacityDelay = 2 * time.Second
+	// lateOwnerPause is how long a process doesn't claim again after it has handed a shard
+	// over for lack of processor time, or because it couldn't load it.
+	lateOwnerPause = 10 * time.Second
+	// claimRetryPause is the pause after a failed claim.
+	claimRetryPause = 400 * time.Millisecond
+	// maxReadGap is the longest time between two reads of the digest. After a longer gap, in
+	// which renewals may have gone unnoticed, the time that an owner has not renewed its claim
+	// is measured from the next read.
+	maxReadGap = 2 * time.Second
+)
+
+// observeClaim handles a claim that was read from the digest. A process becomes the owner
+// only after it has read its own claim back.
+func (s *shard) observeClaim(before cranjob.Claim, now cransched.Clock) {
+	n, claim := s.node, s.claim()
+	if before.Epoch != claim.Epoch {
+		s.previousClaim = before
 	}
-	if claim.Renewal == 0 {
-		c.node.log.Emit(cranevent.SchedulerChanged, cranevent.Member(claim.Node), cranevent.Epoch(claim.Epoch))
+	s.claimReadAt = now.Steady
+	if s.owner != nil && claim.Epoch > s.owner.epoch {
+		s.stopScheduling("another entry instance has claimed")
 	}
-	if c.pendingTakeover != nil && claim.Epoch > c.pendingTakeover.claim.Epoch {
-		c.pendingTakeover = nil
+	if before.Epoch != claim.Epoch {
+		n.log.Emit(cranevent.SchedulerChanged, cranevent.Shard(s.name), cranevent.Member(claim.Node), cranevent.Epoch(claim.Epoch))
 	}
-	if isOwn && c.owner == nil && !c.node.stopping.Load() && claim.Renewal == 0 {
-		c.beginTakeover(claim, now)
+	isOwn := claim.Incarnation == n.incarnation && claim.Epoch == s.claimedEpoch && !claim.Released
+	if isOwn && s.owner == nil && !n.stopping.Load() {
+		s.beginOwnership(claim, now)
 	}
 }
 
-// claimIfUnowned appends a claim when no entry instance owns the scheduling.
-func (c *control) claimIfUnowned(now time.Duration) {
-	n := c.node
-	if c.claiming || c.pendingTakeover != nil || n.stopping.Load() || !n.loaded() || c.config == nil || !c.targetsKnown ||
-		now < c.nextClaimAt || now-c.progressReadAt > maxReadGap {
+// claimIfUnowned appends a claim when no entry instance owns the shard.
+func (s *shard) claimIfUnowned(now time.Duration) {
+	n, c := s.node, s.node.control
+	if s.claiming || n.stopping.Load() || c.config == nil || now < s.nextClaimAt || now-c.digestReadAt > maxReadGap {
 		return
 	}
-	if c.eligibleSince == 0 {
-		c.eligibleSince = now
+	if s.eligibleSince == 0 {
+		s.eligibleSince = now
 	}
-	claim := n.replica.Claim()
+	claim := s.claim()
 	// A process that is short of processor time reads late. The time without a claim
 	// therefore counts only up to readThrough, before which no claim can be unread.
-	unrenewedFor := c.readThrough - max(c.claimReadAt, c.readingSince, c.eligibleSince)
+	unrenewedFor := c.readThrough - max(s.claimReadAt, c.readingSince, s.eligibleSince)
 	latency := max(c.readLatency, time.Duration(claim.AppendMs)*time.Millisecond)
-	timeout := claimTimeout + claimLatencyFactor*latency + c.claimJitter()
+	timeout := claimTimeout + claimLatencyFactor*latency + s.claimDelay()
 	switch {
-	case c.isFromEarlierProcess(claim):
+	case s.isFromEarlierProcess(claim):
 		// An entry instance runs one process at a time, so the earlier one has ended.
 		unrenewedFor, timeout = 0, 0
 	case claim.Epoch == 0 || claim.Released:
-		unrenewedFor, timeout = now-max(c.claimReadAt, c.eligibleSince), c.claimJitter()
+		unrenewedFor, timeout = now-max(s.claimReadAt, s.eligibleSince), s.claimDelay()
 	}
 	if unrenewedFor < timeout {
 		return
 	}
-	c.claiming = true
-	c.claimSentAt = now
-	// All claims of one epoch carry the same sequence number, so the store accepts only
-	// the first of them.
-	c.claimedEpoch = max(claim.Epoch, c.fencedEpoch) + 1
-	record := cranstore.Record{Key: cranjob.KeyClaim, Value: cranjob.Encode(cranjob.Claim{
-		Epoch: c.claimedEpoch, Node: n.name, Incarnation: n.incarnation,
-	})}
-	o := cranstore.AppendOptions{Producer: producer, Epoch: c.claimedEpoch}
-	n.log.Emit(cranevent.SchedulerClaiming, cranevent.Epoch(c.claimedEpoch), cranevent.Elapsed(unrenewedFor))
+	s.sendClaim(max(claim.Epoch, s.fencedEpoch)+1, now, unrenewedFor)
+}
+
+// sendClaim appends a claim with an epoch. All claims of one epoch carry the same sequence
+// number, so the store accepts only the first of them.
+func (s *shard) sendClaim(epoch uint64, now, unrenewedFor time.Duration) {
+	n := s.node
+	s.claiming = true
+	s.claimSentAt, s.claimedEpoch = now, epoch
+	record := crandigest.ClaimRecord(s.number, cranjob.Claim{Epoch: epoch, Node: n.name, Incarnation: n.incarnation})
+	o := cranstore.AppendOptions{Producer: s.digestProducer(), Epoch: epoch}
+	n.log.Emit(cranevent.SchedulerClaiming, cranevent.Shard(s.name), cranevent.Epoch(epoch), cranevent.Elapsed(unrenewedFor))
 	go func() {
-		ctx, cancel := context.WithTimeout(c.runCtx, appendTimeout)
+		ctx, cancel := context.WithTimeout(n.control.runCtx, appendTimeout)
 		defer cancel()
-		_, err := n.progress.topic.Append(ctx, []cranstore.Record{record}, o)
-		n.post(c.runCtx, func() { c.claimCompleted(err) })
+		_, err := n.topics.Digest.Append(ctx, []cranstore.Record{record}, o)
+		n.post(n.control.runCtx, func() { s.claimCompleted(err) })
 	}()
 }
 
 // isFromEarlierProcess reports whether a claim was made by an earlier process of this
 // entry instance. An entry instance runs one process at a time.
-func (c *control) isFromEarlierProcess(claim cranjob.Claim) bool {
-	return claim.Node == c.node.name && claim.Incarnation != c.node.incarnation
+func (s *shard) isFromEarlierProcess(claim cranjob.Claim) bool {
+	return claim.Node == s.node.name && claim.Incarnation != s.node.incarnation
 }
 
-// claimJitter returns a delay below maxClaimJitter, derived from the incarnation. It is
-// longer by lowCPUDelay for a process with less than minCPUCores, so that other entry
-// instances claim first.
-func (c *control) claimJitter() time.Duration {
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(c.node.incarnation))
-	jitter := time.Duration(h.Sum32()) % maxClaimJitter
-	if c.node.cpuCores > 0 && c.node.cpuCores < minCPUCores {
-		jitter += lowCPUDelay
-	}
-	return jitter
+// claimDelay returns how long this process waits before it claims the shard, so that one that
+// has more capacity and owns fewer shards claims first, and never two at once.
+func (s *shard) claimDelay() time.Duration {
+	return s.node.jitter(s.digestProducer(), maxClaimJitter) + ownedDelay*time.Duration(s.node.control.ownerships()) + s.node.capacityDelay()
 }
 
-// claimCompleted handles the result of appending a claim. A claim that was stored takes
-// effect only when it is read back from the log.
-func (c *control) claimCompleted(err error) {
-	c.claiming = false
-	c.nextClaimAt = c.node.now().Steady + claimRetryPause
-	var fenced *cranstore.FencedError
-	if errors.As(err, &fenced) {
-		c.fencedEpoch = max(c.fencedEpoch, fenced.Epoch)
-	}
-	if err != nil {
-		c.node.log.Emit(cranevent.SchedulerRefused, cranevent.Epoch(c.claimedEpoch), cranevent.Err(err))
-		return
-	}
-	// The claim takes effect once it is read back.
-	c.node.progress.follower.Poke()
-}
-
-// takeover is this process's own claim, stored and read back, while the process has not
-// yet read all submissions that were stored before the claim.
-type takeover struct {
-	claim       cranjob.Claim
-	predecessor cransched.Predecessor
-	// end is the offset at which the submissions ended after the claim was stored. It
-	// is valid once endKnown is true.
-	end      uint64
-	endKnown bool
-	// endPending is true while a query for the end is in progress. The next query is
-	// sent no earlier than nextEndQueryAt.
-	endPending     bool
-	nextEndQueryAt time.Duration
+// jitter returns a delay below a limit that depends on the process and a name.
+func (n *Node) jitter(name string, limit time.Duration) time.Duration {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(n.incarnation + name))
+	return time.Duration(h.Sum32()) % limit
 }
 
-// beginTakeover records what is known of the previous owner and waits for the
-// submissions.
-func (c *control) beginTakeover(claim cranjob.Claim, now cransched.Clock) {
-	// The previous owner acts only for a bounded time after an append that it knows to
-	// be stored, and every record that it stored has been read by now.
-	predecessor := cransched.Predecessor{StoppedBy: c.ownerRecordAt + cransched.OwnershipTimeout, LastOrderAt: maps.Clone(c.orderReadAt)}
-	if c.previousClaim.Released || c.isFromEarlierProcess(c.previousClaim) {
-		predecessor.StoppedBy = now.Steady
+// capacityDelay returns how much later this process claims than one with enough capacity for
+// a shard.
+func (n *Node) capacityDelay() time.Duration {
+	if n.digest.Layout() == nil {
+		return 0
 	}
-	if c.isFromEarlierProcess(c.previousClaim) {
-		// The platform treats both processes of an entry instance as one lease holder,
-		// so earlier orders need not expire first.
-		predecessor.LastOrderAt = nil
+	need, have := float64(n.digest.Layout().TargetsPerShard()), n.limits.Targets()
+	if have >= need {
+		return 0
 	}
-	c.pendingTakeover = &takeover{claim: claim, predecessor: predecessor}
+	return time.Duration((1 - have/need) * float64(maxCapacityDelay))
 }
 
-// continueTakeover starts the scheduling once the replica holds all submissions
-// that were stored before the claim.
-func (c *control) continueTakeover(now cransched.Clock) {
-	t := c.pendingTakeover
-	switch {
-	case t == nil:
-	case c.node.stopping.Load():
-		c.pendingTakeover = nil
-	case t.endKnown:
-		c.node.mu.Lock()
-		defer c.node.mu.Unlock()
-		if c.node.submissions.next >= t.end {
-			c.pendingTakeover = nil
-			c.startScheduling(t, now)
-		}
-	case !t.endPending && now.Steady >= t.nextEndQueryAt:
-		t.endPending = true
-		go func() {
-			end, err := c.node.submissionsEnd(c.runCtx)
-			c.node.post(c.runCtx, func() {
-				t.endPending, t.endKnown, t.end = false, err == nil, end
-				t.nextEndQueryAt = c.node.now().Steady + claimRetryPause
-				if err != nil {
-					c.node.log.Emit(cranevent.LogUnavailable, cranevent.Stream(c.node.submissions.name), cranevent.Err(err))
-				}
-			})
-		}()
+// claimCompleted handles the result of appending a claim. A claim that was stored takes
+// effect only when it is read back from the digest.
+func (s *shard) claimCompleted(err error) {
+	n := s.node
+	s.claiming = false
+	s.nextClaimAt = n.now().Steady + claimRetryPause
+	var fenced *cranstore.FencedError
+	if errors.As(err, &fenced) {
+		s.fencedEpoch = max(s.fencedEpoch, fenced.Epoch)
 	}
-}
-
-// startScheduling makes this process the owner. The caller holds the node's lock.
-func (c *control) startScheduling(t *takeover, now cransched.Clock) {
-	n, claim := c.node, t.claim
-	s := cransched.New(claim.Epoch, n.timing, c.config, n.replica, now, t.predecessor)
-	o := &ownership{scheduler: s, epoch: claim.Epoch, claimedAt: now.Steady}
-	o.confirmedAt.Store(int64(c.claimSentAt))
-	o.ctx, o.cancel = context.WithCancel(c.runCtx)
-	c.owner = o
-	n.owning.Store(true)
-	s.SetTargets(c.targetList())
-	s.SetWaves(c.waves)
-	n.metrics.TookOver()
-	n.log.Emit(cranevent.SchedulerAcquired, cranevent.Epoch(claim.Epoch), cranevent.Offset(n.progress.next), cranevent.Count(s.JobCount()))
-}
-
-// stopScheduling ends this process's ownership without appending to the log.
-func (c *control) stopScheduling(reason string) {
-	if c.owner == nil {
+	if err != nil {
+		n.log.Emit(cranevent.SchedulerRefused, cranevent.Shard(s.name), cranevent.Epoch(s.claimedEpoch), cranevent.Err(err))
 		return
 	}
-	c.owner.cancel()
-	c.node.log.Emit(cranevent.SchedulerLost, cranevent.Epoch(c.owner.epoch), cranevent.Cause(reason))
-	c.owner = nil
-	c.node.owning.Store(false)
-	c.nextClaimAt = c.node.now().Steady + claimRetryPause
+	n.digestFollower.Poke()
 }
--- a/internal/crannode/claim_test.go
+++ b/internal/crannode/claim_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -10,41 +11,31 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/cranberrypick/cranberrypick/internal/crandigest"
 	"github.com/cranberrypick/cranberrypick/internal/cranjob"
 	"github.com/cranberrypick/cranberrypick/internal/cranmemory"
 	"github.com/cranberrypick/cranberrypick/internal/cransched"
 	"github.com/cranberrypick/cranberrypick/internal/cranstore"
 )
 
-// link simulates one process's connection to a topic, with faults.
-type link struct {
-	*cranmemory.Topic
+// fault is what is wrong with the connection of one process to the store.
+type fault struct {
 	mu sync.Mutex
 	// cut makes every call fail, lag delays every call.
 	cut bool
 	lag time.Duration
-	// maxRecords bounds the records of a read; 0 means no bound.
-	maxRecords int
-	// loadTime is how long it takes to read the newest records.
-	loadTime time.Duration
 }
 
-func (l *link) setFault(cut bool, lag time.Duration) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.cut, l.lag = cut, lag
-}
-
-func (l *link) limit(records int) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.maxRecords = records
+func (f *fault) set(cut bool, lag time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cut, f.lag = cut, lag
 }
 
-func (l *link) applyFault() error {
-	l.mu.Lock()
-	cut, lag := l.cut, l.lag
-	l.mu.Unlock()
+func (f *fault) apply() error {
+	f.mu.Lock()
+	cut, lag := f.cut, f.lag
+	f.mu.Unlock()
 	time.Sleep(lag)
 	if cut {
 		return errors.New("cut off from the store")
@@ -52,11 +43,34 @@
 	return nil
 }
 
+// link simulates one process's connection to a topic, with faults.
+type link struct {
+	*cranmemory.Topic
+	fault *fault
+	// appended, if set, is called after each append that was stored.
+	appended func()
+	mu       sync.Mutex
+	// maxRecords bounds the records of a read; 0 means no bound.
+	maxRecords int
+	// loadTime is how long each page of the newest records but the first takes.
+	loadTime time.Duration
+}
+
+func (l *link) limit(records int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.maxRecords = records
+}
+
 func (l *link) Append(ctx context.Context, records []cranstore.Record, o cranstore.AppendOptions) (uint64, error) {
-	if err := l.applyFault(); err != nil {
+	if err := l.fault.apply(); err != nil {
 		return 0, err
 	}
-	return l.Topic.Append(ctx, records, o)
+	offset, err := l.Topic.Append(ctx, records, o)
+	if err == nil && l.appended != nil {
+		l.appended()
+	}
+	return offset, err
 }
 
 func (l *link) End(ctx context.Context, from uint64) (uint64, error) {
@@ -67,7 +81,7 @@
 // Read delays the answer after reading, so that the records are as old as the lag.
 func (l *link) Read(ctx context.Context, from uint64, o cranstore.ReadOptions) (cranstore.Batch, error) {
 	batch, err := l.Topic.Read(ctx, from, o)
-	if faultErr := l.applyFault(); faultErr != nil {
+	if faultErr := l.fault.apply(); faultErr != nil {
 		return cranstore.Batch{}, faultErr
 	}
 	l.mu.Lock()
@@ -79,12 +93,23 @@
 	return batch, err
 }
 
-// Newest takes loadTime, like a read over a slow link.
+// Newest takes loadTime for a later page, like a read over a slow link.
 func (l *link) Newest(ctx context.Context, after string, received func(int)) (cranstore.Page, error) {
-	time.Sleep(l.loadTime)
+	if after != "" {
+		time.Sleep(l.loadTime)
+	}
+	if err := l.fault.apply(); err != nil {
+		return cranstore.Page{}, err
+	}
 	return l.Topic.Newest(ctx, after, received)
 }
 
+// memoryTopics returns empty topics for one shard.
+func memoryTopics() Topics {
+	shard := ShardTopics{Progress: cranmemory.New(), Submissions: cranmemory.New()}
+	return Topics{Digest: cranmemory.New(), Shard: func(int) ShardTopics { return shard }, MaxShards: 1}
+}
+
 // noInstances is an OrderSender for a platform without instances.
 type noInstances struct{ OrderSender }
 
@@ -94,18 +119,20 @@
 
 // pair is two entry instances that share their topics.
 type pair struct {
-	// links are the connections to the scheduler's topic, submissions those to the
-	// callers' topic.
-	links, submissions [2]*link
-	nodes              [2]*Node
-	stops              [2]context.CancelFunc
-	group              sync.WaitGroup
+	// stores are the connections to all topics but the submissions, submissions those to the
+	// submissions, and digests those to the digest.
+	stores, submissions [2]*fault
+	digests             [2]*link
+	digest              *cranmemory.Topic
+	nodes               [2]*Node
+	stops               [2]context.CancelFunc
+	group               sync.WaitGroup
 }
 
-// newPair starts two entry instances. The second one takes loadTime to load the
-// submissions.
+// newPair starts two entry instances. The digest has more than one page, of which the second
+// entry instance takes loadTime to load the others.
 func newPair(t *testing.T, loadTime time.Duration) *pair {
-	p := &pair{}
+	p := &pair{digest: cranmemory.New()}
 	progress, submissions, operator, targets := cranmemory.New(), cranmemory.New(), cranmemory.New(), cranmemory.New()
 	_, err := operator.Append(t.Context(), []cranstore.Record{{Key: "config", Value: []byte{1}}}, cranstore.AppendOptions{})
 	require.NoError(t, err)
@@ -115,25 +142,43 @@
 			return &Config{Config: cransched.Config{Version: 1}}, nil
 		},
 	}
+	if loadTime > 0 {
+		for i := range 600 {
+			r := crandigest.WaveProgress{Begun: true}.Record(i, 0)
+			p.digest.Put(r.Key, r.Value)
+		}
+	}
 	start := time.Now()
 	clock := func() cransched.Clock {
 		return cransched.Clock{Steady: time.Hour + time.Since(start), UnixMs: time.Now().UnixMilli()}
 	}
 	for i := range p.nodes {
-		p.links[i] = &link{Topic: progress}
-		p.submissions[i] = &link{Topic: submissions, loadTime: time.Duration(i) * loadTime}
+		p.stores[i], p.submissions[i] = &fault{}, &fault{}
+		p.digests[i] = &link{Topic: p.digest, fault: p.stores[i], loadTime: time.Duration(i) * loadTime}
+		shard := ShardTopics{
+			Progress:    &link{Topic: progress, fault: p.stores[i]},
+			Submissions: &link{Topic: submissions, fault: p.submissions[i]},
+		}
+		topics := Topics{Digest: p.digests[i], Shard: func(int) ShardTopics { return shard }, MaxShards: 1}
 		name := string(rune('a' + i))
-		p.nodes[i] = New(name, name+"-1", Topics{Progress: p.links[i], Submissions: p.submissions[i]}, directory, noInstances{}, WithClock(clock),
+		p.nodes[i] = New(name, name+"-1", topics, directory, noInstances{}, WithClock(clock),
 			WithTiming(cransched.Timing{MaxLease: 6 * time.Second, OrderLease: 3 * time.Second}))
 		ctx, cancel := context.WithCancel(context.Background())
 		p.stops[i] = cancel
 		p.group.Go(func() { _ = p.nodes[i].Run(ctx) })
 		// The first entry instance claims before the second one starts.
-		time.Sleep(time.Second)
+		time.Sleep(2 * time.Second)
 	}
 	return p
 }
 
+// publish appends a segment with one job to the digest.
+func (p *pair) publish(t *testing.T, number uint64) {
+	states := []crandigest.JobState{{ID: fmt.Sprintf("%016x", number), State: cranjob.Completed}}
+	_, err := p.digest.Append(t.Context(), crandigest.Segments(0, 1<<20, number, states), cranstore.AppendOptions{})
+	require.NoError(t, err)
+}
+
 func (p *pair) close() {
 	for _, stop := range p.stops {
 		stop()
@@ -141,7 +186,7 @@
 	p.group.Wait()
 }
 
-func (p *pair) isOwner(i int) bool { return p.nodes[i].owning.Load() }
+func (p *pair) isOwner(i int) bool { return p.nodes[i].owned.Load() > 0 }
 
 // TestTakeover cuts the owner off the store. The other entry instance must take over
 // within three seconds, and the former owner must give up once it reaches the store
@@ -152,10 +197,10 @@
 		defer p.close()
 		require.True(t, p.isOwner(0))
 		require.False(t, p.isOwner(1))
-		p.links[0].setFault(true, 0)
+		p.stores[0].set(true, 0)
 		time.Sleep(3 * time.Second)
 		require.True(t, p.isOwner(1))
-		p.links[0].setFault(false, 0)
+		p.stores[0].set(false, 0)
 		time.Sleep(2 * time.Second)
 		require.False(t, p.isOwner(0))
 		require.True(t, p.isOwner(1))
@@ -182,7 +227,7 @@
 		defer p.close()
 		require.True(t, p.isOwner(0))
 		for _, lag := range []time.Duration{500 * time.Millisecond, 1500 * time.Millisecond, 2500 * time.Millisecond} {
-			p.links[1].setFault(false, lag)
+			p.stores[1].set(false, lag)
 			time.Sleep(20 * time.Second)
 			require.True(t, p.isOwner(0), lag)
 		}
@@ -195,21 +240,20 @@
 	synctest.Test(t, func(t *testing.T) {
 		p := newPair(t, 0)
 		defer p.close()
-		_, err := p.nodes[1].Pending("q")
+		_, err := p.nodes[1].Pending(t.Context(), "q")
 		require.NoError(t, err)
 		// Records are stored at 400 per second and read at 200 per second.
-		p.submissions[1].setFault(false, 5*time.Millisecond)
-		p.submissions[1].limit(1)
-		for range 100 {
-			for range 40 {
-				_, err := p.submissions[0].Topic.Append(t.Context(), []cranstore.Record{{Key: "jx", Value: []byte{1}}}, cranstore.AppendOptions{})
-				require.NoError(t, err)
+		p.stores[1].set(false, 5*time.Millisecond)
+		p.digests[1].limit(1)
+		for i := range uint64(100) {
+			for j := range uint64(40) {
+				p.publish(t, 40*i+j)
 			}
 			time.Sleep(100 * time.Millisecond)
 		}
-		_, err = p.nodes[1].Pending("q")
+		_, err = p.nodes[1].Pending(t.Context(), "q")
 		require.Error(t, err)
-		_, err = p.nodes[0].Pending("q")
+		_, err = p.nodes[0].Pending(t.Context(), "q")
 		require.NoError(t, err)
 	})
 }
@@ -221,45 +265,53 @@
 	synctest.Test(t, func(t *testing.T) {
 		p := newPair(t, 0)
 		defer p.close()
-		p.submissions[1].setFault(true, 0)
-		p.links[0].setFault(true, 0)
+		p.submissions[1].set(true, 0)
+		p.stores[0].set(true, 0)
 		time.Sleep(6 * time.Second)
 		require.False(t, p.isOwner(1))
-		p.submissions[1].setFault(false, 0)
+		p.submissions[1].set(false, 0)
 		time.Sleep(2 * time.Second)
 		require.True(t, p.isOwner(1))
 	})
 }
 
 // TestSubmitWhileLoading covers the load after a restart of all entry instances. One
-// that is still reading the submissions must accept jobs, and must return an error when
+// that is still reading the digest must accept jobs, and must return an error when
 // asked for a job that it may not have read yet.
 func TestSubmitWhileLoading(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := newPair(t, 8*time.Second)
 		defer p.close()
-		job := cranjob.Job{ID: "j1", Queue: "q", Steps: []cranjob.Step{{Count: 1, Demand: cranjob.Resources{CPU: 1, Memory: 1}}}}
-		require.NoError(t, p.nodes[1].Submit(t.Context(), &job))
-		_, _, err := p.nodes[1].State(t.Context(), "j1")
+		submit := func(node *Node, id string) {
+			job := cranjob.Job{ID: id, Queue: "q", Steps: []cranjob.Step{{Count: 1, Demand: cranjob.Resources{CPU: 1, Memory: 1}}}}
+			require.NoError(t, node.Submit(t.Context(), &job))
+		}
+		submit(p.nodes[1], "j1")
+		submit(p.nodes[0], "j2")
+		_, _, err := p.nodes[1].State(t.Context(), "j2")
 		require.Error(t, err)
 		time.Sleep(time.Second)
-		_, found, err := p.nodes[0].State(t.Context(), "j1")
-		require.NoError(t, err)
-		require.True(t, found)
+		for _, id := range []string{"j1", "j2"} {
+			_, found, err := p.nodes[0].State(t.Context(), id)
+			require.NoError(t, err)
+			require.True(t, found)
+		}
 		time.Sleep(8 * time.Second)
-		_, found, err = p.nodes[1].State(t.Context(), "j1")
-		require.NoError(t, err)
-		require.True(t, found)
+		for _, id := range []string{"j1", "j2"} {
+			_, found, err := p.nodes[1].State(t.Context(), id)
+			require.NoError(t, err)
+			require.True(t, found)
+		}
 	})
 }
 
 // TestReadWithoutWaitIsOnlyAsNewAsItsRequest guards against an early claim: a read that did
 // not wait says nothing about the time after it was sent.
 func TestReadWithoutWaitIsOnlyAsNewAsItsRequest(t *testing.T) {
-	n := New("a", "a-1", Topics{Progress: cranmemory.New(), Submissions: cranmemory.New()}, Directory{}, noInstances{})
+	n := New("a", "a-1", memoryTopics(), Directory{}, noInstances{})
 	sent := n.now().Steady
-	n.control.applyProgress(cranstore.Update{Sent: sent})
+	n.control.applyDigest(cranstore.Update{Sent: sent})
 	require.Equal(t, sent, n.control.readThrough)
-	n.control.applyProgress(cranstore.Update{Sent: sent, Waited: replicaReadWait})
+	n.control.applyDigest(cranstore.Update{Sent: sent, Waited: replicaReadWait})
 	require.Equal(t, sent+replicaReadWait, n.control.readThrough)
 }
--- a/internal/crannode/config_test.go
+++ b/internal/crannode/config_test.go
@@ -25,14 +25,14 @@
 	*Node
 	link *cranmemory.Link
 	// The topics as the store holds them.
-	storedProgress, storedSubmissions, operator, targets *cranmemory.Topic
+	storedDigest, storedSubmissions, operator, targets *cranmemory.Topic
 }
 
 // newLinkedNode starts an entry instance that runs until the test ends. A configuration
 // record holds its version in the first 8 bytes.
 func newLinkedNode(t *testing.T, options ...Option) *linkedNode {
 	l := &linkedNode{
-		link: cranmemory.NewLink(slowLinkRate), storedProgress: cranmemory.New(), storedSubmissions: cranmemory.New(),
+		link: cranmemory.NewLink(slowLinkRate), storedDigest: cranmemory.New(), storedSubmissions: cranmemory.New(),
 		operator: cranmemory.New(), targets: cranmemory.New(),
 	}
 	start := time.Now()
@@ -42,7 +42,9 @@
 	options = append([]Option{
 		WithClock(clock), WithTiming(cransched.Timing{MaxLease: 6 * time.Second, OrderLease: 3 * time.Second}),
 	}, options...)
-	l.Node = New("a", "a-1", Topics{Progress: l.link.Connect(l.storedProgress), Submissions: l.link.Connect(l.storedSubmissions)}, Directory{
+	shard := ShardTopics{Progress: l.link.Connect(cranmemory.New()), Submissions: l.link.Connect(l.storedSubmissions)}
+	topics := Topics{Digest: l.link.Connect(l.storedDigest), Shard: func(int) ShardTopics { return shard }, MaxShards: 1}
+	l.Node = New("a", "a-1", topics, Directory{
 		Operator: l.link.Connect(l.operator), Targets: l.link.Connect(l.targets),
 		DecodeTargetRecord: func(id string, _ []byte) (cransched.TargetInfo, error) {
 			return cransched.TargetInfo{ID: id}, nil
@@ -103,7 +105,7 @@
 			l.publish(v+2, largeConfigBytes)
 		}
 		for i := range 400 {
-			l.storedProgress.Put(fmt.Sprintf("z%d", i), make([]byte, 2000))
+			l.storedDigest.Put(fmt.Sprintf("z%d", i), make([]byte, 2000))
 			l.storedSubmissions.Put(fmt.Sprintf("z%d", i), make([]byte, 2000))
 			l.targets.Put(fmt.Sprintf("t%d", i), make([]byte, 500))
 		}
@@ -113,9 +115,13 @@
 		time.Sleep(3 * time.Second)
 		require.EqualValues(t, 4, l.Config().Version)
 		time.Sleep(3 * time.Second)
-		now := l.now().Steady
-		require.True(t, l.submissions.current(now))
-		require.True(t, l.progress.current(now))
+		end, err := l.storedSubmissions.End(t.Context(), 0)
+		require.NoError(t, err)
+		l.postAndWait(t.Context(), func() {
+			require.LessOrEqual(t, l.now().Steady-l.digestCurrentAt, maxDigestAge)
+			require.True(t, l.shards[0].scheduling())
+			require.Equal(t, end, l.shards[0].owner.through)
+		})
 	})
 }
 
--- /dev/null
+++ b/internal/crannode/digest.go
@@ -0,0 +1,98 @@
+package crannode
+
+import (
+	"time"
+
+	"github.com/cranberrypick/cranberrypick/internal/crandigest"
+	"github.com/cranberrypick/cranberrypick/internal/cranevent"
+	"github.com/cranberrypick/cranberrypick/internal/cranstore"
+)
+
+// digestPause is the pause between two reads of the digest, in which records collect so that
+// one read returns several.
+const digestPause = 120 * time.Millisecond
+
+// applyDigest applies a read of the digest.
+func (c *control) applyDigest(u cranstore.Update) {
+	n := c.node
+	now := n.now()
+	if u.Sent-c.digestReadAt > maxReadGap || c.digestReadAt == 0 {
+		c.readingSince = now.Steady
+	}
+	c.digestReadAt = now.Steady
+	// A read returns everything stored before it was answered. A read without records
+	// was answered at the end of its wait.
+	c.readThrough = u.Sent + u.Waited
+	if len(u.Records) == 0 && !u.Reset {
+		c.readLatency = max(now.Steady-c.readThrough, 0)
+	}
+	n.mu.Lock()
+	if u.Reset {
+		n.digest.Reload()
+	}
+	wavesChanged := false
+	for _, r := range u.Records {
+		wavesChanged = c.applyDigestRecord(r) || wavesChanged
+	}
+	n.finishRead(u)
+	n.mu.Unlock()
+	if wavesChanged {
+		c.updateWaves()
+	}
+	for _, s := range n.shards {
+		s.batcher.Settle(n.isInDigest)
+	}
+	n.metrics.DigestJobs(n.digest.Len())
+}
+
+// applyDigestRecord applies one record, and reports whether the progress of a wave has
+// changed. The caller holds the node's lock.
+func (c *control) applyDigestRecord(r cranstore.Record) bool {
+	n := c.node
+	now := n.now()
+	change, err := n.digest.Apply(r.Key, r.Value)
+	if err != nil {
+		n.log.Emit(cranevent.MalformedRecord, cranevent.Stream("digest"), cranevent.Offset(r.Offset), cranevent.Err(err))
+		return false
+	}
+	switch change.Kind {
+	case crandigest.LayoutChanged:
+		for number := range n.digest.Layout().Count() {
+			n.shards = append(n.shards, n.newShard(number, now.Steady))
+		}
+		n.log.Emit(cranevent.LayoutInForce, cranevent.Count(len(n.shards)), cranevent.Offset(r.Offset))
+	case crandigest.Claimed:
+		if change.Shard < len(n.shards) {
+			s := n.shards[change.Shard]
+			s.observeClaim(change.Before, now)
+			s.ownerRecordAt = now.Steady
+		}
+	case crandigest.Renewed:
+		if change.Shard < len(n.shards) {
+			s := n.shards[change.Shard]
+			s.claimReadAt, s.ownerRecordAt, s.renewedAt = now.Steady, now.Steady, now.Steady
+		}
+	case crandigest.WaveChanged:
+		return n.shards != nil
+	}
+	return false
+}
+
+// finishRead records how far the digest has been read, and wakes the goroutines that wait for
+// that. The caller holds the node's lock.
+func (n *Node) finishRead(u cranstore.Update) {
+	n.digestContactAt.Store(int64(u.Sent))
+	// Pages are no snapshot: a load may miss a segment that was merged meanwhile, until the
+	// records that follow are read.
+	n.digestComplete = !u.Reset && !u.Partial && (n.digestComplete || u.Next >= u.End)
+	if n.digestComplete && u.Next >= u.End {
+		n.digestCurrentAt = u.Sent
+	}
+	for id := range n.stored {
+		if state, known := n.digest.Job(id); known && (!n.stored[id].cancelled || state.Final()) {
+			delete(n.stored, id)
+		}
+	}
+	close(n.advanced)
+	n.advanced = make(chan struct{})
+}
--- a/internal/crannode/doc.go
+++ b/internal/crannode/doc.go
@@ -1,20 +1,24 @@
 // Package crannode runs an entry instance of the job service.
 //
-// All entry instances are equal. Each one reads the records in the store and keeps a
-// replica of the state of all jobs in memory, so that each can accept and cancel jobs
-// and report their states. One of them, the owner, also schedules: the entry instance whose
-// claim is the newest in the store. A claim carries an epoch, which fences the appends
-// and orders of earlier owners. The owner renews its claim periodically. When renewals
-// stop arriving, or the owner marks its claim as released, another entry instance claims
-// the next epoch. All claims of one epoch carry the same sequence number, and the store
-// accepts only the first of them.
+// All entry instances are equal, and a job is stored in one of several shards by its id
+// (see package cranshard). An entry instance that owns no shard reads two topics: the
+// operator's, for the configuration, and the digest (package crandigest), which has the state
+// of every job. It stores submissions and cancellations in the shard of the job, and answers
+// callers from the digest. For a job that the digest doesn't have it reads the newest
+// submissions of the shard.
 //
-// The records of callers and those of the scheduler are in two values of type
-// cranstore.Topic, because each processes its appends one after the other. In the
-// platform's store they are two partitions of one topic. A new owner first reads its own claim
-// back, and then every submission that the store holds by that time.
+// Each shard is scheduled by one entry instance, its owner: the one whose claim in the digest
+// is the newest. A claim carries an epoch, which fences the appends and orders of earlier
+// owners. An owner renews its claim periodically. When renewals stop arriving, or the owner
+// marks its claim as released, another entry instance claims the next epoch. All claims of one
+// epoch carry the same sequence number, and the store accepts only the first of them. A process
+// may own no shard, one or all of them, and each of its ownerships has a state of its own.
 //
-// One goroutine, the control goroutine, changes the state: the replica, the claim and the
-// scheduler. Requests of callers read the replica under a lock. Every call to the store, a
+// A new owner reads its own claim back, fences the progress records of the shard, and only
+// then loads them and the submissions, so that it knows everything that earlier owners have
+// stored. It renews its claim meanwhile.
+//
+// One goroutine, the control goroutine, changes the state: the digest, the claims and the
+// schedulers. Requests of callers read the digest under a lock. Every call to the store, a
 // target or the platform runs in a goroutine of its own.
 package crannode
--- /dev/null
+++ b/internal/crannode/fleet_test.go
@@ -0,0 +1,372 @@
+package crannode
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cranberrypick/cranberrypick/internal/cranjob"
+	"github.com/cranberrypick/cranberrypick/internal/cranmemory"
+	"github.com/cranberrypick/cranberrypick/internal/cransched"
+	"github.com/cranberrypick/cranberrypick/internal/cranshard"
+	"github.com/cranberrypick/cranberrypick/internal/cranstore"
+)
+
+const (
+	// fleetTargets and fleetShards are the numbers of targets and of shards of a testFleet.
+	fleetTargets = 40
+	fleetShards  = 4
+	// fakeTaskTime is how long a task runs.
+	fakeTaskTime = 300 * time.Millisecond
+)
+
+// fakeTarget is a target that keeps a fencing token and runs tasks.
+type fakeTarget struct {
+	token    uint64
+	running  map[cranjob.TaskName]fakeRun
+	finished []cransched.EndReport
+	ends     int64
+}
+
+type fakeRun struct {
+	number int
+	endsAt time.Duration
+}
+
+// fakeTargets are all targets of a testFleet. They record what would break the rules.
+type fakeTargets struct {
+	t     *testing.T
+	clock func() cransched.Clock
+	mu    sync.Mutex
+	// targets are keyed by id. senders holds the process that has used each token at each
+	// target.
+	targets map[string]*fakeTarget
+	senders map[string]string
+	// done holds the tasks of which a success was acknowledged.
+	done map[cranjob.TaskName]bool
+	// confirmedAt is when the newest append of each process to the digest was stored.
+	confirmedAt map[string]time.Duration
+}
+
+// connection is the way of one process to the targets.
+type connection struct {
+	noInstances
+	targets *fakeTargets
+	process string
+}
+
+// receive checks the token of an order, and reports whether the target accepts it.
+func (c connection) receive(id string, token uint64) (*fakeTarget, cransched.Response) {
+	f := c.targets
+	t := f.targets[id]
+	now := f.clock()
+	response := cransched.Response{Status: cransched.StatusOK, ClockMs: now.Steady.Milliseconds(), SentAt: now.Steady}
+	key := fmt.Sprintf("%s %d", id, token)
+	if sender := f.senders[key]; sender != "" && sender != c.process {
+		f.t.Errorf("%v: %s and %s send orders to %s with token %d", now.Steady, sender, c.process, id, token)
+	}
+	f.senders[key] = c.process
+	if age := now.Steady - f.confirmedAt[c.process]; age > cransched.OwnershipTimeout {
+		f.t.Errorf("%v: %s sends an order to %s %v after its last append to the digest", now.Steady, c.process, id, age)
+	}
+	if token < t.token {
+		response.Status = cransched.StatusFenced
+		return t, response
+	}
+	t.token = token
+	for name, r := range t.running {
+		if now.Steady >= r.endsAt {
+			delete(t.running, name)
+			t.ends++
+			t.finished = append(t.finished, cransched.EndReport{Number: t.ends, Task: name, Run: r.number, Outcome: cransched.OutcomeDone})
+		}
+	}
+	return t, response
+}
+
+func (c connection) Heartbeat(_ context.Context, e cransched.Heartbeat) cransched.HeartbeatResponse {
+	c.targets.mu.Lock()
+	defer c.targets.mu.Unlock()
+	t, response := c.receive(e.Target.ID, e.Token)
+	report := cransched.HeartbeatResponse{Response: response}
+	if response.Status != cransched.StatusOK {
+		return report
+	}
+	for len(t.finished) > 0 && t.finished[0].Number <= e.AcknowledgedEnd {
+		c.targets.done[t.finished[0].Task] = true
+		t.finished = t.finished[1:]
+	}
+	report.Finished = append(report.Finished, t.finished...)
+	for name, r := range t.running {
+		report.Running = append(report.Running, cransched.RunReport{Task: name, Run: r.number, Percent: 100})
+	}
+	return report
+}
+
+func (c connection) StartRun(_ context.Context, e cransched.StartRun) cransched.Response {
+	c.targets.mu.Lock()
+	defer c.targets.mu.Unlock()
+	t, response := c.receive(e.Target.ID, e.Token)
+	if response.Status != cransched.StatusOK {
+		return response
+	}
+	f := c.targets
+	if f.done[e.Task] {
+		f.t.Errorf("%v: %s starts %v, of which a success was acknowledged", f.clock().Steady, c.process, e.Task)
+	}
+	for id, other := range f.targets {
+		if r, found := other.running[e.Task]; found && f.clock().Steady < r.endsAt && (id != e.Target.ID || r.number != e.Run) {
+			f.t.Errorf("%v: %s starts %v at %s, and it runs at %s", f.clock().Steady, c.process, e.Task, e.Target.ID, id)
+		}
+	}
+	t.running[e.Task] = fakeRun{e.Run, f.clock().Steady + fakeTaskTime}
+	return response
+}
+
+func (c connection) StopRun(_ context.Context, e cransched.StopRun) cransched.Response {
+	c.targets.mu.Lock()
+	defer c.targets.mu.Unlock()
+	t, response := c.receive(e.Target.ID, e.Token)
+	if r, found := t.running[e.Task]; found && response.Status == cransched.StatusOK && r.number == e.Run {
+		delete(t.running, e.Task)
+		t.ends++
+		t.finished = append(t.finished, cransched.EndReport{Number: t.ends, Task: e.Task, Run: e.Run, Outcome: cransched.OutcomeStopped})
+	}
+	return response
+}
+
+// testFleet is a set of entry instances with several shards.
+type testFleet struct {
+	t       *testing.T
+	targets *fakeTargets
+	digest  *cranmemory.Topic
+	shards  []ShardTopics
+	// stored are all topics, of which the history can be dropped.
+	stored    []*cranmemory.Topic
+	directory Directory
+	nodes     []*fleetNode
+	processes int
+	group     sync.WaitGroup
+}
+
+// fleetNode is an entry instance and its present process.
+type fleetNode struct {
+	name  string
+	node  *Node
+	fault *fault
+	stop  context.CancelFunc
+}
+
+func newTestFleet(t *testing.T, nodes int) *testFleet {
+	f := &testFleet{t: t, digest: cranmemory.New()}
+	start := time.Now()
+	clock := func() cransched.Clock {
+		return cransched.Clock{Steady: time.Hour + time.Since(start), UnixMs: time.Now().UnixMilli()}
+	}
+	f.targets = &fakeTargets{t: t, clock: clock, targets: map[string]*fakeTarget{}, senders: map[string]string{}, done: map[cranjob.TaskName]bool{}, confirmedAt: map[string]time.Duration{}}
+	operator, targets := cranmemory.New(), cranmemory.New()
+	operator.Put("config", []byte{1})
+	for i := range fleetTargets {
+		id := fmt.Sprintf("t%02d", i)
+		f.targets.targets[id] = &fakeTarget{running: map[cranjob.TaskName]fakeRun{}}
+		targets.Put(id, []byte{1})
+	}
+	config := cransched.Config{
+		Version: 1, Pools: map[string]*cransched.Pool{"p": {Name: "p"}},
+		Queues: map[string]*cransched.Queue{"q": {Name: "q", Pool: "p", Attempts: 3, Stretch: 2, LatencyTarget: time.Second}},
+	}
+	f.directory = Directory{
+		Operator: operator, Targets: targets,
+		DecodeOperatorRecord: func(string, []byte) (any, error) { return &Config{Config: config}, nil },
+		DecodeTargetRecord: func(id string, _ []byte) (cransched.TargetInfo, error) {
+			return cransched.TargetInfo{ID: id, Pool: "p", Address: id, Instance: "m" + id, Capacity: cranjob.Resources{CPU: 4000, Memory: 4000}}, nil
+		},
+	}
+	f.stored = []*cranmemory.Topic{f.digest, operator, targets}
+	for range fleetShards {
+		progress, submissions := cranmemory.New(), cranmemory.New()
+		f.shards = append(f.shards, ShardTopics{Progress: progress, Submissions: submissions})
+		f.stored = append(f.stored, progress, submissions)
+	}
+	for i := range nodes {
+		n := &fleetNode{name: fmt.Sprintf("n%d", i), fault: &fault{}}
+		f.nodes = append(f.nodes, n)
+		f.start(n)
+	}
+	return f
+}
+
+// start starts a new process of an entry instance.
+func (f *testFleet) start(n *fleetNode) {
+	f.processes++
+	incarnation := fmt.Sprintf("%s-%d", n.name, f.processes)
+	connect := func(t cranstore.Topic) *link { return &link{Topic: t.(*cranmemory.Topic), fault: n.fault} }
+	digest := connect(f.digest)
+	digest.appended = func() {
+		f.targets.mu.Lock()
+		defer f.targets.mu.Unlock()
+		f.targets.confirmedAt[incarnation] = f.targets.clock().Steady
+	}
+	topics := Topics{
+		Digest: digest, MaxShards: fleetShards,
+		Shard: func(number int) ShardTopics {
+			return ShardTopics{Progress: connect(f.shards[number].Progress), Submissions: connect(f.shards[number].Submissions)}
+		},
+	}
+	// A process that can schedule 10 targets makes the layout have fleetShards.
+	n.node = New(n.name, incarnation, topics, f.directory, connection{targets: f.targets, process: incarnation}, WithClock(f.targets.clock),
+		WithLimits(cranshard.Limits{Cores: 0.025}), WithTiming(cransched.Timing{MaxLease: 6 * time.Second, StopTime: 900 * time.Millisecond, OrderLease: 3 * time.Second}))
+	ctx, cancel := context.WithCancel(context.Background())
+	n.stop = cancel
+	node := n.node
+	f.group.Go(func() { _ = node.Run(ctx) })
+}
+
+func (f *testFleet) close() {
+	for _, n := range f.nodes {
+		n.fault.set(false, 0)
+		n.stop()
+	}
+	f.group.Wait()
+}
+
+// owners returns how many processes schedule each shard.
+func (f *testFleet) owners() [fleetShards]int {
+	var owners [fleetShards]int
+	for _, n := range f.nodes {
+		node := n.node
+		node.postAndWait(f.t.Context(), func() {
+			for _, s := range node.shards {
+				if s.scheduling() {
+					owners[s.number]++
+				}
+			}
+		})
+	}
+	return owners
+}
+
+// allOwned is the result of owners when every shard has one.
+var allOwned = [fleetShards]int{1, 1, 1, 1}
+
+func fleetJob(number int) *cranjob.Job {
+	return &cranjob.Job{
+		ID: fmt.Sprintf("%016x", number), Queue: "q", Pool: "p", Spec: "x",
+		Steps: []cranjob.Step{{Count: 3, Demand: cranjob.Resources{CPU: 500, Memory: 100}, EstimateMs: 300}},
+	}
+}
+
+// TestShardsSpreadOverProcesses starts as many processes as there are shards. Each must get
+// one. When all but one are cut off from the store, that one must own all shards.
+func TestShardsSpreadOverProcesses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, fleetShards)
+		defer f.close()
+		time.Sleep(3 * time.Second)
+		require.Equal(t, allOwned, f.owners())
+		for _, n := range f.nodes {
+			require.EqualValues(t, 1, n.node.owned.Load(), n.name)
+		}
+		for _, n := range f.nodes[1:] {
+			n.fault.set(true, 0)
+		}
+		time.Sleep(4 * time.Second)
+		require.EqualValues(t, fleetShards, f.nodes[0].node.owned.Load())
+	})
+}
+
+// TestHandoverUnderFaults cuts entry instances off, lets them lag, kills and restarts them one
+// by one and all at once, and drops the history of the store, while callers submit jobs. No two
+// processes may send orders to a target with the same token, no task may run twice, and in the
+// end every shard has one owner and every accepted job is completed, whichever process is
+// asked.
+func TestHandoverUnderFaults(t *testing.T) {
+	seeds := uint64(12)
+	if testing.Short() {
+		seeds = 3
+	}
+	for seed := range seeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newTestFleet(t, 5)
+				defer f.close()
+				time.Sleep(2 * time.Second)
+				f.runFaults(rand.New(rand.NewPCG(seed, 0)))
+			})
+		})
+	}
+}
+
+// runFaults runs a random sequence of faults, and checks the result.
+func (f *testFleet) runFaults(random *rand.Rand) {
+	t := f.t
+	var accepted []string
+	for number := range 150 {
+		n := f.nodes[random.IntN(len(f.nodes))]
+		switch random.IntN(24) {
+		case 0:
+			n.fault.set(true, 0)
+		case 1, 2:
+			n.fault.set(false, time.Duration(random.IntN(1500))*time.Millisecond)
+		case 3, 4, 5:
+			n.fault.set(false, 0)
+		case 6:
+			n.stop()
+			f.start(n)
+		case 7:
+			for _, topic := range f.stored {
+				topic.ExpireAll()
+			}
+		}
+		if number == 75 {
+			for _, n := range f.nodes {
+				n.stop()
+				f.start(n)
+			}
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+		job := fleetJob(number)
+		if f.nodes[random.IntN(len(f.nodes))].node.Submit(ctx, job) == nil {
+			accepted = append(accepted, job.ID)
+		}
+		cancel()
+		f.askForJob(f.nodes[random.IntN(len(f.nodes))], accepted, random)
+		time.Sleep(time.Duration(random.IntN(200)) * time.Millisecond)
+	}
+	for _, n := range f.nodes {
+		n.fault.set(false, 0)
+	}
+	time.Sleep(30 * time.Second)
+	require.Equal(t, allOwned, f.owners())
+	require.NotEmpty(t, accepted)
+	for _, n := range f.nodes {
+		for _, id := range accepted {
+			state, found, err := n.node.State(t.Context(), id)
+			require.NoError(t, err)
+			require.True(t, found, "%s doesn't know %s", n.name, id)
+			require.Equal(t, cranjob.Completed, state, id)
+		}
+		_, found, err := n.node.State(t.Context(), "ffffffffffffffff")
+		require.NoError(t, err)
+		require.False(t, found)
+	}
+}
+
+// askForJob asks an entry instance for the state of an accepted job. It may not be able to
+// answer, but must not say that there is no such job.
+func (f *testFleet) askForJob(n *fleetNode, accepted []string, random *rand.Rand) {
+	if len(accepted) == 0 {
+		return
+	}
+	id := accepted[len(accepted)-1-random.IntN(min(len(accepted), 5))]
+	ctx, cancel := context.WithTimeout(f.t.Context(), 500*time.Millisecond)
+	defer cancel()
+	_, found, err := n.node.State(ctx, id)
+	require.True(f.t, found || err != nil, "%s says that there is no job %s", n.name, id)
+}
--- a/internal/crannode/node.go
+++ b/internal/crannode/node.go
@@ -8,10 +8,11 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/cranberrypick/cranberrypick/internal/crandigest"
 	"github.com/cranberrypick/cranberrypick/internal/cranevent"
-	"github.com/cranberrypick/cranberrypick/internal/cranjob"
 	"github.com/cranberrypick/cranberrypick/internal/cranmetric"
 	"github.com/cranberrypick/cranberrypick/internal/cransched"
+	"github.com/cranberrypick/cranberrypick/internal/cranshard"
 	"github.com/cranberrypick/cranberrypick/internal/cranstore"
 )
 
@@ -19,23 +20,15 @@
 	// readWait is how long a read waits for a record. A read that has not been answered
 	// shortly after that reveals a dead connection.
 	readWait = time.Second
-	// replicaReadWait is the same for the topics that are read into the replica. It is
-	// shorter because a missing renewal of the claim is noticed only at the end of a
-	// read.
+	// replicaReadWait is the same for the digest and for the submissions. It is shorter
+	// because a missing renewal of a claim is noticed only at the end of a read.
 	replicaReadWait = 500 * time.Millisecond
-	// followerPause, submissionsPause and ownerPause are the pauses between two reads,
-	// in which records collect so that one read returns several. followerPause is for
-	// the scheduler's records at an entry instance that only answers callers.
-	// submissionsPause is longer, since submissions at other entry instances matter
-	// only to the owner and to callers who ask for such a job here. ownerPause is
-	// short, since accepted jobs wait for it.
-	followerPause    = 120 * time.Millisecond
-	submissionsPause = 250 * time.Millisecond
-	ownerPause       = 30 * time.Millisecond
-	// maxStepInterval is the longest time between two steps of the control goroutine,
-	// minTickInterval the shortest between two scheduler ticks.
-	maxStepInterval = 25 * time.Millisecond
-	minTickInterval = 12 * time.Millisecond
+	// submissionsPause is the pause between an owner's reads of the submissions. It is short,
+	// since accepted jobs wait for it.
+	submissionsPause = 30 * time.Millisecond
+	// reachableFor is how long the store counts as reachable after a successful read was
+	// sent.
+	reachableFor = 2500 * time.Millisecond
 	// eventQueueSize bounds the number of events queued for the control goroutine.
 	eventQueueSize = 4096
 )
@@ -46,18 +39,13 @@
 	incarnation string
 	dataCentre  string
 	timing      cransched.Timing
-	progress    *stream
-	submissions *stream
-	// batcher appends the records of callers.
-	batcher   *cranstore.Batcher
-	directory Directory
-	orders    OrderSender
-	log       *cranevent.Logger
-	metrics   *cranmetric.Jobs
-	// cpuCores is the processor capacity that this process may use, in cores; 0 if
-	// unknown.
-	cpuCores float64
-	now      func() cransched.Clock
+	topics      Topics
+	directory   Directory
+	orders      OrderSender
+	log         *cranevent.Logger
+	metrics     *cranmetric.Jobs
+	limits      cranshard.Limits
+	now         func() cransched.Clock
 
 	// events queues the functions that the control goroutine runs.
 	events chan func()
@@ -68,18 +56,28 @@
 	configReadAt atomic.Int64
 	// configBound is the time within which a stored configuration must be in effect.
 	configBound time.Duration
-	// answeredAt is when the newest read that the store has answered was sent, over all
-	// topics.
-	answeredAt atomic.Int64
-	// owning is true while this process owns the scheduling, stopping once its shutdown
-	// has begun.
-	owning   atomic.Bool
+	// digestFollower reads the digest. digestContactAt is when its newest successful read was
+	// sent; 0 before the first.
+	digestFollower  *cranstore.Follower
+	digestContactAt atomic.Int64
+	// owned is the number of shards that this process schedules, and stopping is true once
+	// its shutdown has begun.
+	owned    atomic.Int32
 	stopping atomic.Bool
 
-	mu sync.RWMutex
-	// replica is written only by the control goroutine.
-	replica *cranjob.Replica
-	// advanced is closed and replaced whenever the replica has advanced.
+	// mu guards the fields below, which only the control goroutine writes, except stored.
+	mu     sync.RWMutex
+	digest *crandigest.Digest
+	// digestComplete is true once the digest has been read to its end. digestCurrentAt is
+	// when the newest read that reached the end was sent.
+	digestComplete  bool
+	digestCurrentAt time.Duration
+	// shards is nil until the layout is known.
+	shards []*shard
+	// stored holds the jobs that this process knows to be stored and that are not in the
+	// digest yet, and those whose cancellation isn't.
+	stored map[string]localJob
+	// advanced is closed and replaced whenever the digest was read.
 	advanced chan struct{}
 
 	control *control
@@ -100,8 +98,8 @@
 // WithDataCentre sets the data centre in which the process runs.
 func WithDataCentre(name string) Option { return func(n *Node) { n.dataCentre = name } }
 
-// WithCPULimit sets the processor capacity that the process may use, in cores.
-func WithCPULimit(cores float64) Option { return func(n *Node) { n.cpuCores = cores } }
+// WithLimits sets the resources that the process may use.
+func WithLimits(l cranshard.Limits) Option { return func(n *Node) { n.limits = l } }
 
 // WithClock replaces the clock.
 func WithClock(now func() cransched.Clock) Option { return func(n *Node) { n.now = now } }
@@ -110,16 +108,16 @@
 // ever use the name.
 func New(name, incarnation string, topics Topics, directory Directory, orders OrderSender, opts ...Option) *Node {
 	n := &Node{
-		name: name, incarnation: incarnation, directory: directory, orders: orders,
+		name: name, incarnation: incarnation, topics: topics, directory: directory, orders: orders,
 		log: cranevent.Discard(), metrics: cranmetric.NewJobs(), now: Now, events: make(chan func(), eventQueueSize),
-		configBound: defaultConfigBound, replica: cranjob.NewReplica(), advanced: make(chan struct{}),
+		configBound: defaultConfigBound, digest: crandigest.New(), stored: map[string]localJob{}, advanced: make(chan struct{}),
 	}
 	for _, set := range opts {
 		set(n)
 	}
-	n.progress = n.newStream("progress", topics.Progress, followerPause)
-	n.submissions = n.newStream("submissions", topics.Submissions, submissionsPause)
-	n.batcher = cranstore.NewBatcher(topics.Submissions, n.metrics.Retried)
+	n.digestFollower = n.newFollower(readOptions{
+		topic: topics.Digest, wait: replicaReadWait, pause: digestPause, options: []cranstore.FollowerOption{cranstore.WithPages()},
+	})
 	n.control = newControl(n)
 	return n
 }
@@ -139,24 +137,29 @@
 // SteadyNow reads the steady clock.
 func SteadyNow() time.Duration { return Now().Steady }
 
-// Run runs the entry instance until ctx ends. It then hands the scheduling over, if
-// this process owns it, and returns once every goroutine has ended.
+// Run runs the entry instance until ctx ends. It then hands over the shards that this process
+// owns, and returns once every goroutine has ended.
 func (n *Node) Run(ctx context.Context) error {
 	runCtx, cancel := context.WithCancel(context.Background())
 	n.control.runCtx = runCtx
 	var group sync.WaitGroup
-	group.Go(func() { n.followStream(runCtx, n.progress, n.control.applyProgress) })
-	group.Go(func() { n.followStream(runCtx, n.submissions, n.control.applySubmissions) })
+	group.Go(func() {
+		n.follow(runCtx, "digest", n.digestFollower, func(u cranstore.Update) {
+			n.postAndWait(runCtx, func() { n.control.applyDigest(u) })
+		})
+	})
 	group.Go(func() { n.followOperator(runCtx) })
 	group.Go(func() { n.control.run(runCtx) })
-	group.Go(func() { n.control.followTargets(runCtx) })
 	<-ctx.Done()
 	n.stopping.Store(true)
 	n.control.requestHandover()
 	n.control.awaitHandover()
 	cancel()
-	n.batcher.Close()
 	group.Wait()
+	n.control.group.Wait()
+	for _, s := range n.shards {
+		s.batcher.Close()
+	}
 	return nil
 }
 
@@ -176,30 +179,45 @@
 	}
 }
 
+// postAndWait queues an event for the control goroutine and waits until it has run.
+func (n *Node) postAndWait(ctx context.Context, event func()) {
+	done := make(chan struct{})
+	n.post(ctx, func() {
+		defer close(done)
+		event()
+	})
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
 // Ready reports whether the entry instance can serve callers.
 func (n *Node) Ready() bool {
-	now := n.now().Steady
-	return n.configFreshness().confirmed && !n.stopping.Load() && (n.submissions.reachable(now) || n.progress.reachable(now))
+	n.mu.RLock()
+	known := n.shards != nil
+	n.mu.RUnlock()
+	return known && n.configFreshness().confirmed && !n.stopping.Load() && n.storeReachable()
+}
+
+// storeReachable reports whether the store has answered a read recently.
+func (n *Node) storeReachable() bool {
+	at := n.digestContactAt.Load()
+	return at != 0 && n.now().Steady-time.Duration(at) <= reachableFor
 }
 
 // readOptions defines how a topic is read: how long a read waits for a record, and the
-// pause between two reads, which is different for the owner.
+// pause between two reads.
 type readOptions struct {
-	topic             cranstore.Topic
-	wait              time.Duration
-	pause, ownerPause time.Duration
-	options           []cranstore.FollowerOption
+	topic   cranstore.Topic
+	wait    time.Duration
+	pause   time.Duration
+	options []cranstore.FollowerOption
 }
 
 // newFollower returns a follower that reads a topic as defined.
 func (n *Node) newFollower(r readOptions) *cranstore.Follower {
-	pause := func() time.Duration {
-		if n.owning.Load() {
-			return r.ownerPause
-		}
-		return r.pause
-	}
-	options := append([]cranstore.FollowerOption{cranstore.WithWait(r.wait), cranstore.WithPause(pause)}, r.options...)
+	options := append([]cranstore.FollowerOption{cranstore.WithWait(r.wait), cranstore.WithPause(r.pause)}, r.options...)
 	return cranstore.NewFollower(r.topic, func() time.Duration { return n.now().Steady }, options...)
 }
 
@@ -220,7 +238,6 @@
 			n.log.Emit(cranevent.LogAvailable, cranevent.Stream(name), cranevent.Offset(u.Next), cranevent.Elapsed(now-lostAt))
 		}
 		if u.Err == nil {
-			n.answeredAt.Store(int64(u.Sent))
 			deliver(u)
 		}
 	})
--- /dev/null
+++ b/internal/crannode/orders.go
@@ -0,0 +1,136 @@
+package crannode
+
+import (
+	"context"
+	"time"
+
+	"github.com/cranberrypick/cranberrypick/internal/cranevent"
+	"github.com/cranberrypick/cranberrypick/internal/cransched"
+)
+
+const (
+	// callTimeout bounds a call to a target or to the platform.
+	callTimeout = 900 * time.Millisecond
+	// trimTimeout bounds the append that replaces the submission of an ended job by a
+	// smaller record. It queues behind the appends of callers.
+	trimTimeout = 5 * time.Second
+)
+
+// sendEffect sends the call that an effect asks for.
+func (o *ownership) sendEffect(effect cransched.Effect) {
+	n, s := o.shard.node, o.scheduler
+	switch e := effect.(type) {
+	case cransched.Heartbeat:
+		o.callAsync(e.Wait+callTimeout, func(ctx context.Context) func() {
+			response := cransched.HeartbeatResponse{}
+			o.sendOrder("hold", cransched.OwnershipTimeout, func() cransched.CallStatus {
+				response = n.orders.Heartbeat(ctx, e)
+				return response.Status
+			})
+			return func() { s.HandleHeartbeatResponse(e.Target, response) }
+		})
+	case cransched.StartRun:
+		// A start that is withheld has certainly not been sent.
+		withheld := cransched.Response{Status: cransched.StatusNotSent}
+		o.sendRunOrder("start", withheld, func(ctx context.Context) cransched.Response { return n.orders.StartRun(ctx, e) },
+			func(a cransched.Response) { s.HandleStartResponse(e, a) })
+	case cransched.StopRun:
+		o.sendRunOrder("stop", cransched.Response{}, func(ctx context.Context) cransched.Response { return n.orders.StopRun(ctx, e) },
+			func(a cransched.Response) { s.HandleStopResponse(e, a) })
+	case cransched.Throttle:
+		o.sendRunOrder("pace", cransched.Response{}, func(ctx context.Context) cransched.Response { return n.orders.Throttle(ctx, e) },
+			func(a cransched.Response) { s.HandleThrottleResponse(e, a) })
+	case cransched.RequestTickets:
+		o.requestTickets(e)
+	case cransched.Maintain:
+		o.sendInstanceOrder("upkeep", func(ctx context.Context) cransched.CallStatus { return n.orders.Maintain(ctx, e) },
+			func(v cransched.CallStatus) { s.HandleMaintenanceResponse(e, v) })
+	case cransched.MoveInstance:
+		o.sendInstanceOrder("move", func(ctx context.Context) cransched.CallStatus { return n.orders.MoveInstance(ctx, e) },
+			func(v cransched.CallStatus) { s.HandleMoveResponse(e, v) })
+	case cransched.TrimSubmission:
+		o.callAsync(trimTimeout, func(ctx context.Context) func() {
+			if _, err := o.trims.Append(ctx, e.Record); err != nil {
+				n.log.Emit(cranevent.LogUnavailable, cranevent.Stream("submissions"), cranevent.Err(err))
+			}
+			return func() {}
+		})
+	}
+}
+
+// sendRunOrder sends an order about a run and passes the response to handle. If the
+// order is not sent, it passes withheld instead.
+func (o *ownership) sendRunOrder(kind string, withheld cransched.Response,
+	send func(context.Context) cransched.Response, handle func(cransched.Response),
+) {
+	o.callAsync(callTimeout, func(ctx context.Context) func() {
+		response := withheld
+		o.sendOrder(kind, cransched.OwnershipTimeout, func() cransched.CallStatus {
+			response = send(ctx)
+			return response.Status
+		})
+		return func() { handle(response) }
+	})
+}
+
+// sendInstanceOrder sends an order about an instance and passes the status to handle.
+func (o *ownership) sendInstanceOrder(kind string,
+	send func(context.Context) cransched.CallStatus, handle func(cransched.CallStatus),
+) {
+	o.callAsync(callTimeout, func(ctx context.Context) func() {
+		status := o.sendOrder(kind, cransched.OrderOwnershipTimeout, func() cransched.CallStatus { return send(ctx) })
+		return func() { handle(status) }
+	})
+}
+
+// ticketsTimeout bounds a request for tickets. It is longer than callTimeout because the
+// request takes longer the more targets it names.
+const ticketsTimeout = 3 * time.Second
+
+func (o *ownership) requestTickets(e cransched.RequestTickets) {
+	n := o.shard.node
+	o.callAsync(ticketsTimeout, func(ctx context.Context) func() {
+		sent := n.now().Steady
+		tickets, validFor, err := n.orders.RequestTickets(ctx, e)
+		return func() {
+			if err != nil {
+				n.log.Emit(cranevent.LogUnavailable, cranevent.Stream("advice"), cranevent.Err(err))
+			}
+			o.scheduler.HandleTickets(e, tickets, validFor, sent)
+		}
+	})
+}
+
+// sendOrder sends an order unless the newest confirmed append was sent longer ago than
+// bound, because another process may own the shard by then. It checks this right before the
+// call, because the process may have been suspended. An order that is not sent counts as
+// unanswered.
+func (o *ownership) sendOrder(kind string, bound time.Duration, send func() cransched.CallStatus) cransched.CallStatus {
+	n := o.shard.node
+	start := n.now().Steady
+	if start-time.Duration(o.confirmedAt.Load()) >= bound {
+		n.metrics.Ordered(kind, "withheld", 0)
+		return cransched.StatusUnanswered
+	}
+	status := send()
+	n.metrics.Ordered(kind, status.String(), n.now().Steady-start)
+	return status
+}
+
+// callAsync runs request in a goroutine of its own. The function that request returns
+// then runs in the control goroutine, unless the ownership has ended by that time.
+func (o *ownership) callAsync(timeout time.Duration, request func(context.Context) func()) {
+	go func() {
+		ctx, cancel := context.WithTimeout(o.ctx, timeout)
+		defer cancel()
+		deliver := request(ctx)
+		n := o.shard.node
+		n.post(n.control.runCtx, func() {
+			if o.shard.owner != o {
+				return
+			}
+			o.scheduler.Advance(n.now())
+			deliver()
+		})
+	}()
+}
--- a/internal/crannode/owner_test.go
+++ b/internal/crannode/owner_test.go
@@ -36,7 +36,7 @@
 // ever because the store refuses one of that size.
 func TestBatchAboveLimitOfAppendIsStored(t *testing.T) {
 	topic := cranmemory.New()
-	n := New("a", "a-1", Topics{Progress: limitedTopic{topic, maxAppendBytes}}, Directory{}, noInstances{})
+	n := New("a", "a-1", memoryTopics(), Directory{}, noInstances{})
 	const count = 300
 	records := make([]cranstore.Record, count)
 	for i := range records {
@@ -44,7 +44,7 @@
 	}
 	records[7].Value = make([]byte, maxAppendBytes)
 	parts := splitBatch(records, maxAppendBytes)
-	_, err := n.appendParts(t.Context(), parts, cranstore.AppendOptions{Producer: producer, Epoch: 1, Sequence: 1})
+	_, err := n.appendParts(t.Context(), limitedTopic{topic, maxAppendBytes}, parts, cranstore.AppendOptions{Producer: producer, Epoch: 1, Sequence: 1})
 	require.NoError(t, err)
 	batch, err := topic.Read(t.Context(), 0, cranstore.ReadOptions{})
 	require.NoError(t, err)
@@ -86,7 +86,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		const pages = 16
 		orders := &pagedInstances{pages: pages, pageTime: callTimeout / 3}
-		n := New("a", "a-1", Topics{Progress: cranmemory.New(), Submissions: cranmemory.New()}, Directory{}, orders)
+		n := New("a", "a-1", memoryTopics(), Directory{}, orders)
 		list, err := n.listInstances(t.Context())
 		require.NoError(t, err)
 		require.Len(t, list, pages)
--- /dev/null
+++ b/internal/crannode/ownership.go
@@ -0,0 +1,290 @@
+package crannode
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"github.com/cranberrypick/cranberrypick/internal/crandigest"
+	"github.com/cranberrypick/cranberrypick/internal/cranevent"
+	"github.com/cranberrypick/cranberrypick/internal/cranjob"
+	"github.com/cranberrypick/cranberrypick/internal/cranpause"
+	"github.com/cranberrypick/cranberrypick/internal/cransched"
+	"github.com/cranberrypick/cranberrypick/internal/cranstore"
+)
+
+const (
+	// producer is the producer name of an owner's appends to the progress records.
+	producer = "scheduler"
+	// progressInterval and digestInterval are the minimum times between two appends of an
+	// owner to the progress records and to the digest, which every entry instance reads.
+	progressInterval = 25 * time.Millisecond
+	digestInterval   = 60 * time.Millisecond
+	// loadTimeout is how long a new owner may take to load the shard before it releases its
+	// claim for another entry instance.
+	loadTimeout = 8 * time.Second
+	// lateTickThreshold is the time between two scheduler ticks above which a tick
+	// counts as late. After maxLateTicks late ticks the owner hands the shard over
+	// and does not claim again for lateOwnerPause.
+	lateTickThreshold = 250 * time.Millisecond
+	maxLateTicks      = 8
+	// minTickInterval is the shortest time between two scheduler ticks, so that one tick
+	// covers several events.
+	minTickInterval = 12 * time.Millisecond
+	// orderAgeMargin is taken off the age of a stored order for the difference between the
+	// clocks of two processes.
+	orderAgeMargin = 6 * time.Second
+)
+
+// ownership is the state of a process that owns a shard. It begins when the process has read
+// its own claim back, and ends when the claim is lost or released. Only the control goroutine
+// accesses it, except where noted.
+type ownership struct {
+	shard *shard
+	epoch uint64
+	// renewals is how often the claim has been renewed, renewedAt when it was last.
+	renewals  uint64
+	renewedAt time.Duration
+	// confirmedAt is when the newest confirmed append to the digest was sent. The goroutines
+	// that send orders read it.
+	confirmedAt      atomic.Int64
+	progress, digest *fencedWriter
+	// trims appends the smaller records that replace the submissions of ended jobs.
+	trims *cranstore.Batcher
+
+	// replica holds the jobs of the shard. It is loaded from the topics of the shard, of
+	// which progressLoaded and submissionsLoaded say whether they were read.
+	replica                           *cranjob.Replica
+	progressLoaded, submissionsLoaded bool
+	beganAt                           time.Duration
+	predecessor                       cransched.Predecessor
+	// scheduler is nil until the shard is loaded.
+	scheduler *cransched.Scheduler
+
+	// through is the offset up to which the submissions were passed to the scheduler.
+	through uint64
+	// states holds the changed states of jobs, and waveRecords the progress with waves, that
+	// are to be appended to the digest. stateIndex maps a job to its position in states.
+	states      []crandigest.JobState
+	stateIndex  map[string]int
+	waveRecords []cranstore.Record
+	// tickedAt is when the scheduler last ran a full tick; lateTicks counts the ticks
+	// that came later than lateTickThreshold.
+	tickedAt  time.Duration
+	lateTicks int
+	// flushed is set once the last decisions before a release were stored.
+	flushed bool
+	ctx     context.Context
+	cancel  context.CancelFunc
+}
+
+// beginOwnership makes this process the owner of the shard. It schedules once the shard is
+// loaded.
+func (s *shard) beginOwnership(claim cranjob.Claim, now cransched.Clock) {
+	n := s.node
+	o := &ownership{
+		shard: s, epoch: claim.Epoch, renewedAt: now.Steady, beganAt: now.Steady, replica: cranjob.NewReplica(), stateIndex: map[string]int{},
+		progress: &fencedWriter{topic: s.topics.Progress, producer: producer, epoch: claim.Epoch, interval: progressInterval},
+		digest:   &fencedWriter{topic: n.topics.Digest, producer: s.digestProducer(), epoch: claim.Epoch, interval: digestInterval},
+		trims:    cranstore.NewBatcher(s.topics.Submissions, n.metrics.Retried),
+		// The previous owner acts only for a bounded time after an append that it knows to
+		// be stored, and every record that it stored has been read by now.
+		predecessor: cransched.Predecessor{StoppedBy: s.ownerRecordAt + cransched.OwnershipTimeout},
+	}
+	if s.previousClaim.Released || s.isFromEarlierProcess(s.previousClaim) {
+		o.predecessor.StoppedBy = now.Steady
+	}
+	o.confirmedAt.Store(int64(s.claimSentAt))
+	o.ctx, o.cancel = context.WithCancel(n.control.runCtx)
+	s.owner = o
+	n.control.ownershipChanged()
+	n.control.group.Go(func() { o.load(claim) })
+}
+
+// load fences the progress records of the shard, loads them, and follows the submissions.
+// Loading begins only once all appends of earlier owners are refused, so that no record and no
+// submission on which they have acted is missed.
+func (o *ownership) load(claim cranjob.Claim) {
+	s := o.shard
+	n := s.node
+	fence := []cranstore.Record{{Key: cranjob.KeyClaim, Value: cranjob.Encode(claim)}}
+	_, err := n.appendUntilAnswered(o.ctx, s.topics.Progress, fence, cranstore.AppendOptions{Producer: producer, Epoch: o.epoch})
+	if err != nil {
+		n.post(n.control.runCtx, func() { o.loadFailed(err) })
+		return
+	}
+	n.control.group.Go(func() {
+		n.followSubmissions(o)
+	})
+	for o.ctx.Err() == nil {
+		records, _, err := cranstore.Load(o.ctx, s.topics.Progress)
+		if err == nil {
+			n.post(n.control.runCtx, func() { o.applyProgress(records) })
+			return
+		}
+		n.log.Emit(cranevent.LogUnavailable, cranevent.Stream("progress"), cranevent.Err(err))
+		cranpause.Sleep(o.ctx, appendRetryPause)
+	}
+}
+
+// loadFailed ends an ownership of which the progress records were fenced by another process.
+func (o *ownership) loadFailed(err error) {
+	s := o.shard
+	if s.owner != o {
+		return
+	}
+	var fenced *cranstore.FencedError
+	if errors.As(err, &fenced) {
+		s.fencedEpoch = max(s.fencedEpoch, fenced.Epoch)
+	}
+	s.stopScheduling("the progress records are fenced: " + err.Error())
+}
+
+// applyProgress applies the loaded progress records.
+func (o *ownership) applyProgress(records []cranstore.Record) {
+	if o.shard.owner != o {
+		return
+	}
+	o.apply("progress", records)
+	o.progressLoaded = true
+	if claim := o.replica.Claim(); claim.Epoch != o.epoch || claim.Incarnation != o.shard.node.incarnation {
+		// A process of another version has used the epoch.
+		o.shard.fencedEpoch = max(o.shard.fencedEpoch, claim.Epoch)
+		o.shard.stopScheduling("the progress records have the claim of another process")
+	}
+}
+
+// apply applies records to the replica and returns the changes.
+func (o *ownership) apply(stream string, records []cranstore.Record) []cranjob.Change {
+	var changes []cranjob.Change
+	for _, r := range records {
+		change, err := o.replica.Apply(r.Key, r.Value, r.Offset)
+		if err != nil {
+			o.shard.node.log.Emit(cranevent.MalformedRecord, cranevent.Stream(stream), cranevent.Offset(r.Offset), cranevent.Err(err))
+			continue
+		}
+		changes = append(changes, change)
+	}
+	return changes
+}
+
+// followSubmissions passes the submissions of a shard to its owner until the ownership ends.
+// The control goroutine applies each update before the next read.
+func (n *Node) followSubmissions(o *ownership) {
+	f := n.newFollower(readOptions{topic: o.shard.topics.Submissions, wait: replicaReadWait, pause: submissionsPause})
+	n.follow(o.ctx, "submissions", f, func(u cranstore.Update) {
+		n.postAndWait(o.ctx, func() { o.applySubmissions(u) })
+	})
+}
+
+// applySubmissions applies a read of the submissions, and passes the changes to the
+// scheduler.
+func (o *ownership) applySubmissions(u cranstore.Update) {
+	if o.shard.owner != o {
+		return
+	}
+	o.shard.batcher.Observe(u.Records)
+	if o.scheduler != nil {
+		o.scheduler.Advance(o.shard.node.now())
+	}
+	for _, change := range o.apply("submissions", u.Records) {
+		if o.scheduler != nil {
+			o.forwardChange(change)
+		}
+	}
+	o.through = u.Next
+	o.submissionsLoaded = true
+}
+
+// forwardChange tells the scheduler about a job that was submitted or cancelled.
+func (o *ownership) forwardChange(change cranjob.Change) {
+	switch change.Kind {
+	case cranjob.JobAdded:
+		if state, known := o.shard.node.digest.Job(change.ID); known && state.Final() {
+			return
+		}
+		e, _ := o.replica.Lookup(change.ID)
+		if p := e.Progress(); p != nil && p.State.Final() {
+			return
+		}
+		o.scheduler.AddJob(e.Job())
+	case cranjob.JobCancelled:
+		o.scheduler.CancelJob(change.ID)
+	}
+}
+
+// startIfLoaded starts the scheduler once the shard is loaded.
+func (o *ownership) startIfLoaded(now cransched.Clock) {
+	c := o.shard.node.control
+	if !o.progressLoaded || !o.submissionsLoaded || c.config == nil || !c.targets.known {
+		return
+	}
+	s, n := o.shard, o.shard.node
+	for id := range o.replica.Jobs() {
+		// The final state of a job may be in the digest and not yet in its progress.
+		if state, known := n.digest.Job(id); known && state.Final() {
+			o.replica.End(id, state, now.UnixMs)
+		}
+	}
+	o.predecessor.LastOrderAt = o.lastOrders(now)
+	timing := n.timing
+	timing.OrdersPerSecond /= float64(len(n.shards))
+	o.scheduler = cransched.New(o.epoch, timing, c.config, o.replica, now, o.predecessor)
+	for id, e := range o.replica.Jobs() {
+		if e.Job() != nil {
+			o.publish(crandigest.JobState{ID: id, Queue: e.Job().Queue, State: e.State()})
+		}
+	}
+	o.scheduler.SetTargets(c.targets.list(s.number))
+	o.scheduler.SetWaves(c.waveOrders(s.number))
+	n.metrics.TookOver()
+	c.ownershipChanged()
+	n.log.Emit(cranevent.SchedulerAcquired, cranevent.Shard(s.name), cranevent.Epoch(o.epoch), cranevent.Offset(o.through),
+		cranevent.Count(o.scheduler.JobCount()), cranevent.Elapsed(now.Steady-o.beganAt))
+}
+
+// lastOrders returns the times, on this process's clock, after which no earlier owner has
+// decided on an order for an instance.
+func (o *ownership) lastOrders(now cransched.Clock) map[string]time.Duration {
+	s := o.shard
+	if s.isFromEarlierProcess(s.previousClaim) {
+		// The platform treats both processes of an entry instance as one lease holder,
+		// so earlier orders need not expire first.
+		return nil
+	}
+	at := map[string]time.Duration{}
+	for instance, order := range o.replica.Orders() {
+		age := time.Duration(now.UnixMs-order.DecidedMs)*time.Millisecond - orderAgeMargin
+		at[instance] = now.Steady - max(age, 0)
+	}
+	return at
+}
+
+// publish adds the state of a job to the next append to the digest, unless the digest has
+// it.
+func (o *ownership) publish(j crandigest.JobState) {
+	if state, known := o.shard.node.digest.Job(j.ID); known && (state >= j.State || state.Final()) {
+		return
+	}
+	if i, pending := o.stateIndex[j.ID]; pending {
+		o.states[i] = j
+		return
+	}
+	o.stateIndex[j.ID] = len(o.states)
+	o.states = append(o.states, j)
+}
+
+// stopScheduling ends this process's ownership without appending anything.
+func (s *shard) stopScheduling(reason string) {
+	o, n := s.owner, s.node
+	if o == nil {
+		return
+	}
+	o.cancel()
+	n.control.group.Go(o.trims.Close)
+	n.log.Emit(cranevent.SchedulerLost, cranevent.Shard(s.name), cranevent.Epoch(o.epoch), cranevent.Cause(reason))
+	s.owner = nil
+	s.nextClaimAt = n.now().Steady + claimRetryPause
+	n.control.ownershipChanged()
+}
--- a/internal/crannode/ports.go
+++ b/internal/crannode/ports.go
@@ -8,6 +8,28 @@
 	"github.com/cranberrypick/cranberrypick/internal/cranstore"
 )
 
+// Topics are the topics of the job service; in the platform's store they are partitions.
+// Each processes its appends one after the other, so appends of callers must not delay those
+// of a scheduler while the store is slow.
+type Topics struct {
+	// Digest holds the layout, the claims and the states of all jobs. Every entry instance
+	// reads it.
+	Digest cranstore.Topic
+	// Shard returns the topics of a shard.
+	Shard func(number int) ShardTopics
+	// MaxShards is the number of shards for which there are topics.
+	MaxShards int
+}
+
+// ShardTopics are the topics of one shard.
+type ShardTopics struct {
+	// Progress holds the owner's records. An owner reads it when it takes over.
+	Progress cranstore.Topic
+	// Submissions holds the accepted jobs and the cancellations. Every entry instance appends
+	// to it, and the owner reads it.
+	Submissions cranstore.Topic
+}
+
 // OrderSender sends orders to targets and calls the platform about instances. Each
 // method returns before its context ends.
 type OrderSender interface {
@@ -23,7 +45,8 @@
 	ListInstances(ctx context.Context, page string) ([]cransched.InstanceInfo, string, error)
 	Maintain(ctx context.Context, e cransched.Maintain) cransched.CallStatus
 	MoveInstance(ctx context.Context, e cransched.MoveInstance) cransched.CallStatus
-	ReportWave(ctx context.Context, s cransched.WaveStatus) error
+	// ReportWave tells the operator whether a wave is running or completed.
+	ReportWave(ctx context.Context, wave int, completed bool) error
 }
 
 // Directory holds the topics that operators and targets write to the store, and the
--- a/internal/crannode/service.go
+++ b/internal/crannode/service.go
@@ -11,11 +11,15 @@
 )
 
 const (
-	// endTimeout bounds one query for the end of the submissions.
-	endTimeout = 1200 * time.Millisecond
 	// answerReserve is the part of the time until a caller's deadline that is reserved
 	// for sending the answer.
 	answerReserve = 150 * time.Millisecond
+	// maxDigestAge bounds the age of the reported number of pending jobs: 2 s as defined by
+	// the platform's protocol, plus the wait of the read.
+	maxDigestAge = 2*time.Second + replicaReadWait
+	// maxPublishedAge is how long the owner of a shard may not have written to the digest
+	// until its submissions are read to find the pending jobs.
+	maxPublishedAge = 2 * time.Second
 )
 
 // Submit accepts a job and returns once it is stored. It returns nil at once for a job
@@ -29,35 +33,28 @@
 	if _, known := n.lookup(j.ID); known {
 		return nil
 	}
-	if !n.canStore() {
+	if !n.storeReachable() {
 		return n.refuse(j, cranfault.New(cranfault.LogUnavailable, "submit the job again to another entry instance",
 			"the store doesn't answer this entry instance"))
 	}
+	s := n.shardOf(j.ID)
+	if s == nil {
+		return n.refuse(j, cranfault.New(cranfault.NotReady, "submit the job again to another entry instance", "the shards are not known here yet"))
+	}
 	start := n.now().Steady
 	j.ReceivedMs = n.now().UnixMs
 	record := cranstore.Record{Key: cranjob.SubmissionKey(j.ID), Value: cranjob.Encode(*j)}
-	offset, err := n.storeRecord(ctx, record)
+	offset, err := s.storeRecord(ctx, record)
 	if err != nil {
 		return n.refuse(j, err)
 	}
+	n.remember(j.ID, localJob{queue: j.Queue})
 	latency := n.now().Steady - start
 	n.metrics.Accepted(latency)
 	n.log.Emit(cranevent.JobAccepted, cranevent.Job(j.ID), cranevent.Queue(j.Queue), cranevent.Offset(offset), cranevent.Elapsed(latency))
 	return nil
 }
 
-// canStore reports whether the store is likely to accept a record. While the replica is
-// still loading, which takes seconds on a slow link, any recent answer of the store
-// counts.
-func (n *Node) canStore() bool {
-	now := n.now().Steady
-	if n.submissions.contactAt.Load() == 0 {
-		at := n.answeredAt.Load()
-		return at != 0 && now-time.Duration(at) <= reachableFor
-	}
-	return n.submissions.reachable(now)
-}
-
 // refuse logs and counts a job that is not accepted, and returns err.
 func (n *Node) refuse(j *cranjob.Job, err error) error {
 	n.metrics.Refused(cranfault.KindOf(err))
@@ -67,8 +64,8 @@
 }
 
 // storeRecord appends a record that may be stored twice without harm.
-func (n *Node) storeRecord(ctx context.Context, record cranstore.Record) (uint64, error) {
-	offset, err := n.batcher.Append(ctx, record)
+func (s *shard) storeRecord(ctx context.Context, record cranstore.Record) (uint64, error) {
+	offset, err := s.batcher.Append(ctx, record)
 	switch {
 	case err == nil:
 		return offset, nil
@@ -91,14 +88,16 @@
 	if e.cancelled || e.state.Final() {
 		return true, nil
 	}
-	if !n.submissions.reachable(n.now().Steady) {
+	s := n.shardOf(id)
+	if s == nil || !n.storeReachable() {
 		return false, cranfault.New(cranfault.LogUnavailable, "cancel the job at another entry instance",
 			"the store doesn't answer this entry instance")
 	}
-	offset, err := n.storeRecord(ctx, cranstore.Record{Key: cranjob.CancellationKey(id), Value: cranjob.CancellationMark})
+	offset, err := s.storeRecord(ctx, cranstore.Record{Key: cranjob.CancellationKey(id), Value: cranjob.CancellationMark})
 	if err != nil {
 		return false, err
 	}
+	n.remember(id, localJob{cancelled: true})
 	n.metrics.Cancelled()
 	n.log.Emit(cranevent.JobCancelled, cranevent.Job(id), cranevent.Offset(offset))
 	return true, nil
@@ -114,77 +113,47 @@
 }
 
 // Pending returns the number of accepted jobs in a queue of which no task has started.
-func (n *Node) Pending(queue string) (int, error) {
-	n.mu.RLock()
-	defer n.mu.RUnlock()
-	if now := n.now().Steady; !n.submissions.current(now) || !n.progress.current(now) {
-		return 0, cranfault.New(cranfault.NotReady, "ask another entry instance", "this entry instance has not read all jobs")
+func (n *Node) Pending(ctx context.Context, queue string) (int, error) {
+	count, unpublished, err := n.publishedPending(queue)
+	if err != nil {
+		return 0, err
 	}
-	return n.replica.Pending(queue), nil
-}
-
-// jobStatus is a copy of the state of a job in the replica.
-type jobStatus struct {
-	state     cranjob.State
-	cancelled bool
+	for _, s := range unpublished {
+		jobs, err := n.tailJobs(ctx, s)
+		if err != nil {
+			return 0, err
+		}
+		for _, j := range jobs {
+			if _, known := n.lookup(j.ID); !known && j.Queue == queue {
+				count++
+			}
+		}
+	}
+	return count, nil
 }
 
-func (n *Node) lookup(id string) (*jobStatus, bool) {
+// publishedPending returns the number of pending jobs that are known here, and the shards of
+// which the owner hasn't published any lately.
+func (n *Node) publishedPending(queue string) (int, []*shard, error) {
 	n.mu.RLock()
 	defer n.mu.RUnlock()
-	e, found := n.replica.Lookup(id)
-	if !found {
-		return nil, false
+	now := n.now().Steady
+	if n.shards == nil || !n.digestComplete || now-n.digestCurrentAt > maxDigestAge {
+		return 0, nil, cranfault.New(cranfault.NotReady, "ask another entry instance", "this entry instance has not read all jobs")
 	}
-	return &jobStatus{state: e.State(), cancelled: e.Cancelled()}, true
-}
-
-// findJob returns the status of a job; nil if there is no such job. Before it reports
-// that a job does not exist, it waits until the replica holds everything that was
-// stored when the call was made.
-func (n *Node) findJob(ctx context.Context, id string) (*jobStatus, error) {
-	if e, found := n.lookup(id); found {
-		return e, nil
-	}
-	end, err := n.submissionsEnd(ctx)
-	if err != nil {
-		return nil, err
-	}
-	for {
-		n.mu.RLock()
-		next, advanced := n.submissions.next, n.advanced
-		n.mu.RUnlock()
-		if e, found := n.lookup(id); found {
-			return e, nil
-		}
-		if next >= end {
-			n.log.Emit(cranevent.JobUnknown, cranevent.Job(id), cranevent.Offset(next))
-			return nil, nil
-		}
-		select {
-		case <-advanced:
-		case <-ctx.Done():
-			return nil, cranfault.New(cranfault.Timeout, "ask again", "the newest records were not read in time")
+	var unpublished []*shard
+	for _, s := range n.shards {
+		if s.renewedAt == 0 || now-s.renewedAt > maxPublishedAge {
+			unpublished = append(unpublished, s)
 		}
 	}
-}
-
-// submissionsEnd asks the store for the end of the submissions topic.
-func (n *Node) submissionsEnd(ctx context.Context) (uint64, error) {
-	n.mu.RLock()
-	next, loaded := n.submissions.next, n.submissions.loaded
-	n.mu.RUnlock()
-	if !loaded {
-		return 0, cranfault.New(cranfault.NotReady, "ask another entry instance", "this entry instance is still loading the jobs")
-	}
-	limited, cancel := context.WithTimeout(ctx, endTimeout)
-	defer cancel()
-	end, err := n.submissions.topic.End(limited, next)
-	if err != nil {
-		return 0, cranfault.New(cranfault.LogUnavailable, "ask another entry instance",
-			"the store didn't report the end of the submissions: %v", err)
+	count := n.digest.Pending(queue)
+	for id, j := range n.stored {
+		if _, known := n.digest.Job(id); !known && j.queue == queue && !j.cancelled {
+			count++
+		}
 	}
-	return end, nil
+	return count, unpublished, nil
 }
 
 // WithCallerDeadline returns a context that ends early enough for the answer to reach a
--- /dev/null
+++ b/internal/crannode/shard.go
@@ -0,0 +1,61 @@
+package crannode
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/cranberrypick/cranberrypick/internal/cranjob"
+	"github.com/cranberrypick/cranberrypick/internal/cranstore"
+)
+
+// shard is what this process knows about a shard and does for it. Only the control goroutine
+// accesses the fields, apart from renewedAt and from number, topics and batcher, which never
+// change.
+type shard struct {
+	node   *Node
+	number int
+	// name is the number as text.
+	name   string
+	topics ShardTopics
+	// batcher appends the records of callers.
+	batcher *cranstore.Batcher
+	// claimReadAt is when the newest record of the owner's claim was read, and ownerRecordAt
+	// when the newest record of any kind of the owner was.
+	claimReadAt, ownerRecordAt time.Duration
+	// previousClaim is the last claim of the epoch before the current one.
+	previousClaim cranjob.Claim
+	// eligibleSince is when this process first could have claimed; 0 before.
+	eligibleSince time.Duration
+	// claimSentAt is when this process sent its newest claim, which has claimedEpoch.
+	claimSentAt  time.Duration
+	claimedEpoch uint64
+	// claiming is true while a claim is being appended. The next claim is sent no
+	// earlier than nextClaimAt.
+	claiming    bool
+	nextClaimAt time.Duration
+	// fencedEpoch is the highest epoch that the store has reported when it refused an append
+	// as outdated. The next claim uses a higher one.
+	fencedEpoch uint64
+	// renewedAt is when the newest renewal or segment was read. The node's lock guards it.
+	renewedAt time.Duration
+	// owner is this process's ownership; nil if it isn't the owner.
+	owner *ownership
+}
+
+// newShard returns a shard whose claims have been read up to now.
+func (n *Node) newShard(number int, now time.Duration) *shard {
+	s := &shard{node: n, number: number, name: strconv.Itoa(number), topics: n.topics.Shard(number), claimReadAt: now, ownerRecordAt: now}
+	s.batcher = cranstore.NewBatcher(s.topics.Submissions, n.metrics.Retried,
+		cranstore.WithReadBack(func(ctx context.Context) []cranstore.Record { return n.readBack(ctx, s) }))
+	return s
+}
+
+// digestProducer is the producer name of the shard's owner in the digest.
+func (s *shard) digestProducer() string { return producer + "/" + s.name }
+
+// claim returns the newest claim.
+func (s *shard) claim() cranjob.Claim { return s.node.digest.Claim(s.number) }
+
+// scheduling reports whether this process schedules the shard.
+func (s *shard) scheduling() bool { return s.owner != nil && s.owner.scheduler != nil }
--- /dev/null
+++ b/internal/crannode/targets.go
@@ -0,0 +1,122 @@
+package crannode
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cranberrypick/cranberrypick/internal/cranevent"
+	"github.com/cranberrypick/cranberrypick/internal/cransched"
+	"github.com/cranberrypick/cranberrypick/internal/cranstore"
+)
+
+// targetsPause is the pause between two reads of the targets topic.
+const targetsPause = 150 * time.Millisecond
+
+// targetList is the list of targets, which a process reads while it owns a shard. Only the
+// control goroutine accesses it.
+type targetList struct {
+	node *Node
+	// known is true once the list has been read.
+	known bool
+	// byShard holds the targets of each shard by id, and shards the shard of each target.
+	byShard map[int]map[string]cransched.TargetInfo
+	shards  map[string]int
+	// stop ends the reading; nil while the list isn't read.
+	stop context.CancelFunc
+}
+
+func newTargetList(n *Node) targetList {
+	return targetList{node: n, byShard: map[int]map[string]cransched.TargetInfo{}, shards: map[string]int{}}
+}
+
+// setFollowing starts or stops the reading of the list.
+func (l *targetList) setFollowing(on bool) {
+	switch n := l.node; {
+	case on == (l.stop != nil):
+	case on:
+		ctx, cancel := context.WithCancel(n.control.runCtx)
+		l.stop = cancel
+		n.control.group.Go(func() {
+			f := n.newFollower(readOptions{
+				topic: n.directory.Targets, wait: readWait, pause: targetsPause,
+				options: []cranstore.FollowerOption{cranstore.WithNewestOnly()},
+			})
+			n.follow(ctx, "targets", f, func(u cranstore.Update) {
+				n.post(ctx, func() {
+					if ctx.Err() == nil {
+						l.apply(u)
+					}
+				})
+			})
+		})
+	default:
+		l.stop()
+		*l = newTargetList(n)
+	}
+}
+
+// apply applies a read of the targets topic, and passes the list to the schedulers.
+func (l *targetList) apply(u cranstore.Update) {
+	n := l.node
+	if u.Reset {
+		clear(l.byShard)
+		clear(l.shards)
+	}
+	for _, r := range u.Records {
+		l.applyRecord(r)
+	}
+	l.known = true
+	for _, s := range n.shards {
+		if s.scheduling() {
+			s.owner.scheduler.Advance(n.now())
+			s.owner.scheduler.SetTargets(l.list(s.number))
+		}
+	}
+}
+
+func (l *targetList) applyRecord(r cranstore.Record) {
+	n := l.node
+	if len(r.Value) == 0 {
+		l.remove(r.Key)
+		return
+	}
+	info, err := n.directory.DecodeTargetRecord(r.Key, r.Value)
+	if err != nil {
+		n.log.Emit(cranevent.MalformedRecord, cranevent.Stream("targets"), cranevent.Offset(r.Offset), cranevent.Err(err))
+		return
+	}
+	number := n.shardOfTarget(info)
+	if old, known := l.shards[r.Key]; known && old != number {
+		l.remove(r.Key)
+	}
+	if l.byShard[number] == nil {
+		l.byShard[number] = map[string]cransched.TargetInfo{}
+	}
+	l.byShard[number][r.Key] = info
+	l.shards[r.Key] = number
+}
+
+func (l *targetList) remove(id string) {
+	delete(l.byShard[l.shards[id]], id)
+	delete(l.shards, id)
+}
+
+// list returns the targets of a shard in order of id.
+func (l *targetList) list(number int) []cransched.TargetInfo {
+	targets := l.byShard[number]
+	list := make([]cransched.TargetInfo, 0, len(targets))
+	for _, id := range slices.Sorted(maps.Keys(targets)) {
+		list = append(list, targets[id])
+	}
+	return list
+}
+
+// shardOfTarget returns the shard of a target: that of its instance.
+func (n *Node) shardOfTarget(info cransched.TargetInfo) int {
+	if info.Instance == "" {
+		return n.digest.Layout().OfInstance(info.ID)
+	}
+	return n.digest.Layout().OfInstance(info.Instance)
+}
--- a/internal/cransched/effect.go
+++ b/internal/cransched/effect.go
@@ -93,10 +93,18 @@
 	Token    uint64
 }
 
-// WaveStatus reports the progress of a maintenance wave to the operator.
+// WaveStatus reports how far a maintenance wave has come on the instances of the scheduler.
 type WaveStatus struct {
-	Wave      int
-	Completed bool
+	Wave int
+	// Begun is set once the maintenance of all instances has begun, Done once none of them is
+	// down any more.
+	Begun, Done bool
+}
+
+// JobChanged publishes the state of a job. It may precede the batch that stores the decision.
+type JobChanged struct {
+	Job, Queue string
+	State      cranjob.State
 }
 
 // LogEntry is an entry for the log: an event or a decision and what caused it.
@@ -166,5 +174,6 @@
 func (Maintain) effect()       {}
 func (MoveInstance) effect()   {}
 func (WaveStatus) effect()     {}
+func (JobChanged) effect()     {}
 func (TrimSubmission) effect() {}
 func (LogEntry) effect()       {}
--- a/internal/cransched/moves.go
+++ b/internal/cransched/moves.go
@@ -19,8 +19,9 @@
 	// that a predecessor ordered, both begin as the time at which its order was read.
 	sentAt  time.Duration
 	beganAt time.Duration
-	// accepted is set once the platform has confirmed the order.
-	accepted bool
+	// accepted is set once the platform has confirmed the order, at acceptedAt.
+	accepted   bool
+	acceptedAt time.Duration
 }
 
 // rebalance moves empty instances to pools with a shortage, taking those in standby pools
@@ -96,7 +97,7 @@
 	}
 	switch status {
 	case StatusOK:
-		m.accepted = true
+		m.accepted, m.acceptedAt = true, s.clock.Steady
 		if t := s.targets[m.target]; t != nil {
 			s.endTarget(t, "the instance has moved")
 		}
@@ -123,6 +124,12 @@
 	now := s.clock.Steady
 	for _, id := range slices.Sorted(maps.Keys(s.fleet.moves)) {
 		m := s.fleet.moves[id]
+		if m.accepted && s.isStandby(m.pool) && now-m.acceptedAt >= moveTime {
+			// No target appears in a standby pool, and the list may be read much later.
+			s.fleet.instances[id] = InstanceInfo{Instance: id, Pool: m.pool, Up: true, Capacity: s.fleet.instances[id].Capacity}
+			delete(s.fleet.moves, id)
+			continue
+		}
 		i, found := s.fleet.instances[id]
 		listIsNewer := s.fleet.listRequestedAt > m.sentAt
 		if !m.accepted && now-m.sentAt >= moveRetryInterval && s.mayOrder(id) && (!listIsNewer || found && i.Up && i.Pool != m.pool) {
@@ -133,7 +140,7 @@
 			}
 			continue
 		}
-		arrived := listIsNewer && found && i.Pool == m.pool && i.Up &&
+		arrived := found && i.Pool == m.pool && s.isUpSince(i, m.sentAt) &&
 			(s.isStandby(m.pool) || i.Target != m.target && s.targets[i.Target] != nil)
 		if arrived || listIsNewer && !found || now-m.beganAt > moveTimeout {
 			delete(s.fleet.moves, id)
--- a/internal/cransched/outcome.go
+++ b/internal/cransched/outcome.go
@@ -72,6 +72,7 @@
 	}
 	if j := r.task.job; j.state == cranjob.Queued {
 		j.state = cranjob.Running
+		s.publish(j)
 		s.markDirty(j)
 	}
 }
--- a/internal/cransched/scheduler.go
+++ b/internal/cransched/scheduler.go
@@ -163,6 +163,7 @@
 		s.cancelJob(j)
 		return
 	}
+	s.publish(j)
 	s.recordArrival(j, 0)
 }
 
@@ -187,6 +188,7 @@
 func (s *Scheduler) endJob(j *job, state cranjob.State, reason string) {
 	j.state = state
 	j.endedMs = s.clock.UnixMs
+	s.publish(j)
 	s.markDirty(j)
 	// The specification isn't needed any more. Dropping it saves memory and time in
 	// processes that start later and read every job.
@@ -225,6 +227,11 @@
 	}
 }
 
+// publish emits the state of a job.
+func (s *Scheduler) publish(j *job) {
+	s.emit(JobChanged{Job: j.ID, Queue: j.Queue, State: j.state})
+}
+
 func (s *Scheduler) emit(e Effect) { s.effects = append(s.effects, e) }
 
 // emitOnceStored emits an effect once all decisions so far are stored.
@@ -311,6 +318,7 @@
 // addTarget adds a target. Targets are sorted by id so that the effects are deterministic.
 func (s *Scheduler) addTarget(t *target) {
 	s.targets[t.info.ID] = t
+	t.addedAt = s.clock.Steady
 	at, _ := slices.BinarySearchFunc(s.sorted, t.info.ID, compareTarget)
 	s.sorted = slices.Insert(s.sorted, at, t)
 }
--- a/internal/cransched/target.go
+++ b/internal/cransched/target.go
@@ -68,6 +68,8 @@
 	listed bool
 	// unlistedAt is when the target was first missing from the list; 0 while it is listed.
 	unlistedAt time.Duration
+	// addedAt is when this owner first knew the target.
+	addedAt time.Duration
 	// ended is set once the target no longer exists: its instance was moved or is down, or
 	// another target has its address. The store may still list it for a while.
 	ended bool
--- a/internal/cransched/targets.go
+++ b/internal/cransched/targets.go
@@ -23,6 +23,7 @@
 		if t == nil {
 			t = newTarget(info, s.clock.Steady, s.earlierLeaseEnd())
 			s.addTarget(t)
+			s.observeArrival(t)
 		}
 		if t.info.ProcessStartMs != 0 && info.ProcessStartMs > t.info.ProcessStartMs {
 			s.handleRestart(t, info.ProcessStartMs)
--- a/internal/cransched/wave.go
+++ b/internal/cransched/wave.go
@@ -26,8 +26,6 @@
 	// evacuationTime is how long the evacuation of an instance with long-running tasks
 	// takes while other instances with tasks of the same steps are evacuated too.
 	evacuationTime = 4000 * time.Millisecond
-	// statusInterval is how often the status of an unfinished wave is reported.
-	statusInterval = 10 * time.Second
 )
 
 // memberState is the progress of an instance in a wave.
@@ -60,10 +58,14 @@
 
 // wave is the state of a maintenance wave.
 type wave struct {
-	order        WaveOrder
-	members      []*member
-	completed    bool
-	statusSentAt time.Duration
+	order   WaveOrder
+	members []*member
+	// limit is the maximum number of members that may be down for the wave at a time. It
+	// never falls.
+	limit int
+	// begun is set once the maintenance of all members has begun, and completed once none of
+	// them is down any more.
+	begun, completed bool
 }
 
 // fleet is the state of the instances: waves, moves and stored orders.
@@ -100,13 +102,15 @@
 	return f
 }
 
-// SetWaves adds the waves that the operator has requested.
+// SetWaves adds the waves that the operator has requested, with the instances that this owner
+// is to maintain. For a wave that is known it updates MaxParallel.
 func (s *Scheduler) SetWaves(orders []WaveOrder) {
 	for _, o := range orders {
-		if s.fleet.waves[o.Wave] != nil {
+		if known := s.fleet.waves[o.Wave]; known != nil {
+			known.limit = max(known.limit, o.MaxParallel)
 			continue
 		}
-		w := &wave{order: o}
+		w := &wave{order: o, limit: o.MaxParallel}
 		for _, id := range o.Instances {
 			m := &member{instance: id}
 			if stored := s.fleet.storedOrders[id]; stored.Wave == o.Wave {
@@ -123,13 +127,39 @@
 	}
 }
 
-// SetInstances replaces the list of instances with one requested at the given time.
+// SetInstances replaces the list of instances with one requested at the given time. What is
+// known of targets that appeared later is kept.
 func (s *Scheduler) SetInstances(list []InstanceInfo, requestedAt time.Duration) {
 	s.fleet.instances = make(map[string]InstanceInfo, len(list))
 	for _, i := range list {
 		s.fleet.instances[i.Instance] = i
 	}
 	s.fleet.listRequestedAt = requestedAt
+	for _, t := range s.sorted {
+		if t.addedAt > requestedAt && t.listed {
+			s.observeArrival(t)
+		}
+	}
+}
+
+// observeArrival records that the instance of a new target is up. The list of instances is
+// read seldom, so it shows that later.
+func (s *Scheduler) observeArrival(t *target) {
+	if t.info.Instance == "" || s.fleet.listRequestedAt == 0 {
+		return
+	}
+	s.fleet.instances[t.info.Instance] = InstanceInfo{
+		Instance: t.info.Instance, Pool: t.info.Pool, Up: true, Target: t.info.ID, Capacity: t.info.Capacity,
+	}
+}
+
+// isUpSince reports whether an instance is known to be up at a time after the given one.
+func (s *Scheduler) isUpSince(i InstanceInfo, at time.Duration) bool {
+	if !i.Up {
+		return false
+	}
+	t := s.targets[i.Target]
+	return s.fleet.listRequestedAt > at || t != nil && t.addedAt > at
 }
 
 // planWaves evacuates instances and orders their maintenance.
@@ -156,10 +186,6 @@
 }
 
 func (s *Scheduler) planWave(w *wave) {
-	if s.clock.Steady-w.statusSentAt >= statusInterval || w.statusSentAt == 0 {
-		w.statusSentAt = s.clock.Steady
-		s.emit(WaveStatus{Wave: w.order.Wave})
-	}
 	downCount, remaining := 0, 0
 	for _, m := range w.members {
 		s.observeMember(m)
@@ -171,13 +197,14 @@
 		}
 	}
 	if remaining == 0 {
-		w.completed = true
-		s.emit(LogEntry{Kind: LogWaveChanged, Run: w.order.Wave, Reason: "completed"})
-		s.emit(WaveStatus{Wave: w.order.Wave, Completed: true})
-		s.uncordon(w)
+		s.finishWave(w, downCount == 0)
+		return
+	}
+	limit := w.limit
+	if limit == 0 {
+		// Other owners have all permits of the wave until they are done.
 		return
 	}
-	limit := max(w.order.MaxParallel, 1)
 	evacuating := 0
 	maxEvacuating := max(minEvacuations, s.requiredEvacuations(w))
 	if s.mustEvacuateNow(w, remaining) {
@@ -202,6 +229,22 @@
 	}
 }
 
+// finishWave records that the maintenance of all members has begun, and that none of them is
+// down any more.
+func (s *Scheduler) finishWave(w *wave, allUp bool) {
+	if !w.begun {
+		w.begun = true
+		s.emit(LogEntry{Kind: LogWaveChanged, Run: w.order.Wave, Reason: "all maintenance has begun"})
+		s.emit(WaveStatus{Wave: w.order.Wave, Begun: true})
+		s.uncordon(w)
+	}
+	if allUp {
+		w.completed = true
+		s.emit(LogEntry{Kind: LogWaveChanged, Run: w.order.Wave, Reason: "completed"})
+		s.emit(WaveStatus{Wave: w.order.Wave, Begun: true, Done: true})
+	}
+}
+
 // maintenanceTime is the time from the order of an instance's maintenance until the list
 // of instances shows it up again.
 const maintenanceTime = 3500 * time.Millisecond
@@ -227,7 +270,7 @@
 // permitted are down from now on. Before that, instances that become empty by themselves
 // are maintained first.
 func (s *Scheduler) mustEvacuateNow(w *wave, remaining int) bool {
-	rounds := (remaining + w.order.MaxParallel - 1) / max(w.order.MaxParallel, 1)
+	rounds := (remaining + w.limit - 1) / max(w.limit, 1)
 	needed := time.Duration(rounds+2) * maintenanceTime
 	return s.clock.Steady+needed >= w.order.SeenAt+w.order.Duration
 }
@@ -266,7 +309,7 @@
 		return m.sentAt != 0 || m.orderStored
 	}
 	i, found := s.fleet.instances[m.instance]
-	return found && (!i.Up || s.fleet.listRequestedAt <= m.startedAt)
+	return found && !s.isUpSince(i, m.startedAt)
 }
 
 // confirmStarted records that the maintenance of a member has started.
--- a/internal/cranstore/batcher.go
+++ b/internal/cranstore/batcher.go
@@ -16,6 +16,9 @@
 	attemptTimeout = 2500 * time.Millisecond
 	// retryPause is the pause between two attempts to append a batch.
 	retryPause = 120 * time.Millisecond
+	// readBackInterval is how long an append may be unanswered before its records are looked
+	// for in the topic, and the pause between two such reads.
+	readBackInterval = 400 * time.Millisecond
 	// maxBatchBytes is the total size of the values from which on no further
 	// record is added to a batch. It is well below the size limit of a call.
 	maxBatchBytes = 256 << 10
@@ -38,7 +41,9 @@
 	// onRetry is called after each attempt that is to be repeated; refused is true
 	// if that attempt certainly had no effect.
 	onRetry func(refused bool)
-	writers sync.WaitGroup
+	// readBack, if set, returns the newest records of the topic.
+	readBack func(ctx context.Context) []Record
+	writers  sync.WaitGroup
 
 	mu sync.Mutex
 	// waiting holds the records for later appends, inFlight those of the current
@@ -67,12 +72,24 @@
 
 // NewBatcher returns a batcher that calls onRetry after each attempt that is to be
 // repeated; refused is true if that attempt certainly had no effect.
-func NewBatcher(topic Topic, onRetry func(refused bool)) *Batcher {
+func NewBatcher(topic Topic, onRetry func(refused bool), options ...BatcherOption) *Batcher {
 	b := &Batcher{topic: topic, onRetry: onRetry}
 	b.ctx, b.cancel = context.WithCancel(context.Background())
+	for _, set := range options {
+		set(b)
+	}
 	return b
 }
 
+// BatcherOption configures a Batcher.
+type BatcherOption func(*Batcher)
+
+// WithReadBack sets a function that returns the newest records of the topic. It is called
+// every readBackInterval while an append is unanswered, since only the response may be lost.
+func WithReadBack(read func(ctx context.Context) []Record) BatcherOption {
+	return func(b *Batcher) { b.readBack = read }
+}
+
 // Append stores a record and returns its offset. If it returns an error for which
 // IsRefused is false, the record may or may not be stored.
 func (b *Batcher) Append(ctx context.Context, r Record) (uint64, error) {
@@ -134,6 +151,24 @@
 	}
 }
 
+// Settle answers the records of the current append that are known to be stored.
+func (b *Batcher) Settle(isStored func(key string) bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	unanswered := 0
+	for _, p := range b.inFlight {
+		if isStored(p.record.Key) {
+			p.answer(0, nil)
+		}
+		if !p.answered {
+			unanswered++
+		}
+	}
+	if unanswered == 0 && b.cancelAttempt != nil {
+		b.cancelAttempt()
+	}
+}
+
 // answer sends the outcome to the caller, unless that was done before. The caller
 // of answer holds the batcher's lock.
 func (p *pendingRecord) answer(offset uint64, err error) {
@@ -184,7 +219,9 @@
 			cancel()
 			return
 		}
+		stop := b.readWhileUnanswered(attempt)
 		first, err := b.topic.Append(attempt, records, AppendOptions{})
+		stop()
 		cancel()
 		refused := IsRefused(err)
 		if err == nil || refused && !uncertain || b.ctx.Err() != nil {
@@ -197,6 +234,20 @@
 	}
 }
 
+// readWhileUnanswered reads the topic back until the returned function is called.
+func (b *Batcher) readWhileUnanswered(attempt context.Context) (stop func()) {
+	if b.readBack == nil {
+		return func() {}
+	}
+	ctx, cancel := context.WithCancel(attempt)
+	b.writers.Go(func() {
+		for cranpause.Sleep(ctx, readBackInterval); ctx.Err() == nil; cranpause.Sleep(ctx, readBackInterval) {
+			b.Observe(b.readBack(ctx))
+		}
+	})
+	return cancel
+}
+
 // startAttempt drops the records of the batch for which no caller waits any more,
 // and returns the others with a context for the next attempt.
 func (b *Batcher) startAttempt() ([]Record, context.Context, context.CancelFunc) {
--- a/internal/cranstore/follow.go
+++ b/internal/cranstore/follow.go
@@ -32,7 +32,10 @@
 type Update struct {
 	// Reset is true if Records are the newest record of every key. Keys without
 	// a record in them no longer exist.
-	Reset   bool
+	Reset bool
+	// Partial is true if further pages of the newest records follow. The first of them has
+	// Reset set.
+	Partial bool
 	Records []Record
 	// Next is the offset to read from next. End was the offset of the topic's
 	// next append at the time of the read.
@@ -52,7 +55,7 @@
 // CurrentAt returns the time up to which every stored record was read. It reports false
 // if records are left unread.
 func (u Update) CurrentAt() (time.Duration, bool) {
-	return u.Sent + u.Waited, u.Err == nil && u.Next >= u.End
+	return u.Sent + u.Waited, u.Err == nil && !u.Partial && u.Next >= u.End
 }
 
 // Follower loads the newest record of each key of a topic and then reads the
@@ -64,18 +67,21 @@
 	topic Topic
 	clock func() time.Duration
 	wait  time.Duration
-	pause func() time.Duration
+	pause time.Duration
 	// sizes is the size of the newest record of each key, and liveBytes their sum; nil
 	// if every record is delivered.
 	sizes     map[string]int
 	liveBytes int
 
 	window *cranwindow.Window
-	// loading is the load in progress; nil once the topic has been loaded.
+	// loading is the load in progress; nil once the topic has been loaded. pages is true if
+	// its pages are delivered one by one.
 	loading *loader
+	pages   bool
 	// next is the offset of the next read, and end the newest known end.
 	next, end uint64
-	// immediate is true if the next read doesn't wait, because the newest one has failed.
+	// immediate is true if the next read doesn't wait, because the newest one has failed or
+	// was a load.
 	immediate bool
 
 	// mu guards the fields below, which Poke uses.
@@ -92,9 +98,9 @@
 // WithWait sets how long a read waits for a record; without it reads don't wait.
 func WithWait(wait time.Duration) FollowerOption { return func(f *Follower) { f.wait = wait } }
 
-// WithPause sets a function that returns the pause after a read that has returned all
-// records, so that the next read returns the records of several milliseconds together.
-func WithPause(pause func() time.Duration) FollowerOption {
+// WithPause sets the pause after a read that has returned all records, so that the next read
+// returns the records of several milliseconds together.
+func WithPause(pause time.Duration) FollowerOption {
 	return func(f *Follower) { f.pause = pause }
 }
 
@@ -104,10 +110,13 @@
 	return func(f *Follower) { f.sizes = map[string]int{} }
 }
 
+// WithPages makes the follower deliver the pages of a load as they arrive.
+func WithPages() FollowerOption { return func(f *Follower) { f.pages = true } }
+
 // NewFollower returns a follower. The times in updates are taken from clock.
 func NewFollower(topic Topic, clock func() time.Duration, options ...FollowerOption) *Follower {
 	f := &Follower{
-		topic: topic, clock: clock, pause: func() time.Duration { return 0 },
+		topic: topic, clock: clock,
 		window: cranwindow.New(startReadBytes, minReadBytes, maxReadBytes), loading: &loader{topic: topic},
 	}
 	for _, set := range options {
@@ -136,7 +145,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		f.immediate = update.Err != nil
+		f.immediate = update.Err != nil || update.Reset
 		switch {
 		case errors.Is(update.Err, ErrExpired):
 			f.loading = &loader{topic: f.topic}
@@ -151,6 +160,8 @@
 			f.accept(&update)
 			deliver(update)
 			cranpause.Sleep(ctx, f.pauseAfter(update))
+		case update.Partial:
+			deliver(update)
 		}
 	}
 }
@@ -178,7 +189,7 @@
 	case behind || len(u.Records) == 0:
 		return 0
 	}
-	return f.pause()
+	return f.pause
 }
 
 // step reads once, or loads one page. It reports false if the update is not complete,
@@ -189,11 +200,15 @@
 	}
 	l := f.loading
 	transfer, err := l.loadPage(ctx, f.clock)
-	if err != nil || !l.done {
+	if err != nil || !l.done && !f.pages {
 		return Update{Transfer: transfer, Err: err}, false
 	}
-	f.loading = nil
-	return Update{Reset: true, Records: l.records, Next: l.end, End: l.end, Sent: l.sent, Transfer: transfer}, true
+	u := Update{Reset: !l.delivered, Partial: !l.done, Records: l.records, Next: l.end, End: l.end, Sent: l.sent, Transfer: transfer}
+	l.records, l.delivered = nil, true
+	if l.done {
+		f.loading = nil
+	}
+	return u, l.done
 }
 
 // read reads the next records. A read after a failed one doesn't wait, so that the
--- a/internal/cranstore/load.go
+++ b/internal/cranstore/load.go
@@ -36,6 +36,10 @@
 type loader struct {
 	topic   Topic
 	records []Record
+	// after is the last key that was loaded. delivered is true once records of earlier pages
+	// were passed on.
+	after     string
+	delivered bool
 	// end is the offset at which the topic ended when the first page was read. It is
 	// valid once started is true.
 	end           uint64
@@ -46,12 +50,8 @@
 
 // loadPage requests the next page.
 func (l *loader) loadPage(ctx context.Context, clock func() time.Duration) (Transfer, error) {
-	after := ""
-	if len(l.records) > 0 {
-		after = l.records[len(l.records)-1].Key
-	}
 	watched, w := newWatch(ctx, clock, pageResponseTime)
-	page, err := l.topic.Newest(watched, after, w.received)
+	page, err := l.topic.Newest(watched, l.after, w.received)
 	err = failure(watched, err)
 	transfer := w.stop()
 	if err != nil {
@@ -61,6 +61,9 @@
 		l.started, l.end, l.sent = true, page.End, w.sent
 	}
 	l.records = append(l.records, page.Records...)
+	if len(page.Records) > 0 {
+		l.after = page.Records[len(page.Records)-1].Key
+	}
 	l.done = !page.More || len(page.Records) == 0
 	return transfer, nil
 }
