cransched: empty a target of a busy pool for a starved long-running task

Cause: the pool needed one more instance, and only empty instances are moved. Under an overload of all pools none ever becomes empty.

Change: after 1 s a target of another pool without long-running tasks is cordoned, and its instance moves once it is empty.

--- a/internal/cransched/fleet_test.go
+++ b/internal/cransched/fleet_test.go
@@ -120,6 +120,33 @@
 	require.Equal(t, 1, sim.countRunning("large"))
 }
 
+// TestStarvedLongRunningTaskGetsTargetOfBusyPool keeps every target of another pool busy, so
+// that none of them ever becomes empty by itself. One of them must be emptied and moved for a
+// long-running task that fits on no target of its own pool.
+func TestStarvedLongRunningTaskGetsTargetOfBusyPool(t *testing.T) {
+	sim := newSimulation(t, 1, 4)
+	sim.config.Pools["busy"] = &Pool{Name: "busy"}
+	sim.config.Queues["load"] = &Queue{Name: "load", Pool: "busy", Attempts: 3, Stretch: 1.6, LatencyTarget: 600 * time.Millisecond}
+	for _, id := range []string{"t1", "t2", "t3"} {
+		sim.instances["m"+id].pool = "busy"
+		sim.startProcess(id, "m"+id)
+	}
+	sim.takeOver(sim.now - time.Hour)
+	for i := range 100 {
+		job := newBatchJob(fmt.Sprintf("a%d", i), 6)
+		job.Queue = "load"
+		sim.submit(job)
+		if i == 20 {
+			large := newLongRunningJob("large", 2)
+			large.Steps[0].Demand = cranjob.Resources{CPU: 3000, Memory: 7000}
+			large.Steps[0].MaxUnavailable = 0
+			sim.submit(large)
+		}
+		sim.runFor(100 * time.Millisecond)
+	}
+	require.Equal(t, 2, sim.countRunning("large"))
+}
+
 // TestLongRunningTasksSpread checks that long-running tasks of which one may be unavailable are
 // spread over targets. A target with all of them could be evacuated only one task at a
 // time.
--- a/internal/cransched/pools.go
+++ b/internal/cransched/pools.go
@@ -92,6 +92,7 @@
 	}
 	slices.SortFunc(shortages, func(a, b poolBalance) int { return cmp.Or(b.missing-a.missing, cmp.Compare(a.pool, b.pool)) })
 	s.rebalance(shortages, surpluses, supply)
+	s.vacateForStarved(supply)
 }
 
 // poolBalance is the number of instances that a pool lacks; negative for a surplus.
--- a/internal/cransched/wave.go
+++ b/internal/cransched/wave.go
@@ -81,6 +81,12 @@
 	moves map[string]*move
 	// refusedMoves holds the moves that the platform doesn't allow.
 	refusedMoves map[destination]bool
+	// vacating holds, for each pool, the target of another pool that is emptied so that its
+	// instance can be moved there.
+	vacating map[string]*target
+	// starvedSince is when each pool of which a long-running task fits on no target was first
+	// found so.
+	starvedSince map[string]time.Duration
 	// nextPlanAt is when the pool sizes are planned next.
 	nextPlanAt time.Duration
 	// peaks holds the recent peak demand of each pool.
@@ -92,6 +98,7 @@
 	f := fleet{
 		waves: map[int]*wave{}, storedOrders: maps.Clone(orders),
 		moves: map[string]*move{}, refusedMoves: map[destination]bool{}, peaks: map[string]*peakDemand{},
+		vacating: map[string]*target{}, starvedSince: map[string]time.Duration{},
 	}
 	for instance, order := range orders {
 		at, found := s.predecessor.LastOrderAt[instance]
--- a/internal/cransched/world_target_test.go
+++ b/internal/cransched/world_target_test.go
@@ -43,7 +43,7 @@
 func (sim *simulation) startProcess(id, instance string) {
 	sim.targets[id] = &simTarget{
 		info: TargetInfo{
-			ID: id, Pool: "p", Address: id, Labels: []string{"a", "r1"}, Instance: instance,
+			ID: id, Pool: sim.instances[instance].pool, Address: id, Labels: []string{"a", "r1"}, Instance: instance,
 			Capacity: cranjob.Resources{CPU: 4000, Memory: 8000}, ProcessStartMs: sim.unix(),
 		},
 		startedAt: sim.now, runs: map[cranjob.TaskName]*simRun{}, closedRuns: map[cranjob.TaskName]int{}, up: true,
--- a/internal/cransched/world_test.go
+++ b/internal/cransched/world_test.go
@@ -1,6 +1,7 @@
 package cransched
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -275,7 +276,8 @@
 
 // submit stores a job and adds it to the owner.
 func (sim *simulation) submit(j *cranjob.Job) {
-	j.Queue, j.Pool, j.ReceivedMs = "q", "p", sim.unix()
+	j.Queue, j.ReceivedMs = cmp.Or(j.Queue, "q"), sim.unix()
+	j.Pool = sim.config.Queues[j.Queue].Pool
 	sim.jobs[j.ID] = j
 	_, err := sim.stored.Apply(cranjob.SubmissionKey(j.ID), cranjob.Encode(*j), sim.offset)
 	require.NoError(sim.t, err)
