cransched: get an instance for a task that fits on no target

Cause: long-running tasks are spread, and in the 24 instances of a pool that a shard has, one runs on each. The pool has room enough in all, so it gets no further instance.

Change: a pool with a task that fits on none of its targets, even when only long-running tasks are left there, gets one more instance, as for a long-running task.

Test: TestLargeTaskGetsInstanceWithoutLongRunningTasks failed before and passes.

--- a/internal/cransched/fleet_test.go
+++ b/internal/cransched/fleet_test.go
@@ -120,6 +120,30 @@
 	require.Equal(t, 1, sim.countRunning("large"))
 }
 
+// TestLargeTaskGetsInstanceWithoutLongRunningTasks submits a task that needs nearly a whole
+// target to a pool in which a long-running task runs on each target. The pool has room enough
+// in all, so it must get another instance for the task.
+func TestLargeTaskGetsInstanceWithoutLongRunningTasks(t *testing.T) {
+	sim := newSimulation(t, 1, 6)
+	sim.takeOver(sim.now - time.Hour)
+	spread := newLongRunningJob("spread", 3)
+	spread.Steps[0].MaxPerTarget = 1
+	spread.Steps[0].Demand.CPU = 500
+	sim.submit(spread)
+	sim.runFor(10 * time.Second)
+	large := newBatchJob("large", 1)
+	large.Steps[0].Demand = cranjob.Resources{CPU: 3600, Memory: 3000}
+	// Arrivals of jobs with a start time are not forecast.
+	large.Times, large.StartMs = 1, sim.unix()
+	require.Len(t, sim.targets, 3)
+	for _, target := range sim.targets {
+		require.Len(t, target.runs, 1)
+	}
+	sim.submit(large)
+	sim.runFor(10 * time.Second)
+	require.Equal(t, cranjob.Completed, sim.states()["large"])
+}
+
 // TestStarvedLongRunningTaskGetsTargetOfBusyPool keeps every target of another pool busy, so
 // that none of them ever becomes empty by itself. One of them must be emptied and moved for a
 // long-running task that fits on no target of its own pool.
--- a/internal/cransched/place.go
+++ b/internal/cransched/place.go
@@ -29,6 +29,7 @@
 		}
 	}
 	clear(s.starved)
+	rooms := idleRooms{}
 	for _, c := range s.candidates() {
 		targets := byPool[c.job.Pool]
 		if len(targets) == 0 {
@@ -48,8 +49,11 @@
 			}
 			chosen := s.chooseTarget(c.stage, targets)
 			if chosen == nil {
-				if c.stage.step.LongRunning {
+				switch {
+				case c.stage.step.LongRunning:
 					byPool[c.job.Pool] = s.reserveTarget(c.stage, targets)
+				case !rooms.fits(c.stage.step, c.job.Pool, targets):
+					s.starved[c.job.Pool] = true
 				}
 				break
 			}
@@ -78,6 +82,31 @@
 	return slices.Delete(slices.Clone(targets), best, best+1)
 }
 
+// idleRooms holds, for each pool, the resources that its targets have once only long-running
+// tasks are left on them. They are computed when they are first needed.
+type idleRooms map[string][]idleRoom
+
+type idleRoom struct {
+	target *target
+	free   cranjob.Resources
+}
+
+// fits reports whether a task of a step would fit on one of the targets if only long-running
+// tasks ran there. Otherwise it never fits, however much is free in the whole pool.
+func (r idleRooms) fits(step *cranjob.Step, pool string, targets []*target) bool {
+	rooms, known := r[pool]
+	if !known {
+		for _, t := range targets {
+			rooms = append(rooms, idleRoom{t, t.info.Capacity.Sub(t.longRunningResources())})
+		}
+		r[pool] = rooms
+	}
+	reserved := step.Reservation()
+	return slices.ContainsFunc(rooms, func(i idleRoom) bool {
+		return i.free.Fits(reserved) && (step.Requires == "" || i.target.hasLabel(step.Requires))
+	})
+}
+
 // candidates returns the ready stages with waiting tasks in placement order.
 func (s *Scheduler) candidates() []candidate {
 	var list []candidate
--- a/internal/cransched/pools.go
+++ b/internal/cransched/pools.go
@@ -287,8 +287,8 @@
 	return max(int(math.Ceil(max(cpu, memory)))+spareInstances, d.minInstances)
 }
 
-// starvedInstances returns the number of instances that a pool needs for a long-running
-// task that fits on none of its targets: one more than its members. The demand of the pool
+// starvedInstances returns the number of instances that a pool needs for a task that fits on
+// none of its targets: one more than its members. The demand of the pool
 // alone doesn't show this, since its total free capacity may be large enough for the task.
 func (s *Scheduler) starvedInstances(pool string, p *poolSupply) int {
 	if !s.starved[pool] || p == nil {
--- a/internal/cransched/scheduler.go
+++ b/internal/cransched/scheduler.go
@@ -29,7 +29,7 @@
 	predictors map[string]*predictor
 	fleet      fleet
 	// starved marks the pools with a waiting long-running task that fits on none of their
-	// targets.
+	// targets, or with any other task that fits on none even when that is idle.
 	starved map[string]bool
 	// nextTicketRequest is the earliest time of the next ticket request for a stage.
 	nextTicketRequest map[StepName]time.Duration
--- a/internal/cransched/vacate.go
+++ b/internal/cransched/vacate.go
@@ -6,12 +6,12 @@
 	"time"
 )
 
-// vacateDelay is how long a long-running task waits for a target of its own pool before a
-// target of another pool is emptied for it.
+// vacateDelay is how long a task waits for a target of its own pool before a target of another
+// pool is emptied for it.
 const vacateDelay = time.Second
 
-// vacateForStarved empties a target of another pool for each pool with a long-running task
-// that fits on none of its targets, if no instance is empty. It answers the load under which
+// vacateForStarved empties a target of another pool for each pool with a task that fits on
+// none of its targets, if no instance is empty. It answers the load under which
 // every pool has more work than its instances can do, so that none of them ever becomes empty
 // by itself.
 func (s *Scheduler) vacateForStarved(supply map[string]*poolSupply) {
