crannode: don't append a batch without records

Cause: a batch that only acknowledges ends has no records. The store counts no append without records, so the next one was out of sequence, and the owner gave the shard up.

Change: such a batch is confirmed at once. The topic in memory counts no append without records either, like the store.

Test: TestOwnerKeepsShard failed before (epochs above 1) and passes.

--- a/internal/cranmemory/topic.go
+++ b/internal/cranmemory/topic.go
@@ -71,6 +71,10 @@
 			return 0, &cranstore.SequenceError{Expected: p.sequence + 1}
 		}
 	}
+	if len(records) == 0 {
+		// The store counts no append without records.
+		return t.end(), nil
+	}
 	p.sequence = o.Sequence
 	p.firstOffsets[o.Sequence] = t.add(records)
 	delete(p.firstOffsets, o.Sequence-maxRepeatableAppends)
--- a/internal/crannode/digest.go
+++ b/internal/crannode/digest.go
@@ -10,7 +10,7 @@
 
 // digestPause is the pause between two reads of the digest, in which records collect so that
 // one read returns several.
-const digestPause = 120 * time.Millisecond
+const digestPause = 200 * time.Millisecond
 
 // applyDigest applies a read of the digest.
 func (c *control) applyDigest(u cranstore.Update) {
--- a/internal/crannode/fleet_test.go
+++ b/internal/crannode/fleet_test.go
@@ -281,6 +281,26 @@
 	})
 }
 
+// TestOwnerKeepsShard cancels jobs while their tasks run. The owner must acknowledge the ends
+// of the runs, for which it has nothing to store, and keep its shard.
+func TestOwnerKeepsShard(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 2)
+		defer f.close()
+		time.Sleep(3 * time.Second)
+		for number := range 40 {
+			require.NoError(t, f.nodes[0].node.Submit(t.Context(), fleetJob(number)))
+			time.Sleep(150 * time.Millisecond)
+			found, err := f.nodes[0].node.Cancel(t.Context(), fleetJob(number).ID)
+			require.NoError(t, err)
+			require.True(t, found)
+		}
+		for number := range fleetShards {
+			require.EqualValues(t, 1, f.nodes[0].node.digest.Claim(number).Epoch)
+		}
+	})
+}
+
 // TestHandoverUnderFaults cuts entry instances off, lets them lag, kills and restarts them one
 // by one and all at once, and drops the history of the store, while callers submit jobs. No two
 // processes may send orders to a target with the same token, no task may run twice, and in the
--- a/internal/crannode/owner.go
+++ b/internal/crannode/owner.go
@@ -56,7 +56,12 @@
 	}
 	o.flushed = releasing
 	records, decided := o.scheduler.NextBatch()
-	if !decided {
+	switch {
+	case !decided:
+		return
+	case len(records) == 0:
+		// The store counts no append without records.
+		o.scheduler.ConfirmBatch()
 		return
 	}
 	o.progress.write(o, records, func(_ time.Duration, err error) { o.progressAppended(records, err) })
--- a/internal/crannode/writer.go
+++ b/internal/crannode/writer.go
@@ -56,16 +56,13 @@
 	return parts
 }
 
-// write appends records, and calls done in the control goroutine unless the ownership has
+// write appends records, of which there must be one at least, and calls done in the control goroutine unless the ownership has
 // ended by then. A large batch is appended in parts, since the store refuses a call above its
 // limit and a slow link can't carry it in the time of one attempt. The time passed to done is
 // when the last append was sent.
 func (w *fencedWriter) write(o *ownership, records []cranstore.Record, done func(sent time.Duration, err error)) {
 	n := o.shard.node
 	parts := splitBatch(records, maxAppendBytes)
-	if len(parts) == 0 {
-		parts = [][]cranstore.Record{nil}
-	}
 	options := cranstore.AppendOptions{Producer: w.producer, Epoch: w.epoch, Sequence: w.sequence + 1}
 	w.sequence += uint64(len(parts))
 	w.busy = true
