cranwhole: print the standard error of each process of a failed test

TestEntryPausedUntilRemoval failed once (KNOWN-RED.txt) when the resumed process ended, and why isn't known, since its standard error was dropped. The next failure shows it, with the status with which the process has ended.

--- a/internal/cranwhole/harness_test.go
+++ b/internal/cranwhole/harness_test.go
@@ -76,7 +76,12 @@
 	p := &process{t: t, cmd: cmd, stderr: &bytes.Buffer{}, exited: make(chan struct{})}
 	cmd.Stderr = p.stderr
 	require.NoError(t, cmd.Start())
-	t.Cleanup(p.kill)
+	t.Cleanup(func() {
+		p.kill()
+		if t.Failed() {
+			t.Logf("%s %v ended: %v; its standard error:\n%s", program, args, cmd.ProcessState, p.stderr)
+		}
+	})
 	r := bufio.NewReader(stdout)
 	p.firstLine, err = r.ReadString('\n')
 	go func() {
