cransched: evict long-running tasks from the beginning of a wave

Cause, from the log of the wave: instances cordoned at 9 to 15 s wait until 26 to 41 s for permission to stop one last task. The tasks of a step may leave one after the other, about 2 s each, and a step with 24 tasks has about 12 to move. Only a few instances were evacuated at a time, so the chains of most steps began late; and a task could be moved to another instance of the wave, and then had to move again.

Change: from the beginning of a wave its instances get long-running tasks only if nothing else fits, and those that they have leave one by one, as soon as their step allows it and there is a place elsewhere. Other tasks go on there until the instance is emptied.

Test: TestWaveEvictsLongRunningTasksFromTheStart failed before (86 starts for 72 tasks) and passes.

--- a/internal/cransched/evacuate.go
+++ b/internal/cransched/evacuate.go
@@ -105,6 +105,39 @@
 	return len(t.runs) == 0
 }
 
+// evictLongRunning stops long-running tasks on the instances that are due for maintenance, from
+// the beginning of the wave and on all of them, so that they are placed on other instances. The
+// tasks of a step may only leave one after the other, and that takes the longest of all. Until
+// its long-running tasks are gone, an instance goes on with other tasks.
+func (s *Scheduler) evictLongRunning(w *wave) {
+	var due []*target
+	for _, m := range w.members {
+		if t := s.currentTarget(m.instance); t != nil && m.state == pending && s.exists(m) {
+			t.leaving = true
+			due = append(due, t)
+		}
+	}
+	for _, t := range due {
+		if !t.fenced || t.cordoned || s.fleet.moves[t.info.Instance] != nil {
+			continue
+		}
+		for _, r := range t.sortedRuns() {
+			if r.phase == confirmed && r.step != nil && r.step.LongRunning && r.task != nil && s.mayEvict(r) && s.fitsElsewhere(r, t.info.Pool) {
+				s.stopRun(t, r, "the instance is due for maintenance")
+			}
+		}
+	}
+}
+
+// fitsElsewhere reports whether a long-running task fits on a target of the pool whose instance
+// is not due for maintenance.
+func (s *Scheduler) fitsElsewhere(r *run, pool string) bool {
+	st := r.task.job.stageOf(r.task)
+	return slices.ContainsFunc(s.sorted, func(t *target) bool {
+		return t.info.Pool == pool && !t.leaving && t.schedulable(s.clock.Steady) && !s.hasPendingOrder(t) && s.canPlace(st, t)
+	})
+}
+
 // mayEvict reports whether a long-running task may be stopped for maintenance: the number of
 // other unavailable tasks of its step, for whatever reason, must be below MaxUnavailable.
 func (s *Scheduler) mayEvict(r *run) bool {
@@ -152,7 +185,7 @@
 func (s *Scheduler) uncordon(w *wave) {
 	for _, m := range w.members {
 		if t := s.currentTarget(m.instance); t != nil {
-			t.cordoned = false
+			t.cordoned, t.leaving = false, false
 		}
 	}
 }
--- a/internal/cransched/fleet_test.go
+++ b/internal/cransched/fleet_test.go
@@ -82,6 +82,35 @@
 	require.Len(t, sim.maintenances, targets)
 }
 
+// TestWaveEvictsLongRunningTasksFromTheStart checks that a wave over half of the instances
+// finishes in time although the tasks of a step may only leave one after the other, which takes
+// most of its time, and that no task is moved to an instance that is due as well.
+func TestWaveEvictsLongRunningTasksFromTheStart(t *testing.T) {
+	const targets, due, duration = 24, 12, 20 * time.Second
+	sim := newSimulation(t, 1, targets)
+	sim.maxDown, sim.checkUnavailable = 6, true
+	order := sim.waveOfAllInstances(duration, 6)
+	order.Instances = order.Instances[:due]
+	sim.takeOver(sim.now - time.Hour)
+	for i := range 6 {
+		job := newLongRunningJob(fmt.Sprintf("lasting%d", i), 20)
+		job.Steps[0].Demand = cranjob.Resources{CPU: 500, Memory: 600}
+		sim.submit(job)
+	}
+	sim.runFor(6 * time.Second)
+	starts, leaving := len(sim.starts), 0
+	for _, id := range order.Instances {
+		leaving += len(sim.targets[sim.instances[id].target].runs)
+	}
+	order.SeenAt = sim.now
+	sim.wave = []WaveOrder{order}
+	sim.owner.SetWaves(sim.wave)
+	sim.runFor(duration)
+	require.Len(t, sim.maintenances, due)
+	// A task that was moved to an instance of the wave would have to be moved again.
+	require.Equal(t, leaving, len(sim.starts)-starts)
+}
+
 // TestMaintainedInstancesStayMaintainedAfterMove replaces the owner after a wave. The new
 // owner must not evacuate instances again that were maintained and then moved.
 func TestMaintainedInstancesStayMaintainedAfterMove(t *testing.T) {
--- a/internal/cransched/place.go
+++ b/internal/cransched/place.go
@@ -245,6 +245,9 @@
 	// spreadPenalty spreads long-running tasks with a MaxUnavailable, since evacuating a
 	// target stops them only a few at a time.
 	spreadPenalty = 1
+	// leavingPenalty keeps long-running tasks off targets whose instance is due for
+	// maintenance.
+	leavingPenalty = 5
 	// failurePenalty is the weight of a target's failure rate.
 	failurePenalty = 3
 )
@@ -258,6 +261,9 @@
 	if st.step.DataRack != "" && !t.hasLabel(st.step.DataRack) {
 		score += remoteDataPenalty
 	}
+	if st.step.LongRunning && t.leaving {
+		score += leavingPenalty
+	}
 	if st.step.LongRunning && st.step.MaxUnavailable > 0 {
 		score += spreadPenalty * float64(t.countRuns(st.name)/st.step.MaxUnavailable)
 	}
--- a/internal/cransched/target.go
+++ b/internal/cransched/target.go
@@ -107,6 +107,9 @@
 	// cordoned is set while no new tasks may be placed on the target, because its instance
 	// is to be maintained or moved.
 	cordoned bool
+	// leaving is set while the instance is due for maintenance. Long-running tasks are placed
+	// elsewhere as far as possible, since they would have to be stopped again.
+	leaving bool
 	// shareChangedAt is when the share of a best-effort task was last changed.
 	shareChangedAt time.Duration
 	// noStartsBefore is the earliest time of the next start, after a refused one.
--- a/internal/cransched/wave.go
+++ b/internal/cransched/wave.go
@@ -20,6 +20,8 @@
 	// minEvacuations is the minimum number of instances evacuated at the same time while
 	// time is left. Long-running tasks leave one by one and take seconds to start.
 	minEvacuations = 3
+	// evictionInterval is how often a wave looks for long-running tasks that may be stopped.
+	evictionInterval = 100 * time.Millisecond
 	// waveTimeReserve is the fraction of a wave's duration reserved for disturbances such
 	// as a change of owner.
 	waveTimeReserve = 0.2
@@ -66,6 +68,8 @@
 	// begun is set once the maintenance of all members has begun, and completed once none of
 	// them is down any more.
 	begun, completed bool
+	// nextEvictionAt is when long-running tasks are stopped next.
+	nextEvictionAt time.Duration
 }
 
 // fleet is the state of the instances: waves, moves and stored orders.
@@ -212,6 +216,10 @@
 		// Other owners have all permits of the wave until they are done.
 		return
 	}
+	if s.clock.Steady >= w.nextEvictionAt {
+		w.nextEvictionAt = s.clock.Steady + evictionInterval
+		s.evictLongRunning(w)
+	}
 	evacuating := 0
 	maxEvacuating := max(minEvacuations, s.requiredEvacuations(w))
 	if s.mustEvacuateNow(w, remaining) {
