cransched: move a surplus directly to the pool that lacks instances

Cause: instances of the standby pool were used before those that another pool had left over in the same round.

Change: a surplus first, then the standby pool.

--- a/internal/crannode/layout.go
+++ b/internal/crannode/layout.go
@@ -23,6 +23,8 @@
 	// maxLayoutJitter bounds the delay that differs between entry instances, so that not all
 	// of them count the instances.
 	maxLayoutJitter = 300 * time.Millisecond
+	// maxLayoutDelay is how much longer a process without any capacity would wait.
+	maxLayoutDelay = time.Second
 	// layoutRetryPause is the pause after an attempt to store the layout that has failed.
 	layoutRetryPause = time.Second
 	// earlierVersionCheck is the time in which an owner of an earlier version renews its claim
@@ -47,7 +49,7 @@
 	if d.eligibleSince == 0 {
 		d.eligibleSince = now
 	}
-	if now-d.eligibleSince < n.jitter(layoutProducer, maxLayoutJitter) {
+	if now-d.eligibleSince < n.jitter(layoutProducer, maxLayoutJitter)+n.layoutDelay() {
 		return
 	}
 	d.running = true
@@ -64,6 +66,13 @@
 	}()
 }
 
+// layoutDelay is how much longer a process with less capacity than a shard may need waits, so
+// that the layout follows from the capacity of the processes that will own the shards.
+func (n *Node) layoutDelay() time.Duration {
+	share := min(n.limits.Targets()/cranshard.MaxTargetsPerShard, 1)
+	return time.Duration((1 - share) * float64(maxLayoutDelay))
+}
+
 // storeLayout decides on the number of shards and appends the layout.
 func (n *Node) storeLayout(ctx context.Context) error {
 	hasData, err := n.checkEarlierVersion(ctx)
--- a/internal/cransched/moves.go
+++ b/internal/cransched/moves.go
@@ -24,35 +24,39 @@
 	acceptedAt time.Duration
 }
 
-// rebalance moves empty instances to pools with a shortage, taking those in standby pools
-// first, and moves the remaining surplus to a standby pool.
+// rebalance moves empty instances to pools with a shortage, and the remaining surplus of the
+// others to a standby pool. It answers demand that turns from one pool to the next: a surplus is
+// used first, since an instance that goes to a standby pool while another one comes from there
+// takes two moves.
 func (s *Scheduler) rebalance(shortages, surpluses []poolBalance, supply map[string]*poolSupply) {
-	var donors []string
+	var surplus, reserve []string
 	standby := ""
+	for _, b := range surpluses {
+		p := supply[b.pool]
+		surplus = append(surplus, p.empty[:min(-b.missing, len(p.empty))]...)
+	}
 	for _, name := range slices.Sorted(maps.Keys(s.config.Pools)) {
 		if s.config.Pools[name].Standby {
 			standby = name
 			if p := supply[name]; p != nil {
-				donors = append(donors, p.empty...)
+				reserve = append(reserve, p.empty...)
 			}
 		}
 	}
-	standbyCount := len(donors)
-	for _, b := range surpluses {
-		p := supply[b.pool]
-		donors = append(donors, p.empty[:min(-b.missing, len(p.empty))]...)
-	}
 	orderCount, maxOrders := 0, s.maxMovesPerPlan()
 	for _, b := range shortages {
-		for n := b.missing; n > 0 && len(donors) > 0 && orderCount < maxOrders; n-- {
-			if s.orderMove(donors[0], b.pool) {
+		for n := b.missing; n > 0 && len(surplus)+len(reserve) > 0 && orderCount < maxOrders; n-- {
+			donors := &surplus
+			if len(surplus) == 0 {
+				donors = &reserve
+			}
+			if s.orderMove((*donors)[0], b.pool) {
 				orderCount++
 			}
-			donors = donors[1:]
-			standbyCount--
+			*donors = (*donors)[1:]
 		}
 	}
-	for _, instance := range donors[max(min(standbyCount, len(donors)), 0):] {
+	for _, instance := range surplus {
 		if standby == "" || orderCount >= maxOrders {
 			return
 		}
--- a/internal/cranshard/layout.go
+++ b/internal/cranshard/layout.go
@@ -117,9 +117,9 @@
 const (
 	// maxShards bounds the number of shards that a stored layout may have.
 	maxShards = 4096
-	// maxTargetsPerShard bounds the targets of one owner, whatever its machine can do, so
+	// MaxTargetsPerShard bounds the targets of one owner, whatever its machine can do, so
 	// that the loss of an owner stops the scheduling of a part of a large fleet only.
-	maxTargetsPerShard = 100
+	MaxTargetsPerShard = 220
 	// targetsPerCore and targetsPerMbps are how many targets an owner schedules with one
 	// core and with 1 Mbit/s, at half of their capacity.
 	targetsPerCore = 400
@@ -149,7 +149,7 @@
 // Count returns the number of shards for a number of targets, between 1 and most, if entry
 // instances have the given limits.
 func Count(targets int, l Limits, most int) int {
-	perShard := max(min(l.Targets(), maxTargetsPerShard), 1)
+	perShard := max(min(l.Targets(), MaxTargetsPerShard), 1)
 	count := int(math.Round(float64(targets) / perShard))
 	return min(max(count, 1), max(most, 1))
 }
