--- a/cmd/cransoak/main.go
+++ b/cmd/cransoak/main.go
@@ -23,6 +23,7 @@
 	Seeds   int           `help:"Number of consecutive seeds, run one after the other." default:"1"`
 	Entries int           `help:"Number of entry instances, each a separate process." default:"3"`
 	Targets int           `help:"Number of targets." default:"4"`
+	Shards  int           `help:"Number of shards, each with an owner of its own." default:"1"`
 	Length  time.Duration `help:"Time for which each seed submits jobs and injects faults." default:"20s"`
 	Logs    string        `help:"Folder for the logs of the processes. Logs are kept only for seeds that fail." default:"soak"`
 }
@@ -56,7 +57,7 @@
 		return false
 	}
 	report, err := cransoak.Run(ctx, cransoak.Options{
-		Program: c.Program, Dir: dir, Seed: seed, Entries: c.Entries, Targets: c.Targets, Duration: c.Length,
+		Program: c.Program, Dir: dir, Seed: seed, Entries: c.Entries, Targets: c.Targets, Shards: c.Shards, Duration: c.Length,
 	})
 	fmt.Printf("seed %d: %d faults; jobs: %d accepted, %d refused, %d unknown\n",
 		seed, report.Faults, report.Accepted, report.Refused, report.Unknown)
--- a/internal/cransoak/soak.go
+++ b/internal/cransoak/soak.go
@@ -31,6 +31,8 @@
 	settleTimeout = 40 * time.Second
 	// startTimeout bounds the time until all processes have started and are ready.
 	startTimeout = 20 * time.Second
+	// targetsPerCore is how many targets the program schedules with one core.
+	targetsPerCore = 400
 	// longRunningTasks is the number of tasks of the job that runs during the whole soak.
 	longRunningTasks = 4
 )
@@ -44,6 +46,8 @@
 	Seed uint64
 	// Entries and Targets are the numbers of entry instances and of targets.
 	Entries, Targets int
+	// Shards is the number of shards into which the targets are divided; 0 means one.
+	Shards int
 	// Duration is the time for which jobs are submitted and faults are injected.
 	Duration time.Duration
 }
@@ -98,6 +102,9 @@
 		return Report{}, err
 	}
 	defer func() { err = errors.Join(err, s.close()) }()
+	if o.Shards > 1 {
+		s.deployment.LimitEntries(float64(o.Targets) / float64(o.Shards) / targetsPerCore)
+	}
 	s.configs = &configs{deployment: s.deployment, version: 1}
 	s.caller = s.deployment.NewCaller(callerTimeout)
 	if err := s.startEntries(ctx); err != nil {
--- a/internal/cransoak/soak_test.go
+++ b/internal/cransoak/soak_test.go
@@ -20,18 +20,27 @@
 	12,
 }
 
-// TestSoak builds the program and runs a soak of 8 seconds with each regression seed.
+// shardedSeeds are played with several shards.
+var shardedSeeds = []uint64{1, 12}
+
+// TestSoak builds the program and runs a soak of 8 seconds with each regression seed, and with
+// several owners.
 func TestSoak(t *testing.T) {
 	dir := t.TempDir()
 	program := filepath.Join(dir, "cranberrypick")
 	out, err := exec.CommandContext(t.Context(), "go", "build", "-o", program, "../../cmd/cranberrypick").CombinedOutput()
 	require.NoError(t, err, string(out))
-	for _, seed := range regressionSeeds {
-		report, err := Run(t.Context(), Options{
-			Program: program, Dir: dir, Seed: seed, Entries: 3, Targets: 4, Duration: 8 * time.Second,
-		})
+	play := func(o Options) {
+		o.Program, o.Dir, o.Duration = program, dir, 8*time.Second
+		report, err := Run(t.Context(), o)
 		require.NoError(t, err)
-		require.Empty(t, report.Violations, "seed %d", seed)
+		require.Empty(t, report.Violations, "seed %d with %d shards", o.Seed, o.Shards)
 		require.NotZero(t, report.Accepted)
 	}
+	for _, seed := range regressionSeeds {
+		play(Options{Seed: seed, Entries: 3, Targets: 4})
+	}
+	for _, seed := range shardedSeeds {
+		play(Options{Seed: seed, Entries: 5, Targets: 8, Shards: 4})
+	}
 }
