--- a/internal/crannode/fleet_test.go
+++ b/internal/crannode/fleet_test.go
@@ -301,6 +301,42 @@
 	})
 }
 
+// TestDataOfEarlierVersion starts a process on the data of the version without shards. While a
+// process of that version renews its claim, nothing may be laid out and nothing is accepted.
+// After that, its job must be known, and the deployment has one shard.
+func TestDataOfEarlierVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 0)
+		defer f.close()
+		job := fleetJob(1)
+		f.stored[4].Put(cranjob.SubmissionKey(job.ID), cranjob.Encode(*job))
+		renew := func(renewal uint64) {
+			claim := cranjob.Claim{Epoch: 7, Node: "old", Incarnation: "old-1", Renewal: renewal}
+			f.stored[3].Put(cranjob.KeyClaim, cranjob.Encode(claim))
+		}
+		renew(1)
+		n := &fleetNode{name: "new", fault: &fault{}}
+		f.nodes = append(f.nodes, n)
+		f.start(n)
+		for renewal := range uint64(20) {
+			time.Sleep(400 * time.Millisecond)
+			renew(renewal + 2)
+		}
+		require.False(t, n.node.Ready())
+		require.Error(t, n.node.Submit(t.Context(), fleetJob(2)))
+		time.Sleep(10 * time.Second)
+		require.True(t, n.node.Ready())
+		n.node.postAndWait(t.Context(), func() {
+			require.Equal(t, 1, n.node.digest.Layout().Count())
+			require.Greater(t, n.node.digest.Claim(0).Epoch, uint64(0))
+		})
+		state, found, err := n.node.State(t.Context(), job.ID)
+		require.NoError(t, err)
+		require.True(t, found)
+		require.Equal(t, cranjob.Completed, state)
+	})
+}
+
 // TestHandoverUnderFaults cuts entry instances off, lets them lag, kills and restarts them one
 // by one and all at once, and drops the history of the store, while callers submit jobs. No two
 // processes may send orders to a target with the same token, no task may run twice, and in the
--- a/internal/cranstore/batcher_test.go
+++ b/internal/cranstore/batcher_test.go
@@ -136,3 +136,29 @@
 		require.Len(t, topic.all(), 1)
 	})
 }
+
+// TestLostResponseIsReadBack checks that a caller whose record is stored is told so within a
+// second, although the response to the append is lost: by reading the topic back, or from what
+// is known elsewhere.
+func TestLostResponseIsReadBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		topic := &queueTopic{lose: true}
+		b := NewBatcher(topic, func(bool) {}, WithReadBack(func(context.Context) []Record { return topic.all() }))
+		defer b.Close()
+		start := time.Now()
+		_, err := b.Append(t.Context(), keyed(1))
+		require.NoError(t, err)
+		require.Less(t, time.Since(start), time.Second)
+
+		settled := NewBatcher(topic, func(bool) {})
+		defer settled.Close()
+		go func() {
+			time.Sleep(100 * time.Millisecond)
+			settled.Settle(func(key string) bool { return key == keyed(2).Key })
+		}()
+		start = time.Now()
+		_, err = settled.Append(t.Context(), keyed(2))
+		require.NoError(t, err)
+		require.Less(t, time.Since(start), time.Second)
+	})
+}
