--- a/internal/cranstore/batcher_test.go
+++ b/internal/cranstore/batcher_test.go
@@ -145,8 +145,10 @@
 		topic := &queueTopic{lose: true}
 		b := NewBatcher(topic, func(bool) {}, WithReadBack(func(context.Context) []Record { return topic.all() }))
 		defer b.Close()
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
 		start := time.Now()
-		_, err := b.Append(t.Context(), keyed(1))
+		_, err := b.Append(ctx, keyed(1))
 		require.NoError(t, err)
 		require.Less(t, time.Since(start), time.Second)
 
@@ -157,7 +159,7 @@
 			settled.Settle(func(key string) bool { return key == keyed(2).Key })
 		}()
 		start = time.Now()
-		_, err = settled.Append(t.Context(), keyed(2))
+		_, err = settled.Append(ctx, keyed(2))
 		require.NoError(t, err)
 		require.Less(t, time.Since(start), time.Second)
 	})
