--- a/internal/cranjob/doc.go
+++ b/internal/cranjob/doc.go
@@ -1,5 +1,5 @@
 // Package cranjob defines the data model of the job service: jobs, which consist of
-// steps, steps, which consist of tasks, and the replicated state of all jobs.
+// steps, steps, which consist of tasks, and the replicated state of the jobs of a shard.
 //
 // A job belongs to a queue, and a queue to the pool whose targets run its
 // tasks. A job with occurrences runs its steps several times; a task is
@@ -11,8 +11,8 @@
 //
 //   - a submission, written once by the entry instance that accepted the job,
 //   - a cancellation, written by the entry instance that received it,
-//   - the progress of a job, written only by the scheduler,
-//   - the scheduler's claim of its role,
+//   - the progress of a job, written only by the owner of its shard,
+//   - the claim of an owner,
 //   - the orders to the platform for instances,
 //   - the statistics of task durations of each queue.
 //
--- a/internal/cranjob/progress.go
+++ b/internal/cranjob/progress.go
@@ -80,8 +80,8 @@
 	EndedMs int64
 }
 
-// Claim is the record by which a process claims the scheduler role. The process of
-// the newest claim is the current scheduler.
+// Claim is the record by which a process claims a shard. The process of the newest claim is
+// the owner of the shard.
 type Claim struct {
 	// Epoch is the fencing token: appends and orders of earlier schedulers are
 	// refused.
--- a/internal/cranjob/replica.go
+++ b/internal/cranjob/replica.go
@@ -60,8 +60,8 @@
 	ID string
 }
 
-// Replica is a process's copy of the state of the job service, built by applying
-// the records of the store. It is not safe for concurrent use.
+// Replica is an owner's copy of the state of a shard, built by applying the records of the
+// store. It is not safe for concurrent use.
 type Replica struct {
 	jobs   map[string]*TrackedJob
 	orders map[string]InstanceOrder
@@ -79,7 +79,7 @@
 	return &Replica{jobs: map[string]*TrackedJob{}, orders: map[string]InstanceOrder{}, durations: map[string]Durations{}, offsets: map[string]uint64{}}
 }
 
-// Claim returns the newest claim of the scheduler role.
+// Claim returns the claim that the newest owner stored before it loaded the shard.
 func (r *Replica) Claim() Claim { return r.claim }
 
 // Orders returns the orders for instances, by instance. The caller must not
--- a/internal/cransched/doc.go
+++ b/internal/cransched/doc.go
@@ -4,8 +4,8 @@
 //
 // A [Scheduler] is a state machine without clock, network or randomness. The
 // caller passes the time with each event and performs the effects that the
-// scheduler returns. One process at a time owns the scheduler. When another
-// process takes over, a task must not run twice at the same time and no result
+// scheduler returns. A scheduler has the jobs, targets and instances of one shard, and
+// one process at a time owns the shard. When another process takes over, a task must not run twice at the same time and no result
 // may get lost. Three rules ensure this:
 //
 //   - A start is stored before it is sent, so a successor knows every run that
--- a/internal/cransched/scheduler.go
+++ b/internal/cransched/scheduler.go
@@ -10,7 +10,7 @@
 	"github.com/cranberrypick/cranberrypick/internal/cranstore"
 )
 
-// Scheduler holds the scheduling state of all pools. It isn't safe for concurrent use.
+// Scheduler holds the scheduling state of a shard, that is, of a part of every pool. It isn't safe for concurrent use.
 type Scheduler struct {
 	token  uint64
 	timing Timing
