--- a/internal/crandigest/digest.go
+++ b/internal/crandigest/digest.go
@@ -28,7 +28,7 @@
 	waves   map[waveKey]WaveProgress
 }
 
-// shard is what the digest has about one shard.
+// shard holds the claim of a shard and its segments.
 type shard struct {
 	claim   cranjob.Claim
 	renewal Renewal
@@ -211,7 +211,8 @@
 	return Change{Kind: Renewed, Shard: number}, nil
 }
 
-// raise applies a state of a job unless the job has a later one.
+// raise applies a state of a job unless the job has a later one, since segments may be applied
+// in any order.
 func (d *Digest) raise(id string, next jobState) {
 	if next.state != cranjob.Queued {
 		next.queue = 0
