cranstore: refuse appends to a closed batcher

Cause: an ownership that ends closes the batcher of its shortened submissions while a goroutine that still runs for it may append; the wait group was used again while Close waited for it. A process may panic then ('WaitGroup is reused before previous Wait has returned'), at the moment when it loses a shard: one unexpected event takes a whole process down. Change: Close marks the batcher as closed, and an append after that is refused; the record is certainly not stored, and the caller is told so. Evidence: TestAppendAfterClose panicked and reported the race before; after: 20 runs, and 40 of TestOwnerKeepsShard (failed in 1 of about 10 before), all passed.

--- a/internal/cranstore/batcher.go
+++ b/internal/cranstore/batcher.go
@@ -29,6 +29,9 @@
 // that they are not.
 var ErrUnanswered = errors.New("the store has not answered in time")
 
+// ErrClosed is the refusal of an append to a batcher that was closed.
+var ErrClosed = errors.New("the batcher is closed")
+
 // Batcher combines the records of many callers into batches and runs one append
 // at a time. A partition of the store processes appends one after the other, so
 // the fewer appends the callers need, the more callers a slow partition serves.
@@ -47,9 +50,10 @@
 
 	mu sync.Mutex
 	// waiting holds the records for later appends, inFlight those of the current
-	// append. writerRunning is true while a goroutine runs writeBatches.
-	waiting, inFlight []*pendingRecord
-	writerRunning     bool
+	// append. writerRunning is true while a goroutine runs writeBatches. None starts once
+	// closed is true.
+	waiting, inFlight     []*pendingRecord
+	writerRunning, closed bool
 	// cancelAttempt cancels the current attempt. Observe calls it once all records
 	// of the batch were read back from the topic.
 	cancelAttempt context.CancelFunc
@@ -95,6 +99,10 @@
 func (b *Batcher) Append(ctx context.Context, r Record) (uint64, error) {
 	p := &pendingRecord{record: r, result: make(chan appendResult, 1)}
 	b.mu.Lock()
+	if b.closed {
+		b.mu.Unlock()
+		return 0, Refused(ErrClosed)
+	}
 	b.waiting = append(b.waiting, p)
 	if !b.writerRunning {
 		b.writerRunning = true
@@ -178,8 +186,12 @@
 	}
 }
 
-// Close cancels the current append and waits until the writing goroutine ends.
+// Close cancels the current append, refuses later ones, and waits until the writing goroutine
+// ends.
 func (b *Batcher) Close() {
+	b.mu.Lock()
+	b.closed = true
+	b.mu.Unlock()
 	b.cancel()
 	b.writers.Wait()
 }
--- a/internal/cranstore/batcher_test.go
+++ b/internal/cranstore/batcher_test.go
@@ -164,3 +164,21 @@
 		require.Less(t, time.Since(start), time.Second)
 	})
 }
+
+// TestAppendAfterClose guards against an append that begins while Close waits: Close returned
+// before its writer had ended.
+func TestAppendAfterClose(t *testing.T) {
+	topic := &queueTopic{}
+	b := NewBatcher(topic, func(bool) {})
+	var callers sync.WaitGroup
+	for i := range 20 {
+		callers.Go(func() { _, _ = b.Append(t.Context(), keyed(i)) })
+	}
+	b.Close()
+	stored := len(topic.all())
+	callers.Wait()
+	_, err := b.Append(t.Context(), keyed(20))
+	require.ErrorIs(t, err, ErrClosed)
+	require.True(t, IsRefused(err))
+	require.Len(t, topic.all(), stored)
+}
