crannode: wait for the goroutines of an ownership when the process ends

They are cancelled with the ownership, so the wait is short. Evidence: tests of crannode and platform under the race detector pass. No test of its own: the goroutines were cancelled before, only not awaited.

--- a/internal/crannode/orders.go
+++ b/internal/crannode/orders.go
@@ -120,7 +120,7 @@
 // callAsync runs request in a goroutine of its own. The function that request returns
 // then runs in the control goroutine, unless the ownership has ended by that time.
 func (o *ownership) callAsync(timeout time.Duration, request func(context.Context) func()) {
-	go func() {
+	o.shard.node.control.group.Go(func() {
 		ctx, cancel := context.WithTimeout(o.ctx, timeout)
 		defer cancel()
 		deliver := request(ctx)
@@ -132,5 +132,5 @@
 			o.scheduler.Advance(n.now())
 			deliver()
 		})
-	}()
+	})
 }
--- a/internal/crannode/writer.go
+++ b/internal/crannode/writer.go
@@ -66,7 +66,7 @@
 	options := cranstore.AppendOptions{Producer: w.producer, Epoch: w.epoch, Sequence: w.sequence + 1}
 	w.sequence += uint64(len(parts))
 	w.busy = true
-	go func() {
+	n.control.group.Go(func() {
 		sent, err := n.appendParts(o.ctx, w.topic, parts, options)
 		n.post(n.control.runCtx, func() {
 			if o.shard.owner != o {
@@ -76,7 +76,7 @@
 			w.busy, w.nextAt, w.latency = false, now+w.interval, now-sent
 			done(sent, err)
 		})
-	}()
+	})
 }
 
 // appendParts appends the parts of a batch one after the other. It returns when the last
