cransched: notice within 0.15 s that an evicted task is at work again

Cause: the tasks of a step leave one after the other, each once the one before is at work. Only the end of a run ends the wait of a heartbeat, so the owner noticed the end of a startup up to a second late. Change: while a wave is in progress, targets with a starting long-running task get a wait of 0.15 s. Ruled out: more evictions at once; the allowed number of missing tasks binds. Evidence: TestWaveNoticesStartedTasks, 16 tasks in 26.4 s, failed before (15 maintained; done after 27 to 28 s), passes now (24 to 25 s).

--- a/internal/cransched/config.go
+++ b/internal/cransched/config.go
@@ -54,6 +54,9 @@
 	// heartbeat renews the lease; at this interval three in a row may fail before the
 	// lease expires.
 	heartbeatInterval = 1000 * time.Millisecond
+	// startupWait is how long a target may delay its response while a wave waits for a
+	// long-running task on it to be at work. Its progress ends no wait, unlike the end of a run.
+	startupWait = 150 * time.Millisecond
 	// minHeartbeatGap is the minimum time between two heartbeats to a target on which runs
 	// keep ending, so that one response reports several ends.
 	minHeartbeatGap = 40 * time.Millisecond
--- a/internal/cransched/fleet_test.go
+++ b/internal/cransched/fleet_test.go
@@ -111,6 +111,37 @@
 	require.Equal(t, leaving, len(sim.starts)-starts)
 }
 
+// TestWaveNoticesStartedTasks maintains instances with tasks of a step that may leave only one
+// after the other, on targets that delay their responses for as long as they may. The time of
+// the wave allows 0.25 s for each task beyond its stop and its startup.
+func TestWaveNoticesStartedTasks(t *testing.T) {
+	const (
+		tasks    = 16
+		startup  = 800 * time.Millisecond
+		duration = tasks * (simStopTime + startup + 250*time.Millisecond)
+	)
+	sim := newSimulation(t, 1, 2*tasks)
+	sim.maxDown, sim.checkUnavailable, sim.longPolls, sim.failureRate = 8, true, true, 0
+	sim.startup = startup
+	sim.takeOver(sim.now - time.Hour)
+	lasting := newLongRunningJob("lasting", tasks)
+	lasting.Steps[0].MaxPerTarget = 1
+	sim.submit(lasting)
+	sim.runFor(4 * time.Second)
+	order := WaveOrder{Wave: 1, Duration: duration, MaxParallel: 8, SeenAt: sim.now}
+	for _, tgt := range sim.targets {
+		if len(tgt.runs) > 0 {
+			order.Instances = append(order.Instances, tgt.info.Instance)
+		}
+	}
+	slices.Sort(order.Instances)
+	require.Len(t, order.Instances, tasks)
+	sim.wave = []WaveOrder{order}
+	sim.owner.SetWaves(sim.wave)
+	sim.runFor(duration)
+	require.Len(t, sim.maintenances, tasks)
+}
+
 // TestMaintainedInstancesStayMaintainedAfterMove replaces the owner after a wave. The new
 // owner must not evacuate instances again that were maintained and then moved.
 func TestMaintainedInstancesStayMaintainedAfterMove(t *testing.T) {
--- a/internal/cransched/targets.go
+++ b/internal/cransched/targets.go
@@ -180,8 +180,11 @@
 	t.heartbeatInFlight = true
 	t.heartbeatSentAt = s.clock.Steady
 	wait := heartbeatInterval
-	if !t.fenced || len(t.runs) == 0 {
+	switch {
+	case !t.fenced || len(t.runs) == 0:
 		wait = 0
+	case s.waveInProgress() && t.hasStartingTask():
+		wait = startupWait
 	}
 	deadline := int64(0)
 	if !t.heartbeatFailed {
@@ -192,6 +195,16 @@
 	s.emit(Heartbeat{Target: t.address(), DeadlineMs: deadline, Token: s.token, AcknowledgedEnd: t.endsStored, Wait: wait})
 }
 
+// hasStartingTask reports whether a long-running task on the target is not at work yet.
+func (t *target) hasStartingTask() bool {
+	for _, r := range t.runs {
+		if r.task != nil && r.step.LongRunning && r.phase != stopping && r.progress < fullShare {
+			return true
+		}
+	}
+	return false
+}
+
 // heartbeatDue reports whether the next heartbeat to the target is due.
 func (t *target) heartbeatDue(now time.Duration) bool {
 	return !t.heartbeatInFlight && t.info.Address != "" && !t.superseded && now >= t.nextHeartbeatAt &&
--- a/internal/cransched/wave.go
+++ b/internal/cransched/wave.go
@@ -196,6 +196,16 @@
 	return !found || s.clock.Steady >= at+OrderOwnershipTimeout+s.timing.OrderLease+orderMargin
 }
 
+// waveInProgress reports whether the maintenance of an instance has not begun yet.
+func (s *Scheduler) waveInProgress() bool {
+	for _, w := range s.fleet.waves {
+		if !w.begun {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *Scheduler) planWave(w *wave) {
 	downCount, remaining := 0, 0
 	for _, m := range w.members {
--- a/internal/cransched/world_target_test.go
+++ b/internal/cransched/world_target_test.go
@@ -33,7 +33,9 @@
 }
 
 type simRun struct {
-	number  int
+	number int
+	// readyAt is when a long-running task is at work after its startup.
+	readyAt time.Duration
 	endsAt  time.Duration
 	outcome RunOutcome
 	stopped bool
@@ -86,7 +88,11 @@
 func (tgt *simTarget) report(now time.Duration) HeartbeatResponse {
 	response := HeartbeatResponse{Response: tgt.response(now, StatusOK), Finished: slices.Clone(tgt.ends)}
 	for _, name := range slices.SortedFunc(maps.Keys(tgt.runs), func(a, b cranjob.TaskName) int { return a.Index - b.Index }) {
-		response.Running = append(response.Running, RunReport{Task: name, Run: tgt.runs[name].number, Percent: 100})
+		percent := 100
+		if now < tgt.runs[name].readyAt {
+			percent = 50
+		}
+		response.Running = append(response.Running, RunReport{Task: name, Run: tgt.runs[name].number, Percent: percent})
 	}
 	return response
 }
@@ -194,6 +200,7 @@
 	}
 	if step.LongRunning {
 		r.endsAt = sim.now + time.Hour
+		r.readyAt = sim.now + sim.startup
 	}
 	tgt.runs[e.Task] = r
 	if step.Gang {
--- a/internal/cransched/world_test.go
+++ b/internal/cransched/world_test.go
@@ -45,6 +45,8 @@
 	// longPolls lets targets delay the response to a heartbeat until a run ends or its
 	// wait is over.
 	longPolls bool
+	// startup is how long a long-running task takes until it is at work.
+	startup time.Duration
 	// checkUnavailable enables the check that evictions respect MaxUnavailable.
 	checkUnavailable bool
 
