cransched: tell a successor when the leases of silent targets end

Cause: a successor can't know to which targets its predecessor still granted leases, so it waited for the longest lease from the predecessor's end on: 9.4 s more. Change: an owner grants no lease to a target with runs that is silent for 1.8 s, and publishes that in the digest with the end of its leases. It grants one again only once a list without the target is stored; until then the target gets no work either. The successor counts the end from when it has read the list, and uses only a list of the epoch before its own. Ruled out: wall clocks, which would need a margin of 6 s. Evidence: TestSuccessorKnowsWhenLeasesEnd failed before. Mutations: a lease granted before the list is stored breaks TestLeaseAfterSilenceIsGrantedOnceStored and TestInvariantsUnderFaults (a task runs twice); without the known ends TestSuccessorKnowsWhenLeasesEnd fails.

--- a/internal/crandigest/digest.go
+++ b/internal/crandigest/digest.go
@@ -32,6 +32,7 @@
 type shard struct {
 	claim   cranjob.Claim
 	renewal Renewal
+	leases  Leases
 	// segments holds the keys of the jobs in each segment that is not merged yet.
 	segments map[string][]string
 }
@@ -75,6 +76,14 @@
 	return 0
 }
 
+// Leases returns the newest record of the leases of a shard.
+func (d *Digest) Leases(number int) Leases {
+	if s := d.shards[number]; s != nil {
+		return s.leases
+	}
+	return Leases{}
+}
+
 // Job returns the state of a job and whether the digest has it.
 func (d *Digest) Job(id string) (cranjob.State, bool) {
 	j, found := d.jobs[jobKey(id)]
@@ -102,6 +111,8 @@
 	Claimed
 	// Renewed is the kind of every other record that an owner has written.
 	Renewed
+	// LeasesChanged is the kind of a record of leases.
+	LeasesChanged
 	WaveChanged
 )
 
@@ -148,6 +159,13 @@
 		}
 		s.renewal = *r
 		return Change{Kind: Renewed, Shard: number}, nil
+	case keyLeases:
+		l, err := decode[Leases](key, value)
+		if err != nil {
+			return Change{}, err
+		}
+		d.shard(number).leases = *l
+		return Change{Kind: LeasesChanged, Shard: number}, nil
 	case keySegment:
 		return d.applySegment(key, number, value)
 	case keyWave:
--- a/internal/crandigest/digest_test.go
+++ b/internal/crandigest/digest_test.go
@@ -174,3 +174,24 @@
 		d.Merge(0, 2, 1)
 	})
 }
+
+// TestLeases applies records of leases. The newest one replaces the others, and one that can't
+// be decoded changes nothing.
+func TestLeases(t *testing.T) {
+	d := New()
+	require.Empty(t, d.Leases(3).Targets)
+	for _, l := range []Leases{
+		{Epoch: 7, Targets: []SilentTarget{{ID: "a", EndsInMs: 4000}, {ID: "b", EndsInMs: 100}}},
+		{Epoch: 7, Targets: []SilentTarget{{ID: "b", EndsInMs: 50}}},
+		{Epoch: 8},
+	} {
+		r := l.Record(3)
+		change, err := d.Apply(r.Key, r.Value)
+		require.NoError(t, err)
+		require.Equal(t, Change{Kind: LeasesChanged, Shard: 3}, change)
+		require.Equal(t, l, d.Leases(3))
+	}
+	_, err := d.Apply("l3", []byte{0x83})
+	require.Error(t, err)
+	require.Equal(t, uint64(8), d.Leases(3).Epoch)
+}
--- a/internal/crandigest/record.go
+++ b/internal/crandigest/record.go
@@ -16,6 +16,7 @@
 // Prefixes of keys, one for each kind of record.
 const (
 	keyClaim   = 'c'
+	keyLeases  = 'l'
 	keyRenewal = 'r'
 	keySegment = 's'
 	keyWave    = 'w'
@@ -49,6 +50,28 @@
 	return cranstore.Record{Key: string(keyRenewal) + strconv.Itoa(shard), Value: cranjob.Encode(r)}
 }
 
+// Leases is the record of the targets to which an owner has granted no lease since it was
+// stored. Each record replaces the one before.
+type Leases struct {
+	_       struct{} `cbor:",toarray"`
+	Epoch   uint64
+	Targets []SilentTarget
+}
+
+// SilentTarget is a target that doesn't respond.
+type SilentTarget struct {
+	_  struct{} `cbor:",toarray"`
+	ID string
+	// EndsInMs is how long all leases of the target last at most, in milliseconds from when
+	// the record was written.
+	EndsInMs int64
+}
+
+// Record returns the record of the leases for a shard.
+func (l Leases) Record(shard int) cranstore.Record {
+	return cranstore.Record{Key: string(keyLeases) + strconv.Itoa(shard), Value: cranjob.Encode(l)}
+}
+
 // JobState is the state of a job, as an owner publishes it.
 type JobState struct {
 	ID string
--- a/internal/crannode/digest.go
+++ b/internal/crannode/digest.go
@@ -67,10 +67,13 @@
 			s.observeClaim(change.Before, now)
 			s.ownerRecordAt = now.Steady
 		}
-	case crandigest.Renewed:
+	case crandigest.Renewed, crandigest.LeasesChanged:
 		if change.Shard < len(n.shards) {
 			s := n.shards[change.Shard]
 			s.claimReadAt, s.ownerRecordAt, s.renewedAt = now.Steady, now.Steady, now.Steady
+			if change.Kind == crandigest.LeasesChanged {
+				s.leasesReadAt = now.Steady
+			}
 		}
 	case crandigest.WaveChanged:
 		return n.shards != nil
--- a/internal/crannode/owner.go
+++ b/internal/crannode/owner.go
@@ -90,7 +90,7 @@
 	switch {
 	case o.digest.busy || releasing && (o.progress.busy || o.scheduler != nil && !o.flushed):
 		return
-	case !releasing && (now < o.digest.nextAt || !renewing && len(o.states) == 0 && len(o.waveRecords) == 0):
+	case !releasing && (now < o.digest.nextAt || !renewing && len(o.states) == 0 && len(o.waveRecords) == 0 && !o.silentTargetsChanged()):
 		return
 	}
 	s := o.shard
@@ -98,6 +98,10 @@
 	records = append(records, o.waveRecords...)
 	o.states, o.waveRecords = nil, nil
 	clear(o.stateIndex)
+	leases := o.silentTargetsChanged()
+	if leases {
+		records = append(records, o.leases().Record(s.number))
+	}
 	if renewing || releasing {
 		records = append(records, s.node.digest.Merge(s.number, o.epoch, o.digest.sequence+1)...)
 		records = append(records, o.renewal(now).Record(s.number))
@@ -107,7 +111,27 @@
 		claim.Released = true
 		records = append(records, crandigest.ClaimRecord(s.number, claim))
 	}
-	o.digest.write(o, records, func(sent time.Duration, err error) { o.digestAppended(sent, err, releasing) })
+	o.digest.write(o, records, func(sent time.Duration, err error) {
+		if leases && err == nil {
+			o.scheduler.Advance(s.node.now())
+			o.scheduler.ConfirmSilentTargets()
+		}
+		o.digestAppended(sent, err, releasing)
+	})
+}
+
+// silentTargetsChanged reports whether the targets that don't respond are to be published.
+func (o *ownership) silentTargetsChanged() bool {
+	return o.scheduler != nil && o.scheduler.SilentTargetsChanged()
+}
+
+// leases returns the record of the targets to which no lease is granted.
+func (o *ownership) leases() crandigest.Leases {
+	l := crandigest.Leases{Epoch: o.epoch}
+	for _, t := range o.scheduler.NextSilentTargets() {
+		l.Targets = append(l.Targets, crandigest.SilentTarget{ID: t.ID, EndsInMs: t.EndsIn.Milliseconds() + 1})
+	}
+	return l
 }
 
 // renewal returns the next renewal of the claim.
--- a/internal/crannode/ownership.go
+++ b/internal/crannode/ownership.go
@@ -90,7 +90,9 @@
 		trims:    cranstore.NewBatcher(s.topics.Submissions, n.metrics.Retried),
 		// The previous owner acts only for a bounded time after an append that it knows to
 		// be stored, and every record that it stored has been read by now.
-		predecessor: cransched.Predecessor{StoppedBy: s.ownerRecordAt + cransched.OwnershipTimeout},
+		predecessor: cransched.Predecessor{
+			StoppedBy: s.ownerRecordAt + cransched.OwnershipTimeout, LeasesEndAt: s.leasesEndAt(s.previousClaim.Epoch),
+		},
 	}
 	if s.previousClaim.Released || s.isFromEarlierProcess(s.previousClaim) {
 		o.predecessor.StoppedBy = now.Steady
--- a/internal/crannode/shard.go
+++ b/internal/crannode/shard.go
@@ -23,6 +23,8 @@
 	// claimReadAt is when the newest record of the owner's claim was read, and ownerRecordAt
 	// when the newest record of any kind of the owner was.
 	claimReadAt, ownerRecordAt time.Duration
+	// leasesReadAt is when the newest record of the leases was read.
+	leasesReadAt time.Duration
 	// previousClaim is the last claim of the epoch before the current one.
 	previousClaim cranjob.Claim
 	// eligibleSince is when this process first could have claimed; 0 before.
@@ -51,6 +53,21 @@
 	return s
 }
 
+// leasesEndAt returns the targets to which the owner with the given epoch grants no lease, and
+// when their leases have ended. The record was written before it was read, so the times are
+// upper bounds.
+func (s *shard) leasesEndAt(epoch uint64) map[string]time.Duration {
+	leases := s.node.digest.Leases(s.number)
+	if epoch == 0 || leases.Epoch != epoch {
+		return nil
+	}
+	endAt := make(map[string]time.Duration, len(leases.Targets))
+	for _, t := range leases.Targets {
+		endAt[t.ID] = s.leasesReadAt + time.Duration(max(t.EndsInMs, 0))*time.Millisecond
+	}
+	return endAt
+}
+
 // digestProducer is the producer name of the shard's owner in the digest.
 func (s *shard) digestProducer() string { return producer + "/" + s.name }
 
--- /dev/null
+++ b/internal/cransched/lease.go
@@ -0,0 +1,94 @@
+package cransched
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// SilentTarget is a target to which its owner grants no lease.
+type SilentTarget struct {
+	ID string
+	// EndsIn is how long all leases that were granted to the target may last at most.
+	EndsIn time.Duration
+}
+
+// suspensions are the targets to which no lease is granted. The owner publishes them, so that a
+// successor knows when the runs on a silent target have ended: without that it would have to
+// wait for the longest lease that could have been granted until the owner was lost. A
+// suspension ends only once its end is stored.
+type suspensions struct {
+	// wanted holds the targets that don't respond, and published those in the newest record
+	// that is stored. inFlight holds those in the record that is being stored; nil if none is.
+	wanted, published, inFlight map[string]bool
+}
+
+func newSuspensions(wanted map[string]time.Duration) suspensions {
+	p := suspensions{wanted: map[string]bool{}, published: map[string]bool{}}
+	for id := range wanted {
+		p.wanted[id] = true
+	}
+	return p
+}
+
+// active reports whether no lease may be granted to a target.
+func (p *suspensions) active(id string) bool {
+	return p.wanted[id] || p.published[id] || p.inFlight[id]
+}
+
+// changed reports whether a record is to be stored.
+func (p *suspensions) changed() bool { return p.inFlight == nil && !maps.Equal(p.wanted, p.published) }
+
+// SilentTargetsChanged reports whether the silent targets have changed since they were last
+// published.
+func (s *Scheduler) SilentTargetsChanged() bool { return s.suspensions.changed() }
+
+// NextSilentTargets returns the silent targets, which the caller publishes before it calls
+// [Scheduler.ConfirmSilentTargets].
+func (s *Scheduler) NextSilentTargets() []SilentTarget {
+	p := &s.suspensions
+	p.inFlight = maps.Clone(p.wanted)
+	list := make([]SilentTarget, 0, len(p.wanted))
+	for _, id := range slices.Sorted(maps.Keys(p.wanted)) {
+		list = append(list, SilentTarget{ID: id, EndsIn: s.leasesEndIn(id)})
+	}
+	return list
+}
+
+// ConfirmSilentTargets records that the list is stored.
+func (s *Scheduler) ConfirmSilentTargets() {
+	p := &s.suspensions
+	p.published, p.inFlight = p.inFlight, nil
+}
+
+// leasesEndIn returns how long the leases of a target may last at most.
+func (s *Scheduler) leasesEndIn(id string) time.Duration {
+	t := s.targets[id]
+	if t == nil {
+		return max(s.earlierLeaseEnd(id)-s.clock.Steady, 0)
+	}
+	endsIn := t.earlierLeasesEndAt - s.clock.Steady
+	if t.clockAt != 0 {
+		left := time.Duration(t.leaseEndMs-t.minClockMs(s.clock.Steady))*time.Millisecond + leaseExpiryMargin
+		endsIn = max(endsIn, time.Duration(float64(left)/(1-maxClockDrift))+time.Millisecond)
+	}
+	return max(endsIn, 0)
+}
+
+// suspendIfSilent suspends the leases of a target that has runs and doesn't respond.
+func (s *Scheduler) suspendIfSilent(t *target) {
+	if len(t.runs) > 0 && s.clock.Steady-max(t.lastResponseAt, t.addedAt) > responseTimeout {
+		s.suspensions.wanted[t.info.ID] = true
+	}
+}
+
+// earlierLeaseEnd returns the time by which all leases that earlier owners have granted to a
+// target have expired.
+func (s *Scheduler) earlierLeaseEnd(id string) time.Duration {
+	longestLease := time.Duration(float64(s.leaseDuration()) / (1 - maxClockDrift))
+	end := s.predecessor.StoppedBy + longestLease + leaseExpiryMargin
+	if known, silent := s.predecessor.LeasesEndAt[id]; silent {
+		end = min(end, known)
+	}
+	return end
+}
--- /dev/null
+++ b/internal/cransched/lease_test.go
@@ -0,0 +1,90 @@
+package cransched
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// longestLease is how long a lease of simTiming lasts at most, with the margin for its expiry.
+const longestLease = 5450 * time.Millisecond
+
+// hostOf returns the target on which a task of a job runs.
+func (sim *simulation) hostOf(job string) *simTarget {
+	for _, tgt := range sim.targets {
+		for name := range tgt.runs {
+			if name.Job == job {
+				return tgt
+			}
+		}
+	}
+	return nil
+}
+
+// TestSuccessorKnowsWhenLeasesEnd loses the owner while a target doesn't respond. The successor
+// must start the tasks of that target once the leases of the lost owner have expired. It
+// started them only when leases had expired that the owner could have granted until its loss.
+func TestSuccessorKnowsWhenLeasesEnd(t *testing.T) {
+	sim := newSimulation(t, 1, 4)
+	sim.failureRate = 0
+	sim.takeOver(sim.now - time.Hour)
+	sim.submit(newLongRunningJob("lasting", 1))
+	sim.runFor(3 * time.Second)
+	silent := sim.hostOf("lasting")
+	silent.unreachable = true
+	silentSince := sim.now
+	sim.runFor(4 * time.Second)
+	sim.ownerID++
+	sim.runFor(time.Second)
+	sim.takeOver(sim.now)
+	sim.runFor(silentSince + longestLease + time.Second - sim.now)
+	sim.endDueRuns(silent)
+	require.NotNil(t, sim.hostOf("lasting"))
+	require.NotEqual(t, silent, sim.hostOf("lasting"))
+}
+
+// TestLeaseAfterSilenceIsGrantedOnceStored lets a target respond again for a moment before the
+// owner is lost, while the store is slow. The owner must not grant a lease of which its
+// successor can't know; the simulation checks that no task runs twice.
+func TestLeaseAfterSilenceIsGrantedOnceStored(t *testing.T) {
+	for _, delay := range []time.Duration{20 * time.Millisecond, 600 * time.Millisecond} {
+		sim := newSimulation(t, 1, 4)
+		sim.failureRate = 0
+		sim.takeOver(sim.now - time.Hour)
+		sim.submit(newLongRunningJob("lasting", 1))
+		sim.runFor(3 * time.Second)
+		silent := sim.hostOf("lasting")
+		silent.unreachable = true
+		sim.runFor(3 * time.Second)
+		sim.publishDelay = delay
+		silent.unreachable = false
+		sim.runFor(400 * time.Millisecond)
+		silent.unreachable = true
+		sim.ownerID++
+		sim.takeOver(sim.now)
+		sim.runFor(12 * time.Second)
+		require.NotEqual(t, silent, sim.hostOf("lasting"))
+	}
+}
+
+// TestSilentTargetsThatRecoverKeepTheirRuns makes all targets silent for longer than the time
+// after which leases are suspended. All runs must go on.
+func TestSilentTargetsThatRecoverKeepTheirRuns(t *testing.T) {
+	sim := newSimulation(t, 1, 6)
+	sim.failureRate = 0
+	sim.takeOver(sim.now - time.Hour)
+	sim.submit(newLongRunningJob("lasting", 6))
+	sim.runFor(3 * time.Second)
+	starts := len(sim.starts)
+	for _, tgt := range sim.targets {
+		tgt.unreachable = true
+	}
+	sim.runFor(3500 * time.Millisecond)
+	for _, tgt := range sim.targets {
+		tgt.unreachable = false
+	}
+	sim.runFor(10 * time.Second)
+	require.Equal(t, 6, sim.countRunning("lasting"))
+	require.Len(t, sim.starts, starts)
+}
--- a/internal/cransched/report.go
+++ b/internal/cransched/report.go
@@ -59,6 +59,7 @@
 	}
 	t.recordResponse(resp.Response, s.clock.Steady)
 	t.fenced = true
+	delete(s.suspensions.wanted, t.info.ID)
 	for _, e := range resp.Finished {
 		if e.Number <= t.endsSeen {
 			continue
@@ -78,6 +79,8 @@
 	}
 	s.adjustShares(t)
 	switch {
+	case s.suspensions.active(t.info.ID):
+		t.nextHeartbeatAt = s.clock.Steady + minHeartbeatGap
 	case t.clockAt > 0 && t.leaseEndMs == 0:
 		// No lease could be granted until this report, the first with the target's clock.
 		t.nextHeartbeatAt = s.clock.Steady
--- a/internal/cransched/scheduler.go
+++ b/internal/cransched/scheduler.go
@@ -44,6 +44,7 @@
 	dirty          []*job
 	// inFlight is the batch that is being stored, or nil.
 	inFlight    *batch
+	suspensions suspensions
 	predecessor Predecessor
 }
 
@@ -54,6 +55,9 @@
 	// LastOrderAt is the time at which its newest order for each instance was read from the
 	// log.
 	LastOrderAt map[string]time.Duration
+	// LeasesEndAt holds the targets to which it has granted no lease since it published them
+	// as silent, and the time by which their leases have expired.
+	LeasesEndAt map[string]time.Duration
 }
 
 // batch is the content of one append: the effects to emit and the ends to acknowledge once
@@ -71,6 +75,7 @@
 		jobs: map[string]*job{}, targets: map[string]*target{}, cancelled: map[string]bool{},
 		predictors: map[string]*predictor{}, arrivals: map[string]*arrivalHistory{},
 		starved: map[string]bool{}, nextTicketRequest: map[StepName]time.Duration{},
+		suspensions: newSuspensions(predecessor.LeasesEndAt),
 		predecessor: predecessor,
 	}
 	s.fleet = s.newFleet(stored.Orders())
@@ -103,7 +108,7 @@
 		}
 		host := s.targets[t.Target]
 		if host == nil {
-			host = newTarget(TargetInfo{ID: t.Target, Pool: j.Pool}, s.clock.Steady, s.earlierLeaseEnd())
+			host = newTarget(TargetInfo{ID: t.Target, Pool: j.Pool}, s.clock.Steady, s.earlierLeaseEnd(t.Target))
 			host.listed = false
 			host.unlistedAt = s.clock.Steady
 			s.addTarget(host)
@@ -117,12 +122,6 @@
 	s.completeIfDone(j)
 }
 
-// earlierLeaseEnd returns the time by which all leases of earlier owners have expired.
-func (s *Scheduler) earlierLeaseEnd() time.Duration {
-	longestLease := time.Duration(float64(s.leaseDuration()) / (1 - maxClockDrift))
-	return s.predecessor.StoppedBy + longestLease + leaseExpiryMargin
-}
-
 func (s *Scheduler) leaseDuration() time.Duration {
 	return time.Duration(leaseShare * float64(s.timing.MaxLease))
 }
@@ -298,6 +297,10 @@
 	if r == nil || r.phase != planned {
 		return
 	}
+	if s.suspensions.active(t.info.ID) {
+		s.releaseRun(t, r, "the target does not respond")
+		return
+	}
 	r.phase = startSent
 	r.startedAt = s.clock.Steady
 	e.DeadlineMs = s.grantLease(t)
@@ -305,9 +308,9 @@
 }
 
 // grantLease returns the deadline, on the target's clock, of a lease that begins now. It
-// returns 0 if the target's clock isn't known yet.
+// returns 0 if the target's clock isn't known yet, or if its leases are suspended.
 func (s *Scheduler) grantLease(t *target) int64 {
-	if t.clockAt == 0 {
+	if t.clockAt == 0 || s.suspensions.active(t.info.ID) {
 		return 0
 	}
 	deadline := t.minClockMs(s.clock.Steady) + s.leaseDuration().Milliseconds()
--- a/internal/cransched/target.go
+++ b/internal/cransched/target.go
@@ -114,10 +114,11 @@
 	shareChangedAt time.Duration
 	// noStartsBefore is the earliest time of the next start, after a refused one.
 	noStartsBefore time.Duration
-	// unresponsive is set while a fenced target is overdue, as of the last Tick.
-	unresponsive bool
-	health       health
-	tickets      map[StepName]ticket
+	// unresponsive is set while a fenced target is overdue, and suspended while no lease may be
+	// granted to the target, both as of the last Tick.
+	unresponsive, suspended bool
+	health                  health
+	tickets                 map[StepName]ticket
 }
 
 type runName struct {
@@ -189,7 +190,7 @@
 
 // schedulable reports whether new tasks may be placed on the target.
 func (t *target) schedulable(now time.Duration) bool {
-	return t.listed && t.fenced && !t.superseded && !t.cordoned && !t.info.Draining && !t.unresponsive &&
+	return t.listed && t.fenced && !t.superseded && !t.cordoned && !t.info.Draining && !t.unresponsive && !t.suspended &&
 		!t.overdue(now) && now >= t.noStartsBefore && !t.health.suspended(now)
 }
 
--- a/internal/cransched/targets.go
+++ b/internal/cransched/targets.go
@@ -21,7 +21,7 @@
 		listed[info.ID] = true
 		t := s.targets[info.ID]
 		if t == nil {
-			t = newTarget(info, s.clock.Steady, s.earlierLeaseEnd())
+			t = newTarget(info, s.clock.Steady, s.earlierLeaseEnd(info.ID))
 			s.addTarget(t)
 			s.observeArrival(t)
 		}
@@ -143,6 +143,8 @@
 		}
 		s.emit(LogEntry{Kind: kind, Target: t.info.ID, AgeMs: (now - t.lastResponseAt).Milliseconds()})
 	}
+	s.suspendIfSilent(t)
+	t.suspended = s.suspensions.active(t.info.ID)
 	if overdue && len(t.runs) > 0 && t.leasesExpired(now) {
 		s.emit(LogEntry{Kind: LogLeaseExpired, Target: t.info.ID, AgeMs: (now - t.lastResponseAt).Milliseconds()})
 		s.releaseRuns(t, "the lease has expired")
@@ -181,7 +183,7 @@
 	t.heartbeatSentAt = s.clock.Steady
 	wait := heartbeatInterval
 	switch {
-	case !t.fenced || len(t.runs) == 0:
+	case !t.fenced || len(t.runs) == 0 || t.suspended:
 		wait = 0
 	case s.waveInProgress() && t.hasStartingTask():
 		wait = startupWait
--- a/internal/cransched/world_test.go
+++ b/internal/cransched/world_test.go
@@ -66,6 +66,12 @@
 	ticketRequests []RequestTickets
 	starts         []receivedStart
 
+	// publishDelay is how long it takes to store the list of silent targets, if not 40 ms.
+	publishDelay time.Duration
+	// leasesEndAt holds the silent targets that the owner has published, and when their leases
+	// have ended.
+	leasesEndAt map[string]time.Duration
+
 	jobs map[string]*cranjob.Job
 	// acknowledged holds the outcomes that the owner has acknowledged, by task.
 	acknowledged map[cranjob.TaskName][]RunOutcome
@@ -143,7 +149,8 @@
 func (sim *simulation) takeOver(predecessorStop time.Duration) {
 	sim.epoch++
 	sim.ownerID++
-	sim.owner = New(sim.epoch, simTiming, sim.config, sim.stored, sim.clock(), Predecessor{StoppedBy: predecessorStop, LastOrderAt: maps.Clone(sim.orderStoredAt)})
+	sim.owner = New(sim.epoch, simTiming, sim.config, sim.stored, sim.clock(), Predecessor{StoppedBy: predecessorStop, LastOrderAt: maps.Clone(sim.orderStoredAt), LeasesEndAt: sim.leasesEndAt})
+	sim.leasesEndAt = nil
 	sim.owner.SetTargets(sim.targetList())
 	sim.owner.SetWaves(sim.wave)
 	sim.tick(sim.ownerID)
@@ -194,11 +201,30 @@
 			}
 		})
 	}
+	if s.SilentTargetsChanged() {
+		silent, epoch := s.NextSilentTargets(), sim.epoch
+		sim.schedule(cmp.Or(sim.publishDelay, 40*time.Millisecond), func() { sim.publishSilentTargets(s, id, epoch, silent) })
+	}
 	for _, e := range s.Effects() {
 		sim.perform(s, id, e)
 	}
 }
 
+// publishSilentTargets stores the list of silent targets, unless a later owner has claimed.
+func (sim *simulation) publishSilentTargets(s *Scheduler, id int, epoch uint64, silent []SilentTarget) {
+	if epoch != sim.epoch {
+		return
+	}
+	sim.leasesEndAt = map[string]time.Duration{}
+	for _, t := range silent {
+		sim.leasesEndAt[t.ID] = sim.now + t.EndsIn
+	}
+	if id == sim.ownerID {
+		s.Advance(sim.clock())
+		s.ConfirmSilentTargets()
+	}
+}
+
 // call performs a call to a target, subject to the simulated faults.
 func (sim *simulation) call(s *Scheduler, id int, to TargetRef, order bool, perform func() Response, onResponse func(Response)) {
 	sent := sim.now
