cransched: empty targets of late work for work that can still complete in time

After a longer outage no job of the next queue would complete before the backlog is gone. Cause: pools get instances by the size of their shortage, whether their work is late already or not, and an instance moves only once it is empty, which late work prevents. Change: shortages of punctual work come first, and if no instance is empty, targets that only late work needs are emptied for them. A pool without instances counts on instances like those of the others, and no longer gets one first to learn its size.

--- a/internal/cransched/moves.go
+++ b/internal/cransched/moves.go
@@ -1,6 +1,7 @@
 package cransched
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -24,46 +25,77 @@
 	acceptedAt time.Duration
 }
 
+// shortage is a number of instances that a pool lacks.
+type shortage struct {
+	pool  string
+	count int
+}
+
+// shortages returns what the pools lack, in the order in which they get instances: first for
+// work that can still complete in time, then for late work, and the largest shortage first.
+func shortages(balances []*poolBalance) []shortage {
+	var punctual, late []shortage
+	for _, b := range balances {
+		lacksPunctual := max(b.lacksPunctual(), 0)
+		if lacksPunctual > 0 {
+			punctual = append(punctual, shortage{b.pool, lacksPunctual})
+		}
+		if rest := b.lacks() - lacksPunctual; rest > 0 {
+			late = append(late, shortage{b.pool, rest})
+		}
+	}
+	for _, list := range [][]shortage{punctual, late} {
+		slices.SortFunc(list, func(a, b shortage) int { return cmp.Or(b.count-a.count, cmp.Compare(a.pool, b.pool)) })
+	}
+	return append(punctual, late...)
+}
+
+// surplus returns the empty instances that a pool doesn't need.
+func (b *poolBalance) surplus(p *poolSupply) []string {
+	if b.lacks() >= 0 {
+		return nil
+	}
+	return p.empty[:min(-b.lacks(), len(p.empty))]
+}
+
 // rebalance moves empty instances to pools with a shortage, and the remaining surplus of the
 // others to a standby pool. It answers demand that turns from one pool to the next: a surplus is
 // used first, since an instance that goes to a standby pool while another one comes from there
 // takes two moves.
-func (s *Scheduler) rebalance(shortages, surpluses []poolBalance, supply map[string]*poolSupply) {
-	var surplus, reserve []string
-	standby := ""
-	for _, b := range surpluses {
-		p := supply[b.pool]
-		surplus = append(surplus, p.empty[:min(-b.missing, len(p.empty))]...)
+func (s *Scheduler) rebalance(balances []*poolBalance, supply map[string]*poolSupply) {
+	var surplus []string
+	for _, b := range balances {
+		surplus = append(surplus, b.surplus(supply[b.pool])...)
 	}
-	for _, name := range slices.Sorted(maps.Keys(s.config.Pools)) {
-		if s.config.Pools[name].Standby {
-			standby = name
-			if p := supply[name]; p != nil {
-				reserve = append(reserve, p.empty...)
-			}
-		}
-	}
-	orderCount, maxOrders := 0, s.maxMovesPerPlan()
-	for _, b := range shortages {
-		for n := b.missing; n > 0 && len(surplus)+len(reserve) > 0 && orderCount < maxOrders; n-- {
+	standby, reserve := s.reserve(supply)
+	for _, b := range shortages(balances) {
+		for n := b.count; n > 0 && len(surplus)+len(reserve) > 0 && s.fleet.movesLeft > 0; n-- {
 			donors := &surplus
 			if len(surplus) == 0 {
 				donors = &reserve
 			}
-			if s.orderMove((*donors)[0], b.pool) {
-				orderCount++
-			}
+			s.orderMove((*donors)[0], b.pool)
 			*donors = (*donors)[1:]
 		}
 	}
 	for _, instance := range surplus {
-		if standby == "" || orderCount >= maxOrders {
+		if standby == "" || s.fleet.movesLeft <= 0 {
 			return
 		}
-		if s.orderMove(instance, standby) {
-			orderCount++
+		s.orderMove(instance, standby)
+	}
+}
+
+// reserve returns the empty instances of all standby pools, and the name of one of these pools;
+// empty if there is none.
+func (s *Scheduler) reserve(supply map[string]*poolSupply) (pool string, reserve []string) {
+	for _, name := range slices.Sorted(maps.Keys(s.config.Pools)) {
+		if s.config.Pools[name].Standby {
+			pool = name
+			reserve = append(reserve, supply[name].empty...)
 		}
 	}
+	return pool, reserve
 }
 
 // orderMove cordons an instance and orders its move to a pool. It reports whether the move
@@ -80,6 +112,7 @@
 		m.target = i.Target
 	}
 	s.fleet.moves[instance] = m
+	s.fleet.movesLeft--
 	s.sendMove(m)
 	return true
 }
--- a/internal/cransched/moves_test.go
+++ b/internal/cransched/moves_test.go
@@ -25,14 +25,15 @@
 	config := &Config{Version: 1, Pools: map[string]*Pool{"a": {Name: "a"}, "b": {Name: "b"}, "off": {Name: "off", Standby: true}}}
 	s := New(1, simTiming, config, cranjob.NewReplica(), Clock{Steady: time.Hour}, Predecessor{})
 	supply := map[string]*poolSupply{"a": {empty: []string{"a1", "a2", "a3"}}, "b": {}, "off": {empty: []string{"off1", "off2"}}}
-	s.rebalance([]poolBalance{{"b", 4}}, []poolBalance{{"a", -3}}, supply)
+	s.fleet.movesLeft = 6
+	s.rebalance([]*poolBalance{{pool: "a", total: 3}, {pool: "b", punctual: 4, desired: 4}}, supply)
 	moves := map[string]string{}
 	for id, m := range s.fleet.moves {
 		moves[id] = m.pool
 	}
 	require.Equal(t, map[string]string{"a1": "b", "a2": "b", "a3": "b", "off1": "b"}, moves)
 	s.fleet.moves = map[string]*move{}
-	s.rebalance([]poolBalance{{"b", 1}}, []poolBalance{{"a", -2}}, supply)
+	s.rebalance([]*poolBalance{{pool: "a", total: 2}, {pool: "b", punctual: 1, desired: 1}}, supply)
 	require.Equal(t, "b", s.fleet.moves["a1"].pool)
 	require.Equal(t, "off", s.fleet.moves["a2"].pool)
 	require.Len(t, s.fleet.moves, 2)
--- a/internal/cransched/pools.go
+++ b/internal/cransched/pools.go
@@ -1,7 +1,6 @@
 package cransched
 
 import (
-	"cmp"
 	"maps"
 	"math"
 	"slices"
@@ -58,8 +57,10 @@
 // demand is the load that the jobs of a pool ask for.
 type demand struct {
 	// longRunning is the load of long-running tasks, urgent the load that the other tasks
-	// need now to complete in time, and expected the forecast load of arriving jobs.
-	longRunning, urgent, expected load
+	// need now to complete in time, and expected the forecast load of arriving jobs. late is
+	// the load of tasks that can't complete in time any more, and arriving the load of the jobs
+	// that have arrived lately.
+	longRunning, urgent, expected, late, arriving load
 	// minInstances is the number of instances needed to spread the tasks of a step.
 	minInstances int
 }
@@ -75,30 +76,58 @@
 	}
 	s.fleet.nextPlanAt = now + planInterval
 	s.checkMoves()
+	s.fleet.movesLeft = s.maxMovesPerPlan()
 	supply := s.supply()
+	balances := s.balances(supply)
+	s.yieldToPunctual(balances, supply)
+	s.rebalance(balances, supply)
+	s.vacateForStarved(supply)
+}
+
+// poolBalance compares the instances that a pool has with those that it needs.
+type poolBalance struct {
+	pool string
+	// members counts the instances whose target takes tasks, and total also those on their
+	// way to the pool.
+	members, total int
+	// punctual is how many instances the long-running tasks and the work that can still
+	// complete in time need, and desired how many all work of the pool needs.
+	punctual, desired int
+	// current is punctual at the present rate of arrivals, without extrapolated growth.
+	current int
+}
+
+// lacksPunctual returns how many instances the pool lacks for work that can still complete in
+// time; negative if it has more.
+func (b poolBalance) lacksPunctual() int { return b.punctual - b.total }
+
+// lacks returns how many instances the pool lacks for all of its work; negative for a surplus.
+func (b poolBalance) lacks() int { return b.desired - b.total }
+
+// balances returns the balance of each pool that isn't a standby pool.
+func (s *Scheduler) balances(supply map[string]*poolSupply) []*poolBalance {
 	demands := s.demands()
-	var shortages, surpluses []poolBalance
+	var balances []*poolBalance
 	for _, name := range slices.Sorted(maps.Keys(s.config.Pools)) {
 		if s.config.Pools[name].Standby {
 			continue
 		}
-		desired := s.holdPeak(name, max(s.desiredInstances(demands[name], supply[name]), s.starvedInstances(name, supply[name])))
-		b := poolBalance{pool: name, missing: desired - supply[name].total()}
-		if b.missing > 0 {
-			shortages = append(shortages, b)
-		} else if b.missing < 0 {
-			surpluses = append(surpluses, b)
+		d, p := demands[name], supply[name]
+		if d == nil {
+			d = &demand{}
+		}
+		current := *d
+		current.expected = d.arriving
+		starved := s.starvedInstances(name, p)
+		punctual := max(s.desiredInstances(d, p, load{}), starved)
+		b := &poolBalance{
+			pool: name, members: p.members, total: p.total(), current: s.desiredInstances(&current, p, load{}),
+			punctual: s.holdPeak(s.fleet.punctualPeaks, name, punctual),
 		}
+		b.desired = max(s.holdPeak(s.fleet.peaks, name, max(s.desiredInstances(d, p, d.late), starved)), b.punctual)
+		balances = append(balances, b)
 	}
-	slices.SortFunc(shortages, func(a, b poolBalance) int { return cmp.Or(b.missing-a.missing, cmp.Compare(a.pool, b.pool)) })
-	s.rebalance(shortages, surpluses, supply)
-	s.vacateForStarved(supply)
-}
-
-// poolBalance is the number of instances that a pool lacks; negative for a surplus.
-type poolBalance struct {
-	pool    string
-	missing int
+	return balances
 }
 
 // poolSupply describes the instances that a pool has.
@@ -107,21 +136,18 @@
 	members int
 	// empty lists the instances on which nothing runs, including those in standby.
 	empty []string
-	// arriving counts the moves in progress to the pool.
+	// arriving counts the moves in progress to the pool, and the targets that are emptied for
+	// such a move.
 	arriving int
 	capacity cranjob.Resources
 }
 
-func (p *poolSupply) total() int {
-	if p == nil {
-		return 0
-	}
-	return p.members + p.arriving
-}
+func (p *poolSupply) total() int { return p.members + p.arriving }
 
-// supply counts the instances of each pool.
+// supply counts the instances of each pool. It has an entry for every pool.
 func (s *Scheduler) supply() map[string]*poolSupply {
 	supply := map[string]*poolSupply{}
+	var usual cranjob.Resources
 	entryOf := func(pool string) *poolSupply {
 		if supply[pool] == nil {
 			supply[pool] = &poolSupply{}
@@ -134,10 +160,17 @@
 			entryOf(m.pool).arriving++
 			continue
 		}
+		if y, found := s.fleet.yielding[id]; found {
+			entryOf(y.pool).arriving++
+			continue
+		}
 		p := entryOf(i.Pool)
 		if p.capacity.CPU == 0 {
 			p.capacity = i.Capacity
 		}
+		if usual.CPU == 0 {
+			usual = i.Capacity
+		}
 		if !i.Up || s.hasWaveOrder(id) {
 			continue
 		}
@@ -154,6 +187,12 @@
 			p.empty = append(p.empty, id)
 		}
 	}
+	for name := range s.config.Pools {
+		// The instances that a pool without any will get are like those of the others.
+		if p := entryOf(name); p.capacity.CPU == 0 {
+			p.capacity = usual
+		}
+	}
 	return supply
 }
 
@@ -184,13 +223,15 @@
 		j.updateEstimates(s.predictors[j.Queue], s.clock.Steady)
 		for _, st := range j.stages {
 			if !st.complete() && s.readyWithinMoveTime(j, st) {
-				d.add(st, s.requiredParallelism(j, st))
+				parallelism, late := s.requiredParallelism(j, st)
+				d.add(st, parallelism, late)
 			}
 		}
 	}
 	for pool, arrivals := range s.arrivals {
 		if demands[pool] != nil {
 			demands[pool].expected = arrivals.forecast(s.clock.Steady)
+			demands[pool].arriving = arrivals.recent(s.clock.Steady)
 		}
 	}
 	return demands
@@ -244,28 +285,33 @@
 }
 
 // requiredParallelism returns how many tasks of a stage have to run at the same time for
-// the job to complete in time.
-func (s *Scheduler) requiredParallelism(j *job, st *stage) float64 {
+// the job to complete in time. If it can't any more, late is true and the work is spread over
+// lateWorkHorizon.
+func (s *Scheduler) requiredParallelism(j *job, st *stage) (parallelism float64, late bool) {
 	openTasks := float64(len(st.tasks) - st.done)
 	durationMs := j.durationMs[st.name.Step]
 	if st.step.LongRunning || st.step.Gang || durationMs <= 0 {
-		return openTasks
+		return openTasks, false
 	}
 	laterStepsMs := j.criticalPathMs[st.name.Step] - durationMs*longestTaskFactor(st.step.Count)
 	availableMs := float64(j.softDeadlineMs(st.name.Occurrence)-s.clock.UnixMs) - laterStepsMs
 	if availableMs < durationMs {
-		availableMs = float64(lateWorkHorizon.Milliseconds())
+		return openTasks * min(durationMs/float64(lateWorkHorizon.Milliseconds()), 1), true
 	}
-	return openTasks * min(durationMs/availableMs, 1)
+	return openTasks * durationMs / availableMs, false
 }
 
 // add adds the load of a stage that runs with the given parallelism.
-func (d *demand) add(st *stage, parallelism float64) {
+func (d *demand) add(st *stage, parallelism float64, late bool) {
 	reserved := st.step.Reservation()
 	need := load{parallelism * float64(reserved.CPU), parallelism * float64(reserved.Memory)}
-	if st.step.LongRunning {
+	switch {
+	case st.step.LongRunning:
 		d.longRunning = d.longRunning.plus(need)
-	} else {
+	case late:
+		d.late = d.late.plus(need)
+		return
+	default:
 		d.urgent = d.urgent.plus(need)
 	}
 	limit := st.step.MaxPerTarget
@@ -277,13 +323,14 @@
 	}
 }
 
-// desiredInstances returns the number of instances that a demand needs.
-func (s *Scheduler) desiredInstances(d *demand, p *poolSupply) int {
-	if d == nil || p == nil || p.capacity.CPU == 0 || p.capacity.Memory == 0 {
+// desiredInstances returns the number of instances that a demand needs, with the given part of
+// its late work.
+func (s *Scheduler) desiredInstances(d *demand, p *poolSupply, late load) int {
+	if p.capacity.CPU == 0 || p.capacity.Memory == 0 {
 		return spareInstances
 	}
-	cpu := (d.longRunning.cpu + max(d.urgent.cpu, d.expected.cpu)) / (usableShare * float64(p.capacity.CPU))
-	memory := (d.longRunning.memory + max(d.urgent.memory, d.expected.memory)) / (usableShare * float64(p.capacity.Memory))
+	cpu := (d.longRunning.cpu + max(d.urgent.cpu+late.cpu, d.expected.cpu)) / (usableShare * float64(p.capacity.CPU))
+	memory := (d.longRunning.memory + max(d.urgent.memory+late.memory, d.expected.memory)) / (usableShare * float64(p.capacity.Memory))
 	return max(int(math.Ceil(max(cpu, memory)))+spareInstances, d.minInstances)
 }
 
@@ -291,7 +338,7 @@
 // none of its targets: one more than its members. The demand of the pool
 // alone doesn't show this, since its total free capacity may be large enough for the task.
 func (s *Scheduler) starvedInstances(pool string, p *poolSupply) int {
-	if !s.starved[pool] || p == nil {
+	if !s.starved[pool] {
 		return 0
 	}
 	return p.members + 1
@@ -299,10 +346,10 @@
 
 // holdPeak returns the largest number of instances that the pool needed within
 // peakHoldTime, so that a short dip in demand moves no instance away.
-func (s *Scheduler) holdPeak(pool string, count int) int {
-	peak := s.fleet.peaks[pool]
+func (s *Scheduler) holdPeak(peaks map[string]*peakDemand, pool string, count int) int {
+	peak := peaks[pool]
 	if peak == nil || count >= peak.count || s.clock.Steady >= peak.until {
-		s.fleet.peaks[pool] = &peakDemand{count: count, until: s.clock.Steady + peakHoldTime}
+		peaks[pool] = &peakDemand{count: count, until: s.clock.Steady + peakHoldTime}
 		return count
 	}
 	return peak.count
--- a/internal/cransched/wave.go
+++ b/internal/cransched/wave.go
@@ -91,17 +91,23 @@
 	// starvedSince is when each pool of which a long-running task fits on no target was first
 	// found so.
 	starvedSince map[string]time.Duration
-	// nextPlanAt is when the pool sizes are planned next.
+	// yielding holds, for each instance, a target with late work that is emptied for a pool with
+	// work that can still complete in time.
+	yielding map[string]yielding
+	// nextPlanAt is when the pool sizes are planned next, and movesLeft how many moves the
+	// current round may still order.
 	nextPlanAt time.Duration
-	// peaks holds the recent peak demand of each pool.
-	peaks map[string]*peakDemand
+	movesLeft  int
+	// peaks holds the recent peak demand of each pool, punctualPeaks that without late work.
+	peaks, punctualPeaks map[string]*peakDemand
 }
 
 // newFleet restores the stored orders and the moves that may be in progress.
 func (s *Scheduler) newFleet(orders map[string]cranjob.InstanceOrder) fleet {
 	f := fleet{
 		waves: map[int]*wave{}, storedOrders: maps.Clone(orders),
-		moves: map[string]*move{}, refusedMoves: map[destination]bool{}, peaks: map[string]*peakDemand{},
+		moves: map[string]*move{}, refusedMoves: map[destination]bool{}, peaks: map[string]*peakDemand{}, punctualPeaks: map[string]*peakDemand{},
+		yielding: map[string]yielding{},
 		vacating: map[string]*target{}, starvedSince: map[string]time.Duration{},
 	}
 	for instance, order := range orders {
