cransched: order moves at the platform's whole rate

Cause: a planning round ordered a whole number of moves for 100 ms, and rounds are 100 to 125 ms apart. Change: a budget counts the time between rounds. Evidence: TestMovesUseRateOfPlatform now plays rounds of 100, 112 and 137 ms; a fixed number per round orders 98 of 112 moves a second at 112 ms. Its former check, the number for one round, was that of the removed function; a bound of the burst after an idle time is new.

--- a/internal/cransched/moves.go
+++ b/internal/cransched/moves.go
@@ -69,7 +69,7 @@
 	}
 	standby, reserve := s.reserve(supply)
 	for _, b := range shortages(balances) {
-		for n := b.count; n > 0 && len(surplus)+len(reserve) > 0 && s.fleet.movesLeft > 0; n-- {
+		for n := b.count; n > 0 && len(surplus)+len(reserve) > 0 && s.fleet.budget.allows(); n-- {
 			donors := &surplus
 			if len(surplus) == 0 {
 				donors = &reserve
@@ -79,7 +79,7 @@
 		}
 	}
 	for _, instance := range surplus {
-		if standby == "" || s.fleet.movesLeft <= 0 {
+		if standby == "" || !s.fleet.budget.allows() {
 			return
 		}
 		s.orderMove(instance, standby)
@@ -112,7 +112,7 @@
 		m.target = i.Target
 	}
 	s.fleet.moves[instance] = m
-	s.fleet.movesLeft--
+	s.fleet.budget.left--
 	s.sendMove(m)
 	return true
 }
--- a/internal/cransched/moves_test.go
+++ b/internal/cransched/moves_test.go
@@ -9,12 +9,27 @@
 	"github.com/cranberrypick/cranberrypick/internal/cranjob"
 )
 
-// TestMovesUseRateOfPlatform checks that a planning round orders as many moves as the platform
-// accepts in the time until the next one, and some when the rate is low or unknown.
+// TestMovesUseRateOfPlatform checks that planning rounds order as many moves as the platform
+// accepts, however long they are apart, and some when the rate is low or unknown. An idle time
+// must not let a burst above the rate through.
 func TestMovesUseRateOfPlatform(t *testing.T) {
-	for rate, want := range map[float64]int{0: 6, 1: 1, 64: 6, 215: 20} {
-		s := &Scheduler{timing: Timing{OrdersPerSecond: rate}}
-		require.Equal(t, want, s.maxMovesPerPlan(), rate)
+	for rate, want := range map[float64]int{0: 60, 1: 1, 64: 60, 118: 112, 215: 204} {
+		for _, interval := range []time.Duration{100 * time.Millisecond, 112 * time.Millisecond, 137 * time.Millisecond} {
+			b := moveBudget{}
+			b.replenish(time.Hour, rate)
+			idle := int(b.left)
+			require.LessOrEqual(t, float64(idle), max(moveBurst.Seconds()*max(rate, defaultOrdersPerSecond), 1))
+			b.left = 0
+			ordered := 0
+			for now := time.Duration(0); now < 2*time.Second; now += interval {
+				b.replenish(time.Hour+now, rate)
+				for b.allows() {
+					b.left--
+					ordered++
+				}
+			}
+			require.InDelta(t, 2*want, ordered, float64(want)/8+1, "rate %v, interval %v", rate, interval)
+		}
 	}
 }
 
@@ -25,7 +40,7 @@
 	config := &Config{Version: 1, Pools: map[string]*Pool{"a": {Name: "a"}, "b": {Name: "b"}, "off": {Name: "off", Standby: true}}}
 	s := New(1, simTiming, config, cranjob.NewReplica(), Clock{Steady: time.Hour}, Predecessor{})
 	supply := map[string]*poolSupply{"a": {empty: []string{"a1", "a2", "a3"}}, "b": {}, "off": {empty: []string{"off1", "off2"}}}
-	s.fleet.movesLeft = 6
+	s.fleet.budget.left = 6
 	s.rebalance([]*poolBalance{{pool: "a", total: 3}, {pool: "b", punctual: 4, desired: 4}}, supply)
 	moves := map[string]string{}
 	for id, m := range s.fleet.moves {
--- a/internal/cransched/pools.go
+++ b/internal/cransched/pools.go
@@ -38,15 +38,29 @@
 	moveShare              = 0.95
 )
 
-// maxMovesPerPlan returns how many moves one planning round may order.
-func (s *Scheduler) maxMovesPerPlan() int {
-	rate := s.timing.OrdersPerSecond
-	if rate <= 0 {
-		rate = defaultOrdersPerSecond
+// moveBurst is the length of time for which moves that were not ordered may be ordered later.
+const moveBurst = 150 * time.Millisecond
+
+// moveBudget limits the moves to the rate of orders that the platform accepts. It counts the
+// time between two planning rounds, which varies with the load of the process.
+type moveBudget struct {
+	left          float64
+	replenishedAt time.Duration
+}
+
+// replenish adds the moves that the platform has accepted since the last call.
+func (b *moveBudget) replenish(now time.Duration, ordersPerSecond float64) {
+	if ordersPerSecond <= 0 {
+		ordersPerSecond = defaultOrdersPerSecond
 	}
-	return max(int(moveShare*rate*planInterval.Seconds()), 1)
+	rate := moveShare * ordersPerSecond
+	b.left = min(b.left+rate*(now-b.replenishedAt).Seconds(), max(rate*moveBurst.Seconds(), 1))
+	b.replenishedAt = now
 }
 
+// allows reports whether a move may be ordered.
+func (b *moveBudget) allows() bool { return b.left >= 1 }
+
 // peakDemand is the largest number of instances that a pool needed recently, kept until a
 // time.
 type peakDemand struct {
@@ -76,7 +90,7 @@
 	}
 	s.fleet.nextPlanAt = now + planInterval
 	s.checkMoves()
-	s.fleet.movesLeft = s.maxMovesPerPlan()
+	s.fleet.budget.replenish(now, s.timing.OrdersPerSecond)
 	supply := s.supply()
 	balances := s.balances(supply)
 	s.yieldToPunctual(balances, supply)
--- a/internal/cransched/wave.go
+++ b/internal/cransched/wave.go
@@ -94,10 +94,9 @@
 	// yielding holds, for each instance, a target with late work that is emptied for a pool with
 	// work that can still complete in time.
 	yielding map[string]yielding
-	// nextPlanAt is when the pool sizes are planned next, and movesLeft how many moves the
-	// current round may still order.
+	// nextPlanAt is when the pool sizes are planned next, and budget limits the moves.
 	nextPlanAt time.Duration
-	movesLeft  int
+	budget     moveBudget
 	// peaks holds the recent peak demand of each pool, punctualPeaks that without late work.
 	peaks, punctualPeaks map[string]*peakDemand
 }
--- a/internal/cransched/yield.go
+++ b/internal/cransched/yield.go
@@ -63,7 +63,7 @@
 		case len(t.runs) > 0 || !t.fenced:
 			// The end of a wave or of a failed move makes targets schedulable again.
 			t.cordoned = true
-		case s.fleet.movesLeft > 0 && s.orderMove(instance, y.pool):
+		case s.fleet.budget.allows() && s.orderMove(instance, y.pool):
 			delete(s.fleet.yielding, instance)
 		}
 	}
