cransched: don't acknowledge ends of a restarted target from a batch before its restart

Cause: a target that restarts under its id numbers its ends anew. A batch that was being stored at that moment then marked the numbers of the former process as stored, and the next heartbeat acknowledged ends of the new process that nobody had read. The task waited, missing from the reports, and started again. Change: a batch confirms ends only for the process that has reported them.

--- a/internal/cransched/rules_test.go
+++ b/internal/cransched/rules_test.go
@@ -188,3 +188,29 @@
 		require.Equal(t, 1, running)
 	}
 }
+
+// TestEndsOfRestartedTarget restarts a target under the same id while the ends that its former
+// process has reported are being stored. The numbers of ends begin anew, so none of the new
+// process may be acknowledged: its first ones would be lost, and their tasks would run again.
+// Seeds 99 and 1165 of TestInvariantsUnderFaults found it.
+func TestEndsOfRestartedTarget(t *testing.T) {
+	sim := newSimulation(t, 1, 1)
+	s := New(1, simTiming, sim.config, sim.stored, sim.clock(), Predecessor{})
+	s.SetTargets(sim.targetList())
+	target := s.targets["t0"]
+	sim.submit(newBatchJob("j", 3))
+	s.AddJob(sim.jobs["j"])
+	report := HeartbeatResponse{Response: Response{Status: StatusOK, ClockMs: 1, SentAt: sim.now}}
+	for i := range 3 {
+		name := cranjob.TaskName{Job: "j", Index: i}
+		report.Finished = append(report.Finished, EndReport{Number: int64(i + 1), Task: name, Run: 1, Outcome: OutcomeDone})
+	}
+	s.HandleHeartbeatResponse(target.address(), report)
+	_, any := s.NextBatch()
+	require.True(t, any)
+	require.Equal(t, int64(3), target.endsSeen)
+	sim.restart("t0")
+	s.SetTargets(sim.targetList())
+	s.ConfirmBatch()
+	require.Zero(t, target.endsStored)
+}
--- a/internal/cransched/scheduler.go
+++ b/internal/cransched/scheduler.go
@@ -64,7 +64,13 @@
 // it is stored.
 type batch struct {
 	effects      []Effect
-	acknowledged map[*target]int64
+	acknowledged map[*target]acknowledgement
+}
+
+// acknowledgement is the highest number of an end that a process of a target has reported.
+type acknowledgement struct {
+	number   int64
+	restarts int
 }
 
 // New returns the scheduler of a new owner. The token is the epoch of the owner's claim.
@@ -249,10 +255,10 @@
 	if s.inFlight != nil {
 		return nil, false
 	}
-	acknowledged := map[*target]int64{}
+	acknowledged := map[*target]acknowledgement{}
 	for _, t := range s.targets {
 		if n := t.acknowledgeableEnd(); n > t.endsStored {
-			acknowledged[t] = n
+			acknowledged[t] = acknowledgement{n, t.restarts}
 		}
 	}
 	if len(s.dirty) == 0 && len(s.pendingRecords) == 0 && len(s.awaitingStore) == 0 && len(acknowledged) == 0 {
@@ -282,8 +288,11 @@
 		}
 		s.emit(e)
 	}
-	for t, number := range b.acknowledged {
-		t.endsStored = number
+	for t, a := range b.acknowledged {
+		// The numbers of a new process begin anew.
+		if t.restarts == a.restarts {
+			t.endsStored = a.number
+		}
 	}
 }
 
--- a/internal/cransched/target.go
+++ b/internal/cransched/target.go
@@ -91,6 +91,8 @@
 	// endsSeen is the highest number of an end that was handled, endsStored the highest
 	// number of an end that is stored.
 	endsSeen, endsStored int64
+	// restarts counts the restarts of the target under its id.
+	restarts int
 	// withheldEnd is the lowest number of an end that must not be acknowledged; 0 if there
 	// is none.
 	withheldEnd int64
--- a/internal/cransched/targets.go
+++ b/internal/cransched/targets.go
@@ -58,6 +58,7 @@
 	t.ended = false
 	t.info.ProcessStartMs = processStartMs
 	t.clockMs, t.clockAt, t.leaseEndMs, t.earlierLeasesEndAt = 0, 0, 0, 0
+	t.restarts++
 	t.endsSeen, t.endsStored, t.withheldEnd = 0, 0, 0
 	t.fenced = false
 	t.awaitsStore = false
