cransched: let a peak that is over keep no instance from a pool that lacks it

What callers saw: at the beginning of a turn of the demand the next pool's jobs wait while the pool before it keeps empty instances. Cause: the hold after a peak, meant against moves to the standby pool and back, also kept instances from pools that needed them. Change: instances go to a pool that lacks them by what their pool needs now; only moves to the standby pool wait for the hold. Evidence: TestPeakThatIsOverKeepsNoInstance failed with the hold.

--- a/internal/cransched/moves.go
+++ b/internal/cransched/moves.go
@@ -36,11 +36,11 @@
 func shortages(balances []*poolBalance) []shortage {
 	var punctual, late []shortage
 	for _, b := range balances {
-		lacksPunctual := max(b.lacksPunctual(), 0)
+		lacksPunctual := max(b.punctual-b.total, 0)
 		if lacksPunctual > 0 {
 			punctual = append(punctual, shortage{b.pool, lacksPunctual})
 		}
-		if rest := b.lacks() - lacksPunctual; rest > 0 {
+		if rest := b.needed - b.total - lacksPunctual; rest > 0 {
 			late = append(late, shortage{b.pool, rest})
 		}
 	}
@@ -50,22 +50,24 @@
 	return append(punctual, late...)
 }
 
-// surplus returns the empty instances that a pool doesn't need.
+// surplus returns the empty instances that a pool doesn't need now.
 func (b *poolBalance) surplus(p *poolSupply) []string {
-	if b.lacks() >= 0 {
-		return nil
-	}
-	return p.empty[:min(-b.lacks(), len(p.empty))]
+	return p.empty[:min(max(b.total-b.needed, 0), len(p.empty))]
 }
 
-// rebalance moves empty instances to pools with a shortage, and the remaining surplus of the
-// others to a standby pool. It answers demand that turns from one pool to the next: a surplus is
+// rebalance moves empty instances to pools with a shortage, and those that no pool has needed
+// lately to a standby pool. It answers demand that turns from one pool to the next: a surplus is
 // used first, since an instance that goes to a standby pool while another one comes from there
-// takes two moves.
+// takes two moves, and a peak that is over keeps no instance from a pool that lacks it.
 func (s *Scheduler) rebalance(balances []*poolBalance, supply map[string]*poolSupply) {
 	var surplus []string
+	unneeded := map[string]bool{}
 	for _, b := range balances {
-		surplus = append(surplus, b.surplus(supply[b.pool])...)
+		empty := b.surplus(supply[b.pool])
+		surplus = append(surplus, empty...)
+		for _, instance := range empty[:min(max(b.total-b.held, 0), len(empty))] {
+			unneeded[instance] = true
+		}
 	}
 	standby, reserve := s.reserve(supply)
 	for _, b := range shortages(balances) {
@@ -82,7 +84,9 @@
 		if standby == "" || !s.fleet.budget.allows() {
 			return
 		}
-		s.orderMove(instance, standby)
+		if unneeded[instance] {
+			s.orderMove(instance, standby)
+		}
 	}
 }
 
--- a/internal/cransched/pools.go
+++ b/internal/cransched/pools.go
@@ -20,8 +20,8 @@
 	lateWorkHorizon = 5000 * time.Millisecond
 	// usableShare is the fraction of an instance that tasks of mixed sizes can use.
 	usableShare = 0.9
-	// peakHoldTime is how long a pool keeps its size after demand has dropped. Moving an
-	// instance away and back costs about two seconds of its time.
+	// peakHoldTime is how long a pool keeps its instances from a standby pool after demand has
+	// dropped. Moving an instance away and back costs about two seconds of its time.
 	peakHoldTime = 1200 * time.Millisecond
 	// spareInstances is the number of instances that each pool gets beyond its demand. The
 	// first jobs of a surge arrive before an instance can be moved.
@@ -105,19 +105,13 @@
 	// way to the pool.
 	members, total int
 	// punctual is how many instances the long-running tasks and the work that can still
-	// complete in time need, and desired how many all work of the pool needs.
-	punctual, desired int
+	// complete in time need, needed how many all work of the pool needs, and held the most
+	// that it has needed within peakHoldTime.
+	punctual, needed, held int
 	// current is punctual at the present rate of arrivals, without extrapolated growth.
 	current int
 }
 
-// lacksPunctual returns how many instances the pool lacks for work that can still complete in
-// time; negative if it has more.
-func (b poolBalance) lacksPunctual() int { return b.punctual - b.total }
-
-// lacks returns how many instances the pool lacks for all of its work; negative for a surplus.
-func (b poolBalance) lacks() int { return b.desired - b.total }
-
 // balances returns the balance of each pool that isn't a standby pool.
 func (s *Scheduler) balances(supply map[string]*poolSupply) []*poolBalance {
 	demands := s.demands()
@@ -133,13 +127,11 @@
 		current := *d
 		current.expected = d.arriving
 		starved := s.starvedInstances(name, p)
-		punctual := max(s.desiredInstances(d, p, load{}), starved)
-		b := &poolBalance{
+		needed := max(s.desiredInstances(d, p, d.late), starved)
+		balances = append(balances, &poolBalance{
 			pool: name, members: p.members, total: p.total(), current: s.desiredInstances(&current, p, load{}),
-			punctual: s.holdPeak(s.fleet.punctualPeaks, name, punctual),
-		}
-		b.desired = max(s.holdPeak(s.fleet.peaks, name, max(s.desiredInstances(d, p, d.late), starved)), b.punctual)
-		balances = append(balances, b)
+			punctual: max(s.desiredInstances(d, p, load{}), starved), needed: needed, held: s.holdPeak(name, needed),
+		})
 	}
 	return balances
 }
@@ -359,11 +351,11 @@
 }
 
 // holdPeak returns the largest number of instances that the pool needed within
-// peakHoldTime, so that a short dip in demand moves no instance away.
-func (s *Scheduler) holdPeak(peaks map[string]*peakDemand, pool string, count int) int {
-	peak := peaks[pool]
+// peakHoldTime, so that a short dip in demand moves no instance to a standby pool.
+func (s *Scheduler) holdPeak(pool string, count int) int {
+	peak := s.fleet.peaks[pool]
 	if peak == nil || count >= peak.count || s.clock.Steady >= peak.until {
-		peaks[pool] = &peakDemand{count: count, until: s.clock.Steady + peakHoldTime}
+		s.fleet.peaks[pool] = &peakDemand{count: count, until: s.clock.Steady + peakHoldTime}
 		return count
 	}
 	return peak.count
--- a/internal/cransched/wave.go
+++ b/internal/cransched/wave.go
@@ -97,15 +97,15 @@
 	// nextPlanAt is when the pool sizes are planned next, and budget limits the moves.
 	nextPlanAt time.Duration
 	budget     moveBudget
-	// peaks holds the recent peak demand of each pool, punctualPeaks that without late work.
-	peaks, punctualPeaks map[string]*peakDemand
+	// peaks holds the recent peak demand of each pool.
+	peaks map[string]*peakDemand
 }
 
 // newFleet restores the stored orders and the moves that may be in progress.
 func (s *Scheduler) newFleet(orders map[string]cranjob.InstanceOrder) fleet {
 	f := fleet{
 		waves: map[int]*wave{}, storedOrders: maps.Clone(orders),
-		moves: map[string]*move{}, refusedMoves: map[destination]bool{}, peaks: map[string]*peakDemand{}, punctualPeaks: map[string]*peakDemand{},
+		moves: map[string]*move{}, refusedMoves: map[destination]bool{}, peaks: map[string]*peakDemand{},
 		yielding: map[string]yielding{},
 		vacating: map[string]*target{}, starvedSince: map[string]time.Duration{},
 	}
--- a/internal/cransched/yield.go
+++ b/internal/cransched/yield.go
@@ -54,7 +54,7 @@
 		switch {
 		case s.targets[t.info.ID] != t || t.ended || !t.listed:
 			delete(s.fleet.yielding, instance)
-		case b == nil || b.lacksPunctual() < 0:
+		case b == nil || b.total > b.punctual:
 			t.cordoned = false
 			delete(s.fleet.yielding, instance)
 			if b != nil {
@@ -72,7 +72,7 @@
 // donors returns the targets of a pool that may be emptied: as many as only its late work needs,
 // and none with long-running tasks. A pool without late work empties by itself.
 func (s *Scheduler) donors(b *poolBalance) []*target {
-	excess := min(b.members, b.desired) - b.punctual
+	excess := min(b.members, b.needed) - b.punctual
 	if excess <= 0 {
 		return nil
 	}
