cransched: withdraw the emptying of targets with late work

Cause: emptied targets of pools without punctual work down to one instance, and once no work was punctual any more nothing gave these pools instances back. Change: the emptying is gone. Shortages of punctual work still come first, and pools without instances count on the size of the others'. An instance that is emptied for a starved task isn't moved while an order of a wave for it is pending, and targets that are gone leave the list of silent ones.

--- a/internal/cransched/lease.go
+++ b/internal/cransched/lease.go
@@ -44,9 +44,10 @@
 func (s *Scheduler) SilentTargetsChanged() bool { return s.suspensions.changed() }
 
 // NextSilentTargets returns the silent targets, which the caller publishes before it calls
-// [Scheduler.ConfirmSilentTargets].
+// [Scheduler.ConfirmSilentTargets]. Targets that are gone are dropped, since nothing runs there.
 func (s *Scheduler) NextSilentTargets() []SilentTarget {
 	p := &s.suspensions
+	maps.DeleteFunc(p.wanted, func(id string, _ bool) bool { return s.targets[id] == nil })
 	p.inFlight = maps.Clone(p.wanted)
 	list := make([]SilentTarget, 0, len(p.wanted))
 	for _, id := range slices.Sorted(maps.Keys(p.wanted)) {
@@ -64,9 +65,6 @@
 // leasesEndIn returns how long the leases of a target may last at most.
 func (s *Scheduler) leasesEndIn(id string) time.Duration {
 	t := s.targets[id]
-	if t == nil {
-		return max(s.earlierLeaseEnd(id)-s.clock.Steady, 0)
-	}
 	endsIn := t.earlierLeasesEndAt - s.clock.Steady
 	if t.clockAt != 0 {
 		left := time.Duration(t.leaseEndMs-t.minClockMs(s.clock.Steady))*time.Millisecond + leaseExpiryMargin
--- a/internal/cransched/pools.go
+++ b/internal/cransched/pools.go
@@ -72,9 +72,8 @@
 type demand struct {
 	// longRunning is the load of long-running tasks, urgent the load that the other tasks
 	// need now to complete in time, and expected the forecast load of arriving jobs. late is
-	// the load of tasks that can't complete in time any more, and arriving the load of the jobs
-	// that have arrived lately.
-	longRunning, urgent, expected, late, arriving load
+	// the load of tasks that can't complete in time any more.
+	longRunning, urgent, expected, late load
 	// minInstances is the number of instances needed to spread the tasks of a step.
 	minInstances int
 }
@@ -93,7 +92,6 @@
 	s.fleet.budget.replenish(now, s.timing.OrdersPerSecond)
 	supply := s.supply()
 	balances := s.balances(supply)
-	s.yieldToPunctual(balances, supply)
 	s.rebalance(balances, supply)
 	s.vacateForStarved(supply)
 }
@@ -101,15 +99,12 @@
 // poolBalance compares the instances that a pool has with those that it needs.
 type poolBalance struct {
 	pool string
-	// members counts the instances whose target takes tasks, and total also those on their
-	// way to the pool.
-	members, total int
+	// total counts the instances whose target takes tasks, and those on their way to the pool.
+	total int
 	// punctual is how many instances the long-running tasks and the work that can still
 	// complete in time need, needed how many all work of the pool needs, and held the most
 	// that it has needed within peakHoldTime.
 	punctual, needed, held int
-	// current is punctual at the present rate of arrivals, without extrapolated growth.
-	current int
 }
 
 // balances returns the balance of each pool that isn't a standby pool.
@@ -124,12 +119,10 @@
 		if d == nil {
 			d = &demand{}
 		}
-		current := *d
-		current.expected = d.arriving
 		starved := s.starvedInstances(name, p)
 		needed := max(s.desiredInstances(d, p, d.late), starved)
 		balances = append(balances, &poolBalance{
-			pool: name, members: p.members, total: p.total(), current: s.desiredInstances(&current, p, load{}),
+			pool: name, total: p.total(),
 			punctual: max(s.desiredInstances(d, p, load{}), starved), needed: needed, held: s.holdPeak(name, needed),
 		})
 	}
@@ -142,8 +135,7 @@
 	members int
 	// empty lists the instances on which nothing runs, including those in standby.
 	empty []string
-	// arriving counts the moves in progress to the pool, and the targets that are emptied for
-	// such a move.
+	// arriving counts the moves in progress to the pool.
 	arriving int
 	capacity cranjob.Resources
 }
@@ -166,10 +158,6 @@
 			entryOf(m.pool).arriving++
 			continue
 		}
-		if y, found := s.fleet.yielding[id]; found {
-			entryOf(y.pool).arriving++
-			continue
-		}
 		p := entryOf(i.Pool)
 		if p.capacity.CPU == 0 {
 			p.capacity = i.Capacity
@@ -237,7 +225,6 @@
 	for pool, arrivals := range s.arrivals {
 		if demands[pool] != nil {
 			demands[pool].expected = arrivals.forecast(s.clock.Steady)
-			demands[pool].arriving = arrivals.recent(s.clock.Steady)
 		}
 	}
 	return demands
--- a/internal/cransched/surge.go
+++ b/internal/cransched/surge.go
@@ -44,17 +44,6 @@
 	}
 }
 
-// recent returns the load of the jobs that arrived in the newer half of the slots.
-func (h *arrivalHistory) recent(now time.Duration) load {
-	h.advance(now)
-	var sum load
-	for _, s := range h.slots[arrivalSlots/2:] {
-		sum = sum.plus(s)
-	}
-	span := (arrivalSlot * arrivalSlots / 2).Seconds()
-	return load{sum.cpu / span, sum.memory / span}
-}
-
 // forecast returns the expected load of arrivals after moveTime, extrapolating recent
 // growth linearly. A falling load is not extrapolated.
 func (h *arrivalHistory) forecast(now time.Duration) load {
--- a/internal/cransched/vacate.go
+++ b/internal/cransched/vacate.go
@@ -53,7 +53,7 @@
 	case !s.starved[pool]:
 		t.cordoned = false
 		delete(s.fleet.vacating, pool)
-	case len(t.runs) == 0 && s.orderMove(t.info.Instance, pool):
+	case len(t.runs) == 0 && !s.hasPendingOrder(t) && s.orderMove(t.info.Instance, pool):
 		delete(s.fleet.vacating, pool)
 	}
 }
--- a/internal/cransched/wave.go
+++ b/internal/cransched/wave.go
@@ -91,9 +91,6 @@
 	// starvedSince is when each pool of which a long-running task fits on no target was first
 	// found so.
 	starvedSince map[string]time.Duration
-	// yielding holds, for each instance, a target with late work that is emptied for a pool with
-	// work that can still complete in time.
-	yielding map[string]yielding
 	// nextPlanAt is when the pool sizes are planned next, and budget limits the moves.
 	nextPlanAt time.Duration
 	budget     moveBudget
@@ -106,7 +103,6 @@
 	f := fleet{
 		waves: map[int]*wave{}, storedOrders: maps.Clone(orders),
 		moves: map[string]*move{}, refusedMoves: map[destination]bool{}, peaks: map[string]*peakDemand{},
-		yielding: map[string]yielding{},
 		vacating: map[string]*target{}, starvedSince: map[string]time.Duration{},
 	}
 	for instance, order := range orders {
