--- a/internal/cransched/backlog_test.go
+++ b/internal/cransched/backlog_test.go
@@ -54,7 +54,6 @@
 	sim.runFor(4 * time.Second)
 	completed, punctual := sim.inTime("u")
 	require.Equal(t, 60, completed)
-	t.Log("punctual", punctual)
 	require.GreaterOrEqual(t, punctual, 30)
 	sim.runFor(40 * time.Second)
 	completed, _ = sim.inTime("q")
--- a/internal/cransched/lease_test.go
+++ b/internal/cransched/lease_test.go
@@ -10,11 +10,11 @@
 // longestLease is how long a lease of simTiming lasts at most, with the margin for its expiry.
 const longestLease = 5450 * time.Millisecond
 
-// hostOf returns the target on which a task of a job runs.
-func (sim *simulation) hostOf(job string) *simTarget {
+// hostOfLasting returns the target on which a task of the job "lasting" runs.
+func (sim *simulation) hostOfLasting() *simTarget {
 	for _, tgt := range sim.targets {
 		for name := range tgt.runs {
-			if name.Job == job {
+			if name.Job == "lasting" {
 				return tgt
 			}
 		}
@@ -31,7 +31,7 @@
 	sim.takeOver(sim.now - time.Hour)
 	sim.submit(newLongRunningJob("lasting", 1))
 	sim.runFor(3 * time.Second)
-	silent := sim.hostOf("lasting")
+	silent := sim.hostOfLasting()
 	silent.unreachable = true
 	silentSince := sim.now
 	sim.runFor(4 * time.Second)
@@ -40,8 +40,8 @@
 	sim.takeOver(sim.now)
 	sim.runFor(silentSince + longestLease + time.Second - sim.now)
 	sim.endDueRuns(silent)
-	require.NotNil(t, sim.hostOf("lasting"))
-	require.NotEqual(t, silent, sim.hostOf("lasting"))
+	require.NotNil(t, sim.hostOfLasting())
+	require.NotEqual(t, silent, sim.hostOfLasting())
 }
 
 // TestLeaseAfterSilenceIsGrantedOnceStored lets a target respond again for a moment before the
@@ -54,7 +54,7 @@
 		sim.takeOver(sim.now - time.Hour)
 		sim.submit(newLongRunningJob("lasting", 1))
 		sim.runFor(3 * time.Second)
-		silent := sim.hostOf("lasting")
+		silent := sim.hostOfLasting()
 		silent.unreachable = true
 		sim.runFor(3 * time.Second)
 		sim.publishDelay = delay
@@ -64,7 +64,7 @@
 		sim.ownerID++
 		sim.takeOver(sim.now)
 		sim.runFor(12 * time.Second)
-		require.NotEqual(t, silent, sim.hostOf("lasting"))
+		require.NotEqual(t, silent, sim.hostOfLasting())
 	}
 }
 
