crannode: bound the end of a lease in a malformed record

What callers could see: a task runs twice. Cause: a figure in the digest's record of leases that doesn't fit a duration overflows to an end in the past, and the successor starts the target's tasks elsewhere. Change: an end is at most an hour away, which exceeds every lease.

--- a/internal/crannode/shard.go
+++ b/internal/crannode/shard.go
@@ -53,6 +53,10 @@
 	return s
 }
 
+// maxLeaseEnd exceeds every lease. It bounds the figures of a malformed record, which would
+// overflow otherwise and count as a lease that has ended.
+const maxLeaseEnd = time.Hour
+
 // leasesEndAt returns the targets to which the owner with the given epoch grants no lease, and
 // when their leases have ended. The record was written before it was read, so the times are
 // upper bounds.
@@ -63,7 +67,8 @@
 	}
 	endAt := make(map[string]time.Duration, len(leases.Targets))
 	for _, t := range leases.Targets {
-		endAt[t.ID] = s.leasesReadAt + time.Duration(max(t.EndsInMs, 0))*time.Millisecond
+		endsInMs := min(max(t.EndsInMs, 0), maxLeaseEnd.Milliseconds())
+		endAt[t.ID] = s.leasesReadAt + time.Duration(endsInMs)*time.Millisecond
 	}
 	return endAt
 }
--- a/internal/cransched/moves.go
+++ b/internal/cransched/moves.go
@@ -116,7 +116,7 @@
 		m.target = i.Target
 	}
 	s.fleet.moves[instance] = m
-	s.fleet.budget.left--
+	s.fleet.budget.spend()
 	s.sendMove(m)
 	return true
 }
--- a/internal/cransched/moves_test.go
+++ b/internal/cransched/moves_test.go
@@ -24,7 +24,7 @@
 			for now := time.Duration(0); now < 2*time.Second; now += interval {
 				b.replenish(time.Hour+now, rate)
 				for b.allows() {
-					b.left--
+					b.spend()
 					ordered++
 				}
 			}
--- a/internal/cransched/pools.go
+++ b/internal/cransched/pools.go
@@ -61,6 +61,9 @@
 // allows reports whether a move may be ordered.
 func (b *moveBudget) allows() bool { return b.left >= 1 }
 
+// spend counts a move that was ordered.
+func (b *moveBudget) spend() { b.left-- }
+
 // peakDemand is the largest number of instances that a pool needed recently, kept until a
 // time.
 type peakDemand struct {
