cranevent: log the ends of leases that a new owner takes from its predecessor

What callers saw: tasks that ran twice at a time after the owner of a shard had restarted. The logs had no line for the ends of leases in a predecessor's list of silent targets, so they couldn't tell a list that was misread from a lease that outlived its bound, or from a list that lacked a target. Change: event 1307 for each inherited end, with the age of the list and the time that is left. A negative remaining time shows a misread list; a run released after a positive one, a wrong bound; no line for the target, an incomplete list.

--- a/internal/cranevent/catalogue.go
+++ b/internal/cranevent/catalogue.go
@@ -177,6 +177,8 @@
 		KeyAgeMs, KeyCause, KeyTarget),
 	define(TargetSuperseded, "targetSuperseded", LevelWarn, "a target has accepted a scheduler with a higher epoch",
 		KeyTarget),
+	define(LeaseEndInherited, "leaseEndInherited", LevelInfo, "the end of a silent target's leases is taken from the previous owner",
+		KeyAgeMs, KeyEpoch, KeyRemainingMs, KeyShard, KeyTarget),
 	define(TargetCordoned, "targetCordoned", LevelInfo, "a target is cordoned for planned work",
 		KeyCause, KeyTarget),
 	define(MaintenanceOrdered, "upkeepOrdered", LevelInfo, "the maintenance of an instance is ordered",
--- a/internal/cranevent/event.go
+++ b/internal/cranevent/event.go
@@ -113,6 +113,7 @@
 	TargetRestarted    Event = 1304
 	TargetGone         Event = 1305
 	TargetSuperseded   Event = 1306
+	LeaseEndInherited  Event = 1307
 	TargetCordoned     Event = 1310
 	MaintenanceOrdered Event = 1311
 	WaveChanged        Event = 1312
--- a/internal/cranevent/field.go
+++ b/internal/cranevent/field.go
@@ -14,41 +14,42 @@
 
 // Keys of fields.
 const (
-	KeyAction     Key = "action"
-	KeyAddress    Key = "address"
-	KeyAgeMs      Key = "ageMs"
-	KeyBehind     Key = "behind"
-	KeyBytes      Key = "bytes"
-	KeyCause      Key = "cause"
-	KeyCount      Key = "count"
-	KeyDataCentre Key = "dataCentre"
-	KeyDigest     Key = "digest"
-	KeyDomain     Key = "domain"
-	KeyElapsedMs  Key = "elapsedMs"
-	KeyEpoch      Key = "epoch"
-	KeyError      Key = "error"
-	KeyFile       Key = "file"
-	KeyFirstByte  Key = "firstByteMs"
-	KeyFromPhase  Key = "fromPhase"
-	KeyInstance   Key = "instance"
-	KeyJob        Key = "job"
-	KeyMember     Key = "member"
-	KeyNumber     Key = "number"
-	KeyOffset     Key = "offset"
-	KeyPeer       Key = "peer"
-	KeyPool       Key = "pool"
-	KeyQueue      Key = "queue"
-	KeyReason     Key = "reason"
-	KeyRevision   Key = "revision"
-	KeyService    Key = "service"
-	KeyShard      Key = "shard"
-	KeyStream     Key = "stream"
-	KeySuppressed Key = "suppressed"
-	KeyTarget     Key = "target"
-	KeyTask       Key = "task"
-	KeyToPhase    Key = "toPhase"
-	KeyToPool     Key = "toPool"
-	KeyWave       Key = "wave"
+	KeyAction      Key = "action"
+	KeyAddress     Key = "address"
+	KeyAgeMs       Key = "ageMs"
+	KeyBehind      Key = "behind"
+	KeyBytes       Key = "bytes"
+	KeyCause       Key = "cause"
+	KeyCount       Key = "count"
+	KeyDataCentre  Key = "dataCentre"
+	KeyDigest      Key = "digest"
+	KeyDomain      Key = "domain"
+	KeyElapsedMs   Key = "elapsedMs"
+	KeyEpoch       Key = "epoch"
+	KeyError       Key = "error"
+	KeyFile        Key = "file"
+	KeyFirstByte   Key = "firstByteMs"
+	KeyFromPhase   Key = "fromPhase"
+	KeyInstance    Key = "instance"
+	KeyJob         Key = "job"
+	KeyMember      Key = "member"
+	KeyNumber      Key = "number"
+	KeyOffset      Key = "offset"
+	KeyPeer        Key = "peer"
+	KeyPool        Key = "pool"
+	KeyQueue       Key = "queue"
+	KeyReason      Key = "reason"
+	KeyRemainingMs Key = "remainingMs"
+	KeyRevision    Key = "revision"
+	KeyService     Key = "service"
+	KeyShard       Key = "shard"
+	KeyStream      Key = "stream"
+	KeySuppressed  Key = "suppressed"
+	KeyTarget      Key = "target"
+	KeyTask        Key = "task"
+	KeyToPhase     Key = "toPhase"
+	KeyToPool      Key = "toPool"
+	KeyWave        Key = "wave"
 )
 
 // Field is a typed value in the log line of an event.
@@ -146,6 +147,10 @@
 // Reason returns a field with the kind of a fault.
 func Reason(k cranfault.Kind) Field { return textField(KeyReason, string(k)) }
 
+// Remaining returns a field with the time until something ends. It is negative if that is in the
+// past.
+func Remaining(d time.Duration) Field { return integerField(KeyRemainingMs, d.Milliseconds()) }
+
 // Revision returns a field with the revision of a configuration.
 func Revision(n uint64) Field { return unsignedField(KeyRevision, n) }
 
