--- a/internal/crannode/fleet_test.go
+++ b/internal/crannode/fleet_test.go
@@ -52,7 +52,7 @@
 	clock := func() cransched.Clock {
 		return cransched.Clock{Steady: time.Hour + time.Since(start), UnixMs: time.Now().UnixMilli()}
 	}
-	f.targets = &fakeTargets{t: t, clock: clock, targets: map[string]*fakeTarget{}, senders: map[string]string{}, done: map[cranjob.TaskName]bool{}, confirmedAt: map[string]time.Duration{}}
+	f.targets = &fakeTargets{t: t, clock: clock, targets: map[string]*fakeTarget{}, senders: map[string]string{}, done: map[cranjob.TaskName]bool{}, lasting: map[string]bool{}, confirmedAt: map[string]time.Duration{}}
 	operator, targets := cranmemory.New(), cranmemory.New()
 	operator.Put("config", []byte{1})
 	for i := range fleetTargets {
@@ -104,7 +104,7 @@
 	}
 	// A process that can schedule 10 targets makes the layout have fleetShards.
 	n.node = New(n.name, incarnation, topics, f.directory, connection{targets: f.targets, process: incarnation}, WithClock(f.targets.clock),
-		WithLimits(cranshard.Limits{Cores: 0.025}), WithTiming(cransched.Timing{MaxLease: 6 * time.Second, StopTime: 900 * time.Millisecond, OrderLease: 3 * time.Second}))
+		WithLimits(cranshard.Limits{Cores: 0.025}), WithTiming(cransched.Timing{MaxLease: maxLease, StopTime: 900 * time.Millisecond, OrderLease: 3 * time.Second}))
 	ctx, cancel := context.WithCancel(context.Background())
 	n.stop = cancel
 	node := n.node
@@ -145,6 +145,15 @@
 	}
 }
 
+// submitLasting submits a job whose tasks run until they are stopped.
+func (f *testFleet) submitLasting(number int) *cranjob.Job {
+	job := fleetJob(number)
+	job.Steps[0].LongRunning, job.Steps[0].MaxUnavailable = true, 1
+	f.targets.lasting[job.ID] = true
+	require.NoError(f.t, f.nodes[0].node.Submit(f.t.Context(), job))
+	return job
+}
+
 // TestShardsSpreadOverProcesses starts as many processes as there are shards. Each must get
 // one. When all but one are cut off from the store, that one must own all shards.
 func TestShardsSpreadOverProcesses(t *testing.T) {
--- a/internal/crannode/targets_test.go
+++ b/internal/crannode/targets_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -14,12 +16,16 @@
 // fakeTaskTime is how long a task runs on a fakeTarget.
 const fakeTaskTime = 300 * time.Millisecond
 
-// fakeTarget is a target that keeps a fencing token and runs tasks.
+// fakeTarget is a target that keeps a fencing token and a lease, and runs tasks.
 type fakeTarget struct {
-	token    uint64
-	running  map[cranjob.TaskName]fakeRun
-	finished []cransched.EndReport
-	ends     int64
+	token uint64
+	// silent is set while the target receives no order.
+	silent bool
+	// leaseEndMs is the end of the lease, on the target's clock, of everything that runs.
+	leaseEndMs int64
+	running    map[cranjob.TaskName]fakeRun
+	finished   []cransched.EndReport
+	ends       int64
 }
 
 type fakeRun struct {
@@ -27,6 +33,32 @@
 	endsAt time.Duration
 }
 
+// endRuns ends the runs that are done, and all runs once the lease has expired.
+func (t *fakeTarget) endRuns(now time.Duration) {
+	expired := t.leaseEndMs > 0 && now.Milliseconds() > t.leaseEndMs
+	for name, r := range t.running {
+		outcome := cransched.OutcomeDone
+		switch {
+		case r.endsAt <= now && (t.leaseEndMs == 0 || r.endsAt.Milliseconds() <= t.leaseEndMs):
+		case expired:
+			outcome = cransched.OutcomeLeaseExpired
+		default:
+			continue
+		}
+		delete(t.running, name)
+		t.ends++
+		t.finished = append(t.finished, cransched.EndReport{Number: t.ends, Task: name, Run: r.number, Outcome: outcome})
+	}
+}
+
+// maxLease is the longest lease that a fakeTarget accepts.
+const maxLease = 6 * time.Second
+
+// grantLease extends the lease to a deadline, but by at most maxLease from now.
+func (t *fakeTarget) grantLease(deadlineMs int64, now time.Duration) {
+	t.leaseEndMs = max(t.leaseEndMs, min(deadlineMs, (now+maxLease).Milliseconds()))
+}
+
 // fakeTargets are all targets of a testFleet. They record what would break the rules.
 type fakeTargets struct {
 	t     *testing.T
@@ -36,8 +68,10 @@
 	// target.
 	targets map[string]*fakeTarget
 	senders map[string]string
-	// done holds the tasks of which a success was acknowledged.
-	done map[cranjob.TaskName]bool
+	// done holds the tasks of which a success was acknowledged, lasting the jobs whose tasks run
+	// until they are stopped.
+	done    map[cranjob.TaskName]bool
+	lasting map[string]bool
 	// confirmedAt is when the newest append of each process to the digest was stored.
 	confirmedAt map[string]time.Duration
 }
@@ -63,18 +97,15 @@
 	if age := now.Steady - f.confirmedAt[c.process]; age > cransched.OwnershipTimeout {
 		f.t.Errorf("%v: %s sends an order to %s %v after its last append to the digest", now.Steady, c.process, id, age)
 	}
-	if token < t.token {
+	t.endRuns(now.Steady)
+	switch {
+	case t.silent:
+		return t, cransched.Response{SentAt: now.Steady}
+	case token < t.token:
 		response.Status = cransched.StatusFenced
 		return t, response
 	}
 	t.token = token
-	for name, r := range t.running {
-		if now.Steady >= r.endsAt {
-			delete(t.running, name)
-			t.ends++
-			t.finished = append(t.finished, cransched.EndReport{Number: t.ends, Task: name, Run: r.number, Outcome: cransched.OutcomeDone})
-		}
-	}
 	return t, response
 }
 
@@ -86,8 +117,11 @@
 	if response.Status != cransched.StatusOK {
 		return report
 	}
+	t.grantLease(e.DeadlineMs, c.targets.clock().Steady)
 	for len(t.finished) > 0 && t.finished[0].Number <= e.AcknowledgedEnd {
-		c.targets.done[t.finished[0].Task] = true
+		if t.finished[0].Outcome == cransched.OutcomeDone {
+			c.targets.done[t.finished[0].Task] = true
+		}
 		t.finished = t.finished[1:]
 	}
 	report.Finished = append(report.Finished, t.finished...)
@@ -109,11 +143,17 @@
 		f.t.Errorf("%v: %s starts %v, of which a success was acknowledged", f.clock().Steady, c.process, e.Task)
 	}
 	for id, other := range f.targets {
+		other.endRuns(f.clock().Steady)
 		if r, found := other.running[e.Task]; found && f.clock().Steady < r.endsAt && (id != e.Target.ID || r.number != e.Run) {
 			f.t.Errorf("%v: %s starts %v at %s, and it runs at %s", f.clock().Steady, c.process, e.Task, e.Target.ID, id)
 		}
 	}
-	t.running[e.Task] = fakeRun{e.Run, f.clock().Steady + fakeTaskTime}
+	t.grantLease(e.DeadlineMs, f.clock().Steady)
+	duration := fakeTaskTime
+	if f.lasting[e.Task.Job] {
+		duration = time.Hour
+	}
+	t.running[e.Task] = fakeRun{e.Run, f.clock().Steady + duration}
 	return response
 }
 
@@ -128,3 +168,28 @@
 	}
 	return response
 }
+
+// hostsOf returns the targets on which tasks of a job run.
+func (f *fakeTargets) hostsOf(job string) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var hosts []string
+	for _, id := range slices.Sorted(maps.Keys(f.targets)) {
+		f.targets[id].endRuns(f.clock().Steady)
+		for name := range f.targets[id].running {
+			if name.Job == job && !slices.Contains(hosts, id) {
+				hosts = append(hosts, id)
+			}
+		}
+	}
+	return hosts
+}
+
+// setSilent sets whether targets receive no order.
+func (f *fakeTargets) setSilent(ids []string, on bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, id := range ids {
+		f.targets[id].silent = on
+	}
+}
