crandigest: keep with a list of silent targets when it was read

Cause: the successor counts the ends of leases from when it has read its predecessor's list. That time was kept by the shard, and a new process creates its shards when it reads the layout. A load returns the records in the order of their keys, `l0` before `layout`, so the time of the list was never set: 0, the boot of the machine, and all leases had ended hours ago. Class: state that a record carries, and the time of its receipt, were kept in two places, of which the second may not exist yet; the missing time counted as a time long past. Change: the digest takes the time of reading with each record, and returns it with the list. TestLeases no longer expects a kind of change of its own for lists, which nothing reacts to any more, and checks the time instead.

--- a/internal/crandigest/digest.go
+++ b/internal/crandigest/digest.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"strconv"
+	"time"
 
 	"github.com/cranberrypick/cranberrypick/internal/cranjob"
 	"github.com/cranberrypick/cranberrypick/internal/cranshard"
@@ -33,6 +34,8 @@
 	claim   cranjob.Claim
 	renewal Renewal
 	leases  Leases
+	// leasesReadAt is when leases was read.
+	leasesReadAt time.Duration
 	// segments holds the keys of the jobs in each segment that is not merged yet.
 	segments map[string][]string
 }
@@ -76,12 +79,12 @@
 	return 0
 }
 
-// Leases returns the newest record of the leases of a shard.
-func (d *Digest) Leases(number int) Leases {
+// Leases returns the newest record of the leases of a shard, and when it was read.
+func (d *Digest) Leases(number int) (Leases, time.Duration) {
 	if s := d.shards[number]; s != nil {
-		return s.leases
+		return s.leases, s.leasesReadAt
 	}
-	return Leases{}
+	return Leases{}, 0
 }
 
 // Job returns the state of a job and whether the digest has it.
@@ -111,8 +114,6 @@
 	Claimed
 	// Renewed is the kind of every other record that an owner has written.
 	Renewed
-	// LeasesChanged is the kind of a record of leases.
-	LeasesChanged
 	WaveChanged
 )
 
@@ -132,9 +133,10 @@
 	}
 }
 
-// Apply applies a record. A record may be applied more than once. It returns an error for one
-// that can't be decoded; such a record changes nothing.
-func (d *Digest) Apply(key string, value []byte) (Change, error) {
+// Apply applies a record that was read at a time on the process's steady clock. A record may be
+// applied more than once. It returns an error for one that can't be decoded; such a record
+// changes nothing.
+func (d *Digest) Apply(key string, value []byte, readAt time.Duration) (Change, error) {
 	switch key {
 	case KeyLayout:
 		return d.applyLayout(value)
@@ -164,8 +166,9 @@
 		if err != nil {
 			return Change{}, err
 		}
-		d.shard(number).leases = *l
-		return Change{Kind: LeasesChanged, Shard: number}, nil
+		s := d.shard(number)
+		s.leases, s.leasesReadAt = *l, readAt
+		return Change{Kind: Renewed, Shard: number}, nil
 	case keySegment:
 		return d.applySegment(key, number, value)
 	case keyWave:
--- a/internal/crandigest/digest_test.go
+++ b/internal/crandigest/digest_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
@@ -16,7 +17,7 @@
 // apply applies records, which must be well-formed.
 func apply(t require.TestingT, d *Digest, records []cranstore.Record) {
 	for _, r := range records {
-		_, err := d.Apply(r.Key, r.Value)
+		_, err := d.Apply(r.Key, r.Value, 0)
 		require.NoError(t, err)
 	}
 }
@@ -150,7 +151,7 @@
 func TestUnknownStateIsRefused(t *testing.T) {
 	d := New()
 	r := Segments(0, 1, 1, []JobState{{ID: "a", State: cranjob.Cancelled + 1}})[0]
-	_, err := d.Apply(r.Key, r.Value)
+	_, err := d.Apply(r.Key, r.Value, 0)
 	require.Error(t, err)
 	require.Zero(t, d.Len())
 }
@@ -167,7 +168,7 @@
 	f.Fuzz(func(t *testing.T, key string, value []byte) {
 		d := New()
 		apply(t, d, Segments(0, 1, 1, []JobState{{ID: "0000000000000001", State: cranjob.Completed}}))
-		_, _ = d.Apply(key, value)
+		_, _ = d.Apply(key, value, 0)
 		state, known := d.Job("0000000000000001")
 		require.True(t, known)
 		require.Equal(t, cranjob.Completed, state)
@@ -179,19 +180,25 @@
 // be decoded changes nothing.
 func TestLeases(t *testing.T) {
 	d := New()
-	require.Empty(t, d.Leases(3).Targets)
-	for _, l := range []Leases{
+	none, _ := d.Leases(3)
+	require.Empty(t, none.Targets)
+	for i, l := range []Leases{
 		{Epoch: 7, Targets: []SilentTarget{{ID: "a", EndsInMs: 4000}, {ID: "b", EndsInMs: 100}}},
 		{Epoch: 7, Targets: []SilentTarget{{ID: "b", EndsInMs: 50}}},
 		{Epoch: 8},
 	} {
 		r := l.Record(3)
-		change, err := d.Apply(r.Key, r.Value)
+		readAt := time.Duration(i+1) * time.Second
+		change, err := d.Apply(r.Key, r.Value, readAt)
 		require.NoError(t, err)
-		require.Equal(t, Change{Kind: LeasesChanged, Shard: 3}, change)
-		require.Equal(t, l, d.Leases(3))
+		require.Equal(t, Change{Kind: Renewed, Shard: 3}, change)
+		leases, at := d.Leases(3)
+		require.Equal(t, l, leases)
+		require.Equal(t, readAt, at)
 	}
-	_, err := d.Apply("l3", []byte{0x83})
+	_, err := d.Apply("l3", []byte{0x83}, time.Minute)
 	require.Error(t, err)
-	require.Equal(t, uint64(8), d.Leases(3).Epoch)
+	leases, at := d.Leases(3)
+	require.Equal(t, uint64(8), leases.Epoch)
+	require.Equal(t, 3*time.Second, at)
 }
--- a/internal/crannode/digest.go
+++ b/internal/crannode/digest.go
@@ -50,7 +50,7 @@
 func (c *control) applyDigestRecord(r cranstore.Record) bool {
 	n := c.node
 	now := n.now()
-	change, err := n.digest.Apply(r.Key, r.Value)
+	change, err := n.digest.Apply(r.Key, r.Value, now.Steady)
 	if err != nil {
 		n.log.Emit(cranevent.MalformedRecord, cranevent.Stream("digest"), cranevent.Offset(r.Offset), cranevent.Err(err))
 		return false
@@ -67,13 +67,10 @@
 			s.observeClaim(change.Before, now)
 			s.ownerRecordAt = now.Steady
 		}
-	case crandigest.Renewed, crandigest.LeasesChanged:
+	case crandigest.Renewed:
 		if change.Shard < len(n.shards) {
 			s := n.shards[change.Shard]
 			s.claimReadAt, s.ownerRecordAt, s.renewedAt = now.Steady, now.Steady, now.Steady
-			if change.Kind == crandigest.LeasesChanged {
-				s.leasesReadAt = now.Steady
-			}
 		}
 	case crandigest.WaveChanged:
 		return n.shards != nil
--- a/internal/crannode/lease_test.go
+++ b/internal/crannode/lease_test.go
@@ -51,9 +51,8 @@
 	s := n.newShard(0, 0)
 	require.Nil(t, s.leasesEndAt(0))
 	r := crandigest.Leases{Epoch: 4, Targets: []crandigest.SilentTarget{{ID: "x", EndsInMs: 3000}, {ID: "y", EndsInMs: -5}, {ID: "z", EndsInMs: math.MaxInt64}}}.Record(0)
-	_, err := n.digest.Apply(r.Key, r.Value)
+	_, err := n.digest.Apply(r.Key, r.Value, time.Hour)
 	require.NoError(t, err)
-	s.leasesReadAt = time.Hour
 	require.Equal(t, map[string]time.Duration{"x": time.Hour + 3*time.Second, "y": time.Hour, "z": time.Hour + maxLeaseEnd}, s.leasesEndAt(4))
 	require.Nil(t, s.leasesEndAt(5))
 }
--- a/internal/crannode/ownership.go
+++ b/internal/crannode/ownership.go
@@ -234,9 +234,10 @@
 	o.predecessor.LastOrderAt = o.lastOrders(now)
 	timing := n.timing
 	timing.OrdersPerSecond /= float64(len(n.shards))
+	_, leasesReadAt := n.digest.Leases(s.number)
 	for _, id := range slices.Sorted(maps.Keys(o.predecessor.LeasesEndAt)) {
 		n.log.Emit(cranevent.LeaseEndInherited, cranevent.Shard(s.name), cranevent.Epoch(o.epoch), cranevent.Target(id),
-			cranevent.Age(now.Steady-s.leasesReadAt), cranevent.Remaining(o.predecessor.LeasesEndAt[id]-now.Steady))
+			cranevent.Age(now.Steady-leasesReadAt), cranevent.Remaining(o.predecessor.LeasesEndAt[id]-now.Steady))
 	}
 	o.scheduler = cransched.New(o.epoch, timing, c.config, o.replica, now, o.predecessor)
 	for id, e := range o.replica.Jobs() {
--- a/internal/crannode/shard.go
+++ b/internal/crannode/shard.go
@@ -23,8 +23,6 @@
 	// claimReadAt is when the newest record of the owner's claim was read, and ownerRecordAt
 	// when the newest record of any kind of the owner was.
 	claimReadAt, ownerRecordAt time.Duration
-	// leasesReadAt is when the newest record of the leases was read.
-	leasesReadAt time.Duration
 	// previousClaim is the last claim of the epoch before the current one.
 	previousClaim cranjob.Claim
 	// eligibleSince is when this process first could have claimed; 0 before.
@@ -61,14 +59,14 @@
 // when their leases have ended. The record was written before it was read, so the times are
 // upper bounds.
 func (s *shard) leasesEndAt(epoch uint64) map[string]time.Duration {
-	leases := s.node.digest.Leases(s.number)
+	leases, readAt := s.node.digest.Leases(s.number)
 	if epoch == 0 || leases.Epoch != epoch {
 		return nil
 	}
 	endAt := make(map[string]time.Duration, len(leases.Targets))
 	for _, t := range leases.Targets {
 		endsInMs := min(max(t.EndsInMs, 0), maxLeaseEnd.Milliseconds())
-		endAt[t.ID] = s.leasesReadAt + time.Duration(endsInMs)*time.Millisecond
+		endAt[t.ID] = readAt + time.Duration(endsInMs)*time.Millisecond
 	}
 	return endAt
 }
