crannode: begin an ownership only once a load of the digest is complete

What callers would see: a task that runs twice at a time, or again after its job was shown as completed, when the history of the store is dropped between a process's claim and its next read. Cause: a load returns the newest record of each key in the order of the keys, the claim `c0` first. The process became the owner with that record: with the list of silent targets, the time of the predecessor's last record and the states of jobs from before the load. Change: the claims in a load are handled after all of its pages, and the predecessor counts as alive until then. A process doesn't claim while it loads. Evidence: TestOwnershipBeginsOnceDigestIsLoaded failed before: it became the owner after the first page, with a lease that had ended 9 s ago of a target that its predecessor no longer called silent.

--- a/internal/crannode/claim.go
+++ b/internal/crannode/claim.go
@@ -65,7 +65,7 @@
 // claimIfUnowned appends a claim when no entry instance owns the shard.
 func (s *shard) claimIfUnowned(now time.Duration) {
 	n, c := s.node, s.node.control
-	if s.claiming || n.stopping.Load() || c.config == nil || now < s.nextClaimAt || now-c.digestReadAt > maxReadGap {
+	if s.claiming || n.stopping.Load() || c.loadingDigest || c.config == nil || now < s.nextClaimAt || now-c.digestReadAt > maxReadGap {
 		return
 	}
 	if s.eligibleSince == 0 {
--- a/internal/crannode/control.go
+++ b/internal/crannode/control.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/cranberrypick/cranberrypick/internal/crandigest"
 	"github.com/cranberrypick/cranberrypick/internal/cransched"
 )
 
@@ -30,12 +31,16 @@
 	// readingSince is the time of the first read after the newest gap longer than
 	// maxReadGap.
 	readingSince time.Duration
-	layout       layoutDecision
-	configWatch  configWatch
-	config       *cransched.Config
-	waves        []*waveState
-	targets      targetList
-	instances    instanceReader
+	// loadingDigest is true while pages of the newest records of the digest are still to be read.
+	// loadedClaims are the claims in those that were read.
+	loadingDigest bool
+	loadedClaims  []crandigest.Change
+	layout        layoutDecision
+	configWatch   configWatch
+	config        *cransched.Config
+	waves         []*waveState
+	targets       targetList
+	instances     instanceReader
 	// handoverRequested is closed to make the control goroutine hand the shards over,
 	// handoverDone once it has done so. Other goroutines use both.
 	handoverRequested, handoverDone chan struct{}
--- a/internal/crannode/digest.go
+++ b/internal/crannode/digest.go
@@ -5,6 +5,7 @@
 
 	"github.com/cranberrypick/cranberrypick/internal/crandigest"
 	"github.com/cranberrypick/cranberrypick/internal/cranevent"
+	"github.com/cranberrypick/cranberrypick/internal/cransched"
 	"github.com/cranberrypick/cranberrypick/internal/cranstore"
 )
 
@@ -31,9 +32,16 @@
 		n.digest.Reload()
 	}
 	wavesChanged := false
+	// A load returns the newest record of each key in the order of the keys. What a claim follows
+	// from is known only once all of them are applied.
+	c.loadingDigest = u.Reset || u.Partial || c.loadingDigest
 	for _, r := range u.Records {
 		wavesChanged = c.applyDigestRecord(r) || wavesChanged
 	}
+	if c.loadingDigest && !u.Partial {
+		c.loadingDigest = false
+		c.observeLoadedClaims(now)
+	}
 	n.finishRead(u)
 	n.mu.Unlock()
 	if wavesChanged {
@@ -62,7 +70,11 @@
 		}
 		n.log.Emit(cranevent.LayoutInForce, cranevent.Count(len(n.shards)), cranevent.Offset(r.Offset))
 	case crandigest.Claimed:
-		if change.Shard < len(n.shards) {
+		switch {
+		case change.Shard >= len(n.shards):
+		case c.loadingDigest:
+			c.loadedClaims = append(c.loadedClaims, change)
+		default:
 			s := n.shards[change.Shard]
 			s.observeClaim(change.Before, now)
 			s.ownerRecordAt = now.Steady
@@ -78,6 +90,17 @@
 	return false
 }
 
+// observeLoadedClaims handles the claims that a load of the digest has returned. The records of
+// the owners before them may be as recent as the load.
+func (c *control) observeLoadedClaims(now cransched.Clock) {
+	for _, change := range c.loadedClaims {
+		s := c.node.shards[change.Shard]
+		s.ownerRecordAt = now.Steady
+		s.observeClaim(change.Before, now)
+	}
+	c.loadedClaims = nil
+}
+
 // finishRead records how far the digest has been read, and wakes the goroutines that wait for
 // that. The caller holds the node's lock.
 func (n *Node) finishRead(u cranstore.Update) {
--- a/internal/crannode/lease_test.go
+++ b/internal/crannode/lease_test.go
@@ -1,6 +1,7 @@
 package crannode
 
 import (
+	"context"
 	"math"
 	"testing"
 	"testing/synctest"
@@ -9,6 +10,11 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cranberrypick/cranberrypick/internal/crandigest"
+	"github.com/cranberrypick/cranberrypick/internal/cranjob"
+	"github.com/cranberrypick/cranberrypick/internal/cranmemory"
+	"github.com/cranberrypick/cranberrypick/internal/cransched"
+	"github.com/cranberrypick/cranberrypick/internal/cranshard"
+	"github.com/cranberrypick/cranberrypick/internal/cranstore"
 )
 
 // kill ends the process of an entry instance without a release of its shards.
@@ -56,3 +62,40 @@
 	require.Equal(t, map[string]time.Duration{"x": time.Hour + 3*time.Second, "y": time.Hour, "z": time.Hour + maxLeaseEnd}, s.leasesEndAt(4))
 	require.Nil(t, s.leasesEndAt(5))
 }
+
+// newLoneNode returns a node of which the test calls the control functions itself.
+func newLoneNode(t *testing.T, incarnation string, now *time.Duration) *Node {
+	clock := func() cransched.Clock { return cransched.Clock{Steady: *now} }
+	n := New("a", incarnation, memoryTopics(), Directory{Targets: cranmemory.New()}, noInstances{}, WithClock(clock))
+	ctx, cancel := context.WithCancel(t.Context())
+	n.control.runCtx = ctx
+	t.Cleanup(func() {
+		cancel()
+		n.control.group.Wait()
+	})
+	return n
+}
+
+// TestOwnershipBeginsOnceDigestIsLoaded guards against a new owner that acts on records from
+// before a load of the digest, because its claim comes first in the load.
+func TestOwnershipBeginsOnceDigestIsLoaded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		now := time.Hour
+		n := newLoneNode(t, "a-1", &now)
+		claim := func(epoch uint64, node string) cranstore.Record {
+			return crandigest.ClaimRecord(0, cranjob.Claim{Epoch: epoch, Node: node, Incarnation: node + "-1"})
+		}
+		layout := cranstore.Record{Key: crandigest.KeyLayout, Value: cranshard.New(1, 1, nil).Encode()}
+		silent := crandigest.Leases{Epoch: 8, Targets: []crandigest.SilentTarget{{ID: "x", EndsInMs: 1000}}}
+		n.control.applyDigest(cranstore.Update{Records: []cranstore.Record{layout, claim(8, "b"), silent.Record(0)}})
+		s := n.shards[0]
+		s.claimedEpoch = 9
+		now += 10 * time.Second
+		n.control.applyDigest(cranstore.Update{Reset: true, Partial: true, Records: []cranstore.Record{claim(9, "a")}})
+		require.Nil(t, s.owner)
+		n.control.applyDigest(cranstore.Update{Records: []cranstore.Record{crandigest.Leases{Epoch: 8}.Record(0)}})
+		require.NotNil(t, s.owner)
+		require.Empty(t, s.owner.predecessor.LeasesEndAt)
+		require.Equal(t, now+cransched.OwnershipTimeout, s.owner.predecessor.StoppedBy)
+	})
+}
