crannode: know a predecessor only by the epoch right before

What callers would see: a task that runs twice at a time, when the history of the store is dropped while two processes claim a shard one after the other. Cause: a new owner took the newest claim that it had read for that of its predecessor. A load returns only the newest claim, so a claim in between may be left out: its owner may have granted leases after the list of the owner before it, and need not have stopped when the one before released the shard. Same class as: what hasn't been read counted as what didn't happen. Change: the list, the release and the restart count only for the epoch right before; otherwise the unknown owner may act for OwnershipTimeout from now on. Evidence: TestUnknownPredecessorIsAwaited failed before: the predecessor counted as stopped at once, with the ends of leases of the epoch before it.

--- a/internal/crannode/lease_test.go
+++ b/internal/crannode/lease_test.go
@@ -99,3 +99,29 @@
 		require.Equal(t, now+cransched.OwnershipTimeout, s.owner.predecessor.StoppedBy)
 	})
 }
+
+// TestUnknownPredecessorIsAwaited guards against an owner that takes the newest claim that it
+// has read for that of its predecessor, when a load has left out a claim in between.
+func TestUnknownPredecessorIsAwaited(t *testing.T) {
+	for _, skipped := range []uint64{0, 1} {
+		synctest.Test(t, func(t *testing.T) {
+			now := time.Hour
+			n := newLoneNode(t, "a-2", &now)
+			s := n.newShard(0, now)
+			n.shards = []*shard{s}
+			s.previousClaim = cranjob.Claim{Epoch: 8, Node: "a", Incarnation: "a-1", Released: true}
+			leases := crandigest.Leases{Epoch: 8, Targets: []crandigest.SilentTarget{{ID: "x", EndsInMs: 1000}}}.Record(0)
+			_, err := n.digest.Apply(leases.Key, leases.Value, now)
+			require.NoError(t, err)
+			s.beginOwnership(cranjob.Claim{Epoch: 9 + skipped, Node: "a", Incarnation: "a-2"}, n.now())
+			predecessor := s.owner.predecessor
+			if skipped == 0 {
+				require.Equal(t, now, predecessor.StoppedBy)
+				require.NotEmpty(t, predecessor.LeasesEndAt)
+				return
+			}
+			require.Equal(t, now+cransched.OwnershipTimeout, predecessor.StoppedBy)
+			require.Empty(t, predecessor.LeasesEndAt)
+		})
+	}
+}
--- a/internal/crannode/ownership.go
+++ b/internal/crannode/ownership.go
@@ -93,10 +93,13 @@
 		// The previous owner acts only for a bounded time after an append that it knows to
 		// be stored, and every record that it stored has been read by now.
 		predecessor: cransched.Predecessor{
-			StoppedBy: s.ownerRecordAt + cransched.OwnershipTimeout, LeasesEndAt: s.leasesEndAt(s.previousClaim.Epoch),
+			StoppedBy: s.ownerRecordAt + cransched.OwnershipTimeout, LeasesEndAt: s.leasesEndAt(claim.Epoch - 1),
 		},
 	}
-	if s.previousClaim.Released || s.isFromEarlierProcess(s.previousClaim) {
+	switch predecessor, known := s.predecessorOf(claim); {
+	case !known:
+		o.predecessor.StoppedBy = now.Steady + cransched.OwnershipTimeout
+	case predecessor.Released || s.isFromEarlierProcess(predecessor):
 		o.predecessor.StoppedBy = now.Steady
 	}
 	o.confirmedAt.Store(int64(s.claimSentAt))
@@ -257,7 +260,7 @@
 // decided on an order for an instance.
 func (o *ownership) lastOrders(now cransched.Clock) map[string]time.Duration {
 	s := o.shard
-	if s.isFromEarlierProcess(s.previousClaim) {
+	if predecessor, known := s.predecessorOf(s.claim()); known && s.isFromEarlierProcess(predecessor) {
 		// The platform treats both processes of an entry instance as one lease holder,
 		// so earlier orders need not expire first.
 		return nil
--- a/internal/crannode/shard.go
+++ b/internal/crannode/shard.go
@@ -71,6 +71,12 @@
 	return endAt
 }
 
+// predecessorOf returns the claim of the epoch before that of a claim, and whether it is known. A
+// load may leave it out.
+func (s *shard) predecessorOf(claim cranjob.Claim) (cranjob.Claim, bool) {
+	return s.previousClaim, s.previousClaim.Epoch+1 == claim.Epoch
+}
+
 // digestProducer is the producer name of the shard's owner in the digest.
 func (s *shard) digestProducer() string { return producer + "/" + s.name }
 
