cransched: await the lease of a start that reached a restarted target

What callers would see: a task that runs twice at a time, when a target restarts while a start is under way to it, runs the start in its new process, and then falls silent. Cause: the restart of a target set the end of its leases to the past, since all its runs have ended. But a start that was sent to the previous process may reach the new one, which has seen no token and whose clock is lower: it cuts the lease to the longest one, 6 s. The run was stopped without an answer and released as soon as the target counted as unresponsive, after 1.8 s. Change: after a restart the leases of a target count as ended only once that lease has. A target that responds is not affected. Evidence: TestStartAtRestartedTargetIsAwaited failed before (a start at 3.282 s while the run went on). The simulated targets now cut the lease of a start to the longest one, as those of heartbeats. Still open: the same start when its owner is lost within that second; the successor's bound of 5.5 s from the predecessor's end doesn't cover 6 s from a restart.

--- a/internal/cransched/lease.go
+++ b/internal/cransched/lease.go
@@ -80,11 +80,16 @@
 	}
 }
 
+// leaseBound returns how long a lease of a duration on a target's clock lasts at most on the clock of
+// this process, until the target has killed its runs.
+func leaseBound(lease time.Duration) time.Duration {
+	return time.Duration(float64(lease)/(1-maxClockDrift)) + leaseExpiryMargin
+}
+
 // earlierLeaseEnd returns the time by which all leases that earlier owners have granted to a
 // target have expired.
 func (s *Scheduler) earlierLeaseEnd(id string) time.Duration {
-	longestLease := time.Duration(float64(s.leaseDuration()) / (1 - maxClockDrift))
-	end := s.predecessor.StoppedBy + longestLease + leaseExpiryMargin
+	end := s.predecessor.StoppedBy + leaseBound(s.leaseDuration())
 	if known, silent := s.predecessor.LeasesEndAt[id]; silent {
 		end = min(end, known)
 	}
--- a/internal/cransched/lease_test.go
+++ b/internal/cransched/lease_test.go
@@ -88,3 +88,26 @@
 	require.Equal(t, 6, sim.countRunning("lasting"))
 	require.Len(t, sim.starts, starts)
 }
+
+// TestStartAtRestartedTargetIsAwaited guards against a task that starts elsewhere while a start
+// that was under way when its target restarted runs in the new process.
+func TestStartAtRestartedTargetIsAwaited(t *testing.T) {
+	sim := newSimulation(t, 1, 2)
+	sim.takeOver(sim.now - time.Hour)
+	sim.runFor(time.Second)
+	sim.noResponseRate = 1
+	sim.submit(newLongRunningJob("lasting", 1))
+	task := sim.owner.jobs["lasting"].tasks[0]
+	for task.run == nil || task.run.phase != startSent {
+		sim.runFor(time.Millisecond)
+	}
+	sim.restart(task.Target)
+	sim.runFor(5 * time.Millisecond)
+	host := sim.hostOfLasting()
+	require.NotNil(t, host)
+	host.unreachable = true
+	sim.noResponseRate = 0
+	sim.runFor(10 * time.Second)
+	require.NotNil(t, sim.hostOfLasting())
+	require.NotEqual(t, host, sim.hostOfLasting())
+}
--- a/internal/cransched/targets.go
+++ b/internal/cransched/targets.go
@@ -49,7 +49,8 @@
 }
 
 // handleRestart handles the restart of a target under the same id: all its runs have
-// ended, and its end numbers and its clock start again.
+// ended, and its end numbers and its clock start again. An order that is under way to the previous
+// process may reach the new one, whose clock is lower: that cuts the lease to the longest one.
 func (s *Scheduler) handleRestart(t *target, processStartMs int64) {
 	s.emit(LogEntry{Kind: LogTargetRestarted, Target: t.info.ID})
 	for _, r := range t.sortedRuns() {
@@ -57,7 +58,8 @@
 	}
 	t.ended = false
 	t.info.ProcessStartMs = processStartMs
-	t.clockMs, t.clockAt, t.leaseEndMs, t.earlierLeasesEndAt = 0, 0, 0, 0
+	t.clockMs, t.clockAt, t.leaseEndMs = 0, 0, 0
+	t.earlierLeasesEndAt = s.clock.Steady + deliveryTimeout + leaseBound(s.timing.MaxLease)
 	t.restarts++
 	t.endsSeen, t.endsStored, t.withheldEnd = 0, 0, 0
 	t.fenced = false
--- a/internal/cransched/world_target_test.go
+++ b/internal/cransched/world_target_test.go
@@ -143,14 +143,17 @@
 	return tgt, nil
 }
 
+// renewLease extends the lease to a deadline, but by at most the longest lease from now.
+func (tgt *simTarget) renewLease(deadlineMs int64, now time.Duration) {
+	tgt.leaseEndMs = max(tgt.leaseEndMs, min(deadlineMs, tgt.clockMs(now)+simTiming.MaxLease.Milliseconds()))
+}
+
 func (sim *simulation) heartbeat(e Heartbeat) HeartbeatResponse {
 	tgt, rejection := sim.deliver(e.Target, e.Token)
 	if rejection != nil {
 		return HeartbeatResponse{Response: *rejection}
 	}
-	if e.DeadlineMs > 0 {
-		tgt.leaseEndMs = max(tgt.leaseEndMs, min(e.DeadlineMs, tgt.clockMs(sim.now)+6000))
-	}
+	tgt.renewLease(e.DeadlineMs, sim.now)
 	for _, end := range tgt.ends {
 		if end.Number <= e.AcknowledgedEnd {
 			sim.acknowledged[end.Task] = append(sim.acknowledged[end.Task], end.Outcome)
@@ -192,7 +195,7 @@
 	}
 	sim.checkStart(tgt, e)
 	sim.starts = append(sim.starts, receivedStart{e, sim.now})
-	tgt.leaseEndMs = max(tgt.leaseEndMs, e.DeadlineMs)
+	tgt.renewLease(e.DeadlineMs, sim.now)
 	step := sim.jobs[e.Task.Job].Steps[e.Task.Step]
 	r := &simRun{number: e.Run, endsAt: sim.now + time.Duration(float64(step.EstimateMs)*(0.5+sim.random.Float64()))*time.Millisecond, outcome: OutcomeDone}
 	if sim.random.Float64() < sim.failureRate {
