cransched: take another target's response as an end only at the own address

What callers would see: tasks that run twice at a time, and a sound target without work, after an entry under the id of a sound target has named another address for a moment. Cause: a response of another target ended the target that the call was meant for, and released its runs, whichever address the call had gone to. With the response to a start, the other target's clock was taken for the target's own, too, which can end its leases early. Change: the response proves the end only at the address that the first entry of the target's process had. A start that another target has refused is released, since it was sent nowhere else. Evidence: TestOtherTargetAtForeignAddressEndsNoRun failed before: the run was released.

--- a/internal/cransched/outcome.go
+++ b/internal/cransched/outcome.go
@@ -23,10 +23,12 @@
 	if t == nil {
 		return
 	}
-	if resp.Status != StatusUnanswered && resp.Status != StatusOtherTarget && !s.fromCurrentProcess(t, resp) {
+	switch {
+	case resp.Status == StatusOtherTarget:
+		s.handleOtherTarget(t, e.Target.Address)
+	case resp.Status != StatusUnanswered && !s.fromCurrentProcess(t, resp):
 		return
-	}
-	if resp.ClockMs > 0 {
+	case resp.ClockMs > 0:
 		t.recordResponse(resp, s.clock.Steady)
 	}
 	r := t.runs[runName{e.Task, e.Run}]
@@ -49,8 +51,6 @@
 		r.phase = startUnanswered
 		r.answeredAt = now
 		t.advanceHeartbeat(now)
-	case StatusOtherTarget:
-		s.handleOtherTarget(t)
 	default:
 		s.handleStartRefused(t, r, resp.Status)
 	}
@@ -134,7 +134,7 @@
 	}
 	now := s.clock.Steady
 	if resp.Status == StatusOtherTarget {
-		s.handleOtherTarget(t)
+		s.handleOtherTarget(t, e.Target.Address)
 		return
 	}
 	if resp.ClockMs > 0 && s.fromCurrentProcess(t, resp) {
--- a/internal/cransched/report.go
+++ b/internal/cransched/report.go
@@ -28,7 +28,7 @@
 	case StatusFenced:
 		s.markSuperseded(t)
 	case StatusOtherTarget:
-		s.handleOtherTarget(t)
+		s.handleOtherTarget(t, ref.Address)
 	}
 }
 
@@ -38,8 +38,12 @@
 	s.emit(LogEntry{Kind: LogTargetSuperseded, Target: t.info.ID})
 }
 
-// handleOtherTarget handles the response of another target at the address.
-func (s *Scheduler) handleOtherTarget(t *target) {
+// handleOtherTarget handles the response of another target at an address. It proves the end of a
+// target only where that target has been: an entry of another writer may name any address.
+func (s *Scheduler) handleOtherTarget(t *target, address string) {
+	if address != t.info.Address || address != t.ownAddress {
+		return
+	}
 	s.emit(LogEntry{Kind: LogTargetGone, Target: t.info.ID, Reason: "another target has its address"})
 	s.endTarget(t, "the target is gone")
 }
--- a/internal/cransched/rules_test.go
+++ b/internal/cransched/rules_test.go
@@ -214,3 +214,28 @@
 	s.ConfirmBatch()
 	require.Zero(t, target.endsStored)
 }
+
+// TestOtherTargetAtForeignAddressEndsNoRun guards against runs that are given up because another
+// target responds at an address at which their own target has never been.
+func TestOtherTargetAtForeignAddressEndsNoRun(t *testing.T) {
+	sim := newSimulation(t, 1, 1)
+	sim.takeOver(sim.now - time.Hour)
+	sim.submit(newLongRunningJob("lasting", 1))
+	sim.runFor(3 * time.Second)
+	s, target := sim.owner, sim.owner.targets["t0"]
+	require.Len(t, target.runs, 1)
+	foreign := target.info
+	foreign.Address = "foreign"
+	other := Response{Status: StatusOtherTarget, ClockMs: target.clockMs + 1_000_000}
+	s.SetTargets([]TargetInfo{foreign})
+	s.HandleHeartbeatResponse(target.address(), HeartbeatResponse{Response: other})
+	require.Len(t, target.runs, 1)
+	s.HandleStartResponse(StartRun{Target: target.address()}, other)
+	require.Len(t, target.runs, 1)
+	require.Less(t, target.clockMs, other.ClockMs)
+	s.SetTargets(sim.targetList())
+	s.HandleStopResponse(StopRun{Target: TargetRef{ID: "t0", Address: "foreign"}}, other)
+	require.Len(t, target.runs, 1)
+	s.HandleStopResponse(StopRun{Target: target.address()}, other)
+	require.Empty(t, target.runs)
+}
--- a/internal/cransched/target.go
+++ b/internal/cransched/target.go
@@ -63,6 +63,8 @@
 // target is the state of one target, identified by its id.
 type target struct {
 	info TargetInfo
+	// ownAddress is the address that the first entry of the target's process had; empty before.
+	ownAddress string
 	// listed is cleared once the target has been missing from the store's list for
 	// unlistedTimeout.
 	listed bool
--- a/internal/cransched/targets.go
+++ b/internal/cransched/targets.go
@@ -34,6 +34,9 @@
 		processStartMs := max(t.info.ProcessStartMs, info.ProcessStartMs)
 		t.info = info
 		t.info.ProcessStartMs = processStartMs
+		if t.ownAddress == "" {
+			t.ownAddress = info.Address
+		}
 		t.listed = true
 		t.unlistedAt = 0
 	}
@@ -62,6 +65,7 @@
 	t.earlierLeasesEndAt = s.clock.Steady + deliveryTimeout + leaseBound(s.timing.MaxLease)
 	t.restarts++
 	t.endsSeen, t.endsStored, t.withheldEnd = 0, 0, 0
+	t.ownAddress = ""
 	t.fenced = false
 	t.awaitsStore = false
 	t.tickets = nil
