cransched: go on with heartbeats after a change of a target's address

What callers would see: a sound target that never gets work again, and long-running tasks that start elsewhere once its lease has expired, after its entry has named another address for a moment. Cause: the response to a heartbeat that had been sent to the former address was dropped with the note that a heartbeat is under way, so no further one was ever due. Change: such a response ends the heartbeat as a failed one. Evidence: TestHeartbeatsGoOnAfterChangeOfAddress failed before.

--- a/internal/cransched/report.go
+++ b/internal/cransched/report.go
@@ -16,12 +16,16 @@
 // HandleHeartbeatResponse handles the response to a Heartbeat.
 func (s *Scheduler) HandleHeartbeatResponse(ref TargetRef, resp HeartbeatResponse) {
 	t := s.targets[ref.ID]
-	if t == nil || t.info.Address != ref.Address {
+	if t == nil {
 		return
 	}
 	t.heartbeatInFlight = false
 	t.nextHeartbeatAt = s.clock.Steady + retryPause
 	t.heartbeatFailed = resp.Status != StatusOK
+	if t.info.Address != ref.Address {
+		t.heartbeatFailed = true
+		return
+	}
 	switch resp.Status {
 	case StatusOK:
 		s.applyReport(t, resp)
--- a/internal/cransched/rules_test.go
+++ b/internal/cransched/rules_test.go
@@ -239,3 +239,19 @@
 	s.HandleStopResponse(StopRun{Target: target.address()}, other)
 	require.Empty(t, target.runs)
 }
+
+// TestHeartbeatsGoOnAfterChangeOfAddress guards against a target that gets no more heartbeats
+// because its entry named another address while one was under way.
+func TestHeartbeatsGoOnAfterChangeOfAddress(t *testing.T) {
+	sim := newSimulation(t, 1, 1)
+	sim.takeOver(sim.now - time.Hour)
+	sim.runFor(time.Second)
+	s, target := sim.owner, sim.owner.targets["t0"]
+	s.sendHeartbeat(target)
+	foreign := target.info
+	foreign.Address = "foreign"
+	sent := target.address()
+	s.SetTargets([]TargetInfo{foreign})
+	s.HandleHeartbeatResponse(sent, HeartbeatResponse{})
+	require.True(t, target.heartbeatDue(sim.now+heartbeatInterval))
+}
