crannode: test takeovers with silent targets

The fleet tests never had a silent target together with a lost owner, so nothing exercised how a successor reads the list of silent targets. The new test kills and restarts processes, drops the history of the store and silences targets while lasting tasks run; 20 seeds, 4 with -short.

--- a/internal/crannode/lease_test.go
+++ b/internal/crannode/lease_test.go
@@ -2,7 +2,11 @@
 
 import (
 	"context"
+	"fmt"
+	"maps"
 	"math"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,6 +24,7 @@
 // kill ends the process of an entry instance without a release of its shards.
 func (n *fleetNode) kill() {
 	n.fault.set(true, 0)
+	n.fault = &fault{}
 	n.stop()
 }
 
@@ -38,7 +43,6 @@
 		time.Sleep(2500 * time.Millisecond)
 		f.nodes[0].kill()
 		f.group.Wait()
-		f.nodes[0].fault.set(false, 0)
 		f.start(f.nodes[0])
 		time.Sleep(8 * time.Second)
 		restarted := f.targets.hostsOf(job.ID)
@@ -49,6 +53,61 @@
 	})
 }
 
+// TestTakeoversWithSilentTargets kills and restarts processes, drops the history of the store, and
+// silences targets, while jobs with lasting tasks run. The fake targets check each start. In the
+// end every task runs.
+func TestTakeoversWithSilentTargets(t *testing.T) {
+	seeds := uint64(20)
+	if testing.Short() {
+		seeds = 4
+	}
+	for seed := range seeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newTestFleet(t, 3)
+				defer f.close()
+				time.Sleep(3 * time.Second)
+				f.runTakeovers(rand.New(rand.NewPCG(seed, 0)))
+			})
+		})
+	}
+}
+
+// runTakeovers runs a random sequence of takeovers and silences, and checks the result.
+func (f *testFleet) runTakeovers(random *rand.Rand) {
+	jobs := make([]*cranjob.Job, 8)
+	for number := range jobs {
+		jobs[number] = f.submitLasting(number)
+	}
+	ids := slices.Sorted(maps.Keys(f.targets.targets))
+	for range 60 {
+		n := f.nodes[random.IntN(len(f.nodes))]
+		switch random.IntN(8) {
+		case 0:
+			n.kill()
+			f.start(n)
+		case 1:
+			n.stop()
+			f.start(n)
+		case 2:
+			for _, topic := range f.stored {
+				topic.ExpireAll()
+			}
+		case 3, 4, 5:
+			from := random.IntN(len(ids) - 10)
+			f.targets.setSilent(ids[from:from+10], true)
+		case 6:
+			f.targets.setSilent(ids, false)
+		}
+		time.Sleep(time.Duration(random.IntN(1500)) * time.Millisecond)
+	}
+	f.targets.setSilent(ids, false)
+	time.Sleep(15 * time.Second)
+	for _, j := range jobs {
+		require.Equal(f.t, j.Steps[0].Count, f.targets.runningTasks(j.ID), j.ID)
+	}
+}
+
 // TestLeasesOfPredecessor guards against ends of leases that a process takes from an owner
 // other than its predecessor: an owner in between may have granted leases again. A malformed
 // figure must not overflow to an end in the past.
--- a/internal/crannode/targets_test.go
+++ b/internal/crannode/targets_test.go
@@ -193,3 +193,19 @@
 		f.targets[id].silent = on
 	}
 }
+
+// runningTasks counts the runs of a job on all targets.
+func (f *fakeTargets) runningTasks(job string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, t := range f.targets {
+		t.endRuns(f.clock().Steady)
+		for name := range t.running {
+			if name.Job == job {
+				n++
+			}
+		}
+	}
+	return n
+}
