--- a/internal/cransched/lease_test.go
+++ b/internal/cransched/lease_test.go
@@ -1,10 +1,13 @@
 package cransched
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/cranberrypick/cranberrypick/internal/cranjob"
 )
 
 // longestLease is how long a lease of simTiming lasts at most, with the margin for its expiry.
@@ -111,3 +114,39 @@
 	require.NotNil(t, sim.hostOfLasting())
 	require.NotEqual(t, host, sim.hostOfLasting())
 }
+
+// TestTakeoversWithLateOrders lets most orders and heartbeats take effect seconds late or without a
+// response for some seconds, and replaces the owner meanwhile, as its predecessor is lost or has
+// restarted. The simulation checks each start. In the end every task runs.
+func TestTakeoversWithLateOrders(t *testing.T) {
+	seeds := uint64(60)
+	if testing.Short() {
+		seeds = 12
+	}
+	for seed := range seeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			sim := newSimulation(t, seed, 6)
+			sim.failureRate, sim.lateHeartbeats, sim.longPolls = 0, true, seed%2 == 1
+			sim.takeOver(sim.now - time.Hour)
+			sim.submit(newLongRunningJob("lasting", 6))
+			for i := range 8 {
+				sim.submit(newBatchJob(fmt.Sprintf("j%d", i), 6))
+				sim.delayRate, sim.noResponseRate = 0.2+0.6*sim.random.Float64(), 0.1
+				sim.runFor(time.Duration(1000+sim.random.IntN(4000)) * time.Millisecond)
+				stopped := sim.now
+				if sim.random.IntN(2) == 0 {
+					stopped += OwnershipTimeout
+				}
+				sim.takeOver(stopped)
+				sim.runFor(time.Duration(sim.random.IntN(2000)) * time.Millisecond)
+				sim.delayRate, sim.noResponseRate = 0, 0
+				sim.runFor(time.Duration(sim.random.IntN(3000)) * time.Millisecond)
+			}
+			sim.runFor(30 * time.Second)
+			require.Equal(t, 6, sim.countRunning("lasting"))
+			for id, state := range sim.states() {
+				require.True(t, id == "lasting" || state == cranjob.Completed, "%s is %s", id, state)
+			}
+		})
+	}
+}
--- a/internal/cransched/world_test.go
+++ b/internal/cransched/world_test.go
@@ -36,6 +36,8 @@
 	// noResponseRate that of calls that take effect without a response, and delayRate that
 	// of orders that take effect seconds later.
 	lossRate, noResponseRate, delayRate float64
+	// lateHeartbeats lets heartbeats take effect late, too.
+	lateHeartbeats bool
 	// failureRate is the fraction of runs that fail.
 	failureRate float64
 	// orderDelay is the additional delay of orders for instances; dropMoves drops all
@@ -279,7 +281,7 @@
 		sim.t.Logf("%v owner %d: %v job=%s task=%s run=%d target=%s %s", sim.now, id, e.Kind, e.Job, e.Task, e.Run, e.Target, e.Reason)
 	case Heartbeat:
 		var response HeartbeatResponse
-		sim.call(s, id, e.Target, false, func() Response { response = sim.heartbeat(e); return response.Response }, func(resp Response) {
+		sim.call(s, id, e.Target, sim.lateHeartbeats, func() Response { response = sim.heartbeat(e); return response.Response }, func(resp Response) {
 			if resp.Status == StatusUnanswered {
 				s.HandleHeartbeatResponse(e.Target, HeartbeatResponse{Response: resp})
 				return
