--- a/internal/cransched/world_target_test.go
+++ b/internal/cransched/world_target_test.go
@@ -24,6 +24,8 @@
 	ends            []EndReport
 	lastEnd         int64
 	up, unreachable bool
+	// refusing is set while the address of a crashed target refuses connections.
+	refusing bool
 }
 
 // receivedStart is a start that a target has carried out.
@@ -132,7 +134,7 @@
 func (sim *simulation) deliver(to TargetRef, token uint64) (*simTarget, *Response) {
 	tgt := sim.targets[to.ID]
 	if tgt == nil || !tgt.up || tgt.unreachable {
-		return nil, &Response{}
+		return nil, &Response{Status: sim.statusWithout(to)}
 	}
 	sim.endDueRuns(tgt)
 	if token < tgt.fenceToken {
@@ -143,6 +145,19 @@
 	return tgt, nil
 }
 
+// statusWithout returns the status of a call to a target that isn't at the address.
+func (sim *simulation) statusWithout(to TargetRef) CallStatus {
+	if tgt := sim.targets[to.ID]; tgt != nil && tgt.refusing {
+		return StatusNotSent
+	}
+	for id, other := range sim.targets {
+		if id != to.ID && other.info.Address == to.Address && other.up && !other.unreachable {
+			return StatusOtherTarget
+		}
+	}
+	return StatusUnanswered
+}
+
 // renewLease extends the lease to a deadline, but by at most the longest lease from now.
 func (tgt *simTarget) renewLease(deadlineMs int64, now time.Duration) {
 	tgt.leaseEndMs = max(tgt.leaseEndMs, min(deadlineMs, tgt.clockMs(now)+simTiming.MaxLease.Milliseconds()))
@@ -206,6 +221,13 @@
 		r.readyAt = sim.now + sim.startup
 	}
 	tgt.runs[e.Task] = r
+	if delay, deadly := sim.deadly[e.Task]; deadly {
+		sim.schedule(delay, func() {
+			if tgt.runs[e.Task] == r {
+				sim.crash(e.Target.ID)
+			}
+		})
+	}
 	if step.Gang {
 		sim.scheduleGangEnd(e, r.endsAt)
 	}
@@ -229,6 +251,7 @@
 		r := other.runs[e.Task]
 		require.Nil(sim.t, r, "%v: %v runs on %s and starts on %s", sim.now, e.Task, id, tgt.info.ID)
 	}
+	sim.checkCrashes(e.Task)
 	failures := 0
 	for _, outcome := range sim.acknowledged[e.Task] {
 		require.NotEqual(sim.t, OutcomeDone, outcome, "%v: %v starts after it was done", sim.now, e.Task)
--- a/internal/cransched/world_test.go
+++ b/internal/cransched/world_test.go
@@ -74,6 +74,17 @@
 	// have ended.
 	leasesEndAt map[string]time.Duration
 
+	// deadly maps the tasks that crash each target that starts them to how long after the start
+	// they do. crashes counts the targets that have crashed under a task, startsAfterCrashes the
+	// starts after three of them, and crashed all targets that have crashed. keepIDs lets
+	// targets keep their ids after a crash.
+	deadly                      map[cranjob.TaskName]time.Duration
+	crashes, startsAfterCrashes map[cranjob.TaskName]int
+	crashed                     int
+	keepIDs                     bool
+	// background is the number of ordinary jobs that runBackground has submitted.
+	background int
+
 	jobs map[string]*cranjob.Job
 	// acknowledged holds the outcomes that the owner has acknowledged, by task.
 	acknowledged map[cranjob.TaskName][]RunOutcome
@@ -102,6 +113,7 @@
 		instances: map[string]*simInstance{}, orderStoredAt: map[string]time.Duration{}, lastOrders: map[string]sentOrder{},
 		targets: map[string]*simTarget{}, jobs: map[string]*cranjob.Job{}, acknowledged: map[cranjob.TaskName][]RunOutcome{},
 		succeeded: map[cranjob.TaskName]bool{}, maintenances: map[string]int{}, failureRate: 0.08,
+		deadly: map[cranjob.TaskName]time.Duration{}, crashes: map[cranjob.TaskName]int{}, startsAfterCrashes: map[cranjob.TaskName]int{},
 	}
 	for i := range targets {
 		sim.addTarget(fmt.Sprintf("t%d", i))
