cransched: count and log the targets that crash under a task

Change: when a target ends unexpectedly (another target has its address, it restarts, or its instance has a new target after a silence), each task that was lost with it counts a crash. Those that had not outlived their start by 0.3 s are suspected, or only the ones among them with the most such crashes; outliving a start clears the suspicion. Counts are stored, so a successor knows them, under a key of their own: processes of earlier versions log such a record as malformed and go on. Events 1210, 1211 and 1308, and two counters. Nothing is decided by the counts yet.

--- a/internal/cranevent/event.go
+++ b/internal/cranevent/event.go
@@ -103,6 +103,8 @@
 	RunReleased     Event = 1207
 	ThrottleChanged Event = 1208
 	EndWithheld     Event = 1209
+	TaskSuspected   Event = 1210
+	TaskGivenUp     Event = 1211
 )
 
 // Events of targets that run tasks, and of planned work on their instances.
@@ -114,6 +116,7 @@
 	TargetGone         Event = 1305
 	TargetSuperseded   Event = 1306
 	LeaseEndInherited  Event = 1307
+	TargetCrashed      Event = 1308
 	TargetCordoned     Event = 1310
 	MaintenanceOrdered Event = 1311
 	WaveChanged        Event = 1312
--- a/internal/cranjob/progress.go
+++ b/internal/cranjob/progress.go
@@ -80,6 +80,22 @@
 	EndedMs int64
 }
 
+// CrashCount counts the targets that have crashed under a task.
+type CrashCount struct {
+	_ struct{} `cbor:",toarray"`
+	// Early counts those that crashed right after the task's start. It is 0 again once the task
+	// has outlived that time.
+	Early int
+	// Total counts all of them. It is 0 again once a long-running task has been at work for some
+	// time.
+	Total int
+}
+
+// Crashes holds the counts of a job's tasks by their position in [Progress.Tasks], without those
+// that are zero. It has a record of its own, since processes of earlier versions can't read a
+// [Task] with further fields.
+type Crashes map[int]CrashCount
+
 // Claim is the record by which a process claims a shard. The process of the newest claim is
 // the owner of the shard.
 type Claim struct {
@@ -131,6 +147,7 @@
 	keyProgress     = 'p'
 	keyOrder        = 'm'
 	keyDurations    = 'd'
+	keyCrashes      = 'k'
 	// KeyClaim is the whole key of the scheduler's claim.
 	KeyClaim = "scheduler"
 )
@@ -162,6 +179,9 @@
 // DurationsKey returns the key of the task durations of a queue.
 func DurationsKey(queue string) string { return string(keyDurations) + queue }
 
+// CrashesKey returns the key of a job's crash counts.
+func CrashesKey(id string) string { return string(keyCrashes) + id }
+
 // CancellationMark is the value of a cancellation record. It is not empty, since an
 // empty value deletes the record.
 var CancellationMark = []byte{1}
--- a/internal/cranjob/replica.go
+++ b/internal/cranjob/replica.go
@@ -8,6 +8,7 @@
 type TrackedJob struct {
 	job       *Job
 	progress  *Progress
+	crashes   Crashes
 	cancelled bool
 }
 
@@ -18,6 +19,9 @@
 // Progress returns the newest progress record, or nil if there is none.
 func (e *TrackedJob) Progress() *Progress { return e.progress }
 
+// Crashes returns the crash counts of the job's tasks. The caller must not change them.
+func (e *TrackedJob) Crashes() Crashes { return e.crashes }
+
 // Cancelled reports whether a caller has cancelled the job.
 func (e *TrackedJob) Cancelled() bool { return e.cancelled }
 
@@ -187,6 +191,17 @@
 		}
 		r.entry(id).progress = progress
 		return Change{Kind: ProgressChanged, ID: id}, nil
+	case keyCrashes:
+		if len(value) == 0 {
+			r.entry(id).crashes = nil
+			return Change{}, nil
+		}
+		crashes, err := decode[Crashes](id, value)
+		if err != nil {
+			return Change{}, err
+		}
+		r.entry(id).crashes = *crashes
+		return Change{}, nil
 	case keyDurations:
 		durations, err := decode[Durations](id, value)
 		if err != nil {
--- a/internal/cranmetric/jobs.go
+++ b/internal/cranmetric/jobs.go
@@ -23,6 +23,7 @@
 	refusals, retries, ended, runEnds,
 	orders *prometheus.CounterVec
 	accepted, cancelled, takeovers prometheus.Counter
+	targetCrashes, givenUp         prometheus.Counter
 	acceptance                     prometheus.Histogram
 	orderTime                      *prometheus.HistogramVec
 	firstStart                     prometheus.Histogram
@@ -51,18 +52,20 @@
 		return prometheus.HistogramOpts{Namespace: namespace, Name: name, Help: help, Buckets: jobBuckets}
 	}
 	m := &Jobs{
-		registry:   prometheus.NewRegistry(),
-		refusals:   vector("job_refusals_total", "Requests of callers that were refused, by reason.", "reason"),
-		retries:    vector("store_retries_total", "Appends that were sent again, by reason.", "reason"),
-		ended:      vector("jobs_ended_total", "Jobs that have ended, by state.", "state"),
-		runEnds:    vector("run_ends_total", "Runs that have ended, by how.", "how"),
-		orders:     vector("orders_total", "Orders to targets and about instances, by kind and outcome.", "order", "outcome"),
-		accepted:   counter("jobs_accepted_total", "Jobs that were accepted and stored."),
-		cancelled:  counter("jobs_cancelled_total", "Cancellations that were stored."),
-		takeovers:  counter("scheduler_takeovers_total", "Times that this process took over a shard."),
-		acceptance: prometheus.NewHistogram(histogram("accept_seconds", "Time from a job's arrival until it is stored.")),
-		orderTime:  prometheus.NewHistogramVec(histogram("order_seconds", "Time until an order is answered, by kind."), []string{"order"}),
-		firstStart: prometheus.NewHistogram(histogram("first_start_seconds", "Time from a job's arrival until its first task is placed.")),
+		registry:      prometheus.NewRegistry(),
+		refusals:      vector("job_refusals_total", "Requests of callers that were refused, by reason.", "reason"),
+		retries:       vector("store_retries_total", "Appends that were sent again, by reason.", "reason"),
+		ended:         vector("jobs_ended_total", "Jobs that have ended, by state.", "state"),
+		runEnds:       vector("run_ends_total", "Runs that have ended, by how.", "how"),
+		orders:        vector("orders_total", "Orders to targets and about instances, by kind and outcome.", "order", "outcome"),
+		accepted:      counter("jobs_accepted_total", "Jobs that were accepted and stored."),
+		cancelled:     counter("jobs_cancelled_total", "Cancellations that were stored."),
+		takeovers:     counter("scheduler_takeovers_total", "Times that this process took over a shard."),
+		targetCrashes: counter("target_crashes_total", "Targets that have crashed."),
+		givenUp:       counter("tasks_given_up_total", "Tasks that were given up, because targets crash under them."),
+		acceptance:    prometheus.NewHistogram(histogram("accept_seconds", "Time from a job's arrival until it is stored.")),
+		orderTime:     prometheus.NewHistogramVec(histogram("order_seconds", "Time until an order is answered, by kind."), []string{"order"}),
+		firstStart:    prometheus.NewHistogram(histogram("first_start_seconds", "Time from a job's arrival until its first task is placed.")),
 	}
 	gauge := func(name, help string) prometheus.GaugeOpts {
 		return prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}
@@ -83,7 +86,7 @@
 		m.retries.WithLabelValues(reason)
 	}
 	m.registry.MustRegister(m.refusals, m.retries, m.ended, m.runEnds, m.orders, m.accepted, m.cancelled,
-		m.takeovers, m.acceptance, m.orderTime, m.firstStart, m.reads, m.readBytes, m.behind, m.firstByte, m.configApply, m.configRevision, m.configConfirmed, m.ownedShards, m.digestJobs, collectors.NewGoCollector(),
+		m.takeovers, m.targetCrashes, m.givenUp, m.acceptance, m.orderTime, m.firstStart, m.reads, m.readBytes, m.behind, m.firstByte, m.configApply, m.configRevision, m.configConfirmed, m.ownedShards, m.digestJobs, collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -124,6 +127,12 @@
 // TookOver counts a takeover of a shard by this process.
 func (m *Jobs) TookOver() { m.takeovers.Inc() }
 
+// TargetCrashed counts a target that has crashed.
+func (m *Jobs) TargetCrashed() { m.targetCrashes.Inc() }
+
+// TaskGivenUp counts a task that is given up, because targets crash under it.
+func (m *Jobs) TaskGivenUp() { m.givenUp.Inc() }
+
 // Ended counts a job that has reached a final state.
 func (m *Jobs) Ended(state string) { m.ended.WithLabelValues(state).Inc() }
 
--- a/internal/crannode/note.go
+++ b/internal/crannode/note.go
@@ -17,6 +17,9 @@
 	cransched.LogUnknownRun:         cranevent.RunUnknown,
 	cransched.LogRunReleased:        cranevent.RunReleased,
 	cransched.LogEndWithheld:        cranevent.EndWithheld,
+	cransched.LogTaskSuspected:      cranevent.TaskSuspected,
+	cransched.LogTaskGivenUp:        cranevent.TaskGivenUp,
+	cransched.LogTargetCrashed:      cranevent.TargetCrashed,
 	cransched.LogLeaseExpired:       cranevent.TargetLeaseExpired,
 	cransched.LogTargetRestarted:    cranevent.TargetRestarted,
 	cransched.LogTargetGone:         cranevent.TargetGone,
@@ -38,6 +41,10 @@
 		n.metrics.RunEnded(e.Reason)
 	case cransched.LogJobEnded:
 		n.metrics.Ended(e.State.String())
+	case cransched.LogTargetCrashed:
+		n.metrics.TargetCrashed()
+	case cransched.LogTaskGivenUp:
+		n.metrics.TaskGivenUp()
 	case cransched.LogFirstStart:
 		// The first start of a job is measured but not logged.
 		n.metrics.FirstStart(time.Duration(e.AgeMs) * time.Millisecond)
--- /dev/null
+++ b/internal/cransched/crash.go
@@ -0,0 +1,156 @@
+package cransched
+
+import (
+	"time"
+
+	"github.com/cranberrypick/cranberrypick/internal/cranjob"
+	"github.com/cranberrypick/cranberrypick/internal/cranstore"
+)
+
+const (
+	// survivalTime is how long a run must be present until it has outlived its start. A task that
+	// crashes its target does so right after it has started.
+	survivalTime = 300 * time.Millisecond
+	// healthyTime is how long a long-running task must be present until earlier crashes don't
+	// count any more.
+	healthyTime = 5 * time.Second
+	// crashMemory is how long the runs of a target that has fallen silent are remembered, until a
+	// new target on its instance shows that it has crashed.
+	crashMemory = 15 * time.Second
+)
+
+// loss holds the tasks that were placed on a target when it ended.
+type loss struct {
+	target string
+	// processStartMs is the start time of the process that has ended.
+	processStartMs int64
+	at             time.Duration
+	tasks          []lostTask
+}
+
+// lostTask is a task in a loss. It is early if it had not outlived its start.
+type lostTask struct {
+	name  cranjob.TaskName
+	early bool
+}
+
+// lossOf returns what is lost if a target ends now.
+func (s *Scheduler) lossOf(t *target) loss {
+	l := loss{target: t.info.ID, processStartMs: t.info.ProcessStartMs, at: s.clock.Steady}
+	for _, r := range t.sortedRuns() {
+		if r.task != nil && r.task.run == r && r.phase != planned {
+			l.tasks = append(l.tasks, lostTask{r.name, r.early()})
+		}
+	}
+	return l
+}
+
+// early reports whether the run has not outlived its start. Of a run that an earlier owner has
+// started that is known only if its task is suspected: such a task starts apart from others.
+func (r *run) early() bool {
+	return !r.survived && (r.phase != unverified || r.task.crashes.Early > 0)
+}
+
+// expectsEnd reports whether a target ends by an order or because it has announced it.
+func (s *Scheduler) expectsEnd(t *target) bool { return t.info.Draining || s.hasPendingOrder(t) }
+
+// recordCrash counts a crash for the tasks that were lost with a target. Those that had not
+// outlived their start may have caused it; of these, the ones with the most such crashes have.
+func (s *Scheduler) recordCrash(l loss, reason string) {
+	s.emit(LogEntry{Kind: LogTargetCrashed, Target: l.target, Run: len(l.tasks), Reason: reason})
+	most := 0
+	for _, lost := range l.tasks {
+		if t := s.findTask(lost.name); t != nil && lost.early {
+			most = max(most, t.crashes.Early)
+		}
+	}
+	for _, lost := range l.tasks {
+		t := s.findTask(lost.name)
+		if t == nil || t.Status == cranjob.Done {
+			continue
+		}
+		t.crashes.Total++
+		if lost.early && t.crashes.Early == most {
+			t.crashes.Early++
+			s.emit(LogEntry{Kind: LogTaskSuspected, Job: lost.name.Job, Task: lost.name.String(), Run: t.crashes.Early, Target: l.target})
+		}
+		s.crashesChanged(t.job)
+	}
+}
+
+// crashesChanged schedules the crash counts of a job for the next batch.
+func (s *Scheduler) crashesChanged(j *job) {
+	j.crashesDirty, j.hasCrashes = true, true
+	s.markDirty(j)
+}
+
+// observePresence updates the crash counts of a task from a report, sent at a time, that lists its
+// run.
+func (s *Scheduler) observePresence(r *run, sentAt time.Duration) {
+	if r.presentSince == 0 {
+		r.presentSince = s.clock.Steady
+	}
+	counts := &r.task.crashes
+	before := *counts
+	if !r.survived && sentAt >= r.presentSince+survivalTime {
+		r.survived = true
+		counts.Early = 0
+	}
+	if r.step.LongRunning && r.survived && sentAt >= r.presentSince+healthyTime {
+		counts.Total = 0
+	}
+	if *counts != before {
+		s.crashesChanged(r.task.job)
+	}
+}
+
+// recordCrashOfInstance counts the crash of a silent target once its instance has a new target.
+func (s *Scheduler) recordCrashOfInstance(info TargetInfo) {
+	l, found := s.losses[info.Instance]
+	if !found || info.ProcessStartMs <= l.processStartMs {
+		return
+	}
+	delete(s.losses, info.Instance)
+	if s.clock.Steady-l.at < crashMemory {
+		s.recordCrash(l, "its instance has a new target")
+	}
+}
+
+// crashes returns the record of the crash counts of a job, without those that are zero.
+func (j *job) crashes() cranjob.Crashes {
+	c := cranjob.Crashes{}
+	for i, t := range j.tasks {
+		if t.crashes != (cranjob.CrashCount{}) {
+			c[i] = t.crashes
+		}
+	}
+	return c
+}
+
+// nextCrashesRecord returns the record of the crash counts of a job if it is to be stored. It is
+// dropped when the job ends.
+func (j *job) nextCrashesRecord() []cranstore.Record {
+	record := cranstore.Record{Key: cranjob.CrashesKey(j.ID)}
+	switch {
+	case j.state.Final():
+		if !j.hasCrashes {
+			return nil
+		}
+	case j.crashesDirty:
+		record.Value = cranjob.Encode(j.crashes())
+	default:
+		return nil
+	}
+	j.crashesDirty = false
+	return []cranstore.Record{record}
+}
+
+// restoreCrashes restores the crash counts of a job.
+func (j *job) restoreCrashes(c cranjob.Crashes) {
+	for i, count := range c {
+		if i >= 0 && i < len(j.tasks) {
+			j.tasks[i].crashes = cranjob.CrashCount{Early: max(count.Early, 0), Total: max(count.Total, 0)}
+			j.hasCrashes = true
+		}
+	}
+}
--- a/internal/cransched/effect.go
+++ b/internal/cransched/effect.go
@@ -161,6 +161,14 @@
 	// LogEndWithheld means that the success of a run is not acknowledged, because a newer
 	// run of the task exists.
 	LogEndWithheld
+	// LogTargetCrashed means that a target has ended and wasn't expected to. Run is the number of
+	// runs that were lost.
+	LogTargetCrashed
+	// LogTaskSuspected means that a task may have crashed a target; Run is how many have crashed
+	// under it.
+	LogTaskSuspected
+	// LogTaskGivenUp means that a task is not started again, because targets crash under it.
+	LogTaskGivenUp
 	// LogFirstStart carries a measurement: AgeMs is the time from the receipt of a job to
 	// the placement of its first task.
 	LogFirstStart
--- a/internal/cransched/job.go
+++ b/internal/cransched/job.go
@@ -16,6 +16,8 @@
 	run *run
 	// notBefore is the earliest time of the next run after a failed run or a refused start.
 	notBefore time.Duration
+	// crashes counts the targets that have crashed under the task.
+	crashes cranjob.CrashCount
 }
 
 // stage is one step of one occurrence of a job.
@@ -42,6 +44,9 @@
 	placedBefore bool
 	// dirty is set while the job has progress to be stored with the next batch.
 	dirty bool
+	// hasCrashes is set once a target has crashed under a task of the job, and crashesDirty while
+	// the crash counts are to be stored with the next batch.
+	hasCrashes, crashesDirty bool
 	// criticalPathMs holds for each step the expected length of the longest path of
 	// dependent steps that begins with it; durationMs holds the expected duration of one
 	// of its tasks.
--- a/internal/cransched/outcome.go
+++ b/internal/cransched/outcome.go
@@ -44,6 +44,7 @@
 	case StatusOK:
 		r.phase = confirmed
 		r.answeredAt = now
+		r.presentSince = now
 		t.advanceHeartbeat(now + minHeartbeatGap)
 		s.markJobRunning(r)
 	case StatusUnanswered:
--- a/internal/cransched/report.go
+++ b/internal/cransched/report.go
@@ -49,7 +49,11 @@
 		return
 	}
 	s.emit(LogEntry{Kind: LogTargetGone, Target: t.info.ID, Reason: "another target has its address"})
+	lost, expected := s.lossOf(t), s.expectsEnd(t)
 	s.endTarget(t, "the target is gone")
+	if !expected {
+		s.recordCrash(lost, "another target has its address")
+	}
 }
 
 // endTarget records that a target no longer exists and releases its runs.
@@ -78,7 +82,7 @@
 	reported := make(map[runName]bool, len(resp.Running))
 	for _, r := range resp.Running {
 		reported[runName{r.Task, r.Run}] = true
-		s.applyRunningRun(t, r)
+		s.applyRunningRun(t, r, resp.SentAt)
 	}
 	for _, r := range t.sortedRuns() {
 		if !reported[runName{r.name, r.number}] {
@@ -119,7 +123,7 @@
 }
 
 // applyRunningRun records that a run is present on a target.
-func (s *Scheduler) applyRunningRun(t *target, report RunReport) {
+func (s *Scheduler) applyRunningRun(t *target, report RunReport, sentAt time.Duration) {
 	r := t.runs[runName{report.Task, report.Run}]
 	if r == nil {
 		r = s.addUnknownRun(t, report)
@@ -140,6 +144,7 @@
 	if report.Checkpoint != "" {
 		r.task.Checkpoint = report.Checkpoint
 	}
+	s.observePresence(r, sentAt)
 	s.markJobRunning(r)
 }
 
--- a/internal/cransched/scheduler.go
+++ b/internal/cransched/scheduler.go
@@ -46,6 +46,8 @@
 	inFlight    *batch
 	suspensions suspensions
 	predecessor Predecessor
+	// losses holds what was lost with a target that had fallen silent, by instance.
+	losses map[string]loss
 }
 
 // Predecessor is what a new owner knows about the previous owner.
@@ -80,7 +82,7 @@
 		token: token, timing: timing, config: config, clock: now, stored: stored,
 		jobs: map[string]*job{}, targets: map[string]*target{}, cancelled: map[string]bool{},
 		predictors: map[string]*predictor{}, arrivals: map[string]*arrivalHistory{},
-		starved: map[string]bool{}, nextTicketRequest: map[StepName]time.Duration{},
+		losses: map[string]loss{}, starved: map[string]bool{}, nextTicketRequest: map[StepName]time.Duration{},
 		suspensions: newSuspensions(predecessor.LeasesEndAt),
 		predecessor: predecessor,
 	}
@@ -107,6 +109,7 @@
 func (s *Scheduler) restoreJob(e *cranjob.TrackedJob) {
 	j := newJob(e.Job(), e.Progress())
 	j.queue = s.queueConfig(j.Queue)
+	j.restoreCrashes(e.Crashes())
 	s.jobs[j.ID] = j
 	for _, t := range j.tasks {
 		if t.Status != cranjob.Placed {
@@ -268,6 +271,7 @@
 	for _, j := range s.dirty {
 		j.dirty = false
 		records = append(records, cranstore.Record{Key: cranjob.ProgressKey(j.ID), Value: cranjob.Encode(j.progress())})
+		records = append(records, j.nextCrashesRecord()...)
 	}
 	s.inFlight = &batch{effects: s.awaitingStore, acknowledged: acknowledged}
 	s.dirty, s.pendingRecords, s.awaitingStore = nil, nil, nil
--- a/internal/cransched/target.go
+++ b/internal/cransched/target.go
@@ -43,6 +43,10 @@
 	// answeredAt is when the start, or later the stop, was answered; 0 before.
 	answeredAt time.Duration
 	startedAt  time.Duration
+	// presentSince is when the run was first known to be present; 0 before. survived is set once
+	// it has outlived its start.
+	presentSince time.Duration
+	survived     bool
 	// inherited is set for runs that an earlier owner started, resumed for runs that
 	// continue from a checkpoint.
 	inherited, resumed bool
--- a/internal/cransched/targets.go
+++ b/internal/cransched/targets.go
@@ -24,6 +24,7 @@
 			t = newTarget(info, s.clock.Steady, s.earlierLeaseEnd(info.ID))
 			s.addTarget(t)
 			s.observeArrival(t)
+			s.recordCrashOfInstance(info)
 		}
 		if t.info.ProcessStartMs != 0 && info.ProcessStartMs > t.info.ProcessStartMs {
 			s.handleRestart(t, info.ProcessStartMs)
@@ -56,6 +57,7 @@
 // process may reach the new one, whose clock is lower: that cuts the lease to the longest one.
 func (s *Scheduler) handleRestart(t *target, processStartMs int64) {
 	s.emit(LogEntry{Kind: LogTargetRestarted, Target: t.info.ID})
+	lost, expected := s.lossOf(t), s.expectsEnd(t)
 	for _, r := range t.sortedRuns() {
 		s.resetRun(t, r)
 	}
@@ -69,6 +71,9 @@
 	t.fenced = false
 	t.awaitsStore = false
 	t.tickets = nil
+	if !expected {
+		s.recordCrash(lost, "it has restarted")
+	}
 }
 
 // resetRun handles a run of the target's previous process. An unanswered start may still
@@ -154,6 +159,9 @@
 	t.suspended = s.suspensions.active(t.info.ID)
 	if overdue && len(t.runs) > 0 && t.leasesExpired(now) {
 		s.emit(LogEntry{Kind: LogLeaseExpired, Target: t.info.ID, AgeMs: (now - t.lastResponseAt).Milliseconds()})
+		if t.info.Instance != "" && !s.expectsEnd(t) {
+			s.losses[t.info.Instance] = s.lossOf(t)
+		}
 		s.releaseRuns(t, "the lease has expired")
 	}
 	if !t.listed && len(t.runs) == 0 && overdue {
