cransched: don't cut the ends of leases in a predecessor's list

What callers would see: a task that runs twice at a time, when a target has restarted and fallen silent, with a start that was under way in its new process, and its owner is lost after that. Cause: the successor took the earlier of the list's figure and of the longest lease that an owner requests. Since the figure for a restarted target is longer than that. Change: the list's figure counts, up to the longest lease that a target accepts. An order counts as under way for 2 s instead of 1 s: the sender of a heartbeat waits up to 1.9 s. Evidence: TestListedLeaseEndIsNotCut (found in the review) failed before. Still open: the same when the owner is lost before it has stored such a list. A bound without a list that covers it would let the tasks of every unreachable target wait 2.9 s longer after each loss of an owner.

--- a/internal/cransched/config.go
+++ b/internal/cransched/config.go
@@ -71,9 +71,10 @@
 	// leaseExpiryMargin is added to the end of a lease to allow the target to kill its
 	// runs.
 	leaseExpiryMargin = 250 * time.Millisecond
-	// deliveryTimeout is how long an order may be under way to a target. Its sender gives up
-	// sooner, and what a target carries out later ends with the target's process.
-	deliveryTimeout = 1000 * time.Millisecond
+	// deliveryTimeout is how long an order may be under way to a target. The sender of a heartbeat
+	// gives up after 1.9 s, that of any other order sooner. What a target carries out later ends
+	// with the target's process.
+	deliveryTimeout = 2000 * time.Millisecond
 	// OwnershipTimeout is how long an owner may send orders to targets after its last
 	// confirmed append. A successor adds it to the lease of targets that it can't reach.
 	OwnershipTimeout = 2500 * time.Millisecond
--- a/internal/cransched/lease.go
+++ b/internal/cransched/lease.go
@@ -86,12 +86,19 @@
 	return time.Duration(float64(lease)/(1-maxClockDrift)) + leaseExpiryMargin
 }
 
+// restartedLeaseBound returns how long a lease lasts at most that an order grants which has been sent
+// already. If the target restarts before the order arrives, the deadline is far ahead on the clock of
+// its new process, and the lease is cut to the longest one.
+func (s *Scheduler) restartedLeaseBound() time.Duration {
+	return deliveryTimeout + leaseBound(s.timing.MaxLease)
+}
+
 // earlierLeaseEnd returns the time by which all leases that earlier owners have granted to a
 // target have expired.
 func (s *Scheduler) earlierLeaseEnd(id string) time.Duration {
-	end := s.predecessor.StoppedBy + leaseBound(s.leaseDuration())
+	stopped := s.predecessor.StoppedBy
 	if known, silent := s.predecessor.LeasesEndAt[id]; silent {
-		end = min(end, known)
+		return min(known, stopped+s.restartedLeaseBound())
 	}
-	return end
+	return stopped + leaseBound(s.leaseDuration())
 }
--- a/internal/cransched/lease_test.go
+++ b/internal/cransched/lease_test.go
@@ -150,3 +150,13 @@
 		})
 	}
 }
+
+// TestListedLeaseEndIsNotCut guards against a successor that expects the leases of a restarted
+// target to end before its predecessor did.
+func TestListedLeaseEndIsNotCut(t *testing.T) {
+	now := time.Hour
+	s := New(2, simTiming, &Config{}, cranjob.NewReplica(), Clock{Steady: now}, Predecessor{
+		StoppedBy: now, LeasesEndAt: map[string]time.Duration{"x": now + 7*time.Second},
+	})
+	require.GreaterOrEqual(t, s.earlierLeaseEnd("x"), now+7*time.Second)
+}
--- a/internal/cransched/targets.go
+++ b/internal/cransched/targets.go
@@ -64,7 +64,7 @@
 	t.ended = false
 	t.info.ProcessStartMs = processStartMs
 	t.clockMs, t.clockAt, t.leaseEndMs = 0, 0, 0
-	t.earlierLeasesEndAt = s.clock.Steady + deliveryTimeout + leaseBound(s.timing.MaxLease)
+	t.earlierLeasesEndAt = s.clock.Steady + s.restartedLeaseBound()
 	t.restarts++
 	t.endsSeen, t.endsStored, t.withheldEnd = 0, 0, 0
 	t.ownAddress = ""
