cransched: keep a target that came up after its maintenance in use

Cause: the platform answers 200 to a repeated order that it has carried out before. The response ended whichever target ran on the instance by then, also the one that came up after the maintenance. Change: the response ends the target that ran there when this owner first ordered the maintenance. Any other gets no new tasks until it has answered a heartbeat that was sent after the response.

--- a/internal/cransched/report.go
+++ b/internal/cransched/report.go
@@ -70,7 +70,7 @@
 		return
 	}
 	t.recordResponse(resp.Response, s.clock.Steady)
-	t.fenced = true
+	t.fenced = t.fenced || resp.SentAt >= t.awaitsResponseSince
 	delete(s.suspensions.wanted, t.info.ID)
 	for _, e := range resp.Finished {
 		if e.Number <= t.endsSeen {
--- a/internal/cransched/target.go
+++ b/internal/cransched/target.go
@@ -81,6 +81,9 @@
 	ended bool
 	// fenced is set once the target has answered a heartbeat with this owner's token.
 	fenced bool
+	// awaitsResponseSince is when the target may have ended. Only the response to a heartbeat that
+	// was sent later shows that it has not.
+	awaitsResponseSince time.Duration
 	// superseded is set once the target has seen a higher token than this owner's.
 	superseded bool
 	// lastResponseAt is when the newest response arrived. stateAsOf is the latest send
@@ -184,6 +187,13 @@
 	t.stateAsOf = max(t.stateAsOf, resp.SentAt)
 }
 
+// awaitResponse makes the target unavailable for new tasks until it has responded again.
+func (t *target) awaitResponse(now time.Duration) {
+	t.fenced = false
+	t.awaitsResponseSince = now
+	t.advanceHeartbeat(now)
+}
+
 // leasesExpired reports whether all leases of the target have expired with certainty, so
 // that all its runs have ended.
 func (t *target) leasesExpired(now time.Duration) bool {
--- a/internal/cransched/wave.go
+++ b/internal/cransched/wave.go
@@ -46,6 +46,9 @@
 type member struct {
 	instance string
 	state    memberState
+	// target is the id of the target that ran on the instance when its maintenance was first
+	// ordered; empty if that was by a predecessor.
+	target string
 	// sentAt is when this owner last ordered the maintenance; 0 if it hasn't, also for the
 	// stored order of a predecessor.
 	sentAt time.Duration
@@ -357,6 +360,9 @@
 
 // orderMaintenance stores the order for an instance and sends it once stored.
 func (s *Scheduler) orderMaintenance(w *wave, m *member) {
+	if t := s.currentTarget(m.instance); t != nil && !m.orderStored {
+		m.target = t.info.ID
+	}
 	m.state = maintenanceOrdered
 	m.orderStored = true
 	m.sentAt = s.clock.Steady
@@ -390,8 +396,11 @@
 			continue
 		}
 		if status == StatusOK {
-			if t := s.currentTarget(m.instance); t != nil {
+			// The platform also accepts an order that it has carried out before.
+			if t := s.currentTarget(m.instance); t != nil && t.info.ID == m.target {
 				s.endTarget(t, "the instance is down for maintenance")
+			} else if t != nil {
+				t.awaitResponse(s.clock.Steady)
 			}
 			s.confirmStarted(m)
 		}
