cransched: don't take the maintenance of another wave for the own one

Cause: an instance that the platform lists as under maintenance counted as proof that the ordered one has begun. The list doesn't tell the wave. Change: the list counts only for instances in a single wave. Otherwise the order is repeated until the platform accepts it. Evidence: TestOtherMaintenanceBeginsNoWave (found in the review) failed before.

--- a/internal/cransched/wave.go
+++ b/internal/cransched/wave.go
@@ -313,11 +313,23 @@
 	case m.missingSince == 0:
 		m.missingSince = s.fleet.listRequestedAt
 	}
-	if m.state == maintenanceOrdered && found && i.Maintenance && s.fleet.listRequestedAt > m.sentAt {
+	// The list doesn't tell for which wave an instance is down.
+	if m.state == maintenanceOrdered && found && i.Maintenance && s.fleet.listRequestedAt > m.sentAt && s.countWavesOf(m.instance) == 1 {
 		s.confirmStarted(m)
 	}
 }
 
+// countWavesOf counts the waves that an instance is in.
+func (s *Scheduler) countWavesOf(instance string) int {
+	n := 0
+	for _, w := range s.fleet.waves {
+		if slices.ContainsFunc(w.members, func(m *member) bool { return m.instance == instance }) {
+			n++
+		}
+	}
+	return n
+}
+
 // removalTimeout is how long an instance must be missing from the list before it counts as
 // removed. The list is read in pages, and a page may miss an instance while others are
 // added or removed. Two more lists are read in this time.
--- a/internal/cransched/wave_test.go
+++ b/internal/cransched/wave_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/cranberrypick/cranberrypick/internal/cranjob"
 )
 
 // TestRepeatedMaintenanceKeepsNewTarget guards against a target that counts as gone because the
@@ -33,3 +35,49 @@
 	sim.runFor(10 * time.Second)
 	require.NotEmpty(t, host.runs)
 }
+
+// TestOtherMaintenanceBeginsNoWave guards against a wave that counts as begun because an instance is
+// down for another wave.
+func TestOtherMaintenanceBeginsNoWave(t *testing.T) {
+	now := time.Hour
+	clock := func() Clock { return Clock{Steady: now, UnixMs: 1_700_000_000_000 + now.Milliseconds()} }
+	config := &Config{Version: 1, Pools: map[string]*Pool{"p": {Name: "p"}}, Queues: map[string]*Queue{}}
+	s := New(1, simTiming, config, cranjob.NewReplica(), clock(), Predecessor{})
+	info := TargetInfo{ID: "t", Pool: "p", Address: "t", Instance: "m", Capacity: cranjob.Resources{CPU: 4000, Memory: 8000}, ProcessStartMs: 1}
+	s.SetTargets([]TargetInfo{info})
+	s.SetInstances([]InstanceInfo{{Instance: "m", Pool: "p", Up: true, Target: "t"}}, now)
+	wave := func(number int) WaveOrder {
+		return WaveOrder{Wave: number, Instances: []string{"m"}, Duration: 20 * time.Second, SeenAt: now, MaxParallel: 1}
+	}
+	s.SetWaves([]WaveOrder{wave(1), wave(2)})
+	down, begun := false, map[int]bool{}
+	for range 100 {
+		now += 25 * time.Millisecond
+		s.Advance(clock())
+		s.Tick()
+		if _, any := s.NextBatch(); any {
+			s.ConfirmBatch()
+		}
+		for _, e := range s.Effects() {
+			switch e := e.(type) {
+			case Heartbeat:
+				if !down {
+					s.HandleHeartbeatResponse(e.Target, HeartbeatResponse{Response: Response{Status: StatusOK, ClockMs: now.Milliseconds(), ProcessStartMs: 1, SentAt: now}})
+				}
+			case Maintain:
+				status := StatusInstanceBusy
+				if e.Wave == 1 {
+					status, down = StatusOK, true
+				}
+				s.HandleMaintenanceResponse(e, status)
+			case WaveStatus:
+				begun[e.Wave] = begun[e.Wave] || e.Begun
+			}
+		}
+		if down && now%(500*time.Millisecond) == 0 {
+			s.SetInstances([]InstanceInfo{{Instance: "m", Pool: "p", Maintenance: true}}, now)
+		}
+	}
+	require.True(t, begun[1])
+	require.False(t, begun[2], "no order of the second wave was accepted")
+}
