cransched: know the moves of an earlier process of the entry instance

What callers would see: tasks that are lost because they start on an instance of which the move is under way, after its owner has restarted. Cause: a restarted owner need not space its orders from those of its earlier process, and was therefore given no times of the last orders. Without them it restored no moves. Change: it has the times, and a note that the spacing doesn't apply. Evidence: TestMovesOfEarlierProcessAreKnown (found in the review) failed before, without the new field.

--- a/internal/crannode/ownership.go
+++ b/internal/crannode/ownership.go
@@ -235,6 +235,8 @@
 		}
 	}
 	o.predecessor.LastOrderAt = o.lastOrders(now)
+	predecessor, known := s.predecessorOf(s.claim())
+	o.predecessor.SameInstance = known && s.isFromEarlierProcess(predecessor)
 	timing := n.timing
 	timing.OrdersPerSecond /= float64(len(n.shards))
 	_, leasesReadAt := n.digest.Leases(s.number)
@@ -259,12 +261,6 @@
 // lastOrders returns the times, on this process's clock, after which no earlier owner has
 // decided on an order for an instance.
 func (o *ownership) lastOrders(now cransched.Clock) map[string]time.Duration {
-	s := o.shard
-	if predecessor, known := s.predecessorOf(s.claim()); known && s.isFromEarlierProcess(predecessor) {
-		// The platform treats both processes of an entry instance as one lease holder,
-		// so earlier orders need not expire first.
-		return nil
-	}
 	at := map[string]time.Duration{}
 	for instance, order := range o.replica.Orders() {
 		age := time.Duration(now.UnixMs-order.DecidedMs)*time.Millisecond - orderAgeMargin
--- a/internal/cransched/moves_test.go
+++ b/internal/cransched/moves_test.go
@@ -71,3 +71,19 @@
 	require.Equal(t, "off", s.fleet.moves["a1"].pool)
 	require.Len(t, s.fleet.moves, 1)
 }
+
+// TestMovesOfEarlierProcessAreKnown guards against tasks on an instance whose move was ordered by an
+// earlier process of the entry instance, which has restarted.
+func TestMovesOfEarlierProcessAreKnown(t *testing.T) {
+	stored := cranjob.NewReplica()
+	now := Clock{Steady: time.Hour, UnixMs: 1_700_000_000_000}
+	order := cranjob.InstanceOrder{Pool: "q", Moving: true, DecidedMs: now.UnixMs - 500}
+	_, err := stored.Apply(cranjob.OrderKey("m"), cranjob.Encode(order), 0)
+	require.NoError(t, err)
+	s := New(2, simTiming, &Config{}, stored, now, Predecessor{
+		StoppedBy: now.Steady, LastOrderAt: map[string]time.Duration{"m": now.Steady}, SameInstance: true,
+	})
+	s.SetTargets([]TargetInfo{{ID: "t", Pool: "p", Address: "t", Instance: "m"}})
+	require.True(t, s.hasPendingOrder(s.targets["t"]))
+	require.True(t, s.mayOrder("m"))
+}
--- a/internal/cransched/scheduler.go
+++ b/internal/cransched/scheduler.go
@@ -57,6 +57,9 @@
 	// LastOrderAt is the time at which its newest order for each instance was read from the
 	// log.
 	LastOrderAt map[string]time.Duration
+	// SameInstance is set if it was an earlier process of the same entry instance. The platform
+	// takes both for one holder of the instances, so orders need not be spaced.
+	SameInstance bool
 	// LeasesEndAt holds the targets to which it has granted no lease since it published them
 	// as silent, and the time by which their leases have expired.
 	LeasesEndAt map[string]time.Duration
--- a/internal/cransched/wave.go
+++ b/internal/cransched/wave.go
@@ -197,7 +197,7 @@
 // sent up to OrderOwnershipTimeout after the order was read from the log.
 func (s *Scheduler) mayOrder(instance string) bool {
 	at, found := s.predecessor.LastOrderAt[instance]
-	return !found || s.clock.Steady >= at+OrderOwnershipTimeout+s.timing.OrderLease+orderMargin
+	return !found || s.predecessor.SameInstance || s.clock.Steady >= at+OrderOwnershipTimeout+s.timing.OrderLease+orderMargin
 }
 
 // waveInProgress reports whether the maintenance of an instance has not begun yet.
