cranjob: refuse jobs whose number of tasks overflows

The product of occurrences and tasks wraps to 0, so Validate accepted the job, and it was stored. The owner of the shard then created its tasks until it ran out of memory, and so did each successor: every process that scheduled the shard ended (trial with 3 GB: fatal error: out of memory). A stored job with any other count, or that waits for a step that doesn't exist, did the same (trial: index out of range [7] with length 2), since stored jobs weren't validated.

Validate bounds the occurrences before the product, and each demand, since a sum of demands could overflow too and fit anywhere. A replica and the search of submissions skip a stored job that Validate refuses, as malformed.

--- a/internal/cranjob/job.go
+++ b/internal/cranjob/job.go
@@ -20,6 +20,9 @@
 	MaxTasks = 6000
 	// MaxSteps is the maximum number of steps of one job.
 	MaxSteps = 256
+	// MaxResource is the maximum of each quantity in Resources, in its unit. It exceeds
+	// every machine, and no sum over the tasks of a shard overflows.
+	MaxResource = 1 << 40
 )
 
 // Resources is the capacity of a target or the demand of a task.
@@ -47,6 +50,11 @@
 	return d.CPU <= r.CPU && d.Memory <= r.Memory && d.Accelerators <= r.Accelerators
 }
 
+// Valid reports whether each quantity is within 0 and MaxResource.
+func (r Resources) Valid() bool {
+	return min(r.CPU, r.Memory, r.Accelerators) >= 0 && max(r.CPU, r.Memory, r.Accelerators) <= MaxResource
+}
+
 // Step is a set of identical tasks of a job.
 type Step struct {
 	// Count is the number of tasks, at least one.
@@ -175,14 +183,20 @@
 		return refuse("the job has %d steps, 1 to %d are allowed", len(j.Steps), MaxSteps)
 	case j.Times < 0 || j.IntervalMs < 0:
 		return refuse("times and interval must not be negative")
+	case j.Times > MaxTasks:
+		// The product with the number of tasks, checked below, could overflow.
+		return refuse("the job has %d occurrences, at most %d are allowed", j.Times, MaxTasks)
 	}
 	for i := range j.Steps {
 		s := &j.Steps[i]
 		if s.Count < 1 || s.Count > MaxTasks {
 			return refuse("step %d has %d tasks, 1 to %d are allowed", i, s.Count, MaxTasks)
 		}
-		if s.Demand.CPU < 0 || s.Demand.Memory < 0 || s.Demand.Accelerators < 0 || s.MaxPerTarget < 0 {
-			return refuse("step %d has a negative demand or a negative limit of tasks per target", i)
+		if !s.Demand.Valid() {
+			return refuse("step %d has a demand that is negative or above %d", i, MaxResource)
+		}
+		if s.MaxPerTarget < 0 || s.MaxUnavailable < 0 {
+			return refuse("step %d has a negative limit of tasks", i)
 		}
 		for _, earlier := range s.After {
 			if earlier < 0 || earlier >= i {
--- a/internal/cranjob/job_test.go
+++ b/internal/cranjob/job_test.go
@@ -1,9 +1,12 @@
 package cranjob
 
 import (
+	"math"
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/cranberrypick/cranberrypick/internal/cranfault"
 )
 
 func TestTaskNameParsingAndOrder(t *testing.T) {
@@ -37,3 +40,49 @@
 	require.Equal(t, Completed, e.State())
 	require.Equal(t, []int{3, 1}, e.Progress().Runs)
 }
+
+// TestAbsurdJobsAreInvalid checks that no job is accepted whose number of tasks, or a sum of
+// whose demands, overflows.
+func TestAbsurdJobsAreInvalid(t *testing.T) {
+	valid := func() Job { return Job{ID: "a", Steps: []Step{{Count: 4, Demand: Resources{CPU: 1, Memory: 1}}}} }
+	whole := valid()
+	require.NoError(t, whole.Validate())
+	for name, change := range map[string]func(*Job){
+		"product of occurrences and tasks": func(j *Job) { j.Times = math.MaxInt/2 + 1 },
+		"occurrences":                      func(j *Job) { j.Times = math.MaxInt },
+		"processor":                        func(j *Job) { j.Steps[0].Demand.CPU = math.MaxInt },
+		"memory":                           func(j *Job) { j.Steps[0].Demand.Memory = math.MaxInt - 1 },
+		"accelerators":                     func(j *Job) { j.Steps[0].Demand.Accelerators = math.MaxInt },
+		"limit of unavailable tasks":       func(j *Job) { j.Steps[0].MaxUnavailable = -1 },
+	} {
+		j := valid()
+		change(&j)
+		require.ErrorIs(t, j.Validate(), cranfault.MatchKind(cranfault.Invalid), name)
+	}
+}
+
+// TestInvalidStoredJobIsSkipped applies submissions that no entry instance would store. The
+// replica must not pass them on, and a sound job must be found.
+func TestInvalidStoredJobIsSkipped(t *testing.T) {
+	r := NewReplica()
+	step := Step{Count: 1}
+	for i, j := range []Job{
+		{ID: "a", Steps: []Step{{Count: math.MaxInt}}},
+		{ID: "a", Steps: []Step{{Count: -1}}},
+		{ID: "a", Steps: []Step{step}, Times: math.MaxInt},
+		{ID: "a", Steps: []Step{step, {Count: 1, After: []int{7}}}},
+		{ID: "a", Steps: []Step{step, {Count: 1, After: []int{-1}}}},
+		{ID: "a"},
+		{ID: "other", Steps: []Step{step}},
+	} {
+		_, err := r.Apply(SubmissionKey("a"), Encode(j), uint64(i))
+		require.ErrorIs(t, err, cranfault.MatchKind(cranfault.Malformed), "%+v", j)
+		_, err = DecodeSubmission(SubmissionKey("a"), Encode(j))
+		require.Error(t, err, "%+v", j)
+		_, found := r.Lookup("a")
+		require.False(t, found, "%+v", j)
+	}
+	require.NoError(t, r.Store(SubmissionKey("a"), Encode(Job{ID: "a", Steps: []Step{step}})))
+	_, found := r.Lookup("a")
+	require.True(t, found)
+}
--- a/internal/cranjob/progress.go
+++ b/internal/cranjob/progress.go
@@ -1,6 +1,8 @@
 package cranjob
 
 import (
+	"fmt"
+
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/cranberrypick/cranberrypick/internal/cranfault"
@@ -150,8 +152,21 @@
 	return key[1:], key[0] == keyCancellation, true
 }
 
-// DecodeSubmission decodes the value of a submission.
-func DecodeSubmission(key string, value []byte) (*Job, error) { return decode[Job](key, value) }
+// DecodeSubmission decodes the value of a submission. It returns an error for a job that no
+// entry instance would accept.
+func DecodeSubmission(key string, value []byte) (*Job, error) {
+	j, err := decode[Job](key, value)
+	if err != nil {
+		return nil, err
+	}
+	if err := j.Validate(); err != nil {
+		return nil, malformed(key, err)
+	}
+	if key != SubmissionKey(j.ID) {
+		return nil, malformed(key, fmt.Sprintf("the job has the id %q", j.ID))
+	}
+	return j, nil
+}
 
 // ProgressKey returns the key of a job's progress.
 func ProgressKey(id string) string { return string(keyProgress) + id }
@@ -180,8 +195,12 @@
 func decode[T any](key string, text []byte) (*T, error) {
 	v := new(T)
 	if err := cbor.Unmarshal(text, v); err != nil {
-		return nil, cranfault.New(cranfault.Malformed, "find the other process that writes to the topic",
-			"decode the record under %q: %v", key, err)
+		return nil, malformed(key, err)
 	}
 	return v, nil
 }
+
+func malformed(key string, reason any) error {
+	return cranfault.New(cranfault.Malformed, "find the other process that writes to the topic",
+		"decode the record under %q: %v", key, reason)
+}
--- a/internal/cranjob/replica.go
+++ b/internal/cranjob/replica.go
@@ -218,15 +218,14 @@
 		delete(r.jobs, id)
 		return Change{Kind: JobDropped, ID: id}, nil
 	}
-	e := r.entry(id)
-	if e.job != nil {
+	if _, found := r.Lookup(id); found {
 		return Change{}, nil
 	}
-	job, err := decode[Job](id, value)
+	job, err := DecodeSubmission(SubmissionKey(id), value)
 	if err != nil {
 		return Change{}, err
 	}
-	e.job = job
+	r.entry(id).job = job
 	return Change{Kind: JobAdded, ID: id}, nil
 }
 
