--- a/internal/cranmetric/jobs.go
+++ b/internal/cranmetric/jobs.go
@@ -36,8 +36,12 @@
 	configConfirmed  prometheus.Gauge
 	ownedShards      prometheus.Gauge
 	digestJobs       prometheus.Gauge
+	malformed        closedCounters[string]
 }
 
+// streams are the streams whose records may be malformed.
+var streams = []string{"digest", "operator", "progress", "submissions", "targets"}
+
 // NewJobs returns the metrics. The series of all known reasons of refusals and retries
 // exist from the start with the value zero.
 func NewJobs() *Jobs {
@@ -76,6 +80,8 @@
 	m.configConfirmed = prometheus.NewGauge(gauge("configuration_confirmed_timestamp_seconds", "Unix time at which the configuration in force was last known to be the newest."))
 	m.ownedShards = prometheus.NewGauge(gauge("owned_shards", "Shards that this process schedules."))
 	m.digestJobs = prometheus.NewGauge(gauge("digest_jobs", "Jobs of which this process knows the state."))
+	malformed := vector("malformed_records_total", "Records of a stream that were skipped because they are malformed.", "stream")
+	m.malformed = newClosedCounters(malformed, streams)
 	for _, k := range cranfault.Kinds() {
 		m.refusals.WithLabelValues(string(k))
 	}
@@ -83,7 +89,7 @@
 		m.retries.WithLabelValues(reason)
 	}
 	m.registry.MustRegister(m.refusals, m.retries, m.ended, m.runEnds, m.orders, m.accepted, m.cancelled,
-		m.takeovers, m.acceptance, m.orderTime, m.firstStart, m.reads, m.readBytes, m.behind, m.firstByte, m.configApply, m.configRevision, m.configConfirmed, m.ownedShards, m.digestJobs, collectors.NewGoCollector(),
+		m.takeovers, m.acceptance, m.orderTime, m.firstStart, m.reads, m.readBytes, m.behind, m.firstByte, m.configApply, m.configRevision, m.configConfirmed, m.ownedShards, m.digestJobs, malformed, collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -121,6 +127,9 @@
 // DigestJobs records of how many jobs this process knows the state.
 func (m *Jobs) DigestJobs(n int) { m.digestJobs.Set(float64(n)) }
 
+// MalformedRecord counts a record of a stream that was skipped because it is malformed.
+func (m *Jobs) MalformedRecord(stream string) { m.malformed.add(stream, 1) }
+
 // TookOver counts a takeover of a shard by this process.
 func (m *Jobs) TookOver() { m.takeovers.Inc() }
 
--- a/internal/crannode/config.go
+++ b/internal/crannode/config.go
@@ -110,7 +110,7 @@
 	start := n.now().Steady
 	decoded, err := n.directory.DecodeOperatorRecord(r.Key, r.Value)
 	if err != nil {
-		n.log.Emit(cranevent.MalformedRecord, cranevent.Stream("operator"), cranevent.Offset(r.Offset), cranevent.Err(err))
+		n.skipMalformed("operator", r, err)
 		return
 	}
 	switch v := decoded.(type) {
--- a/internal/crannode/digest.go
+++ b/internal/crannode/digest.go
@@ -52,7 +52,7 @@
 	now := n.now()
 	change, err := n.digest.Apply(r.Key, r.Value)
 	if err != nil {
-		n.log.Emit(cranevent.MalformedRecord, cranevent.Stream("digest"), cranevent.Offset(r.Offset), cranevent.Err(err))
+		n.skipMalformed("digest", r, err)
 		return false
 	}
 	switch change.Kind {
--- a/internal/crannode/node.go
+++ b/internal/crannode/node.go
@@ -249,3 +249,9 @@
 		cranevent.Behind(u.End-u.Next), cranevent.Bytes(u.Transfer.Bytes), cranevent.FirstByte(u.Transfer.FirstByte),
 		cranevent.Elapsed(u.Transfer.Elapsed))
 }
+
+// skipMalformed logs and counts a record that is skipped because it can't be decoded.
+func (n *Node) skipMalformed(stream string, r cranstore.Record, err error) {
+	n.metrics.MalformedRecord(stream)
+	n.log.Emit(cranevent.MalformedRecord, cranevent.Stream(stream), cranevent.Offset(r.Offset), cranevent.Err(err))
+}
--- a/internal/crannode/owner.go
+++ b/internal/crannode/owner.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/cranberrypick/cranberrypick/internal/crandigest"
-	"github.com/cranberrypick/cranberrypick/internal/cranevent"
 	"github.com/cranberrypick/cranberrypick/internal/cransched"
 	"github.com/cranberrypick/cranberrypick/internal/cranstore"
 )
@@ -76,7 +75,7 @@
 	}
 	for _, r := range records {
 		if err := o.replica.Store(r.Key, r.Value); err != nil {
-			o.shard.node.log.Emit(cranevent.MalformedRecord, cranevent.Stream("progress"), cranevent.Err(err))
+			o.shard.node.skipMalformed("progress", r, err)
 		}
 	}
 	o.scheduler.Advance(o.shard.node.now())
--- a/internal/crannode/ownership.go
+++ b/internal/crannode/ownership.go
@@ -163,7 +163,7 @@
 	for _, r := range records {
 		change, err := o.replica.Apply(r.Key, r.Value, r.Offset)
 		if err != nil {
-			o.shard.node.log.Emit(cranevent.MalformedRecord, cranevent.Stream(stream), cranevent.Offset(r.Offset), cranevent.Err(err))
+			o.shard.node.skipMalformed(stream, r, err)
 			continue
 		}
 		changes = append(changes, change)
--- a/internal/crannode/targets.go
+++ b/internal/crannode/targets.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/cranberrypick/cranberrypick/internal/cranevent"
 	"github.com/cranberrypick/cranberrypick/internal/cransched"
 	"github.com/cranberrypick/cranberrypick/internal/cranstore"
 )
@@ -84,7 +83,7 @@
 	}
 	info, err := n.directory.DecodeTargetRecord(r.Key, r.Value)
 	if err != nil {
-		n.log.Emit(cranevent.MalformedRecord, cranevent.Stream("targets"), cranevent.Offset(r.Offset), cranevent.Err(err))
+		n.skipMalformed("targets", r, err)
 		return
 	}
 	number := n.shardOfTarget(info)
