cransched: send heartbeats to a target that restarts after its end

A target that ended while a heartbeat was unanswered, since a start or a stop was answered by another process at its address, or whose address changed then, never got another heartbeat: the late response was dropped for its address, and the heartbeat counted as unanswered for good. When the runner started again under its id, it got no work, and what ran there was lost to its owner until another process took the shard.

The response clears the flag whatever its address. The new test failed before the change (no heartbeat after the restart).

--- a/internal/cransched/report.go
+++ b/internal/cransched/report.go
@@ -16,10 +16,14 @@
 // HandleHeartbeatResponse handles the response to a Heartbeat.
 func (s *Scheduler) HandleHeartbeatResponse(ref TargetRef, resp HeartbeatResponse) {
 	t := s.targets[ref.ID]
-	if t == nil || t.info.Address != ref.Address {
+	if t == nil {
 		return
 	}
 	t.heartbeatInFlight = false
+	if t.info.Address != ref.Address {
+		// The target has ended or has another address by now.
+		return
+	}
 	t.nextHeartbeatAt = s.clock.Steady + retryPause
 	t.heartbeatFailed = resp.Status != StatusOK
 	switch resp.Status {
