cransched: don't let an entry of another writer end a target that responds

An entry under the id of a sound target was believed at once. With a start time ahead, the target counted as restarted: its runs were released and started elsewhere while they still ran there, and all its true responses were dropped as those of an earlier process, for good, since no later start was higher. With the address of another target, the answer of that one ended the sound target for good; with an address of nothing, its leases expired. If the odd entry came first, the sound one was not accepted any more.

Only the target's own responses prove a restart now. While it responds, an entry with another address, or of another process, changes nothing; one of a later process makes the owner ask at once, with neither a lease nor an acknowledgement, since the clock and the numbers of a new process begin anew. Nothing is placed on a target before that is settled, or while its entry is of another process. The answer at an address where a target never answered doesn't end it. A target that has ended is known again once its entry differs.

Not covered: a new owner that has not heard of a target yet believes an entry with the address of another target, and one without a start time.

--- a/internal/crannode/note.go
+++ b/internal/crannode/note.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/cranberrypick/cranberrypick/internal/cranevent"
+	"github.com/cranberrypick/cranberrypick/internal/cranfault"
 	"github.com/cranberrypick/cranberrypick/internal/cransched"
 )
 
@@ -42,6 +43,11 @@
 		// The first start of a job is measured but not logged.
 		n.metrics.FirstStart(time.Duration(e.AgeMs) * time.Millisecond)
 		return
+	case cransched.LogEntryRefuted:
+		n.metrics.MalformedRecord("targets")
+		n.log.Emit(cranevent.MalformedRecord, cranevent.Stream("targets"), cranevent.Err(cranfault.New(cranfault.UnknownPeer,
+			"find out which process writes to the topic", "the target %q contradicts the entry under its id", e.Target)))
+		return
 	}
 	fields := make([]cranevent.Field, 0, 6)
 	if e.Job != "" {
--- a/internal/cransched/effect.go
+++ b/internal/cransched/effect.go
@@ -147,6 +147,8 @@
 	LogTargetGone
 	LogTargetUnresponsive
 	LogTargetRecovered
+	// LogEntryRefuted means that the target's own responses contradict an entry under its id.
+	LogEntryRefuted
 	// LogTargetSuperseded means that the target has seen the token of a later owner.
 	LogTargetSuperseded
 	LogJobEnded
--- a/internal/cransched/outcome.go
+++ b/internal/cransched/outcome.go
@@ -50,7 +50,10 @@
 		r.answeredAt = now
 		t.advanceHeartbeat(now)
 	case StatusOtherTarget:
-		s.handleOtherTarget(t)
+		s.handleOtherTarget(t, e.Target.Address)
+		if !t.ended {
+			s.handleStartRefused(t, r, resp.Status)
+		}
 	default:
 		s.handleStartRefused(t, r, resp.Status)
 	}
@@ -134,8 +137,10 @@
 	}
 	now := s.clock.Steady
 	if resp.Status == StatusOtherTarget {
-		s.handleOtherTarget(t)
-		return
+		s.handleOtherTarget(t, e.Target.Address)
+		if t.ended {
+			return
+		}
 	}
 	if resp.ClockMs > 0 && s.fromCurrentProcess(t, resp) {
 		t.recordResponse(resp, s.clock.Steady)
--- a/internal/cransched/report.go
+++ b/internal/cransched/report.go
@@ -32,7 +32,7 @@
 	case StatusFenced:
 		s.markSuperseded(t)
 	case StatusOtherTarget:
-		s.handleOtherTarget(t)
+		s.handleOtherTarget(t, ref.Address)
 	}
 }
 
@@ -42,8 +42,16 @@
 	s.emit(LogEntry{Kind: LogTargetSuperseded, Target: t.info.ID})
 }
 
-// handleOtherTarget handles the response of another target at the address.
-func (s *Scheduler) handleOtherTarget(t *target) {
+// handleOtherTarget handles the response of another target at an address. It says nothing about
+// a target that has answered at another one.
+func (s *Scheduler) handleOtherTarget(t *target, address string) {
+	if address != t.info.Address {
+		return
+	}
+	if t.answeredAddress != "" && t.answeredAddress != address {
+		t.info.Address = t.answeredAddress
+		return
+	}
 	s.emit(LogEntry{Kind: LogTargetGone, Target: t.info.ID, Reason: "another target has its address"})
 	s.endTarget(t, "the target is gone")
 }
@@ -53,6 +61,7 @@
 	s.releaseRuns(t, reason)
 	t.ended = true
 	t.listed = false
+	t.endedAddress = t.info.Address
 	t.info.Address = ""
 }
 
@@ -63,6 +72,8 @@
 	}
 	t.recordResponse(resp.Response, s.clock.Steady)
 	t.fenced = true
+	t.answeredAddress = t.info.Address
+	s.settleEntry(t, resp.SentAt)
 	delete(s.suspensions.wanted, t.info.ID)
 	for _, e := range resp.Finished {
 		if e.Number <= t.endsSeen {
@@ -104,13 +115,12 @@
 	switch {
 	case resp.ProcessStartMs == 0:
 		return true
-	case t.info.ProcessStartMs == 0:
-		t.info.ProcessStartMs = resp.ProcessStartMs
-	case resp.ProcessStartMs < t.info.ProcessStartMs:
+	case resp.ProcessStartMs < t.processStartMs:
 		return false
-	case resp.ProcessStartMs > t.info.ProcessStartMs:
-		s.handleRestart(t, resp.ProcessStartMs)
+	case t.processStartMs != 0 && resp.ProcessStartMs > t.processStartMs:
+		s.handleRestart(t)
 	}
+	t.processStartMs = resp.ProcessStartMs
 	return true
 }
 
--- a/internal/cransched/rules_test.go
+++ b/internal/cransched/rules_test.go
@@ -59,13 +59,16 @@
 		seeds = 12
 	}
 	for seed := range uint64(seeds) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { runWithFaults(t, seed) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			sim := newSimulation(t, seed, 6)
+			sim.longPolls = seed%2 == 1
+			sim.runWithFaults()
+		})
 	}
 }
 
-func runWithFaults(t *testing.T, seed uint64) {
-	sim := newSimulation(t, seed, 6)
-	sim.longPolls = seed%2 == 1
+// runWithFaults runs jobs under random faults, after which every job must end.
+func (sim *simulation) runWithFaults() {
 	sim.takeOver(sim.now - time.Hour)
 	sim.submit(newLongRunningJob("lasting", 4))
 	sim.lossRate, sim.noResponseRate, sim.delayRate = 0.02, 0.03, 0.04
@@ -107,7 +110,7 @@
 	sim.runFor(70 * time.Second)
 	for id, state := range sim.states() {
 		if id != "lasting" {
-			require.True(t, state.Final(), "%s is %s after the faults", id, state)
+			require.True(sim.t, state.Final(), "%s is %s after the faults", id, state)
 		}
 	}
 }
--- a/internal/cransched/scheduler.go
+++ b/internal/cransched/scheduler.go
@@ -306,8 +306,8 @@
 	if r == nil || r.phase != planned {
 		return
 	}
-	if s.suspensions.active(t.info.ID) {
-		s.releaseRun(t, r, "the target does not respond")
+	if !s.mayGrantLease(t) {
+		s.releaseRun(t, r, "no lease may be granted to the target")
 		return
 	}
 	r.phase = startSent
@@ -316,10 +316,16 @@
 	s.emit(e)
 }
 
+// mayGrantLease reports whether a lease may be granted to a target: its leases are not suspended,
+// and no entry tells of a restart, after which the target's clock begins anew.
+func (s *Scheduler) mayGrantLease(t *target) bool {
+	return !s.suspensions.active(t.info.ID) && t.unverifiedSince == 0
+}
+
 // grantLease returns the deadline, on the target's clock, of a lease that begins now. It
-// returns 0 if the target's clock isn't known yet, or if its leases are suspended.
+// returns 0 if the target's clock isn't known yet, or if no lease may be granted.
 func (s *Scheduler) grantLease(t *target) int64 {
-	if t.clockAt == 0 || s.suspensions.active(t.info.ID) {
+	if t.clockAt == 0 || !s.mayGrantLease(t) {
 		return 0
 	}
 	deadline := t.minClockMs(s.clock.Steady) + s.leaseDuration().Milliseconds()
--- a/internal/cransched/target.go
+++ b/internal/cransched/target.go
@@ -62,7 +62,17 @@
 
 // target is the state of one target, identified by its id.
 type target struct {
+	// info is what the target's entry says. An entry may be of another writer, so it doesn't
+	// prove that the target has started at ProcessStartMs.
 	info TargetInfo
+	// processStartMs is the start time of the process that has responded, in Unix milliseconds,
+	// and answeredAddress the address at which its last heartbeat was answered; zero before.
+	processStartMs  int64
+	answeredAddress string
+	// unverified is the newest entry that differs from what the target is known to be. Since
+	// unverifiedSince it tells of a restart that no response shows; 0 if it doesn't.
+	unverified      TargetInfo
+	unverifiedSince time.Duration
 	// listed is cleared once the target has been missing from the store's list for
 	// unlistedTimeout.
 	listed bool
@@ -73,6 +83,8 @@
 	// ended is set once the target no longer exists: its instance was moved or is down, or
 	// another target has its address. The store may still list it for a while.
 	ended bool
+	// endedAddress is the address that the target had then.
+	endedAddress string
 	// fenced is set once the target has answered a heartbeat with this owner's token.
 	fenced bool
 	// superseded is set once the target has seen a higher token than this owner's.
@@ -193,7 +205,13 @@
 // schedulable reports whether new tasks may be placed on the target.
 func (t *target) schedulable(now time.Duration) bool {
 	return t.listed && t.fenced && !t.superseded && !t.cordoned && !t.info.Draining && !t.unresponsive && !t.suspended &&
-		!t.overdue(now) && now >= t.noStartsBefore && !t.health.suspended(now)
+		t.unverifiedSince == 0 && t.describesProcess() && !t.overdue(now) && now >= t.noStartsBefore && !t.health.suspended(now)
+}
+
+// describesProcess reports whether the target's entry may be of the process that responds. An
+// earlier one may have had another capacity.
+func (t *target) describesProcess() bool {
+	return t.processStartMs == 0 || t.info.ProcessStartMs == 0 || t.info.ProcessStartMs == t.processStartMs
 }
 
 // overdue reports whether the target hasn't responded for responseTimeout.
--- a/internal/cransched/targets.go
+++ b/internal/cransched/targets.go
@@ -25,17 +25,7 @@
 			s.addTarget(t)
 			s.observeArrival(t)
 		}
-		if t.info.ProcessStartMs != 0 && info.ProcessStartMs > t.info.ProcessStartMs {
-			s.handleRestart(t, info.ProcessStartMs)
-		}
-		if t.ended {
-			continue
-		}
-		processStartMs := max(t.info.ProcessStartMs, info.ProcessStartMs)
-		t.info = info
-		t.info.ProcessStartMs = processStartMs
-		t.listed = true
-		t.unlistedAt = 0
+		s.applyEntry(t, info)
 	}
 	for _, t := range slices.Clone(s.sorted) {
 		switch {
@@ -48,19 +38,79 @@
 	}
 }
 
+// applyEntry applies the entry of a target, which may be of another writer. Only the target's own
+// responses prove a restart, and while it responds, an entry doesn't change its address.
+func (s *Scheduler) applyEntry(t *target, info TargetInfo) {
+	responds := t.fenced && !t.overdue(s.clock.Steady)
+	otherStart := info.ProcessStartMs != t.info.ProcessStartMs
+	switch {
+	case t.ended && (otherStart || info.Address != t.endedAddress):
+		s.handleRestart(t)
+	case t.ended:
+		return
+	case t.processStartMs == 0:
+		// Responses may carry no start time.
+		if t.fenced && t.info.ProcessStartMs != 0 && info.ProcessStartMs > t.info.ProcessStartMs {
+			s.handleRestart(t)
+		}
+	case info.Address != t.info.Address || otherStart && info.ProcessStartMs != t.processStartMs:
+		s.verifyEntry(t, info, responds)
+		if responds {
+			return
+		}
+	}
+	t.info = info
+	t.listed = true
+	t.unlistedAt = 0
+}
+
+// verifyEntry handles an entry that differs from what the target is known to be. If it tells of a
+// restart, the target is asked at once.
+func (s *Scheduler) verifyEntry(t *target, info TargetInfo, responds bool) {
+	if info.Address == t.unverified.Address && info.ProcessStartMs == t.unverified.ProcessStartMs {
+		return
+	}
+	t.unverified = info
+	switch {
+	case info.ProcessStartMs > t.processStartMs:
+		t.unverifiedSince = s.clock.Steady
+		t.heartbeatInFlight = false
+		t.advanceHeartbeat(s.clock.Steady)
+	case responds:
+		s.emit(LogEntry{Kind: LogEntryRefuted, Target: t.info.ID})
+	}
+}
+
+// settleEntry compares an unverified entry with a response of the target, by which it is known
+// whether it has restarted.
+func (s *Scheduler) settleEntry(t *target, sentAt time.Duration) {
+	if t.unverifiedSince == 0 || sentAt < t.unverifiedSince {
+		return
+	}
+	t.unverifiedSince = 0
+	if t.unverified.ProcessStartMs != t.processStartMs {
+		s.emit(LogEntry{Kind: LogEntryRefuted, Target: t.info.ID})
+		return
+	}
+	address := t.info.Address
+	t.info = t.unverified
+	t.info.Address = address
+}
+
 // handleRestart handles the restart of a target under the same id: all its runs have
 // ended, and its end numbers and its clock start again.
-func (s *Scheduler) handleRestart(t *target, processStartMs int64) {
+func (s *Scheduler) handleRestart(t *target) {
 	s.emit(LogEntry{Kind: LogTargetRestarted, Target: t.info.ID})
 	for _, r := range t.sortedRuns() {
 		s.resetRun(t, r)
 	}
 	t.ended = false
-	t.info.ProcessStartMs = processStartMs
+	t.processStartMs = 0
 	t.clockMs, t.clockAt, t.leaseEndMs, t.earlierLeasesEndAt = 0, 0, 0, 0
 	t.restarts++
 	t.endsSeen, t.endsStored, t.withheldEnd = 0, 0, 0
 	t.fenced = false
+	t.answeredAddress = ""
 	t.awaitsStore = false
 	t.tickets = nil
 }
@@ -195,7 +245,12 @@
 		// time at which the runs have ended with certainty.
 		deadline = s.grantLease(t)
 	}
-	s.emit(Heartbeat{Target: t.address(), DeadlineMs: deadline, Token: s.token, AcknowledgedEnd: t.endsStored, Wait: wait})
+	acknowledged := t.endsStored
+	if t.unverifiedSince != 0 {
+		// The numbers of a new process begin anew.
+		acknowledged, wait = 0, 0
+	}
+	s.emit(Heartbeat{Target: t.address(), DeadlineMs: deadline, Token: s.token, AcknowledgedEnd: acknowledged, Wait: wait})
 }
 
 // hasStartingTask reports whether a long-running task on the target is not at work yet.
--- a/internal/cransched/world_target_test.go
+++ b/internal/cransched/world_target_test.go
@@ -134,6 +134,13 @@
 	if tgt == nil || !tgt.up || tgt.unreachable {
 		return nil, &Response{}
 	}
+	if to.Address != tgt.info.Address {
+		if other := sim.targets[to.Address]; other != nil && other.up && !other.unreachable {
+			resp := other.response(sim.now, StatusOtherTarget)
+			return nil, &resp
+		}
+		return nil, &Response{}
+	}
 	sim.endDueRuns(tgt)
 	if token < tgt.fenceToken {
 		resp := tgt.response(sim.now, StatusFenced)
--- a/internal/cransched/world_test.go
+++ b/internal/cransched/world_test.go
@@ -29,6 +29,10 @@
 	epoch   uint64
 	config  *Config
 	targets map[string]*simTarget
+	// logged counts the log entries by kind.
+	logged map[LogKind]int
+	// entries, if set, changes the list of targets that the owner reads.
+	entries func([]TargetInfo) []TargetInfo
 	owner   *Scheduler
 	ownerID int
 
@@ -99,7 +103,7 @@
 		}, Pools: map[string]*Pool{"p": {Name: "p"}, "off": {Name: "off", Standby: true}}},
 		instances: map[string]*simInstance{}, orderStoredAt: map[string]time.Duration{}, lastOrders: map[string]sentOrder{},
 		targets: map[string]*simTarget{}, jobs: map[string]*cranjob.Job{}, acknowledged: map[cranjob.TaskName][]RunOutcome{},
-		succeeded: map[cranjob.TaskName]bool{}, maintenances: map[string]int{}, failureRate: 0.08,
+		succeeded: map[cranjob.TaskName]bool{}, maintenances: map[string]int{}, logged: map[LogKind]int{}, failureRate: 0.08,
 	}
 	for i := range targets {
 		sim.addTarget(fmt.Sprintf("t%d", i))
@@ -163,6 +167,9 @@
 			list = append(list, sim.targets[id].info)
 		}
 	}
+	if sim.entries != nil {
+		return sim.entries(list)
+	}
 	return list
 }
 
@@ -276,6 +283,7 @@
 func (sim *simulation) perform(s *Scheduler, id int, e Effect) {
 	switch e := e.(type) {
 	case LogEntry:
+		sim.logged[e.Kind]++
 		sim.t.Logf("%v owner %d: %v job=%s task=%s run=%d target=%s %s", sim.now, id, e.Kind, e.Job, e.Task, e.Run, e.Target, e.Reason)
 	case Heartbeat:
 		var response HeartbeatResponse
