cransched: don't take an instance for up because an entry names it

An entry of any writer that named an instance showed its owner that the instance was up, until the next list of instances: one that was down for maintenance no longer counted against the limit of its wave, and a move to it counted as done. An entry that named an instance without a target, such as one of a standby pool, delayed its maintenance for as long as it was listed.

A target shows that its instance is up with its first response, some milliseconds after its entry is read. A target that the list of instances doesn't name counts for its instance once it responds or has runs.

TestOddEntryShowsNoArrival and TestOddEntryDelaysNoMaintenance failed before the change.

--- a/internal/cransched/evacuate.go
+++ b/internal/cransched/evacuate.go
@@ -62,13 +62,14 @@
 	return min(most, maxRunsPerTarget)
 }
 
-// currentTarget returns the target that currently runs on an instance, or nil.
+// currentTarget returns the target that currently runs on an instance, or nil. One that the list
+// of instances doesn't name must have responded or have runs, since any entry may name an instance.
 func (s *Scheduler) currentTarget(instance string) *target {
 	if t := s.targets[s.fleet.instances[instance].Target]; t != nil && t.info.ID != "" {
 		return t
 	}
 	for _, t := range s.sorted {
-		if t.info.Instance == instance && t.listed {
+		if t.info.Instance == instance && t.listed && (t.fenced || len(t.runs) > 0) {
 			return t
 		}
 	}
--- a/internal/cransched/odd_test.go
+++ b/internal/cransched/odd_test.go
@@ -183,3 +183,37 @@
 	s.Tick()
 	require.Len(t, heartbeats(), 1)
 }
+
+// TestOddEntryShowsNoArrival lists an entry with the instance of a target that is down for
+// maintenance. The instance must count as down until a target that responds runs on it.
+func TestOddEntryShowsNoArrival(t *testing.T) {
+	sim := newSimulation(t, 1, 1)
+	s := New(1, simTiming, sim.config, sim.stored, sim.clock(), Predecessor{})
+	s.SetInstances([]InstanceInfo{{Instance: "mt0", Pool: "p", Maintenance: true}}, sim.now)
+	sim.now += 10 * time.Millisecond
+	s.Advance(sim.clock())
+	info := sim.targetList()[0]
+	s.SetTargets([]TargetInfo{info})
+	require.False(t, s.fleet.instances["mt0"].Up)
+	response := Response{Status: StatusOK, ClockMs: 1, ProcessStartMs: info.ProcessStartMs, SentAt: sim.now}
+	s.HandleHeartbeatResponse(TargetRef{ID: info.ID, Address: info.Address}, HeartbeatResponse{Response: response})
+	require.True(t, s.fleet.instances["mt0"].Up)
+	require.Equal(t, "t0", s.fleet.instances["mt0"].Target)
+}
+
+// TestOddEntryDelaysNoMaintenance lists an entry with the instance of a standby pool, on which
+// nothing runs. Its maintenance must be ordered all the same.
+func TestOddEntryDelaysNoMaintenance(t *testing.T) {
+	sim := newSimulation(t, 1, 1)
+	s := New(1, simTiming, sim.config, sim.stored, sim.clock(), Predecessor{})
+	odd := sim.targetList()[0]
+	odd.ID, odd.Instance, odd.Address = "a", "standby", "nowhere"
+	s.SetTargets([]TargetInfo{odd})
+	s.SetInstances([]InstanceInfo{{Instance: "standby", Pool: "off", Up: true}}, sim.now)
+	s.SetWaves([]WaveOrder{{Wave: 1, Instances: []string{"standby"}, Duration: time.Minute, SeenAt: sim.now, MaxParallel: 1}})
+	s.Tick()
+	_, any := s.NextBatch()
+	require.True(t, any)
+	s.ConfirmBatch()
+	require.Contains(t, s.Effects(), Effect(Maintain{Instance: "standby", Wave: 1, Token: 1}))
+}
--- a/internal/cransched/report.go
+++ b/internal/cransched/report.go
@@ -71,6 +71,9 @@
 		return
 	}
 	t.recordResponse(resp.Response, s.clock.Steady)
+	if !t.fenced && t.addedAt > s.fleet.listRequestedAt && t.describesProcess() {
+		s.observeArrival(t)
+	}
 	t.fenced = true
 	t.answeredAddress = t.info.Address
 	s.settleEntry(t, resp.SentAt)
--- a/internal/cransched/targets.go
+++ b/internal/cransched/targets.go
@@ -23,7 +23,6 @@
 		if t == nil {
 			t = newTarget(info, s.clock.Steady, s.earlierLeaseEnd(info.ID))
 			s.addTarget(t)
-			s.observeArrival(t)
 		}
 		s.applyEntry(t, info)
 	}
--- a/internal/cransched/wave.go
+++ b/internal/cransched/wave.go
@@ -140,7 +140,7 @@
 }
 
 // SetInstances replaces the list of instances with one requested at the given time. What is
-// known of targets that appeared later is kept.
+// known of targets that appeared later and respond is kept.
 func (s *Scheduler) SetInstances(list []InstanceInfo, requestedAt time.Duration) {
 	s.fleet.instances = make(map[string]InstanceInfo, len(list))
 	for _, i := range list {
@@ -148,13 +148,13 @@
 	}
 	s.fleet.listRequestedAt = requestedAt
 	for _, t := range s.sorted {
-		if t.addedAt > requestedAt && t.listed {
+		if t.addedAt > requestedAt && t.listed && t.fenced {
 			s.observeArrival(t)
 		}
 	}
 }
 
-// observeArrival records that the instance of a new target is up. The list of instances is
+// observeArrival records that the instance of a new target, which responds, is up. The list is
 // read seldom, so it shows that later.
 func (s *Scheduler) observeArrival(t *target) {
 	if t.info.Instance == "" || s.fleet.listRequestedAt == 0 {
