cranstore: load past keys that are no text

The store's pages of newest records carry keys as JSON text. A key with a byte that isn't text comes back with a replacement, which may sort before the real one. If only such keys followed on a page, the next request returned the same page, and the load never ended: a process that loads the targets would follow them no more, and grow.

A page's records that were loaded before are dropped, and a page without any other leads past the keys that begin alike. That the platform's store replaces such bytes is an assumption; the stand-in does.

--- a/internal/cranstore/load.go
+++ b/internal/cranstore/load.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"strings"
 	"time"
+	"unicode/utf8"
 )
 
 const (
@@ -60,10 +62,29 @@
 	if !l.started {
 		l.started, l.end, l.sent = true, page.End, w.sent
 	}
-	l.records = append(l.records, page.Records...)
-	if len(page.Records) > 0 {
-		l.after = page.Records[len(page.Records)-1].Key
-	}
-	l.done = !page.More || len(page.Records) == 0
+	l.add(page)
 	return transfer, nil
 }
+
+// maxKeyBytes is the maximum size of a key, of which the store keeps the size in one byte.
+const maxKeyBytes = 255
+
+// add adds the records of a page. A store that returns keys as text replaces bytes that aren't, so
+// the last key of a page may come before the real one, and the next page may repeat records. After
+// a page of nothing else, add skips all keys with such a byte in the same place.
+func (l *loader) add(page Page) {
+	before := l.after
+	for _, r := range page.Records {
+		if r.Key > before {
+			l.records = append(l.records, r)
+			l.after = max(l.after, r.Key)
+		}
+	}
+	if l.after == before {
+		text, _, replaced := strings.Cut(before, string(utf8.RuneError))
+		if replaced {
+			l.after = text + strings.Repeat("\xff", max(maxKeyBytes-len(text), 0))
+		}
+	}
+	l.done = !page.More || l.after == before
+}
