--- a/internal/cranmetric/jobs.go
+++ b/internal/cranmetric/jobs.go
@@ -40,7 +40,7 @@
 }
 
 // streams are the streams whose records may be malformed.
-var streams = []string{"digest", "operator", "progress", "submissions", "targets"}
+var streams = []string{"digest", "instances", "operator", "progress", "reports", "submissions", "targets"}
 
 // NewJobs returns the metrics. The series of all known reasons of refusals and retries
 // exist from the start with the value zero.
