crannode: keep a target in its shard when an entry lacks its instance

A target belongs to the shard of its instance. An entry under its id that lacked the instance moved it to the shard of its id: the owner of that shard sent it heartbeats, stopped what ran there as unknown, and, if its token was higher, its real owner never used it again. A record without a key, as one with a short frame has, was taken for the removal of a target without a log line.

Such entries are skipped, logged and counted.

--- a/internal/crannode/odd_test.go
+++ b/internal/crannode/odd_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"net/http"
@@ -14,9 +15,11 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/cranberrypick/cranberrypick/internal/crandigest"
 	"github.com/cranberrypick/cranberrypick/internal/cranevent"
 	"github.com/cranberrypick/cranberrypick/internal/cranjob"
 	"github.com/cranberrypick/cranberrypick/internal/cransched"
+	"github.com/cranberrypick/cranberrypick/internal/cranshard"
 	"github.com/cranberrypick/cranberrypick/internal/cranstore"
 )
 
@@ -135,3 +138,31 @@
 		require.Equal(t, maxLinesPerSecond, bytes.Count(lines.Bytes(), []byte("malformedRecord")))
 	})
 }
+
+// TestEntryWithoutInstanceMovesNoTarget lists an entry of a known target without its instance, by
+// whose id the targets are divided among the shards. The target must stay in its shard.
+func TestEntryWithoutInstanceMovesNoTarget(t *testing.T) {
+	n := New("n", "n-1", memoryTopics(), Directory{
+		DecodeTargetRecord: func(id string, value []byte) (cransched.TargetInfo, error) {
+			return cransched.TargetInfo{ID: id, Instance: string(value[1:]), Pool: "p", Address: id}, nil
+		},
+	}, noInstances{})
+	pools := map[string][]string{"p": {"m0", "m1", "m2", "m3"}}
+	_, err := n.digest.Apply(crandigest.KeyLayout, cranshard.New(4, 4, pools).Encode())
+	require.NoError(t, err)
+	l := newTargetList(n)
+	put := func(key, value string) { l.applyRecord(cranstore.Record{Key: key, Value: []byte(value)}) }
+	for i := range 4 {
+		put(fmt.Sprintf("t%d", i), fmt.Sprintf("+m%d", i))
+	}
+	shards := maps.Clone(l.shards)
+	for i := range 4 {
+		put(fmt.Sprintf("t%d", i), "+")
+	}
+	put("", "+m0")
+	require.Equal(t, shards, l.shards)
+	put("t0", "+m1")
+	require.Equal(t, shards["t1"], l.shards["t0"], "the target has moved to another instance")
+	put("new", "+")
+	require.Contains(t, l.shards, "new")
+}
--- a/internal/crannode/targets.go
+++ b/internal/crannode/targets.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/cranberrypick/cranberrypick/internal/cranfault"
 	"github.com/cranberrypick/cranberrypick/internal/cransched"
 	"github.com/cranberrypick/cranberrypick/internal/cranstore"
 )
@@ -77,11 +78,14 @@
 
 func (l *targetList) applyRecord(r cranstore.Record) {
 	n := l.node
-	if len(r.Value) == 0 {
+	if len(r.Value) == 0 && r.Key != "" {
 		l.remove(r.Key)
 		return
 	}
 	info, err := n.directory.DecodeTargetRecord(r.Key, r.Value)
+	if err == nil {
+		err = l.check(info)
+	}
 	if err != nil {
 		n.skipMalformed("targets", r, err)
 		return
@@ -97,6 +101,17 @@
 	l.shards[r.Key] = number
 }
 
+// check returns an error for an entry that can't be of a target. A known target that loses its
+// instance would move to another shard.
+func (l *targetList) check(info cransched.TargetInfo) error {
+	known := l.byShard[l.shards[info.ID]][info.ID]
+	if info.ID == "" || info.Instance == "" && known.Instance != "" {
+		return cranfault.New(cranfault.UnknownPeer, "find out which process writes to the topic",
+			"the entry under %q has no id or not the instance %q", info.ID, known.Instance)
+	}
+	return nil
+}
+
 func (l *targetList) remove(id string) {
 	delete(l.byShard[l.shards[id]], id)
 	delete(l.shards, id)
