crannode, cranjob: bound a latency and the sums of durations in records

A renewal in the digest with an absurd latency of the store kept every process from claiming the shard after its owner was lost: the wait before a claim grows with it. A record of durations with sums that are no numbers made all estimates of its queue so, by which jobs are ordered and pools are sized.

The latency counts up to the time limit of an append, and such sums are malformed. TestAbsurdLatencyDelaysNoClaim (2 of 4 shards had an owner after 30 s) and TestMalformedDurationsAreSkipped failed before the change.

--- a/internal/cranjob/job_test.go
+++ b/internal/cranjob/job_test.go
@@ -86,3 +86,15 @@
 	_, found := r.Lookup("a")
 	require.True(t, found)
 }
+
+// TestMalformedDurationsAreSkipped checks that sums that are no numbers, from which the durations
+// of all tasks of a queue would follow, are not applied.
+func TestMalformedDurationsAreSkipped(t *testing.T) {
+	r := NewReplica()
+	sound := Durations{N: 2, SumX: 1, SumY: 2, SumXX: 1, SumXY: 3}
+	require.NoError(t, r.Store(DurationsKey("q"), Encode(sound)))
+	for _, d := range []Durations{{N: -1}, {N: math.NaN()}, {N: 1, SumX: math.Inf(1)}, {N: 1, SumXY: math.NaN()}, {N: 1, SumXX: -1}} {
+		require.ErrorIs(t, r.Store(DurationsKey("q"), Encode(d)), cranfault.MatchKind(cranfault.Malformed), "%+v", d)
+	}
+	require.Equal(t, sound, r.Durations()["q"])
+}
--- a/internal/cranjob/progress.go
+++ b/internal/cranjob/progress.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -126,6 +127,16 @@
 	N, SumX, SumY, SumXX, SumXY float64
 }
 
+// valid reports whether the sums are those of any observations.
+func (d *Durations) valid() bool {
+	for _, v := range []float64{d.N, d.SumX, d.SumY, d.SumXX, d.SumXY} {
+		if math.IsNaN(v) || math.IsInf(v, 0) {
+			return false
+		}
+	}
+	return d.N >= 0 && d.SumXX >= 0
+}
+
 // Prefixes of keys, one for each kind of record; the rest of a key is an id.
 const (
 	keySubmission   = 'j'
--- a/internal/cranjob/replica.go
+++ b/internal/cranjob/replica.go
@@ -192,6 +192,9 @@
 		if err != nil {
 			return Change{}, err
 		}
+		if !durations.valid() {
+			return Change{}, malformed(id, "the sums are not those of any observations")
+		}
 		r.durations[id] = *durations
 		return Change{}, nil
 	case keyOrder:
--- a/internal/crannode/claim.go
+++ b/internal/crannode/claim.go
@@ -75,7 +75,9 @@
 	// A process that is short of processor time reads late. The time without a claim
 	// therefore counts only up to readThrough, before which no claim can be unread.
 	unrenewedFor := c.readThrough - max(s.claimReadAt, c.readingSince, s.eligibleSince)
-	latency := max(c.readLatency, time.Duration(claim.AppendMs)*time.Millisecond)
+	// No attempt of an append takes longer than appendTimeout; a malformed record may say so.
+	appendMs := min(max(claim.AppendMs, 0), appendTimeout.Milliseconds())
+	latency := max(c.readLatency, time.Duration(appendMs)*time.Millisecond)
 	timeout := claimTimeout + claimLatencyFactor*latency + s.claimDelay()
 	switch {
 	case s.isFromEarlierProcess(claim):
--- a/internal/crannode/odd_test.go
+++ b/internal/crannode/odd_test.go
@@ -166,3 +166,22 @@
 	put("new", "+")
 	require.Contains(t, l.shards, "new")
 }
+
+// TestAbsurdLatencyDelaysNoClaim stores renewals with absurd latencies of the store. When the
+// owner is lost, another process must claim in time.
+func TestAbsurdLatencyDelaysNoClaim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 2)
+		defer f.close()
+		time.Sleep(3 * time.Second)
+		for number := range fleetShards {
+			renewal := crandigest.Renewal{Epoch: 1, Number: math.MaxUint64, AppendMs: 1 << 40}.Record(number)
+			f.digest.Put(renewal.Key, renewal.Value)
+		}
+		time.Sleep(time.Second)
+		require.Equal(t, allOwned, f.owners())
+		f.nodes[0].fault.set(true, 0)
+		time.Sleep(30 * time.Second)
+		require.EqualValues(t, fleetShards, f.nodes[1].node.owned.Load())
+	})
+}
