--- a/internal/cransched/world_target_test.go
+++ b/internal/cransched/world_target_test.go
@@ -130,16 +130,13 @@
 // deliver returns the target that accepts an order, or the response if the order is
 // refused or lost.
 func (sim *simulation) deliver(to TargetRef, token uint64) (*simTarget, *Response) {
-	tgt := sim.targets[to.ID]
+	tgt := sim.targets[to.Address]
 	if tgt == nil || !tgt.up || tgt.unreachable {
 		return nil, &Response{}
 	}
-	if to.Address != tgt.info.Address {
-		if other := sim.targets[to.Address]; other != nil && other.up && !other.unreachable {
-			resp := other.response(sim.now, StatusOtherTarget)
-			return nil, &resp
-		}
-		return nil, &Response{}
+	if tgt.info.ID != to.ID {
+		resp := tgt.response(sim.now, StatusOtherTarget)
+		return nil, &resp
 	}
 	sim.endDueRuns(tgt)
 	if token < tgt.fenceToken {
