--- a/internal/cranjob/replica.go
+++ b/internal/cranjob/replica.go
@@ -207,6 +207,9 @@
 		if err != nil {
 			return Change{}, err
 		}
+		if !durations.valid() {
+			return Change{}, malformed(id, "the sums are not those of any observations")
+		}
 		r.durations[id] = *durations
 		return Change{}, nil
 	case keyOrder:
@@ -233,15 +236,14 @@
 		delete(r.jobs, id)
 		return Change{Kind: JobDropped, ID: id}, nil
 	}
-	e := r.entry(id)
-	if e.job != nil {
+	if _, found := r.Lookup(id); found {
 		return Change{}, nil
 	}
-	job, err := decode[Job](id, value)
+	job, err := DecodeSubmission(SubmissionKey(id), value)
 	if err != nil {
 		return Change{}, err
 	}
-	e.job = job
+	r.entry(id).job = job
 	return Change{Kind: JobAdded, ID: id}, nil
 }
 
--- a/internal/crannode/digest.go
+++ b/internal/crannode/digest.go
@@ -60,7 +60,7 @@
 	now := n.now()
 	change, err := n.digest.Apply(r.Key, r.Value, now.Steady)
 	if err != nil {
-		n.log.Emit(cranevent.MalformedRecord, cranevent.Stream("digest"), cranevent.Offset(r.Offset), cranevent.Err(err))
+		n.skipMalformed("digest", r, err)
 		return false
 	}
 	switch change.Kind {
--- a/internal/cransched/crash.go
+++ b/internal/cransched/crash.go
@@ -38,7 +38,7 @@
 // lossOf returns what is lost if a target ends now. That is nothing if the target has announced its
 // end; before the platform ends one by an order, nothing runs there.
 func (s *Scheduler) lossOf(t *target) loss {
-	l := loss{target: t.info.ID, processStartMs: t.info.ProcessStartMs, at: s.clock.Steady}
+	l := loss{target: t.info.ID, processStartMs: t.knownStartMs(), at: s.clock.Steady}
 	if t.info.Draining {
 		return l
 	}
@@ -97,7 +97,7 @@
 
 // rememberHost keeps where a suspected task is placed.
 func (s *Scheduler) rememberHost(t *task, host *target) {
-	t.crashes.Instance, t.crashes.ProcessStartMs = host.info.Instance, host.info.ProcessStartMs
+	t.crashes.Instance, t.crashes.ProcessStartMs = host.info.Instance, host.knownStartMs()
 	s.crashesChanged(t.job)
 }
 
@@ -149,19 +149,21 @@
 	}
 	s.losses[instance] = l
 	for _, t := range s.sorted {
-		if t.info.Instance == instance {
-			s.recordCrashOfInstance(t.info)
+		if t.info.Instance == instance && t.fenced {
+			s.recordCrashOfInstance(t)
 		}
 	}
 }
 
-// recordCrashOfInstance counts the crash of a silent target once its instance has a new target.
-func (s *Scheduler) recordCrashOfInstance(info TargetInfo) {
-	l, found := s.losses[info.Instance]
-	if !found || info.ProcessStartMs <= l.processStartMs {
+// recordCrashOfInstance counts the crash of a silent target once a new target of its instance has
+// responded.
+func (s *Scheduler) recordCrashOfInstance(t *target) {
+	instance := t.info.Instance
+	l, found := s.losses[instance]
+	if !found || t.knownStartMs() <= l.processStartMs {
 		return
 	}
-	delete(s.losses, info.Instance)
+	delete(s.losses, instance)
 	if s.clock.Steady-l.at < crashMemory {
 		s.recordCrash(l, "its instance has a new target")
 	}
--- a/internal/cransched/outcome.go
+++ b/internal/cransched/outcome.go
@@ -136,6 +136,9 @@
 	now := s.clock.Steady
 	if resp.Status == StatusOtherTarget {
 		s.handleOtherTarget(t, e.Target.Address)
+		if r := t.runs[runName{e.Task, e.Run}]; r != nil {
+			r.nextStopAt = now + retryPause
+		}
 		return
 	}
 	if resp.ClockMs > 0 && s.fromCurrentProcess(t, resp) {
--- a/internal/cransched/report.go
+++ b/internal/cransched/report.go
@@ -42,10 +42,14 @@
 	s.emit(LogEntry{Kind: LogTargetSuperseded, Target: t.info.ID})
 }
 
-// handleOtherTarget handles the response of another target at an address. It proves the end of a
-// target only where that target has been: an entry of another writer may name any address.
+// handleOtherTarget handles the response of another target at an address. It says nothing about
+// a target that has answered at another one.
 func (s *Scheduler) handleOtherTarget(t *target, address string) {
-	if address != t.info.Address || address != t.ownAddress {
+	if address != t.info.Address {
+		return
+	}
+	if t.answeredAddress != "" && t.answeredAddress != address {
+		t.info.Address = t.answeredAddress
 		return
 	}
 	s.emit(LogEntry{Kind: LogTargetGone, Target: t.info.ID, Reason: "another target has its address"})
@@ -59,6 +63,7 @@
 	s.releaseRuns(t, reason)
 	t.ended = true
 	t.listed = false
+	t.endedAddress = t.info.Address
 	t.info.Address = ""
 }
 
@@ -68,7 +73,16 @@
 		return
 	}
 	t.recordResponse(resp.Response, s.clock.Steady)
+	if !t.fenced && t.addedAt > s.fleet.listRequestedAt && t.describesProcess() {
+		s.observeArrival(t)
+	}
+	responded := t.fenced
 	t.fenced = t.fenced || resp.SentAt >= t.awaitsResponseSince
+	t.answeredAddress = t.info.Address
+	s.settleEntry(t, resp.SentAt)
+	if !responded {
+		s.recordCrashOfInstance(t)
+	}
 	delete(s.suspensions.wanted, t.info.ID)
 	for _, e := range resp.Finished {
 		if e.Number <= t.endsSeen {
@@ -110,13 +124,12 @@
 	switch {
 	case resp.ProcessStartMs == 0:
 		return true
-	case t.info.ProcessStartMs == 0:
-		t.info.ProcessStartMs = resp.ProcessStartMs
-	case resp.ProcessStartMs < t.info.ProcessStartMs:
+	case resp.ProcessStartMs < t.processStartMs:
 		return false
-	case resp.ProcessStartMs > t.info.ProcessStartMs:
-		s.handleRestart(t, resp.ProcessStartMs)
+	case t.processStartMs != 0 && resp.ProcessStartMs > t.processStartMs:
+		s.handleRestart(t)
 	}
+	t.processStartMs = resp.ProcessStartMs
 	return true
 }
 
--- a/internal/cransched/target.go
+++ b/internal/cransched/target.go
@@ -1,6 +1,7 @@
 package cransched
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -66,9 +67,17 @@
 
 // target is the state of one target, identified by its id.
 type target struct {
+	// info is what the target's entry says. An entry may be of another writer, so it doesn't
+	// prove that the target has started at ProcessStartMs.
 	info TargetInfo
-	// ownAddress is the address that the first entry of the target's process had; empty before.
-	ownAddress string
+	// processStartMs is the start time of the process that has responded, in Unix milliseconds,
+	// and answeredAddress the address at which its last heartbeat was answered; zero before.
+	processStartMs  int64
+	answeredAddress string
+	// unverified is the newest entry that differs from what the target is known to be. Since
+	// unverifiedSince it tells of a restart that no response shows; 0 if it doesn't.
+	unverified      TargetInfo
+	unverifiedSince time.Duration
 	// listed is cleared once the target has been missing from the store's list for
 	// unlistedTimeout.
 	listed bool
@@ -79,6 +88,8 @@
 	// ended is set once the target no longer exists: its instance was moved or is down, or
 	// another target has its address. The store may still list it for a while.
 	ended bool
+	// endedAddress is the address that the target had then.
+	endedAddress string
 	// fenced is set once the target has answered a heartbeat with this owner's token.
 	fenced bool
 	// awaitsResponseSince is when the target may have ended. Only the response to a heartbeat that
@@ -211,9 +222,19 @@
 // schedulable reports whether new tasks may be placed on the target.
 func (t *target) schedulable(now time.Duration) bool {
 	return t.listed && t.fenced && !t.superseded && !t.cordoned && !t.info.Draining && !t.unresponsive && !t.suspended &&
-		!t.overdue(now) && now >= t.noStartsBefore && !t.health.suspended(now)
+		t.unverifiedSince == 0 && t.describesProcess() && !t.overdue(now) && now >= t.noStartsBefore && !t.health.suspended(now)
 }
 
+// describesProcess reports whether the target's entry may be of the process that responds. An
+// earlier one may have had another capacity.
+func (t *target) describesProcess() bool {
+	return t.processStartMs == 0 || t.info.ProcessStartMs == 0 || t.info.ProcessStartMs == t.processStartMs
+}
+
+// knownStartMs returns the start time of the target's process, by its entry if no response has told
+// it.
+func (t *target) knownStartMs() int64 { return cmp.Or(t.processStartMs, t.info.ProcessStartMs) }
+
 // overdue reports whether the target hasn't responded for responseTimeout.
 func (t *target) overdue(now time.Duration) bool { return now-t.lastResponseAt > responseTimeout }
 
