crannode: count a confirmed append from its first attempt

What callers would see: a task that runs twice at a time. The owner of a shard whose append was stored, while the answer was lost, sent orders up to 1.58 s longer than its successor counts on. Cause: an append is repeated until it is answered, and the owner counted OwnershipTimeout from the last attempt. A repeat adds no record, so what the successor has read, and counts from, may be as old as the first attempt. Change: the ownership is confirmed as of the first attempt; the latency that others wait for is still that of the last one. Of a batch that is stored in parts the last part counts: it is sent for the first time only after the others were stored, and each part is at least one record of the owner. After one lost answer an owner is left with 0.9 s for its next append instead of 2.5 s. Evidence: both tests failed before (1.58 s and 1.57 s too late) and pass; the package's tests pass.

--- a/internal/crannode/ownership.go
+++ b/internal/crannode/ownership.go
@@ -48,8 +48,8 @@
 	// renewals is how often the claim has been renewed, renewedAt when it was last.
 	renewals  uint64
 	renewedAt time.Duration
-	// confirmedAt is when the newest confirmed append to the digest was sent. The goroutines
-	// that send orders read it.
+	// confirmedAt is when the newest confirmed append to the digest was first sent. The
+	// goroutines that send orders read it.
 	confirmedAt      atomic.Int64
 	progress, digest *fencedWriter
 	// trims appends the smaller records that replace the submissions of ended jobs.
--- /dev/null
+++ b/internal/crannode/ownership_test.go
@@ -0,0 +1,100 @@
+package crannode
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cranberrypick/cranberrypick/internal/crandigest"
+	"github.com/cranberrypick/cranberrypick/internal/cranjob"
+	"github.com/cranberrypick/cranberrypick/internal/cranmemory"
+	"github.com/cranberrypick/cranberrypick/internal/cransched"
+	"github.com/cranberrypick/cranberrypick/internal/cranshard"
+	"github.com/cranberrypick/cranberrypick/internal/cranstore"
+)
+
+// answerLostTopic stores appends, but loses the answers to the first ones.
+type answerLostTopic struct {
+	*cranmemory.Topic
+	lost int
+}
+
+func (t *answerLostTopic) Append(ctx context.Context, records []cranstore.Record, o cranstore.AppendOptions) (uint64, error) {
+	offset, err := t.Topic.Append(ctx, records, o)
+	if t.lost == 0 {
+		return offset, err
+	}
+	t.lost--
+	<-ctx.Done()
+	return 0, ctx.Err()
+}
+
+// layoutRecord returns the record of a layout with one shard.
+func layoutRecord() cranstore.Record {
+	return cranstore.Record{Key: crandigest.KeyLayout, Value: cranshard.New(1, 1, nil).Encode()}
+}
+
+// claimRecord returns the claim of the first process of an entry instance.
+func claimRecord(epoch uint64, node string, released bool) cranstore.Record {
+	return crandigest.ClaimRecord(0, cranjob.Claim{Epoch: epoch, Node: node, Incarnation: node + "-1", Released: released})
+}
+
+// TestRepeatedAppendConfirmsOnlyItsFirstAttempt guards against an owner that counts its newest
+// record from a repeat, which adds none. The latency is that of one attempt.
+func TestRepeatedAppendConfirmsOnlyItsFirstAttempt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		clock := func() cransched.Clock { return cransched.Clock{Steady: time.Hour + time.Since(start)} }
+		n := New("a", "a-1", memoryTopics(), Directory{}, noInstances{}, WithClock(clock))
+		storedAt := n.now().Steady
+		r := crandigest.Renewal{Epoch: 1, Number: 1}.Record(0)
+		sent, err := n.appendUntilAnswered(t.Context(), &answerLostTopic{Topic: cranmemory.New(), lost: 1}, []cranstore.Record{r},
+			cranstore.AppendOptions{Producer: "scheduler/0", Epoch: 1, Sequence: 1})
+		require.NoError(t, err)
+		require.LessOrEqual(t, sent.first, storedAt, "the owner counts its record as %v newer than it is", sent.first-storedAt)
+		require.Equal(t, n.now().Steady, sent.last)
+	})
+}
+
+// TestOwnerStopsByTimeThatSuccessorCountsOn guards against an owner that acts longer than its
+// successor counts on, because the answer to its last append before it is cut off was lost.
+func TestOwnerStopsByTimeThatSuccessorCountsOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		clock := func() cransched.Clock { return cransched.Clock{Steady: time.Hour + time.Since(start)} }
+		topics := memoryTopics()
+		topics.Digest = &answerLostTopic{Topic: cranmemory.New(), lost: 1}
+		ctx, cancel := context.WithCancel(t.Context())
+		newNode := func(name string) (*Node, *shard) {
+			n := New(name, name+"-1", topics, Directory{Targets: cranmemory.New()}, noInstances{}, WithClock(clock))
+			n.control.runCtx = ctx
+			n.control.applyDigest(cranstore.Update{Records: []cranstore.Record{layoutRecord()}})
+			return n, n.shards[0]
+		}
+		a, owner := newNode("a")
+		b, successor := newNode("b")
+		owner.claimedEpoch, owner.claimSentAt = 1, clock().Steady
+		a.control.applyDigest(cranstore.Update{Records: []cranstore.Record{claimRecord(1, "a", false)}})
+		b.control.applyDigest(cranstore.Update{Records: []cranstore.Record{claimRecord(1, "a", false)}})
+		o := owner.owner
+		require.NotNil(t, o)
+		renewal := o.renewal(clock().Steady).Record(0)
+		o.digest.write(o, []cranstore.Record{renewal}, func(sent time.Duration, err error) { o.digestAppended(sent, err, false) })
+		time.Sleep(10 * time.Millisecond)
+		b.control.applyDigest(cranstore.Update{Records: []cranstore.Record{renewal}})
+		time.Sleep(2 * time.Second)
+		a.control.runQueuedEvents()
+		successor.claimedEpoch, successor.claimSentAt = 2, clock().Steady
+		b.control.applyDigest(cranstore.Update{Records: []cranstore.Record{claimRecord(2, "b", false)}})
+		require.NotNil(t, successor.owner)
+		ownerStops := time.Duration(o.confirmedAt.Load()) + cransched.OwnershipTimeout
+		stoppedBy := successor.owner.predecessor.StoppedBy
+		cancel()
+		a.control.group.Wait()
+		b.control.group.Wait()
+		require.LessOrEqual(t, ownerStops, stoppedBy, "the owner sends orders %v longer than its successor counts on", ownerStops-stoppedBy)
+	})
+}
--- a/internal/crannode/writer.go
+++ b/internal/crannode/writer.go
@@ -56,10 +56,14 @@
 	return parts
 }
 
+// attempts says when an append was sent: for the first time, and for the last, which was
+// answered. A repeat adds no record, so what is stored may be as old as the first attempt.
+type attempts struct{ first, last time.Duration }
+
 // write appends records, of which there must be one at least, and calls done in the control goroutine unless the ownership has
 // ended by then. A large batch is appended in parts, since the store refuses a call above its
 // limit and a slow link can't carry it in the time of one attempt. The time passed to done is
-// when the last append was sent.
+// when the last part was first sent, before which that part can't have been stored.
 func (w *fencedWriter) write(o *ownership, records []cranstore.Record, done func(sent time.Duration, err error)) {
 	n := o.shard.node
 	parts := splitBatch(records, maxAppendBytes)
@@ -73,15 +77,15 @@
 				return
 			}
 			now := n.now().Steady
-			w.busy, w.nextAt, w.latency = false, now+w.interval, now-sent
-			done(sent, err)
+			w.busy, w.nextAt, w.latency = false, now+w.interval, now-sent.last
+			done(sent.first, err)
 		})
 	})
 }
 
 // appendParts appends the parts of a batch one after the other. It returns when the last
-// append was sent.
-func (n *Node) appendParts(ctx context.Context, t cranstore.Topic, parts [][]cranstore.Record, o cranstore.AppendOptions) (sent time.Duration, err error) {
+// part was sent.
+func (n *Node) appendParts(ctx context.Context, t cranstore.Topic, parts [][]cranstore.Record, o cranstore.AppendOptions) (sent attempts, err error) {
 	for _, part := range parts {
 		if sent, err = n.appendUntilAnswered(ctx, t, part, o); err != nil {
 			return sent, err
@@ -93,9 +97,10 @@
 
 // appendUntilAnswered repeats an append until its outcome is known. The sequence number
 // makes repeats safe.
-func (n *Node) appendUntilAnswered(ctx context.Context, t cranstore.Topic, records []cranstore.Record, o cranstore.AppendOptions) (time.Duration, error) {
+func (n *Node) appendUntilAnswered(ctx context.Context, t cranstore.Topic, records []cranstore.Record, o cranstore.AppendOptions) (attempts, error) {
+	sent := attempts{first: n.now().Steady}
 	for {
-		sent := n.now().Steady
+		sent.last = n.now().Steady
 		limited, cancel := context.WithTimeout(ctx, appendTimeout)
 		_, err := t.Append(limited, records, o)
 		cancel()
