crannode: count a claim from its first attempt

What callers would see: a task that runs twice at a time. An owner whose claim was stored, while the answer was lost, sent orders longer than its successor counts on, by the time until it repeated the claim (1.9 s and more). Cause: a claim of the same epoch that is sent again is the same append, but made the time later from which the owner counts OwnershipTimeout. Change: only the first claim of an epoch sets that time. So that an owner whose claim took long isn't left without a confirmation, its first renewal is due claimInterval after the claim was sent, not after it was read back; after a repeat it is due at once. Evidence: the test failed before (1.9 s too late) and passes; the package's tests pass.

--- a/internal/crannode/claim.go
+++ b/internal/crannode/claim.go
@@ -95,7 +95,9 @@
 func (s *shard) sendClaim(epoch uint64, now, unrenewedFor time.Duration) {
 	n := s.node
 	s.claiming = true
-	s.claimSentAt, s.claimedEpoch = now, epoch
+	if epoch != s.claimedEpoch {
+		s.claimSentAt, s.claimedEpoch = now, epoch
+	}
 	record := crandigest.ClaimRecord(s.number, cranjob.Claim{Epoch: epoch, Node: n.name, Incarnation: n.incarnation})
 	o := cranstore.AppendOptions{Producer: s.digestProducer(), Epoch: epoch}
 	n.log.Emit(cranevent.SchedulerClaiming, cranevent.Shard(s.name), cranevent.Epoch(epoch), cranevent.Elapsed(unrenewedFor))
--- a/internal/crannode/ownership.go
+++ b/internal/crannode/ownership.go
@@ -45,7 +45,8 @@
 type ownership struct {
 	shard *shard
 	epoch uint64
-	// renewals is how often the claim has been renewed, renewedAt when it was last.
+	// renewals is how often the claim has been renewed, renewedAt when it was last, or else when
+	// the claim was sent.
 	renewals  uint64
 	renewedAt time.Duration
 	// confirmedAt is when the newest confirmed append to the digest was first sent. The
@@ -86,7 +87,7 @@
 func (s *shard) beginOwnership(claim cranjob.Claim, now cransched.Clock) {
 	n := s.node
 	o := &ownership{
-		shard: s, epoch: claim.Epoch, renewedAt: now.Steady, beganAt: now.Steady, replica: cranjob.NewReplica(), stateIndex: map[string]int{},
+		shard: s, epoch: claim.Epoch, renewedAt: s.claimSentAt, beganAt: now.Steady, replica: cranjob.NewReplica(), stateIndex: map[string]int{},
 		progress: &fencedWriter{topic: s.topics.Progress, producer: producer, epoch: claim.Epoch, interval: progressInterval},
 		digest:   &fencedWriter{topic: n.topics.Digest, producer: s.digestProducer(), epoch: claim.Epoch, interval: digestInterval},
 		trims:    cranstore.NewBatcher(s.topics.Submissions, n.metrics.Retried),
--- a/internal/crannode/ownership_test.go
+++ b/internal/crannode/ownership_test.go
@@ -98,3 +98,22 @@
 		require.LessOrEqual(t, ownerStops, stoppedBy, "the owner sends orders %v longer than its successor counts on", ownerStops-stoppedBy)
 	})
 }
+
+// TestRepeatedClaimConfirmsOnlyItsFirstAttempt guards against an owner that counts its claim from
+// a repeat. All claims of an epoch are one append.
+func TestRepeatedClaimConfirmsOnlyItsFirstAttempt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		now := time.Hour
+		n := newLoneNode(t, "a-1", &now)
+		s := n.newShard(0, now)
+		n.shards = []*shard{s}
+		s.sendClaim(9, now, 0)
+		synctest.Wait()
+		now += 1900 * time.Millisecond
+		s.sendClaim(9, now, 0)
+		synctest.Wait()
+		s.beginOwnership(cranjob.Claim{Epoch: 9, Node: "a", Incarnation: "a-1"}, n.now())
+		require.LessOrEqual(t, time.Duration(s.owner.confirmedAt.Load()), time.Hour)
+		require.GreaterOrEqual(t, now-s.owner.renewedAt, claimInterval, "the renewal isn't due at once")
+	})
+}
--- a/internal/crannode/shard.go
+++ b/internal/crannode/shard.go
@@ -27,7 +27,7 @@
 	previousClaim cranjob.Claim
 	// eligibleSince is when this process first could have claimed; 0 before.
 	eligibleSince time.Duration
-	// claimSentAt is when this process sent its newest claim, which has claimedEpoch.
+	// claimSentAt is when this process first sent its newest claim, which has claimedEpoch.
 	claimSentAt  time.Duration
 	claimedEpoch uint64
 	// claiming is true while a claim is being appended. The next claim is sent no
