crannode: remember until when owners before the predecessor may act

What callers would see: a task that runs twice at a time. A process that took over from an owner that had released the shard soon after its own takeover, or had restarted, released the runs of silent targets too early (0.6 s in the test, up to 2.5 s). Cause: such a predecessor has stopped, and the successor concluded that every owner has. The owner before it may have lost the store, and acts for OwnershipTimeout after its last record. Change: a shard keeps the time by which all owners before the current one have stopped, carried on with each claim that is read. It has passed by the time of most hand-overs, which stay as fast as before. A process that has read only the newest claim can't know of the owners before it, so it takes them to act for OwnershipTimeout after its load. That costs a restarted owner at most 2.5 s, and only for silent targets that aren't in the predecessor's list and for evictions. Before epoch 1 there was no owner. Evidence: TestOwnerBeforeReleasedOneIsAwaited (0.6 s and, for a restarted predecessor, 0.7 s too early) and TestNewProcessAwaitsOwnersThatItDoesNotKnow failed before and pass; TestHandoverIsFastWhenNoOtherOwnerActs passed before and passes; the package's tests pass.

--- a/internal/crannode/claim.go
+++ b/internal/crannode/claim.go
@@ -48,6 +48,9 @@
 	n, claim := s.node, s.claim()
 	if before.Epoch != claim.Epoch {
 		s.previousClaim = before
+		if claim.Epoch > 1 {
+			s.earlierStopBy = s.ownersStopBy(claim, now.Steady)
+		}
 	}
 	s.claimReadAt = now.Steady
 	if s.owner != nil && claim.Epoch > s.owner.epoch {
--- a/internal/crannode/ownership.go
+++ b/internal/crannode/ownership.go
@@ -88,20 +88,10 @@
 	n := s.node
 	o := &ownership{
 		shard: s, epoch: claim.Epoch, renewedAt: s.claimSentAt, beganAt: now.Steady, replica: cranjob.NewReplica(), stateIndex: map[string]int{},
-		progress: &fencedWriter{topic: s.topics.Progress, producer: producer, epoch: claim.Epoch, interval: progressInterval},
-		digest:   &fencedWriter{topic: n.topics.Digest, producer: s.digestProducer(), epoch: claim.Epoch, interval: digestInterval},
-		trims:    cranstore.NewBatcher(s.topics.Submissions, n.metrics.Retried),
-		// The previous owner acts only for a bounded time after an append that it knows to
-		// be stored, and every record that it stored has been read by now.
-		predecessor: cransched.Predecessor{
-			StoppedBy: s.ownerRecordAt + cransched.OwnershipTimeout, LeasesEndAt: s.leasesEndAt(claim.Epoch - 1),
-		},
-	}
-	switch predecessor, known := s.predecessorOf(claim); {
-	case !known:
-		o.predecessor.StoppedBy = now.Steady + cransched.OwnershipTimeout
-	case predecessor.Released || s.isFromEarlierProcess(predecessor):
-		o.predecessor.StoppedBy = now.Steady
+		progress:    &fencedWriter{topic: s.topics.Progress, producer: producer, epoch: claim.Epoch, interval: progressInterval},
+		digest:      &fencedWriter{topic: n.topics.Digest, producer: s.digestProducer(), epoch: claim.Epoch, interval: digestInterval},
+		trims:       cranstore.NewBatcher(s.topics.Submissions, n.metrics.Retried),
+		predecessor: cransched.Predecessor{StoppedBy: s.ownersStopBy(claim, now.Steady), LeasesEndAt: s.leasesEndAt(claim.Epoch - 1)},
 	}
 	o.confirmedAt.Store(int64(s.claimSentAt))
 	o.ctx, o.cancel = context.WithCancel(n.control.runCtx)
--- a/internal/crannode/ownership_test.go
+++ b/internal/crannode/ownership_test.go
@@ -117,3 +117,69 @@
 		require.GreaterOrEqual(t, now-s.owner.renewedAt, claimInterval, "the renewal isn't due at once")
 	})
 }
+
+// TestOwnerBeforeReleasedOneIsAwaited guards against an owner that forgets the one before its
+// predecessor, which has lost the store and may act longer than the predecessor, which released
+// its claim soon or has restarted.
+func TestOwnerBeforeReleasedOneIsAwaited(t *testing.T) {
+	for _, restarted := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			now := time.Hour
+			n := newLoneNode(t, "a-2", &now)
+			apply := func(records ...cranstore.Record) { n.control.applyDigest(cranstore.Update{Records: records}) }
+			apply(layoutRecord(), claimRecord(8, "b", false), crandigest.Renewal{Epoch: 8, Number: 1}.Record(0))
+			now += 10 * time.Second
+			apply(crandigest.Renewal{Epoch: 8, Number: 2}.Record(0))
+			earlierStops := now + cransched.OwnershipTimeout
+			now += 1700 * time.Millisecond
+			if restarted {
+				apply(claimRecord(9, "a", false))
+			} else {
+				apply(claimRecord(9, "c", false))
+				now += 100 * time.Millisecond
+				apply(claimRecord(9, "c", true))
+			}
+			now += 100 * time.Millisecond
+			require.Equal(t, earlierStops, takeOverAt(t, n, 10).StoppedBy)
+		})
+	}
+}
+
+// takeOverAt makes a process that a test controls own its shard with an epoch.
+func takeOverAt(t *testing.T, n *Node, epoch uint64) cransched.Predecessor {
+	s := n.shards[0]
+	s.claimedEpoch, s.claimSentAt = epoch, n.now().Steady
+	claim := cranjob.Claim{Epoch: epoch, Node: n.name, Incarnation: n.incarnation}
+	n.control.applyDigest(cranstore.Update{Records: []cranstore.Record{crandigest.ClaimRecord(0, claim)}})
+	require.NotNil(t, s.owner)
+	return s.owner.predecessor
+}
+
+// TestHandoverIsFastWhenNoOtherOwnerActs guards against a wait for owners that have stopped: the
+// predecessor has released its claim, and the one before was lost long before.
+func TestHandoverIsFastWhenNoOtherOwnerActs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		now := time.Hour
+		n := newLoneNode(t, "a-1", &now)
+		apply := func(records ...cranstore.Record) { n.control.applyDigest(cranstore.Update{Records: records}) }
+		apply(layoutRecord(), claimRecord(8, "b", false))
+		now += 2 * time.Second
+		apply(claimRecord(9, "c", false))
+		now += cransched.OwnershipTimeout
+		apply(claimRecord(9, "c", true))
+		require.Equal(t, now, takeOverAt(t, n, 10).StoppedBy)
+	})
+}
+
+// TestNewProcessAwaitsOwnersThatItDoesNotKnow guards against a process that takes the newest claim
+// of its first load for all that there was: the owner before may still act.
+func TestNewProcessAwaitsOwnersThatItDoesNotKnow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		now := time.Hour
+		n := newLoneNode(t, "a-2", &now)
+		n.control.applyDigest(cranstore.Update{Reset: true, Records: []cranstore.Record{layoutRecord(), claimRecord(9, "a", false)}})
+		loadedAt := now
+		now += 300 * time.Millisecond
+		require.Equal(t, loadedAt+cransched.OwnershipTimeout, takeOverAt(t, n, 10).StoppedBy)
+	})
+}
--- a/internal/crannode/shard.go
+++ b/internal/crannode/shard.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cranberrypick/cranberrypick/internal/cranjob"
+	"github.com/cranberrypick/cranberrypick/internal/cransched"
 	"github.com/cranberrypick/cranberrypick/internal/cranstore"
 )
 
@@ -25,6 +26,9 @@
 	claimReadAt, ownerRecordAt time.Duration
 	// previousClaim is the last claim of the epoch before the current one.
 	previousClaim cranjob.Claim
+	// earlierStopBy is the time by which all owners before the current one have stopped sending
+	// orders.
+	earlierStopBy time.Duration
 	// eligibleSince is when this process first could have claimed; 0 before.
 	eligibleSince time.Duration
 	// claimSentAt is when this process first sent its newest claim, which has claimedEpoch.
@@ -77,6 +81,21 @@
 	return s.previousClaim, s.previousClaim.Epoch+1 == claim.Epoch
 }
 
+// ownersStopBy returns the time by which all owners before a claim that is read now have stopped
+// sending orders. That the predecessor has stopped doesn't say that those before it have.
+func (s *shard) ownersStopBy(claim cranjob.Claim, now time.Duration) time.Duration {
+	// An owner acts only for a bounded time after an append that it knows to be stored, and every
+	// record that it stored has been read by now.
+	stopBy := s.ownerRecordAt + cransched.OwnershipTimeout
+	switch predecessor, known := s.predecessorOf(claim); {
+	case !known:
+		stopBy = now + cransched.OwnershipTimeout
+	case predecessor.Released || s.isFromEarlierProcess(predecessor):
+		stopBy = now
+	}
+	return max(stopBy, s.earlierStopBy)
+}
+
 // digestProducer is the producer name of the shard's owner in the digest.
 func (s *shard) digestProducer() string { return producer + "/" + s.name }
 
