crannode: take no load for the end of the digest

What callers would see: 410 for a job that was accepted, from an entry instance that has just started or loaded the digest again. A load of one page left the digest incomplete for that reason; the last page of several has neither Reset nor Partial set, and made it complete. Change: no page of a load completes the digest. So that this costs a round trip and not the wait of a read, the first read after the last of several pages doesn't wait, as after a single one.

--- a/internal/crannode/digest.go
+++ b/internal/crannode/digest.go
@@ -34,7 +34,8 @@
 	wavesChanged := false
 	// A load returns the newest record of each key in the order of the keys. What a claim follows
 	// from is known only once all of them are applied.
-	c.loadingDigest = u.Reset || u.Partial || c.loadingDigest
+	loaded := u.Reset || u.Partial || c.loadingDigest
+	c.loadingDigest = loaded
 	for _, r := range u.Records {
 		wavesChanged = c.applyDigestRecord(r) || wavesChanged
 	}
@@ -42,7 +43,7 @@
 		c.loadingDigest = false
 		c.observeLoadedClaims(now)
 	}
-	n.finishRead(u)
+	n.finishRead(u, loaded)
 	n.mu.Unlock()
 	if wavesChanged {
 		c.updateWaves()
@@ -101,13 +102,13 @@
 	c.loadedClaims = nil
 }
 
-// finishRead records how far the digest has been read, and wakes the goroutines that wait for
-// that. The caller holds the node's lock.
-func (n *Node) finishRead(u cranstore.Update) {
+// finishRead records how far the digest has been read, loaded being true for a page of a load, and
+// wakes the goroutines that wait for that. The caller holds the node's lock.
+func (n *Node) finishRead(u cranstore.Update, loaded bool) {
 	n.digestContactAt.Store(int64(u.Sent))
 	// Pages are no snapshot: a load may miss a segment that was merged meanwhile, until the
 	// records that follow are read.
-	n.digestComplete = !u.Reset && !u.Partial && (n.digestComplete || u.Next >= u.End)
+	n.digestComplete = !loaded && (n.digestComplete || u.Next >= u.End)
 	if n.digestComplete && u.Next >= u.End {
 		n.digestCurrentAt = u.Sent
 	}
--- a/internal/cranstore/follow.go
+++ b/internal/cranstore/follow.go
@@ -141,11 +141,12 @@
 func (f *Follower) Run(ctx context.Context, deliver func(Update)) {
 	backoff := followPause
 	for ctx.Err() == nil {
+		loading := f.loading != nil
 		update, complete := f.step(ctx)
 		if ctx.Err() != nil {
 			return
 		}
-		f.immediate = update.Err != nil || update.Reset
+		f.immediate = update.Err != nil || loading
 		switch {
 		case errors.Is(update.Err, ErrExpired):
 			f.loading = &loader{topic: f.topic}
--- a/internal/cranstore/follow_test.go
+++ b/internal/cranstore/follow_test.go
@@ -80,3 +80,25 @@
 		require.Equal(t, 2, resets)
 	})
 }
+
+// TestReadAfterLoadInPagesDoesNotWait guards against a reader that waits for a further record
+// before it knows whether it has all of those stored during a load.
+func TestReadAfterLoadInPagesDoesNotWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		var loadedAt, readAt time.Duration
+		f := NewFollower(&slowTopic{loadTime: time.Second}, func() time.Duration { return time.Since(start) }, WithWait(time.Second), WithPages())
+		f.Run(ctx, func(u Update) {
+			switch {
+			case len(u.Records) > 0:
+				loadedAt = time.Since(start)
+			case readAt == 0:
+				readAt = time.Since(start)
+			}
+		})
+		require.Equal(t, time.Second, loadedAt)
+		require.Equal(t, loadedAt, readAt)
+	})
+}
