crannode: don't take records of a load for recent ones

What callers would see: a number of pending jobs without those of a shard whose owner is lost, for 2 s after an entry instance has loaded the digest or has caught up after an outage. And a load of the digest put the takeover from a lost owner off, by up to 1.5 s each time. Cause: the time at which a record was read stood for the time at which the owner wrote it. A load returns the last renewal and the segments of a lost owner again, and a late read may return records of any age. Change: only records of a read that follows on a digest that was current show that the owner publishes; after a load the submissions are read until then. Of a load only a renewal that is newer than the one known counts for the time that an owner has written nothing. Left as they are, since they err on the safe side: a load still counts as a record of the owner for the time that its successor counts on (a later StoppedBy), and a late read as a sign that the owner is alive (a later claim; readThrough and readingSince bound it).

--- a/internal/crandigest/digest.go
+++ b/internal/crandigest/digest.go
@@ -121,6 +121,8 @@
 type Change struct {
 	Kind  ChangeKind
 	Shard int
+	// Newer is set for a renewal that is newer than the one known before.
+	Newer bool
 	// Before is the claim that a claim has replaced.
 	Before cranjob.Claim
 }
@@ -159,8 +161,9 @@
 		if r.Epoch < s.renewal.Epoch || r.Epoch == s.renewal.Epoch && r.Number < s.renewal.Number {
 			return Change{}, nil
 		}
+		newer := r.Epoch > s.renewal.Epoch || r.Number > s.renewal.Number
 		s.renewal = *r
-		return Change{Kind: Renewed, Shard: number}, nil
+		return Change{Kind: Renewed, Shard: number, Newer: newer}, nil
 	case keyLeases:
 		l, err := decode[Leases](key, value)
 		if err != nil {
--- a/internal/crannode/digest.go
+++ b/internal/crannode/digest.go
@@ -82,8 +82,7 @@
 		}
 	case crandigest.Renewed:
 		if change.Shard < len(n.shards) {
-			s := n.shards[change.Shard]
-			s.claimReadAt, s.ownerRecordAt, s.renewedAt = now.Steady, now.Steady, now.Steady
+			n.shards[change.Shard].observeRenewal(change, now.Steady)
 		}
 	case crandigest.WaveChanged:
 		return n.shards != nil
@@ -91,6 +90,20 @@
 	return false
 }
 
+// observeRenewal handles a record that an owner has written. A load repeats records, also those of
+// a lost owner, so only a renewal that is newer than the one known shows that the owner has written
+// lately. The owner may have published nothing since a record that was read late.
+func (s *shard) observeRenewal(change crandigest.Change, now time.Duration) {
+	n := s.node
+	s.ownerRecordAt = now
+	if !n.control.loadingDigest || change.Newer {
+		s.claimReadAt = now
+	}
+	if !n.control.loadingDigest && n.digestComplete && now-n.digestCurrentAt <= maxDigestAge {
+		s.renewedAt = now
+	}
+}
+
 // observeLoadedClaims handles the claims that a load of the digest has returned. The records of
 // the owners before them may be as recent as the load.
 func (c *control) observeLoadedClaims(now cransched.Clock) {
--- a/internal/crannode/shard.go
+++ b/internal/crannode/shard.go
@@ -21,8 +21,8 @@
 	topics ShardTopics
 	// batcher appends the records of callers.
 	batcher *cranstore.Batcher
-	// claimReadAt is when the newest record of the owner's claim was read, and ownerRecordAt
-	// when the newest record of any kind of the owner was.
+	// claimReadAt is when a record was last read that shows the owner to be alive, and
+	// ownerRecordAt when a record of the owner was last read.
 	claimReadAt, ownerRecordAt time.Duration
 	// previousClaim is the last claim of the epoch before the current one.
 	previousClaim cranjob.Claim
@@ -41,7 +41,8 @@
 	// fencedEpoch is the highest epoch that the store has reported when it refused an append
 	// as outdated. The next claim uses a higher one.
 	fencedEpoch uint64
-	// renewedAt is when the newest renewal or segment was read. The node's lock guards it.
+	// renewedAt is when a renewal or segment was last read soon after it was stored. The node's
+	// lock guards it.
 	renewedAt time.Duration
 	// owner is this process's ownership; nil if it isn't the owner.
 	owner *ownership
