crannode: count the progress of a wave as a record of the owner

What callers would see: a task that runs twice at a time, during a maintenance wave. The successor of an owner that was lost right after it had published the progress of a wave counted on an end of its orders that was too early, by up to the time since its last renewal (0.4 s). Cause: every append to the digest confirms the ownership, but one that held only the progress of a wave wasn't counted as a record of the owner by its readers. Change: it is. A key with a negative shard is malformed, as the shard is an index now.

--- a/internal/crandigest/digest.go
+++ b/internal/crandigest/digest.go
@@ -256,8 +256,8 @@
 
 func (d *Digest) applyWave(key string, wave int, rest string, value []byte) (Change, error) {
 	number, err := strconv.Atoi(rest)
-	if err != nil {
-		return Change{}, malformed(key, err)
+	if err != nil || number < 0 {
+		return Change{}, malformed(key, "the key has no valid shard")
 	}
 	p, err := decode[WaveProgress](key, value)
 	if err != nil {
--- a/internal/crannode/digest.go
+++ b/internal/crannode/digest.go
@@ -85,6 +85,10 @@
 			n.shards[change.Shard].observeRenewal(change, now.Steady)
 		}
 	case crandigest.WaveChanged:
+		if change.Shard < len(n.shards) {
+			// An append that holds nothing else confirms the ownership too.
+			n.shards[change.Shard].ownerRecordAt = now.Steady
+		}
 		return n.shards != nil
 	}
 	return false
--- a/internal/crannode/ownership_test.go
+++ b/internal/crannode/ownership_test.go
@@ -183,3 +183,18 @@
 		require.Equal(t, loadedAt+cransched.OwnershipTimeout, takeOverAt(t, n, 10).StoppedBy)
 	})
 }
+
+// TestOwnerThatReportsWaveIsAwaited guards against an owner that acts longer than its successor
+// counts on, because its last append held nothing but the progress of a wave.
+func TestOwnerThatReportsWaveIsAwaited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		now := time.Hour
+		n := newLoneNode(t, "a-1", &now)
+		n.control.applyDigest(cranstore.Update{Records: []cranstore.Record{layoutRecord(), claimRecord(8, "b", false)}})
+		now += 390 * time.Millisecond
+		readAt := now
+		n.control.applyDigest(cranstore.Update{Records: []cranstore.Record{crandigest.WaveProgress{Begun: true}.Record(1, 0)}})
+		now += 2 * time.Second
+		require.Equal(t, readAt+cransched.OwnershipTimeout, takeOverAt(t, n, 9).StoppedBy)
+	})
+}
