cranstore: bound the wait of a read by the time that has passed

What callers would see: a request routed by a configuration that is older than config_apply_ms allows, or a shard claimed from a live owner, if the store ends waiting reads early, as one that restarts may. Cause: a read without records counted as answered at the end of its wait, so what was read was taken to be newer than the answer, by up to the whole wait (0.5 and 1 s). Change: the time that it waited is at most the time that has passed until its answer was received. What remains: of an answer that was sent early the time on its way counts as well, and so does a pause of the process meanwhile, up to the wait; the reader can't tell these from a wait. Evidence: the test failed before (1 s for an answer after 0.1 s) and passes; the tests of cranstore and crannode pass.

--- a/internal/cranstore/follow.go
+++ b/internal/cranstore/follow.go
@@ -43,7 +43,7 @@
 	// Sent is the follower's clock when the read was sent. The update includes
 	// every record that was stored before, if Next is at End.
 	Sent time.Duration
-	// Waited is how long the store waited for a record in vain.
+	// Waited is how long the store can have waited for a record in vain.
 	Waited time.Duration
 	// Transfer measures the response to the read.
 	Transfer Transfer
@@ -228,7 +228,8 @@
 	}
 	u := Update{Records: batch.Records, Next: batch.Next, End: batch.End, Sent: w.sent, Transfer: transfer}
 	if len(batch.Records) == 0 {
-		u.Waited = wait
+		// The store may have answered before the end of the wait.
+		u.Waited = min(wait, transfer.Elapsed)
 	}
 	return u
 }
--- a/internal/cranstore/follow_test.go
+++ b/internal/cranstore/follow_test.go
@@ -102,3 +102,28 @@
 		require.Equal(t, loadedAt, readAt)
 	})
 }
+
+// hastyTopic answers reads without records after a time, if they wait for longer.
+type hastyTopic struct {
+	slowTopic
+	answersAfter time.Duration
+}
+
+func (h *hastyTopic) Read(ctx context.Context, from uint64, o ReadOptions) (Batch, error) {
+	o.Wait = min(o.Wait, h.answersAfter)
+	return h.slowTopic.Read(ctx, from, o)
+}
+
+// TestReadIsNoNewerThanItsAnswer guards against a reader that takes a read for newer than it can
+// be, because the store answered before the end of the wait.
+func TestReadIsNoNewerThanItsAnswer(t *testing.T) {
+	for _, answersAfter := range []time.Duration{100 * time.Millisecond, time.Minute} {
+		synctest.Test(t, func(t *testing.T) {
+			updates := follow(t, &hastyTopic{answersAfter: answersAfter}, 5*time.Second)
+			require.Greater(t, len(updates), 4)
+			for _, u := range updates[2:] {
+				require.Equal(t, min(answersAfter, time.Second), u.Waited)
+			}
+		})
+	}
+}
