crannode: log inherited leases with the age of the list that was used

What callers would see: in event 1307, an ageMs that doesn't belong to the remainingMs next to it, if the digest was loaded again while the new owner loaded the shard; nothing that acts on it. Cause: the time at which the list was read was looked up again when the scheduler started; a load returns the list again and makes that time later. Change: the ownership keeps the time together with the ends that were computed from it. Evidence: the test failed before (200 instead of 1200) and passes; the package's tests pass.

--- a/internal/crannode/ownership.go
+++ b/internal/crannode/ownership.go
@@ -61,7 +61,10 @@
 	replica                           *cranjob.Replica
 	progressLoaded, submissionsLoaded bool
 	beganAt                           time.Duration
-	predecessor                       cransched.Predecessor
+	// predecessor is what this owner knows about the one before, with the leases of silent
+	// targets as read at leasesReadAt.
+	predecessor  cransched.Predecessor
+	leasesReadAt time.Duration
 	// scheduler is nil until the shard is loaded.
 	scheduler *cransched.Scheduler
 
@@ -93,6 +96,7 @@
 		trims:       cranstore.NewBatcher(s.topics.Submissions, n.metrics.Retried),
 		predecessor: cransched.Predecessor{StoppedBy: s.ownersStopBy(claim, now.Steady), LeasesEndAt: s.leasesEndAt(claim.Epoch - 1)},
 	}
+	_, o.leasesReadAt = n.digest.Leases(s.number)
 	o.confirmedAt.Store(int64(s.claimSentAt))
 	o.ctx, o.cancel = context.WithCancel(n.control.runCtx)
 	s.owner = o
@@ -228,10 +232,9 @@
 	o.predecessor.LastOrderAt = o.lastOrders(now)
 	timing := n.timing
 	timing.OrdersPerSecond /= float64(len(n.shards))
-	_, leasesReadAt := n.digest.Leases(s.number)
 	for _, id := range slices.Sorted(maps.Keys(o.predecessor.LeasesEndAt)) {
 		n.log.Emit(cranevent.LeaseEndInherited, cranevent.Shard(s.name), cranevent.Epoch(o.epoch), cranevent.Target(id),
-			cranevent.Age(now.Steady-leasesReadAt), cranevent.Remaining(o.predecessor.LeasesEndAt[id]-now.Steady))
+			cranevent.Age(now.Steady-o.leasesReadAt), cranevent.Remaining(o.predecessor.LeasesEndAt[id]-now.Steady))
 	}
 	o.scheduler = cransched.New(o.epoch, timing, c.config, o.replica, now, o.predecessor)
 	for id, e := range o.replica.Jobs() {
--- a/internal/crannode/ownership_test.go
+++ b/internal/crannode/ownership_test.go
@@ -1,6 +1,7 @@
 package crannode
 
 import (
+	"bytes"
 	"context"
 	"testing"
 	"testing/synctest"
@@ -9,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cranberrypick/cranberrypick/internal/crandigest"
+	"github.com/cranberrypick/cranberrypick/internal/cranevent"
 	"github.com/cranberrypick/cranberrypick/internal/cranjob"
 	"github.com/cranberrypick/cranberrypick/internal/cranmemory"
 	"github.com/cranberrypick/cranberrypick/internal/cransched"
@@ -198,3 +200,27 @@
 		require.Equal(t, readAt+cransched.OwnershipTimeout, takeOverAt(t, n, 9).StoppedBy)
 	})
 }
+
+// TestInheritedLeaseIsLoggedWithItsAge guards against an age in event 1307 that isn't that of the
+// list from which the ends were computed, because a load has returned the list again.
+func TestInheritedLeaseIsLoggedWithItsAge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		now := time.Hour
+		n := newLoneNode(t, "a-1", &now)
+		var lines bytes.Buffer
+		n.log = cranevent.New(&lines, cranevent.WithStrict())
+		list := crandigest.Leases{Epoch: 8, Targets: []crandigest.SilentTarget{{ID: "x", EndsInMs: 3000}}}.Record(0)
+		n.control.applyDigest(cranstore.Update{Records: []cranstore.Record{layoutRecord(), claimRecord(8, "b", false), list}})
+		takeOverAt(t, n, 9)
+		now += time.Second
+		n.control.applyDigest(cranstore.Update{Reset: true, Records: []cranstore.Record{list}})
+		now += 200 * time.Millisecond
+		synctest.Wait()
+		o := n.shards[0].owner
+		o.progressLoaded, o.submissionsLoaded = true, true
+		n.control.config, n.control.targets.known = &cransched.Config{Version: 1}, true
+		o.startIfLoaded(n.now())
+		require.Contains(t, lines.String(), `"ageMs":1200`)
+		require.Contains(t, lines.String(), `"remainingMs":1800`)
+	})
+}
