--- a/internal/crandigest/digest.go
+++ b/internal/crandigest/digest.go
@@ -121,6 +121,8 @@
 type Change struct {
 	Kind  ChangeKind
 	Shard int
+	// Newer is set for a renewal that is newer than the one known before.
+	Newer bool
 	// Before is the claim that a claim has replaced.
 	Before cranjob.Claim
 }
@@ -159,8 +161,9 @@
 		if r.Epoch < s.renewal.Epoch || r.Epoch == s.renewal.Epoch && r.Number < s.renewal.Number {
 			return Change{}, nil
 		}
+		newer := r.Epoch > s.renewal.Epoch || r.Number > s.renewal.Number
 		s.renewal = *r
-		return Change{Kind: Renewed, Shard: number}, nil
+		return Change{Kind: Renewed, Shard: number, Newer: newer}, nil
 	case keyLeases:
 		l, err := decode[Leases](key, value)
 		if err != nil {
@@ -253,8 +256,8 @@
 
 func (d *Digest) applyWave(key string, wave int, rest string, value []byte) (Change, error) {
 	number, err := strconv.Atoi(rest)
-	if err != nil {
-		return Change{}, malformed(key, err)
+	if err != nil || number < 0 {
+		return Change{}, malformed(key, "the key has no valid shard")
 	}
 	p, err := decode[WaveProgress](key, value)
 	if err != nil {
--- a/internal/crannode/claim.go
+++ b/internal/crannode/claim.go
@@ -48,6 +48,9 @@
 	n, claim := s.node, s.claim()
 	if before.Epoch != claim.Epoch {
 		s.previousClaim = before
+		if claim.Epoch > 1 {
+			s.earlierStopBy = s.ownersStopBy(claim, now.Steady)
+		}
 	}
 	s.claimReadAt = now.Steady
 	if s.owner != nil && claim.Epoch > s.owner.epoch {
@@ -97,7 +100,9 @@
 func (s *shard) sendClaim(epoch uint64, now, unrenewedFor time.Duration) {
 	n := s.node
 	s.claiming = true
-	s.claimSentAt, s.claimedEpoch = now, epoch
+	if epoch != s.claimedEpoch {
+		s.claimSentAt, s.claimedEpoch = now, epoch
+	}
 	record := crandigest.ClaimRecord(s.number, cranjob.Claim{Epoch: epoch, Node: n.name, Incarnation: n.incarnation})
 	o := cranstore.AppendOptions{Producer: s.digestProducer(), Epoch: epoch}
 	n.log.Emit(cranevent.SchedulerClaiming, cranevent.Shard(s.name), cranevent.Epoch(epoch), cranevent.Elapsed(unrenewedFor))
--- a/internal/crannode/ownership.go
+++ b/internal/crannode/ownership.go
@@ -45,11 +45,12 @@
 type ownership struct {
 	shard *shard
 	epoch uint64
-	// renewals is how often the claim has been renewed, renewedAt when it was last.
+	// renewals is how often the claim has been renewed, renewedAt when it was last, or else when
+	// the claim was sent.
 	renewals  uint64
 	renewedAt time.Duration
-	// confirmedAt is when the newest confirmed append to the digest was sent. The goroutines
-	// that send orders read it.
+	// confirmedAt is when the newest confirmed append to the digest was first sent. The
+	// goroutines that send orders read it.
 	confirmedAt      atomic.Int64
 	progress, digest *fencedWriter
 	// trims appends the smaller records that replace the submissions of ended jobs.
@@ -60,7 +61,10 @@
 	replica                           *cranjob.Replica
 	progressLoaded, submissionsLoaded bool
 	beganAt                           time.Duration
-	predecessor                       cransched.Predecessor
+	// predecessor is what this owner knows about the one before, with the leases of silent
+	// targets as read at leasesReadAt.
+	predecessor  cransched.Predecessor
+	leasesReadAt time.Duration
 	// scheduler is nil until the shard is loaded.
 	scheduler *cransched.Scheduler
 
@@ -86,22 +90,13 @@
 func (s *shard) beginOwnership(claim cranjob.Claim, now cransched.Clock) {
 	n := s.node
 	o := &ownership{
-		shard: s, epoch: claim.Epoch, renewedAt: now.Steady, beganAt: now.Steady, replica: cranjob.NewReplica(), stateIndex: map[string]int{},
-		progress: &fencedWriter{topic: s.topics.Progress, producer: producer, epoch: claim.Epoch, interval: progressInterval},
-		digest:   &fencedWriter{topic: n.topics.Digest, producer: s.digestProducer(), epoch: claim.Epoch, interval: digestInterval},
-		trims:    cranstore.NewBatcher(s.topics.Submissions, n.metrics.Retried),
-		// The previous owner acts only for a bounded time after an append that it knows to
-		// be stored, and every record that it stored has been read by now.
-		predecessor: cransched.Predecessor{
-			StoppedBy: s.ownerRecordAt + cransched.OwnershipTimeout, LeasesEndAt: s.leasesEndAt(claim.Epoch - 1),
-		},
-	}
-	switch predecessor, known := s.predecessorOf(claim); {
-	case !known:
-		o.predecessor.StoppedBy = now.Steady + cransched.OwnershipTimeout
-	case predecessor.Released || s.isFromEarlierProcess(predecessor):
-		o.predecessor.StoppedBy = now.Steady
+		shard: s, epoch: claim.Epoch, renewedAt: s.claimSentAt, beganAt: now.Steady, replica: cranjob.NewReplica(), stateIndex: map[string]int{},
+		progress:    &fencedWriter{topic: s.topics.Progress, producer: producer, epoch: claim.Epoch, interval: progressInterval},
+		digest:      &fencedWriter{topic: n.topics.Digest, producer: s.digestProducer(), epoch: claim.Epoch, interval: digestInterval},
+		trims:       cranstore.NewBatcher(s.topics.Submissions, n.metrics.Retried),
+		predecessor: cransched.Predecessor{StoppedBy: s.ownersStopBy(claim, now.Steady), LeasesEndAt: s.leasesEndAt(claim.Epoch - 1)},
 	}
+	_, o.leasesReadAt = n.digest.Leases(s.number)
 	o.confirmedAt.Store(int64(s.claimSentAt))
 	o.ctx, o.cancel = context.WithCancel(n.control.runCtx)
 	s.owner = o
@@ -239,10 +234,9 @@
 	o.predecessor.SameInstance = known && s.isFromEarlierProcess(predecessor)
 	timing := n.timing
 	timing.OrdersPerSecond /= float64(len(n.shards))
-	_, leasesReadAt := n.digest.Leases(s.number)
 	for _, id := range slices.Sorted(maps.Keys(o.predecessor.LeasesEndAt)) {
 		n.log.Emit(cranevent.LeaseEndInherited, cranevent.Shard(s.name), cranevent.Epoch(o.epoch), cranevent.Target(id),
-			cranevent.Age(now.Steady-leasesReadAt), cranevent.Remaining(o.predecessor.LeasesEndAt[id]-now.Steady))
+			cranevent.Age(now.Steady-o.leasesReadAt), cranevent.Remaining(o.predecessor.LeasesEndAt[id]-now.Steady))
 	}
 	o.scheduler = cransched.New(o.epoch, timing, c.config, o.replica, now, o.predecessor)
 	for id, e := range o.replica.Jobs() {
--- a/internal/crannode/shard.go
+++ b/internal/crannode/shard.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cranberrypick/cranberrypick/internal/cranjob"
+	"github.com/cranberrypick/cranberrypick/internal/cransched"
 	"github.com/cranberrypick/cranberrypick/internal/cranstore"
 )
 
@@ -20,14 +21,17 @@
 	topics ShardTopics
 	// batcher appends the records of callers.
 	batcher *cranstore.Batcher
-	// claimReadAt is when the newest record of the owner's claim was read, and ownerRecordAt
-	// when the newest record of any kind of the owner was.
+	// claimReadAt is when a record was last read that shows the owner to be alive, and
+	// ownerRecordAt when a record of the owner was last read.
 	claimReadAt, ownerRecordAt time.Duration
 	// previousClaim is the last claim of the epoch before the current one.
 	previousClaim cranjob.Claim
+	// earlierStopBy is the time by which all owners before the current one have stopped sending
+	// orders.
+	earlierStopBy time.Duration
 	// eligibleSince is when this process first could have claimed; 0 before.
 	eligibleSince time.Duration
-	// claimSentAt is when this process sent its newest claim, which has claimedEpoch.
+	// claimSentAt is when this process first sent its newest claim, which has claimedEpoch.
 	claimSentAt  time.Duration
 	claimedEpoch uint64
 	// claiming is true while a claim is being appended. The next claim is sent no
@@ -37,7 +41,8 @@
 	// fencedEpoch is the highest epoch that the store has reported when it refused an append
 	// as outdated. The next claim uses a higher one.
 	fencedEpoch uint64
-	// renewedAt is when the newest renewal or segment was read. The node's lock guards it.
+	// renewedAt is when a renewal or segment was last read soon after it was stored. The node's
+	// lock guards it.
 	renewedAt time.Duration
 	// owner is this process's ownership; nil if it isn't the owner.
 	owner *ownership
@@ -77,6 +82,21 @@
 	return s.previousClaim, s.previousClaim.Epoch+1 == claim.Epoch
 }
 
+// ownersStopBy returns the time by which all owners before a claim that is read now have stopped
+// sending orders. That the predecessor has stopped doesn't say that those before it have.
+func (s *shard) ownersStopBy(claim cranjob.Claim, now time.Duration) time.Duration {
+	// An owner acts only for a bounded time after an append that it knows to be stored, and every
+	// record that it stored has been read by now.
+	stopBy := s.ownerRecordAt + cransched.OwnershipTimeout
+	switch predecessor, known := s.predecessorOf(claim); {
+	case !known:
+		stopBy = now + cransched.OwnershipTimeout
+	case predecessor.Released || s.isFromEarlierProcess(predecessor):
+		stopBy = now
+	}
+	return max(stopBy, s.earlierStopBy)
+}
+
 // digestProducer is the producer name of the shard's owner in the digest.
 func (s *shard) digestProducer() string { return producer + "/" + s.name }
 
