crannode: test owners that are lost around their list of silent targets

What callers would see: a task that runs twice at a time, if the owner of a shard goes on as if its list of silent targets weren't stored, because the answer was lost or because it did nothing for a while. Change: the fake link to the digest loses answers on request, and counts a repeat no longer as an append of the process, so the check of orders is stricter.

--- a/internal/crannode/claim_test.go
+++ b/internal/crannode/claim_test.go
@@ -47,9 +47,13 @@
 type link struct {
 	*cranmemory.Topic
 	fault *fault
-	// appended, if set, is called after each append that was stored.
+	// appended, if set, is called after each append that has added records.
 	appended func()
 	mu       sync.Mutex
+	// stored is the end of the newest append, and losing is set while appends are stored and
+	// their answers are lost.
+	stored uint64
+	losing bool
 	// maxRecords bounds the records of a read; 0 means no bound.
 	maxRecords int
 	// loadTime is how long each page of the newest records but the first takes.
@@ -67,10 +71,28 @@
 		return 0, err
 	}
 	offset, err := l.Topic.Append(ctx, records, o)
-	if err == nil && l.appended != nil {
+	if err != nil {
+		return offset, err
+	}
+	l.mu.Lock()
+	added, losing := offset >= l.stored, l.losing
+	l.stored = max(l.stored, offset+uint64(len(records)))
+	l.mu.Unlock()
+	if added && l.appended != nil {
 		l.appended()
 	}
-	return offset, err
+	if losing {
+		<-ctx.Done()
+		return 0, ctx.Err()
+	}
+	return offset, nil
+}
+
+// lose sets whether the answers to appends are lost.
+func (l *link) lose(on bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.losing = on
 }
 
 func (l *link) End(ctx context.Context, from uint64) (uint64, error) {
--- a/internal/crannode/fleet_test.go
+++ b/internal/crannode/fleet_test.go
@@ -40,10 +40,11 @@
 
 // fleetNode is an entry instance and its present process.
 type fleetNode struct {
-	name  string
-	node  *Node
-	fault *fault
-	stop  context.CancelFunc
+	name   string
+	node   *Node
+	fault  *fault
+	digest *link
+	stop   context.CancelFunc
 }
 
 func newTestFleet(t *testing.T, nodes int) *testFleet {
@@ -91,6 +92,7 @@
 	incarnation := fmt.Sprintf("%s-%d", n.name, f.processes)
 	connect := func(t cranstore.Topic) *link { return &link{Topic: t.(*cranmemory.Topic), fault: n.fault} }
 	digest := connect(f.digest)
+	n.digest = digest
 	digest.appended = func() {
 		f.targets.mu.Lock()
 		defer f.targets.mu.Unlock()
@@ -149,7 +151,9 @@
 func (f *testFleet) submitLasting(number int) *cranjob.Job {
 	job := fleetJob(number)
 	job.Steps[0].LongRunning, job.Steps[0].MaxUnavailable = true, 1
+	f.targets.mu.Lock()
 	f.targets.lasting[job.ID] = true
+	f.targets.mu.Unlock()
 	require.NoError(f.t, f.nodes[0].node.Submit(f.t.Context(), job))
 	return job
 }
