crannode: observe the claims that a first load returns before the layout

What callers would see: a task that runs twice at a time, when an owner is lost, another one that has restarted takes over within 2.5 s and restarts again. Cause: a new process creates its shards when it reads the layout, which a load returns after the claims. So the claims of its first load were dropped, and it took its own former process for the only owner that there was. Change: the claims of a load are kept until its end, whether the layout is known or not. Evidence: TestNewProcessAwaitsOwnersThatItDoesNotKnow, which had the layout first, now plays both orders, and failed before with the claim first.

--- a/internal/crannode/digest.go
+++ b/internal/crannode/digest.go
@@ -72,10 +72,9 @@
 		n.log.Emit(cranevent.LayoutInForce, cranevent.Count(len(n.shards)), cranevent.Offset(r.Offset))
 	case crandigest.Claimed:
 		switch {
-		case change.Shard >= len(n.shards):
 		case c.loadingDigest:
 			c.loadedClaims = append(c.loadedClaims, change)
-		default:
+		case change.Shard < len(n.shards):
 			s := n.shards[change.Shard]
 			s.observeClaim(change.Before, now)
 			s.ownerRecordAt = now.Steady
@@ -112,6 +111,9 @@
 // the owners before them may be as recent as the load.
 func (c *control) observeLoadedClaims(now cransched.Clock) {
 	for _, change := range c.loadedClaims {
+		if change.Shard >= len(c.node.shards) {
+			continue
+		}
 		s := c.node.shards[change.Shard]
 		s.ownerRecordAt = now.Steady
 		s.observeClaim(change.Before, now)
--- a/internal/crannode/ownership_test.go
+++ b/internal/crannode/ownership_test.go
@@ -176,14 +176,19 @@
 // TestNewProcessAwaitsOwnersThatItDoesNotKnow guards against a process that takes the newest claim
 // of its first load for all that there was: the owner before may still act.
 func TestNewProcessAwaitsOwnersThatItDoesNotKnow(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		now := time.Hour
-		n := newLoneNode(t, "a-2", &now)
-		n.control.applyDigest(cranstore.Update{Reset: true, Records: []cranstore.Record{layoutRecord(), claimRecord(9, "a", false)}})
-		loadedAt := now
-		now += 300 * time.Millisecond
-		require.Equal(t, loadedAt+cransched.OwnershipTimeout, takeOverAt(t, n, 10).StoppedBy)
-	})
+	// A load returns the claim before the layout.
+	for _, records := range [][]cranstore.Record{
+		{layoutRecord(), claimRecord(9, "a", false)}, {claimRecord(9, "a", false), layoutRecord()},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			now := time.Hour
+			n := newLoneNode(t, "a-2", &now)
+			n.control.applyDigest(cranstore.Update{Reset: true, Records: records})
+			loadedAt := now
+			now += 300 * time.Millisecond
+			require.Equal(t, loadedAt+cransched.OwnershipTimeout, takeOverAt(t, n, 10).StoppedBy)
+		})
+	}
 }
 
 // TestOwnerThatReportsWaveIsAwaited guards against an owner that acts longer than its successor
