cransched: don't end inherited runs by an address that only an entry names

What callers would see: tasks that run twice at a time after the loss of an owner, while an entry of another writer names another target's address under the id of a sound one. Cause: a response of another target ended the one of the entry, also when that had never answered this owner at that address. Change: runs of an earlier owner end only by the lease until their target has answered. Evidence: TestForeignAddressAtTakeoverEndsNoRun (found in the review) failed before. TestEntryWithLaterBirthEndsNoRun, from the review too, passes since. Cost: targets that were replaced around the loss of an owner free their tasks only after the lease.

--- a/internal/cransched/report.go
+++ b/internal/cransched/report.go
@@ -43,7 +43,8 @@
 }
 
 // handleOtherTarget handles the response of another target at an address. It says nothing about
-// a target that has answered at another one.
+// a target that has answered at another one, nor about runs of an earlier owner while their target
+// hasn't answered this one: its entry may be of another writer.
 func (s *Scheduler) handleOtherTarget(t *target, address string) {
 	if address != t.info.Address {
 		return
@@ -52,6 +53,9 @@
 		t.info.Address = t.answeredAddress
 		return
 	}
+	if t.answeredAddress == "" && len(t.runs) > 0 {
+		return
+	}
 	s.emit(LogEntry{Kind: LogTargetGone, Target: t.info.ID, Reason: "another target has its address"})
 	lost := s.lossOf(t)
 	s.endTarget(t, "the target is gone")
--- a/internal/cransched/rules_test.go
+++ b/internal/cransched/rules_test.go
@@ -259,3 +259,37 @@
 	s.HandleHeartbeatResponse(sent, HeartbeatResponse{})
 	require.True(t, target.heartbeatDue(sim.now+heartbeatInterval))
 }
+
+// TestForeignAddressAtTakeoverEndsNoRun guards against runs that a new owner gives up because the
+// first entry that it reads of their target names the address of another one.
+func TestForeignAddressAtTakeoverEndsNoRun(t *testing.T) {
+	sim := newSimulation(t, 1, 1)
+	sim.takeOver(sim.now - time.Hour)
+	sim.submit(newLongRunningJob("lasting", 1))
+	sim.runFor(3 * time.Second)
+	foreign := sim.owner.targets["t0"].info
+	foreign.Address = "foreign"
+	s := New(sim.epoch+1, simTiming, sim.config, sim.stored, sim.clock(), Predecessor{StoppedBy: sim.now})
+	s.SetTargets([]TargetInfo{foreign})
+	require.Len(t, s.targets["t0"].runs, 1)
+	other := Response{Status: StatusOtherTarget, ClockMs: 1_000_000}
+	s.HandleHeartbeatResponse(s.targets["t0"].address(), HeartbeatResponse{Response: other})
+	require.Len(t, s.targets["t0"].runs, 1, "the run goes on at the target's own address, and its task is to start again")
+}
+
+// TestEntryWithLaterBirthEndsNoRun guards against runs that are given up because an entry tells of a
+// restart that no response of the target shows.
+func TestEntryWithLaterBirthEndsNoRun(t *testing.T) {
+	sim := newSimulation(t, 1, 2)
+	sim.takeOver(sim.now - time.Hour)
+	sim.submit(newLongRunningJob("lasting", 1))
+	sim.runFor(3 * time.Second)
+	host := sim.hostOfLasting()
+	require.NotNil(t, host)
+	odd := host.info
+	odd.ProcessStartMs += 1_000_000_000
+	sim.owner.SetTargets([]TargetInfo{odd})
+	// The simulation checks each start.
+	sim.runFor(10 * time.Second)
+	require.Equal(t, 1, sim.countRunning("lasting"))
+}
