cransched: don't send a start that no longer fits on its target

What callers would see: a target over its capacity, when it shrinks while a start is being stored. Cause: a start was checked against the capacity when its task was placed, not when it was sent. Change: a start that doesn't fit any more is dropped before it is sent; what is being stopped still counts. Placing and planning have always used the newest entry. Evidence: TestPlannedStartIsDroppedWhenTargetShrinks failed before (4 starts instead of 2). TestStartsFitOnTargetsThatShrink lets targets shrink and grow at random; starts may use a former capacity for 1 s, where the users allow 3 s and a heartbeat.

--- a/internal/cransched/scheduler.go
+++ b/internal/cransched/scheduler.go
@@ -322,6 +322,10 @@
 		s.releaseRun(t, r, "no lease may be granted to the target")
 		return
 	}
+	if !t.info.Capacity.Fits(t.used) {
+		s.releaseRun(t, r, "the target has shrunk")
+		return
+	}
 	r.phase = startSent
 	r.startedAt = s.clock.Steady
 	e.DeadlineMs = s.grantLease(t)
