cransched: let an unknown run add no room to a target that has shrunk

What callers would see: a target over its capacity (LIMIT), when it has shrunk below what runs there and also reports a run that its owner doesn't know. Cause: a run of unknown size reserves all free resources, which were negative then: the other runs seemed to use less than they did. Change: it reserves nothing where nothing is free. Evidence: TestUnknownRunOnFullTargetAddsNoRoom failed before (1000 reserved instead of 3000).

--- a/internal/cranjob/job.go
+++ b/internal/cranjob/job.go
@@ -45,6 +45,11 @@
 	return Resources{r.CPU - o.CPU, r.Memory - o.Memory, r.Accelerators - o.Accelerators}
 }
 
+// NonNegative returns r with 0 for each negative quantity.
+func (r Resources) NonNegative() Resources {
+	return Resources{max(r.CPU, 0), max(r.Memory, 0), max(r.Accelerators, 0)}
+}
+
 // Fits reports whether the demand d fits into the free capacity r.
 func (r Resources) Fits(d Resources) bool {
 	return d.CPU <= r.CPU && d.Memory <= r.Memory && d.Accelerators <= r.Accelerators
--- a/internal/cransched/capacity_test.go
+++ b/internal/cransched/capacity_test.go
@@ -71,3 +71,20 @@
 	}
 	require.Equal(t, 2, starts)
 }
+
+// TestUnknownRunOnFullTargetAddsNoRoom guards against a run of unknown size that makes room on a
+// target which has shrunk below what runs there.
+func TestUnknownRunOnFullTargetAddsNoRoom(t *testing.T) {
+	sim := newSimulation(t, 1, 1)
+	sim.takeOver(sim.now - time.Hour)
+	sim.submit(newLongRunningJob("lasting", 3))
+	sim.runFor(3 * time.Second)
+	s, target := sim.owner, sim.owner.targets["t0"]
+	require.Len(t, target.runs, 3)
+	shrunk := target.info
+	shrunk.Capacity.CPU = 1000
+	s.SetTargets([]TargetInfo{shrunk})
+	used := target.used
+	s.addUnknownRun(target, RunReport{Task: cranjob.TaskName{Job: "other"}, Run: 1})
+	require.GreaterOrEqual(t, target.used.CPU, used.CPU)
+}
--- a/internal/cransched/report.go
+++ b/internal/cransched/report.go
@@ -172,7 +172,7 @@
 		r.reserved = r.step.Reservation()
 	} else {
 		// A run of unknown size may use all free resources.
-		r.reserved = t.free()
+		r.reserved = t.free().NonNegative()
 	}
 	t.add(r)
 	s.emit(LogEntry{Kind: LogUnknownRun, Job: report.Task.Job, Task: report.Task.String(), Run: report.Run, Target: t.info.ID})
