cransched: send no starts to a target that refuses connections

Cause: a target counts as unresponsive only after 1.8 s, and a refused connection, unlike a refused start, paused nothing. Change: a refused connection, of a start or a heartbeat, keeps new tasks off the target for 0.8 s.

--- a/internal/cransched/outcome.go
+++ b/internal/cransched/outcome.go
@@ -11,7 +11,7 @@
 	// for lack of capacity.
 	noCapacityPause = 400 * time.Millisecond
 	// refusalPause is how long a target gets no further start after it has refused one for
-	// another reason.
+	// another reason, or any connection.
 	refusalPause = 800 * time.Millisecond
 	// taskRefusalPause is the delay before a task is placed again whose start was refused.
 	taskRefusalPause = 150 * time.Millisecond
@@ -89,7 +89,7 @@
 		t.noStartsBefore = now + noCapacityPause
 	case StatusInvalidTicket:
 		t.tickets = nil
-	case StatusRefused:
+	case StatusRefused, StatusNotSent:
 		t.noStartsBefore = now + refusalPause
 	}
 	if r.task != nil {
--- a/internal/cransched/report.go
+++ b/internal/cransched/report.go
@@ -33,6 +33,8 @@
 		s.markSuperseded(t)
 	case StatusOtherTarget:
 		s.handleOtherTarget(t, ref.Address)
+	case StatusNotSent:
+		t.noStartsBefore = s.clock.Steady + refusalPause
 	}
 }
 
