cransched: give a task up only for a crash after it has started apart

What callers would see: a job shown as failed although its tasks crash nothing. Cause: a crash is known late if the target falls silent and its lease has to expire: its tasks start again among others meanwhile. If that target crashes too, by another task, both crashes counted for tasks that had never started apart. Change: the second crash counts towards giving up only if the run had started apart.

--- a/internal/cransched/crash.go
+++ b/internal/cransched/crash.go
@@ -29,10 +29,11 @@
 	tasks          []lostTask
 }
 
-// lostTask is a task in a loss. It is early if its run had not outlived its start.
+// lostTask is a task in a loss. It is early if its run had not outlived its start, and apart if the
+// run has started apart from others.
 type lostTask struct {
-	name  cranjob.TaskName
-	early bool
+	name         cranjob.TaskName
+	early, apart bool
 }
 
 // lossOf returns what is lost if a target ends now. That is nothing if the target has announced its
@@ -44,7 +45,7 @@
 	}
 	for _, r := range t.sortedRuns() {
 		if r.task != nil && r.task.run == r && r.phase != planned {
-			l.tasks = append(l.tasks, lostTask{r.name, r.early()})
+			l.tasks = append(l.tasks, lostTask{r.name, r.early(), r.apart || r.phase == unverified && r.task.crashes.Instance != ""})
 		}
 	}
 	return l
@@ -76,7 +77,10 @@
 		}
 		t.crashes.Total++
 		if lost.early && t.crashes.Early == most {
-			t.crashes.Early++
+			// A crash may become known only after the task has started again among others.
+			if lost.apart || t.crashes.Early == 0 {
+				t.crashes.Early++
+			}
 			s.emit(LogEntry{Kind: LogTaskSuspected, Job: lost.name.Job, Task: lost.name.String(), Run: t.crashes.Early, Target: l.target})
 		}
 		s.crashesChanged(t.job)
@@ -138,7 +142,7 @@
 	}
 	counts := r.task.crashes
 	s.rememberLoss(counts.Instance, loss{
-		target: target, processStartMs: counts.ProcessStartMs, at: s.clock.Steady, tasks: []lostTask{{r.name, true}},
+		target: target, processStartMs: counts.ProcessStartMs, at: s.clock.Steady, tasks: []lostTask{{r.name, true, true}},
 	})
 }
 
--- a/internal/cransched/crash_test.go
+++ b/internal/cransched/crash_test.go
@@ -258,3 +258,17 @@
 		})
 	}
 }
+
+// TestTaskIsGivenUpOnlyAfterItStartedApart guards against a task that is given up for crashes of
+// which it could only know after it had started again among others.
+func TestTaskIsGivenUpOnlyAfterItStartedApart(t *testing.T) {
+	sim := newCrashSimulation(t, 1)
+	sim.submit(newBatchJob("j", 1))
+	s, name := sim.owner, cranjob.TaskName{Job: "j"}
+	for range 2 {
+		s.recordCrash(loss{target: "t0", tasks: []lostTask{{name: name, early: true}}}, "")
+	}
+	require.Contains(t, s.jobs, "j")
+	s.recordCrash(loss{target: "t0", tasks: []lostTask{{name: name, early: true, apart: true}}}, "")
+	require.NotContains(t, s.jobs, "j")
+}
--- a/internal/cransched/place.go
+++ b/internal/cransched/place.go
@@ -380,6 +380,7 @@
 	t.run = &run{name: t.name, number: number, reserved: t.step.Reservation(), phase: planned, task: t, step: t.step, share: fullShare, resumed: t.Checkpoint != ""}
 	dest.add(t.run)
 	if t.suspected() {
+		t.run.apart = true
 		s.rememberHost(t, dest)
 	}
 	s.markDirty(t.job)
--- a/internal/cransched/target.go
+++ b/internal/cransched/target.go
@@ -48,6 +48,8 @@
 	// it has outlived its start.
 	presentSince time.Duration
 	survived     bool
+	// apart is set if the task was suspected when the run started.
+	apart bool
 	// inherited is set for runs that an earlier owner started, resumed for runs that
 	// continue from a checkpoint.
 	inherited, resumed bool
