cransched: try more suspected tasks of a job the more have survived

What callers would see: lasting tasks that are back only 33 s after their targets (LOST), when many targets crash twice within seconds. Cause: one suspected task of a job was tried at a time, and a task with two crashes was on probation for 3 s. Besides, a suspected task that fits on no target never let its pool get room, and a target that was cordoned while reserved kept short waits. Change: as many tasks of a job are tried as twice the ones that have survived since the last crash, and the long probation begins with the third crash. A suspected task that fits nowhere marks its pool as starved.

--- a/internal/cransched/crash.go
+++ b/internal/cransched/crash.go
@@ -81,6 +81,7 @@
 			if lost.apart || t.crashes.Early == 0 {
 				t.crashes.Early++
 			}
+			t.job.survivors = 0
 			s.emit(LogEntry{Kind: LogTaskSuspected, Job: lost.name.Job, Task: lost.name.String(), Run: t.crashes.Early, Target: l.target})
 		}
 		s.crashesChanged(t.job)
@@ -122,6 +123,9 @@
 	if !r.survived && sentAt >= r.presentSince+survivalTime {
 		r.survived = true
 		counts.Early = 0
+		if r.apart {
+			r.task.job.survivors++
+		}
 	}
 	if !r.task.suspected() {
 		counts.Instance, counts.ProcessStartMs = "", 0
--- a/internal/cransched/job.go
+++ b/internal/cransched/job.go
@@ -47,6 +47,9 @@
 	// hasCrashes is set once a target has crashed under a task of the job, and crashesDirty while
 	// the crash counts are to be stored with the next batch.
 	hasCrashes, crashesDirty bool
+	// survivors counts the suspected tasks that have outlived a start apart from others since the
+	// last one that has not.
+	survivors int
 	// criticalPathMs holds for each step the expected length of the longest path of
 	// dependent steps that begins with it; durationMs holds the expected duration of one
 	// of its tasks.
--- a/internal/cransched/probation.go
+++ b/internal/cransched/probation.go
@@ -18,10 +18,12 @@
 	// given up.
 	maxCrashes = 4
 	// suspectCrashes is the number of targets that have crashed under a suspected task at any time.
-	suspectCrashes = 2
+	suspectCrashes = 3
 	// probationShare is the largest part, one in so many, of a pool's targets that are reserved
 	// for suspected tasks at a time while others wait.
 	probationShare = 2
+	// maxSuspectsPerTick bounds the suspected tasks of a pool that are considered at a time.
+	maxSuspectsPerTick = 64
 )
 
 // suspected reports whether a task may crash its targets. It starts apart from others then, so that
@@ -69,33 +71,38 @@
 	stage *stage
 }
 
-// waitingSuspects returns the suspected tasks that may start now, by pool in placement order: at
-// most one of each job, and none of a job that has one on probation, so that a job with several
-// such tasks doesn't take down a target with each.
+// waitingSuspects returns the suspected tasks that may start now, by pool in placement order. Those
+// of gangs start with their gang.
 func (s *Scheduler) waitingSuspects(list []candidate, targets map[string][]*target) map[string][]suspect {
 	waiting := map[string][]suspect{}
-	seen := map[*job]bool{}
 	for _, c := range list {
-		if !c.job.hasCrashes || c.stage.step.Gang || seen[c.job] {
+		pool := c.job.Pool
+		if !c.job.hasCrashes || c.stage.step.Gang || len(waiting[pool]) >= maxSuspectsPerTick {
 			continue
 		}
-		i := slices.IndexFunc(c.stage.tasks, func(t *task) bool {
-			return t.Status == cranjob.Waiting && t.suspected() && t.notBefore <= s.clock.Steady
-		})
-		if i < 0 {
-			continue
+		var suspects []suspect
+		for _, t := range c.stage.tasks {
+			if t.Status == cranjob.Waiting && t.suspected() && t.notBefore <= s.clock.Steady {
+				suspects = append(suspects, suspect{t, c.stage})
+			}
 		}
-		seen[c.job] = true
-		if !c.job.hasProbation(s.clock.Steady) && s.ensureTicket(c, targets[c.job.Pool]) {
-			waiting[c.job.Pool] = append(waiting[c.job.Pool], suspect{c.stage.tasks[i], c.stage})
+		if len(suspects) > 0 && s.ensureTicket(c, targets[pool]) {
+			waiting[pool] = append(waiting[pool], suspects...)
 		}
 	}
 	return waiting
 }
 
-// hasProbation reports whether a run of the job is on probation.
-func (j *job) hasProbation(now time.Duration) bool {
-	return slices.ContainsFunc(j.tasks, func(t *task) bool { return t.run != nil && t.run.onProbation(now) })
+// mayTry returns how many more suspected tasks of the job may start: one at first, so that a job with
+// many tasks that crash their targets takes down one at a time, and more the more have survived.
+func (j *job) mayTry(now time.Duration) int {
+	n := max(1, 2*j.survivors)
+	for _, t := range j.tasks {
+		if t.run != nil && t.run.onProbation(now) {
+			n--
+		}
+	}
+	return n
 }
 
 // placeSuspects starts suspected tasks on targets that are reserved for them, and removes these
@@ -103,73 +110,105 @@
 // runs have outlived theirs, and after it until the suspected task has. So a crash in between is
 // that task's, and the other targets of the pool serve the others.
 func (s *Scheduler) placeSuspects(list []candidate, targets map[string][]*target) {
-	waiting := s.waitingSuspects(list, targets)
-	others := map[string]bool{}
-	for _, c := range list {
-		others[c.job.Pool] = others[c.job.Pool] || slices.ContainsFunc(c.stage.tasks, func(t *task) bool {
-			return t.Status == cranjob.Waiting && !t.suspected()
-		})
+	for _, t := range s.sorted {
+		t.reserved = false
 	}
+	waiting := s.waitingSuspects(list, targets)
 	for _, pool := range slices.Sorted(maps.Keys(targets)) {
-		s.placeSuspectsOf(pool, waiting[pool], others[pool], targets)
+		s.placeSuspectsOf(pool, waiting[pool], list, targets)
 	}
 }
 
-func (s *Scheduler) placeSuspectsOf(pool string, waiting []suspect, othersWait bool, targets map[string][]*target) {
-	var free []*target
-	onProbation := 0
-	for _, t := range targets[pool] {
-		t.reserved = false
-		if t.hasProbation(s.clock.Steady) {
-			onProbation++
-			continue
-		}
-		free = append(free, t)
+func (s *Scheduler) placeSuspectsOf(pool string, waiting []suspect, list []candidate, targets map[string][]*target) {
+	count := len(targets[pool])
+	targets[pool] = slices.DeleteFunc(targets[pool], func(t *target) bool { return t.hasProbation(s.clock.Steady) })
+	if len(waiting) == 0 {
+		return
 	}
 	places := len(targets[pool])
-	if othersWait {
-		places = max(places/probationShare, 1)
+	if waitsFor(list, pool) {
+		places -= count - max(count/probationShare, 1)
 	}
-	places -= onProbation
-	targets[pool] = free
+	hosts := newProbationHosts(targets[pool])
+	left := map[*job]int{}
 	for _, w := range waiting {
-		if places <= 0 {
-			return
+		j := w.task.job
+		if _, known := left[j]; !known {
+			left[j] = j.mayTry(s.clock.Steady)
 		}
-		dest := s.chooseForSuspect(w.stage, targets[pool])
-		if dest == nil {
+		if places <= 0 || left[j] <= 0 {
+			continue
+		}
+		host, fits := s.chooseForSuspect(w.stage, hosts)
+		if host == nil {
+			s.starved[pool] = s.starved[pool] || !fits
 			continue
 		}
 		places--
-		targets[pool] = slices.DeleteFunc(targets[pool], func(t *target) bool { return t == dest })
-		if s.canStartApart(w.stage, dest) {
-			s.startTask(w.task, dest, w.task.Run+1)
+		left[j]--
+		host.taken = true
+		targets[pool] = slices.DeleteFunc(targets[pool], func(t *target) bool { return t == host.target })
+		if host.calm && s.canPlace(w.stage, host.target) {
+			s.startTask(w.task, host.target, w.task.Run+1)
 		} else {
-			dest.reserved = true
+			host.target.reserved = true
 		}
 	}
 }
 
-// canStartApart reports whether a suspected task may start on a target now.
-func (s *Scheduler) canStartApart(st *stage, t *target) bool { return t.isCalm() && s.canPlace(st, t) }
+// waitsFor reports whether a task that isn't suspected waits for a pool.
+func waitsFor(list []candidate, pool string) bool {
+	return slices.ContainsFunc(list, func(c candidate) bool {
+		return c.job.Pool == pool && slices.ContainsFunc(c.stage.tasks, func(t *task) bool {
+			return t.Status == cranjob.Waiting && !t.suspected()
+		})
+	})
+}
+
+// probationHost is a target that may be reserved for a suspected task.
+type probationHost struct {
+	target *target
+	// calm is set if every run has outlived its start, and taken once the target is reserved.
+	calm, taken bool
+	// idle are the resources that are free once only long-running tasks are left, longRunning is
+	// their number.
+	idle        cranjob.Resources
+	longRunning int
+}
 
-// chooseForSuspect returns the target on which a task of the stage can start first, and of these
-// the one on which a crash would do the least harm; nil if it fits on none.
-func (s *Scheduler) chooseForSuspect(st *stage, targets []*target) *target {
-	var best *target
+func newProbationHosts(targets []*target) []*probationHost {
+	hosts := make([]*probationHost, 0, len(targets))
 	for _, t := range targets {
-		if !s.meetsConstraints(st, t) || !t.info.Capacity.Sub(t.longRunningResources()).Fits(st.step.Reservation()) {
+		hosts = append(hosts, &probationHost{
+			target: t, calm: t.isCalm(), idle: t.info.Capacity.Sub(t.longRunningResources()), longRunning: t.countLongRunning(),
+		})
+	}
+	return hosts
+}
+
+// chooseForSuspect returns the host on which a task of the stage can start first, and of these the
+// one on which a crash would do the least harm; nil if none is left. It also reports whether the task
+// fits on any.
+func (s *Scheduler) chooseForSuspect(st *stage, hosts []*probationHost) (best *probationHost, fits bool) {
+	startsNow := false
+	for _, h := range hosts {
+		if !h.idle.Fits(st.step.Reservation()) || !s.meetsConstraints(st, h.target) {
+			continue
+		}
+		fits = true
+		if h.taken {
 			continue
 		}
+		now := h.calm && h.target.free().Fits(st.step.Reservation())
 		if best == nil || cmp.Or(
-			compareBools(!s.canStartApart(st, t), !s.canStartApart(st, best)),
-			cmp.Compare(t.countLongRunning(), best.countLongRunning()),
-			cmp.Compare(len(t.runs), len(best.runs)),
+			compareBools(!now, !startsNow),
+			cmp.Compare(h.longRunning, best.longRunning),
+			cmp.Compare(len(h.target.runs), len(best.target.runs)),
 		) < 0 {
-			best = t
+			best, startsNow = h, now
 		}
 	}
-	return best
+	return best, fits
 }
 
 // countLongRunning counts the runs of long-running tasks on the target.
--- /dev/null
+++ b/internal/cransched/probation_test.go
@@ -0,0 +1,207 @@
+package cransched
+
+import (
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cranberrypick/cranberrypick/internal/cranjob"
+)
+
+// TestLastingTasksAreBackSoon guards against lasting tasks that wait for one another's probation
+// (LOST: each has to run within 6 s, and 3 s more). All targets go down twice, 3 s each.
+func TestLastingTasksAreBackSoon(t *testing.T) {
+	sim := newSimulation(t, 1, 8)
+	sim.failureRate = 0
+	sim.takeOver(sim.now - time.Hour)
+	sim.submit(newLongRunningJob("lasting", 12))
+	sim.runFor(6 * time.Second)
+	require.Equal(t, 12, sim.countRunning("lasting"))
+	crashAll := func() {
+		for _, id := range slices.Sorted(maps.Keys(sim.targets)) {
+			sim.crash(id)
+		}
+	}
+	crashAll()
+	for limit := sim.now + 20*time.Second; sim.now < limit; sim.runFor(10 * time.Millisecond) {
+		if sim.now > limit-17*time.Second && sim.countRunning("lasting") == 12 {
+			break
+		}
+	}
+	t.Logf("after the first: %d run at %v", sim.countRunning("lasting"), sim.now)
+	sim.runFor(2300 * time.Millisecond)
+	crashAll()
+	from := sim.now
+	sim.runFor(3 * time.Second)
+	up := sim.now
+	for sim.now < up+90*time.Second && (sim.countRunning("lasting") < 12) {
+		sim.runFor(50 * time.Millisecond)
+	}
+	t.Logf("all %d run %v after the crash, %v after the targets are back", sim.countRunning("lasting"), sim.now-from, sim.now-up)
+	require.Less(t, sim.now-up, 9*time.Second)
+}
+
+// TestLastingTasksAreBackSoonAfterOneCrash is like TestLastingTasksAreBackSoon with one crash just after
+// the start of all tasks.
+func TestLastingTasksAreBackSoonAfterOneCrash(t *testing.T) {
+	for _, width := range []int{12, 24} {
+		sim := newSimulation(t, 1, 16)
+		sim.failureRate = 0
+		sim.takeOver(sim.now - time.Hour)
+		sim.runFor(2 * time.Second)
+		sim.submit(newLongRunningJob("lasting", width))
+		for sim.countRunning("lasting") < width {
+			sim.runFor(10 * time.Millisecond)
+		}
+		for _, id := range slices.Sorted(maps.Keys(sim.targets)) {
+			sim.crash(id)
+		}
+		sim.runFor(3 * time.Second)
+		up := sim.now
+		for sim.now < up+60*time.Second && sim.countRunning("lasting") < width {
+			sim.runFor(50 * time.Millisecond)
+		}
+		t.Logf("%d run %v after the targets are back", sim.countRunning("lasting"), sim.now-up)
+		require.Less(t, sim.now-up, 9*time.Second)
+	}
+}
+
+// TestSuspectThatFitsNowhereHoldsUpNoOther guards against a suspected task that no target may run and
+// that keeps the other suspected tasks of its job from their targets.
+func TestSuspectThatFitsNowhereHoldsUpNoOther(t *testing.T) {
+	sim := newSimulation(t, 1, 8)
+	sim.takeOver(sim.now - time.Hour)
+	sim.runFor(2 * time.Second)
+	j := newBatchJob("j", 1)
+	j.Steps = append(j.Steps, j.Steps[0])
+	j.Steps[0].Requires = "gone"
+	sim.submit(j)
+	for _, tk := range sim.owner.jobs["j"].tasks {
+		tk.crashes = cranjob.CrashCount{Early: 1, Total: 1}
+	}
+	sim.owner.jobs["j"].hasCrashes = true
+	sim.runFor(10 * time.Second)
+	require.True(t, sim.succeeded[cranjob.TaskName{Job: "j", Step: 2}])
+}
+
+// TestSuspectThatFitsNowhereStarves guards against a suspected lasting task that fits on no target of
+// its pool and for which no room is made.
+func TestSuspectThatFitsNowhereStarves(t *testing.T) {
+	for _, early := range []int{0, 1} {
+		sim := newSimulation(t, 1, 2)
+		sim.takeOver(sim.now - time.Hour)
+		sim.submit(newLongRunningJob("small", 4))
+		sim.runFor(5 * time.Second)
+		big := newLongRunningJob("big", 1)
+		big.Steps[0].Demand = cranjob.Resources{CPU: 3500, Memory: 1000}
+		sim.submit(big)
+		sim.owner.jobs["big"].tasks[0].crashes.Early = early
+		sim.owner.jobs["big"].hasCrashes = early > 0
+		sim.runFor(time.Second)
+		if t2 := sim.owner.findTask(cranjob.TaskName{Job: "big"}); t2 != nil && t2.Status == cranjob.Waiting {
+			require.True(t, sim.owner.starved["p"], "early %d", early)
+		}
+	}
+}
+
+// TestLargeSuspectStartsUnderLoad guards against a suspected task that needs nearly a whole target and
+// waits while other tasks keep all targets busy.
+func TestLargeSuspectStartsUnderLoad(t *testing.T) {
+	for _, targets := range []int{1, 2, 8} {
+		sim := newSimulation(t, 1, targets)
+		sim.failureRate = 0
+		sim.takeOver(sim.now - time.Hour)
+		sim.runFor(time.Second)
+		load := func(d time.Duration) {
+			for end := sim.now + d; sim.now < end; {
+				sim.background++
+				sim.submit(newBatchJob("b"+time.Duration(sim.background).String(), targets+1))
+				sim.runFor(300 * time.Millisecond)
+			}
+		}
+		load(3 * time.Second)
+		j := newBatchJob("big", 1)
+		j.Steps = j.Steps[:1]
+		j.Steps[0].Demand = cranjob.Resources{CPU: 3800, Memory: 3000}
+		sim.submit(j)
+		sim.owner.jobs["big"].tasks[0].crashes = cranjob.CrashCount{Early: 1, Total: 1}
+		sim.owner.jobs["big"].hasCrashes = true
+		from := sim.now
+		for sim.now < from+20*time.Second && !sim.succeeded[cranjob.TaskName{Job: "big"}] {
+			load(300 * time.Millisecond)
+		}
+		t.Logf("%d targets: done after %v", targets, sim.now-from)
+		require.Less(t, sim.now-from, 8*time.Second)
+	}
+}
+
+// TestReservationEndsWithUse guards against a target that stays reserved when it is cordoned.
+func TestReservationEndsWithUse(t *testing.T) {
+	sim := newSimulation(t, 1, 1)
+	sim.failureRate = 0
+	sim.takeOver(sim.now - time.Hour)
+	sim.submit(newLongRunningJob("lasting", 1))
+	sim.runFor(2 * time.Second)
+	s, tgt := sim.owner, sim.owner.targets["t0"]
+	tgt.reserved, tgt.cordoned = true, true
+	sim.runFor(2 * time.Second)
+	require.False(t, s.targets["t0"].reserved)
+}
+
+// requireLastingGivenUp checks that a lasting task is given up that crashes its targets some time
+// after its start.
+func requireLastingGivenUp(t *testing.T, delay time.Duration) {
+	sim := newCrashSimulation(t, 1)
+	sim.deadly[cranjob.TaskName{Job: "deadly"}] = delay
+	sim.submit(newLongRunningJob("deadly", 1))
+	sim.runFor(90 * time.Second)
+	require.Equal(t, cranjob.Failed, sim.states()["deadly"])
+}
+
+// TestLastingTaskThatCrashesLateIsGivenUp covers crashes within two seconds.
+func TestLastingTaskThatCrashesLateIsGivenUp(t *testing.T) {
+	requireLastingGivenUp(t, 200*time.Millisecond)
+	requireLastingGivenUp(t, 2*time.Second)
+}
+
+// BenchmarkPlaceSuspects measures a tick at which nothing can be placed, with 220 full targets and 5,000
+// waiting tasks, of which one in each job is suspected or none is.
+func BenchmarkPlaceSuspects(b *testing.B) {
+	for name, suspects := range map[string]int{"none": 0, "some": 10, "all": 313} {
+		b.Run(name, func(b *testing.B) {
+			s := newBenchScheduler(cranjob.NewReplica(), 220)
+			for n := range 600 {
+				s.AddJob(newBenchJob(n))
+				if n%20 == 0 {
+					s.place()
+				}
+			}
+			s.place()
+			n := 0
+			for _, j := range s.jobs {
+				if n < suspects && j.waiting > 0 {
+					for _, t := range j.tasks {
+						if t.Status == cranjob.Waiting {
+							t.crashes.Early = 1
+							j.hasCrashes = true
+						}
+					}
+					n++
+				}
+			}
+			waiting := 0
+			for _, j := range s.jobs {
+				waiting += j.waiting
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				s.place()
+				s.effects, s.awaitingStore = nil, nil
+			}
+			b.ReportMetric(float64(waiting), "waiting")
+		})
+	}
+}
