cransched: count no crash for starts that didn't arrive, nor for survivors

What callers would see: a job shown as failed although no target has crashed under its task. Cause: a start counted as early whether or not it was known to have arrived; what was lost with a silent target was kept when that target responded again; a crash that became known late raised the count of a task whose newer run had long outlived its start; and any figures in the record counted. Change: only a start that is known to have arrived leads to giving up; a response of the silent target forgets its loss; a survivor isn't suspected; a count that no owner can have written is ignored.

--- a/internal/cransched/crash.go
+++ b/internal/cransched/crash.go
@@ -30,7 +30,7 @@
 }
 
 // lostTask is a task in a loss. It is early if its run had not outlived its start, and apart if the
-// run has started apart from others.
+// run is known to have started, apart from others.
 type lostTask struct {
 	name         cranjob.TaskName
 	early, apart bool
@@ -45,7 +45,7 @@
 	}
 	for _, r := range t.sortedRuns() {
 		if r.task != nil && r.task.run == r && r.phase != planned {
-			l.tasks = append(l.tasks, lostTask{r.name, r.early(), r.apart || r.phase == unverified && r.task.crashes.Instance != ""})
+			l.tasks = append(l.tasks, lostTask{r.name, r.early(), r.apart && r.startConfirmed || r.phase == unverified && r.task.crashes.Instance != ""})
 		}
 	}
 	return l
@@ -76,7 +76,8 @@
 			continue
 		}
 		t.crashes.Total++
-		if lost.early && t.crashes.Early == most {
+		hasSurvived := t.run != nil && t.run.survived
+		if lost.early && t.crashes.Early == most && !hasSurvived {
 			// A crash may become known only after the task has started again among others.
 			if lost.apart || t.crashes.Early == 0 {
 				t.crashes.Early++
@@ -164,15 +165,16 @@
 }
 
 // recordCrashOfInstance counts the crash of a silent target once a new target of its instance has
-// responded.
+// responded. A response of the silent target itself shows that it has not crashed.
 func (s *Scheduler) recordCrashOfInstance(t *target) {
 	instance := t.info.Instance
 	l, found := s.losses[instance]
-	if !found || t.knownStartMs() <= l.processStartMs {
+	isSame := t.info.ID == l.target && t.knownStartMs() == l.processStartMs
+	if !found || !isSame && t.knownStartMs() <= l.processStartMs {
 		return
 	}
 	delete(s.losses, instance)
-	if s.clock.Steady-l.at < crashMemory {
+	if !isSame && s.clock.Steady-l.at < crashMemory {
 		s.recordCrash(l, "its instance has a new target")
 	}
 }
@@ -209,7 +211,7 @@
 // restoreCrashes restores the crash counts of a job.
 func (j *job) restoreCrashes(c cranjob.Crashes) {
 	for i, count := range c {
-		if i >= 0 && i < len(j.tasks) {
+		if i >= 0 && i < len(j.tasks) && count.Early >= 0 && count.Early <= count.Total && count.Total <= maxCrashes {
 			j.tasks[i].crashes = count
 			j.hasCrashes = true
 		}
--- a/internal/cransched/report.go
+++ b/internal/cransched/report.go
@@ -82,13 +82,10 @@
 	if !t.fenced && t.addedAt > s.fleet.listRequestedAt && t.describesProcess() {
 		s.observeArrival(t)
 	}
-	responded := t.fenced
 	t.fenced = t.fenced || resp.SentAt >= t.awaitsResponseSince
 	t.answeredAddress = t.info.Address
 	s.settleEntry(t, resp.SentAt)
-	if !responded {
-		s.recordCrashOfInstance(t)
-	}
+	s.recordCrashOfInstance(t)
 	delete(s.suspensions.wanted, t.info.ID)
 	for _, e := range resp.Finished {
 		if e.Number <= t.endsSeen {
