--- /dev/null
+++ b/internal/cransched/member.go
@@ -0,0 +1,95 @@
+package cransched
+
+import (
+	"slices"
+	"time"
+)
+
+// memberState is the progress of an instance in a wave.
+type memberState uint8
+
+const (
+	// pending means that no maintenance has been ordered yet.
+	pending memberState = iota
+	// maintenanceOrdered means that an order is stored, but not confirmed yet.
+	maintenanceOrdered
+	// maintenanceStarted means that the maintenance has started or is complete.
+	maintenanceStarted
+)
+
+// member is an instance in a wave.
+type member struct {
+	instance string
+	state    memberState
+	// target is the id of the target that ran on the instance when its maintenance was first
+	// ordered; empty if that was by a predecessor.
+	target string
+	// sentAt is when this owner last ordered the maintenance; 0 if it hasn't, also for the
+	// stored order of a predecessor.
+	sentAt time.Duration
+	// startedAt is when the start of the maintenance was confirmed to this owner.
+	startedAt time.Duration
+	// orderStored is set once the order is stored or part of the next batch.
+	orderStored bool
+	// missingSince is the request time of the first of the consecutive lists without the
+	// instance; 0 if the newest list has it.
+	missingSince time.Duration
+}
+
+// observeMember updates a member from the list of instances.
+func (s *Scheduler) observeMember(m *member) {
+	i, found := s.fleet.instances[m.instance]
+	switch {
+	case found:
+		m.missingSince = 0
+	case m.missingSince == 0:
+		m.missingSince = s.fleet.listRequestedAt
+	}
+	// The list doesn't tell for which wave an instance is down.
+	if m.state == maintenanceOrdered && found && i.Maintenance && s.fleet.listRequestedAt > m.sentAt && s.countWavesOf(m.instance) == 1 {
+		s.confirmStarted(m)
+	}
+}
+
+// countWavesOf counts the waves that an instance is in.
+func (s *Scheduler) countWavesOf(instance string) int {
+	n := 0
+	for _, w := range s.fleet.waves {
+		if slices.ContainsFunc(w.members, func(m *member) bool { return m.instance == instance }) {
+			n++
+		}
+	}
+	return n
+}
+
+// removalTimeout is how long an instance must be missing from the list before it counts as
+// removed. The list is read in pages, and a page may miss an instance while others are
+// added or removed. Two more lists are read in this time.
+const removalTimeout = 1000 * time.Millisecond
+
+// exists reports whether the instance has not been removed.
+func (s *Scheduler) exists(m *member) bool {
+	return m.missingSince == 0 || s.fleet.listRequestedAt-m.missingSince < removalTimeout
+}
+
+// countsAsDown reports whether a member counts as down for maintenance: from its order
+// until a list that is read later shows it up again.
+func (s *Scheduler) countsAsDown(m *member) bool {
+	switch m.state {
+	case pending:
+		return false
+	case maintenanceOrdered:
+		return m.sentAt != 0 || m.orderStored
+	}
+	i, found := s.fleet.instances[m.instance]
+	return found && !s.isUpSince(i, m.startedAt)
+}
+
+// confirmStarted records that the maintenance of a member has started.
+func (s *Scheduler) confirmStarted(m *member) {
+	m.state = maintenanceStarted
+	m.startedAt = s.clock.Steady
+	order := s.fleet.storedOrders[m.instance]
+	order.Confirmed = true
+	s.storeOrder(m.instance, order)
+}
