--- a/internal/crannode/ownership_test.go
+++ b/internal/crannode/ownership_test.go
@@ -217,8 +217,10 @@
 		list := crandigest.Leases{Epoch: 8, Targets: []crandigest.SilentTarget{{ID: "x", EndsInMs: 3000}}}.Record(0)
 		n.control.applyDigest(cranstore.Update{Records: []cranstore.Record{layoutRecord(), claimRecord(8, "b", false), list}})
 		takeOverAt(t, n, 9)
+		synctest.Wait()
 		now += time.Second
 		n.control.applyDigest(cranstore.Update{Reset: true, Records: []cranstore.Record{list}})
+		synctest.Wait()
 		now += 200 * time.Millisecond
 		synctest.Wait()
 		o := n.shards[0].owner
