--- a/internal/crandigest/digest.go
+++ b/internal/crandigest/digest.go
@@ -34,7 +34,7 @@
 	claim   cranjob.Claim
 	renewal Renewal
 	leases  Leases
-	// leasesReadAt is when leases was read.
+	// leasesReadAt is when leases was read, on the steady clock of the process.
 	leasesReadAt time.Duration
 	// segments holds the keys of the jobs in each segment that is not merged yet.
 	segments map[string][]string
--- a/internal/crandigest/digest_test.go
+++ b/internal/crandigest/digest_test.go
@@ -203,7 +203,7 @@
 	require.Equal(t, 3*time.Second, at)
 }
 
-// TestWaveOfInvalidShard guards against a number of a shard that no reader can use as an index.
+// TestWaveOfInvalidShard guards against a negative shard number, which readers use as an index.
 func TestWaveOfInvalidShard(t *testing.T) {
 	r := WaveProgress{Begun: true}.Record(1, -1)
 	_, err := New().Apply(r.Key, r.Value, 0)
--- a/internal/cranmetric/jobs.go
+++ b/internal/cranmetric/jobs.go
@@ -40,7 +40,7 @@
 	malformed        closedCounters[string]
 }
 
-// streams are the streams whose records may be malformed.
+// streams are the values of the label stream.
 var streams = []string{"digest", "instances", "operator", "progress", "reports", "submissions", "targets"}
 
 // NewJobs returns the metrics. The series of all known reasons of refusals and retries
