--- a/review/_stand/cases.go
+++ b/review/_stand/cases.go
@@ -244,7 +244,7 @@
 			return nil, err
 		}
 	}
-	p, other := route{"q-p", queueHost, queuePath + "p/", "p", 0, dropAttempts, 1.6, 600}, route{"q-o", queueHost, queuePath + "o/", "p", 0, dropAttempts, 1.6, 600}
+	p, other := route{"q-p", queueHost, queuePath + "p/", "p", 0, dropAttempts, 1.6, 600, nil}, route{"q-o", queueHost, queuePath + "o/", "p", 0, dropAttempts, 1.6, 600, nil}
 	w.publish(1, []route{p, other}, []string{"p"}, "")
 	if err := w.startEntries(program, 3); err != nil {
 		return nil, err
@@ -291,3 +291,85 @@
 	}
 	return broken
 }
+
+// Figures of the case more-runners.
+const (
+	baseRunners  = 30
+	addedRunners = 7
+	addTime      = 2 * time.Second
+	adviceGap    = 125 * time.Millisecond
+	finishTime   = 14 * time.Second
+)
+
+// moreRunners adds runners to a pool whose queue needs tickets.
+func moreRunners(w *world, program string) ([]string, error) {
+	behave := func(string, int, string) (time.Duration, string) { return 400 * time.Millisecond, "done" }
+	add := func() error {
+		w.mu.Lock()
+		n := len(w.runners)
+		w.mu.Unlock()
+		m := &machine{name: fmt.Sprintf("m-%d", n), pool: "p", cpu: 16000, memMB: 65536, labels: []string{"a", fmt.Sprintf("r%d", n/4)}, behave: behave, ticketed: true}
+		return w.cloud.addMachine(m)
+	}
+	w.cloud.randomIDs = true
+	for range baseRunners {
+		if err := add(); err != nil {
+			return nil, err
+		}
+	}
+	tickets := map[string]int64{"decide_ms": decideTime.Milliseconds(), "each_ms": eachTime.Milliseconds(), "valid_ms": ticketTime.Milliseconds()}
+	w.publish(1, []route{{"q-p", queueHost, queuePath + "p/", "p", 0, 3, 1.6, 600, tickets}}, []string{"p"}, "")
+	if err := w.startEntries(program, 3); err != nil {
+		return nil, err
+	}
+	time.Sleep(2 * time.Second)
+	var mu sync.Mutex
+	var jobs []string
+	var group sync.WaitGroup
+	load := func(length time.Duration) {
+		for stop := time.Now().Add(length); time.Now().Before(stop); time.Sleep(adviceGap) {
+			group.Go(func() {
+				id := newID()
+				if w.submit(id, "p", map[string]any{"spec": "work", "steps": []any{step(2, 1000, 1000, 400*time.Millisecond, nil)}}) {
+					mu.Lock()
+					defer mu.Unlock()
+					jobs = append(jobs, id)
+				}
+			})
+		}
+	}
+	load(5 * time.Second)
+	if w.trouble {
+		for range addedRunners {
+			if err := add(); err != nil {
+				return nil, err
+			}
+			time.Sleep(addTime / addedRunners)
+		}
+	}
+	load(30 * time.Second)
+	group.Wait()
+	w.rec.add("the traffic ends after %d accepted jobs", len(jobs))
+	time.Sleep(finishTime)
+	// For 3 s nothing runs at all, so that the whole service is free.
+	idleSince := time.Now()
+	for time.Since(idleSince) < 3*time.Second {
+		time.Sleep(50 * time.Millisecond)
+		for _, r := range w.runners {
+			if r.busy() > 0 {
+				return nil, errors.New("a runner works long after the traffic")
+			}
+		}
+	}
+	var broken []string
+	for _, id := range jobs {
+		state := w.state(id, "p")
+		if state == "completed" {
+			continue
+		}
+		good, unasked, asked := w.advice.describe(id + ".0.0")
+		broken = append(broken, fmt.Sprintf("LOST: job %s is %s and nothing of it runs, %v after the traffic, with every runner idle: the policy allows %v; the advice service was asked about %d runners, not about %v",
+			id, state, finishTime+3*time.Second, good, asked, unasked))
+	}
+	return broken, nil
+}
--- a/review/_stand/cloud.go
+++ b/review/_stand/cloud.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -22,6 +23,8 @@
 	lives   int
 	// onMove is called, if set, when a move is asked for, before anything else.
 	onMove func()
+	// randomIDs is set if the ids of runners are random.
+	randomIDs bool
 }
 
 type machine struct {
@@ -30,6 +33,7 @@
 	labels            []string
 	behave            behaviour
 	runner            *runner
+	ticketed          bool
 }
 
 func newCloud(w *world) *cloud { return &cloud{w: w, wake: make(chan struct{})} }
@@ -62,7 +66,10 @@
 func (c *cloud) bring(m *machine) error {
 	c.mu.Lock()
 	c.lives++
-	r := &runner{id: fmt.Sprintf("i-%04x", 0x1000+c.lives), machine: m.name, service: m.pool, cpu: m.cpu, memMB: m.memMB, labels: m.labels, behave: m.behave}
+	r := &runner{id: fmt.Sprintf("i-%04x", 0x1000+c.lives), machine: m.name, service: m.pool, cpu: m.cpu, memMB: m.memMB, labels: m.labels, behave: m.behave, ticketed: m.ticketed}
+	if c.randomIDs {
+		r.id = fmt.Sprintf("i-%08x", rand.Uint32())
+	}
 	c.mu.Unlock()
 	if err := c.w.addRunner(r); err != nil {
 		return err
--- a/review/_stand/main.go
+++ b/review/_stand/main.go
@@ -21,6 +21,7 @@
 	"same-id":       sameID,
 	"cloud-out":     cloudOut,
 	"dropped-route": droppedRoute,
+	"more-runners":  moreRunners,
 }
 
 func main() {
--- a/review/_stand/runner.go
+++ b/review/_stand/runner.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sort"
+	"strings"
 	"sync"
 	"time"
 )
@@ -27,6 +28,8 @@
 	labels                        []string
 	behave                        behaviour
 	rec                           *record
+	// ticketed is set if each start must carry the ticket of its step and runner.
+	ticketed bool
 
 	mu   sync.Mutex
 	life *life
@@ -210,6 +213,7 @@
 	DeadlineMs int64  `json:"deadline_ms"`
 	Token      uint64 `json:"fencing_token"`
 	Observed   int64  `json:"observed"`
+	Ticket     string `json:"ticket"`
 	WaitMs     int64  `json:"wait_ms"`
 }
 
@@ -346,6 +350,9 @@
 	if o.DeadlineMs > 0 && o.DeadlineMs < f.clockMs() {
 		return "late"
 	}
+	if f.r.ticketed && o.Ticket != "t-"+o.Task[:strings.LastIndex(o.Task, ".")]+"-"+f.r.id {
+		return "ticket"
+	}
 	if f.leaseEnd.Before(time.Now()) {
 		f.leaseEnd = time.Now().Add(holdMax)
 		time.AfterFunc(holdMax+time.Millisecond, f.expire)
--- a/review/_stand/world.go
+++ b/review/_stand/world.go
@@ -32,6 +32,7 @@
 	rec     *record
 	store   *standin.Store
 	cloud   *cloud
+	advice  *advice
 	runners []*runner
 	entries []*entryProcess
 	dir     string
@@ -41,9 +42,9 @@
 	cancel  context.CancelFunc
 	group   sync.WaitGroup
 
-	storeAddress, cloudAddress string
-	mu                         sync.Mutex
-	sequence                   int
+	storeAddress, cloudAddress, adviceAddress string
+	mu                                        sync.Mutex
+	sequence                                  int
 }
 
 // entryProcess is a process of the program under test.
@@ -107,7 +108,11 @@
 		return nil, err
 	}
 	w.cloud = newCloud(w)
-	w.cloudAddress, err = serve(w.cloud)
+	if w.cloudAddress, err = serve(w.cloud); err != nil {
+		return nil, err
+	}
+	w.advice = newAdvice(w)
+	w.adviceAddress, err = serve(w.advice)
 	return w, err
 }
 
@@ -169,13 +174,15 @@
 	Attempts  int     `json:"attempts"`
 	Stretch   float64 `json:"stretch"`
 	LatencyMs int     `json:"target_latency_ms"`
+	// Advice is set if the starts of the queue need tickets.
+	Advice map[string]int64 `json:"advice,omitempty"`
 }
 
 // configure writes a configuration with one queue for each service that isn't a standby one.
 func (w *world) configure(version, attempts int, services []string, standby string) {
 	var routes []route
 	for _, s := range services {
-		routes = append(routes, route{"q-" + s, queueHost, queuePath + s + "/", s, 0, attempts, 1.6, 600})
+		routes = append(routes, route{"q-" + s, queueHost, queuePath + s + "/", s, 0, attempts, 1.6, 600, nil})
 	}
 	w.publish(version, routes, services, standby)
 }
@@ -207,7 +214,7 @@
 			addresses[k] = address
 		}
 		_, port, _ := net.SplitHostPort(addresses[3])
-		settings := fmt.Sprintf(settingsText, name, addresses[0], addresses[1], addresses[2], port, w.storeAddress, w.cloudAddress)
+		settings := fmt.Sprintf(settingsText, name, addresses[0], addresses[1], addresses[2], port, w.adviceAddress, w.storeAddress, w.cloudAddress)
 		path := filepath.Join(w.dir, name+".yaml")
 		if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 			return err
@@ -318,6 +325,7 @@
   far_factor: 2, save_s: 1, restore_ms: 250, notice_ms: 4500, move_s: 1.5, upkeep_s: 2, enforce_fencing: false,
   lease_ms: 3000, thaw_ms: 300, pace_ms: 100, harm_ms: 4000}
 orders: "call"
+advice: %q
 platform: {address: %q, form: "log", writes_per_s: 600, reads_per_s: 2000, parts: 24, append_ms: 1.0, partition_mb_s: 20.0,
   read_mb_s: 80.0, record_bytes: 262144, call_bytes: 2097152, keep_s: 300, part_mb: 200, ttl_min_ms: 1000}
 cloud_api: {address: %q, rate_per_s: 64.0, duties: [], duty_per_s: 64.0}
