cransched: give a task up only if its crashes are hardly a coincidence

Cause: a task was given up for the second crash right after its start, whatever else crashed. What the owner hadn't seen otherwise counted as right after, up to a second, and so did starts without an answer. Change: a crash counts if the task had begun there, apart, and the target fell silent within 60 ms, for which targets on trial are polled without a wait. A task is given up if its crashes have a probability of at most 1e-4 at the rate of crashes that it can't have caused. Verdicts wait for further crashes where other tasks may be to blame or an earlier owner has counted.

--- a/internal/cransched/crash.go
+++ b/internal/cransched/crash.go
@@ -20,37 +20,56 @@
 	crashMemory = 15 * time.Second
 )
 
-// loss holds the tasks that were placed on a target when it ended.
+// loss holds the tasks that had begun on a target, as far as is known, when it ended.
 type loss struct {
-	target string
+	target, pool string
 	// processStartMs is the start time of the process that has ended.
 	processStartMs int64
 	at             time.Duration
 	tasks          []lostTask
 }
 
-// lostTask is a task in a loss. It is early if its run had not outlived its start, and apart if the
-// run is known to have started, apart from others.
+// lostTask is a task in a loss.
 type lostTask struct {
-	name         cranjob.TaskName
-	early, apart bool
+	name cranjob.TaskName
+	// early is set if the run had not outlived its start.
+	early bool
+	// unconfirmed is set if the run isn't known to have begun. The target may have been silent before
+	// its start was sent.
+	unconfirmed bool
+	// onTrial is set if the run started apart from others and the target fell silent right after that.
+	onTrial bool
+	// inherited is set for a run of an earlier owner that was placed apart from others.
+	inherited bool
 }
 
 // lossOf returns what is lost if a target ends now. That is nothing if the target has announced its
 // end; before the platform ends one by an order, nothing runs there.
 func (s *Scheduler) lossOf(t *target) loss {
-	l := loss{target: t.info.ID, processStartMs: t.knownStartMs(), at: s.clock.Steady}
+	l := loss{target: t.info.ID, pool: t.info.Pool, processStartMs: t.knownStartMs(), at: s.clock.Steady}
 	if t.info.Draining {
 		return l
 	}
 	for _, r := range t.sortedRuns() {
-		if r.task != nil && r.task.run == r && r.phase != planned {
-			l.tasks = append(l.tasks, lostTask{r.name, r.early(), r.apart && r.startConfirmed || r.phase == unverified && r.task.crashes.Instance != ""})
+		if r.task == nil || r.task.run != r || r.phase == planned {
+			continue
 		}
+		l.tasks = append(l.tasks, lostTask{
+			name: r.name, early: r.early(),
+			unconfirmed: !r.startConfirmed && r.phase != unverified,
+			onTrial:     r.apart && r.startConfirmed && t.fellSilentAfter(r.startedAt),
+			inherited:   r.phase == unverified && r.task.crashes.Instance != "",
+		})
 	}
 	return l
 }
 
+// fellSilentAfter reports whether the target has answered no call since right after the start of a
+// run. Until the first call without an answer it may have been up.
+func (t *target) fellSilentAfter(start time.Duration) bool {
+	return t.unansweredBy >= max(start, t.stateAsOf) && t.unansweredBy <= start+quickCrashTime
+}
+
 // early reports whether the run has not outlived its start. Of a run that an earlier owner has
 // started that is known only if its task is suspected: such a task starts apart from others.
 func (r *run) early() bool {
@@ -63,6 +82,8 @@
 	if len(l.tasks) == 0 {
 		return
 	}
+	event := l.event(s.clock.Steady)
+	s.crashHistory.add(event)
 	s.emit(LogEntry{Kind: LogTargetCrashed, Target: l.target, Run: len(l.tasks), Reason: reason})
 	most := 0
 	for _, lost := range l.tasks {
@@ -75,12 +96,16 @@
 		if t == nil || t.Status == cranjob.Done {
 			continue
 		}
-		t.crashes.Total++
+		if !lost.unconfirmed && (lost.onTrial || !event.onTrial) {
+			t.crashes.Total = min(t.crashes.Total+1, maxCountedCrashes)
+		}
 		hasSurvived := t.run != nil && t.run.survived
 		if lost.early && t.crashes.Early == most && !hasSurvived {
 			// A crash may become known only after the task has started again among others.
-			if lost.apart || t.crashes.Early == 0 {
-				t.crashes.Early++
+			if lost.onTrial || t.crashes.Early == 0 {
+				t.blame()
+			} else if lost.inherited {
+				s.putOff(t, verdict{name: lost.name, at: s.clock.Steady + inheritedCrashDelay, inherited: true})
 			}
 			t.job.survivors = 0
 			s.emit(LogEntry{Kind: LogTaskSuspected, Job: lost.name.Job, Task: lost.name.String(), Run: t.crashes.Early, Target: l.target})
@@ -88,15 +113,32 @@
 		s.crashesChanged(t.job)
 	}
 	for _, lost := range l.tasks {
-		if t := s.findTask(lost.name); t != nil && t.mustGiveUp() {
-			s.giveUp(t, l.target)
+		if t := s.findTask(lost.name); t != nil {
+			s.judge(t, l.target)
+		}
+	}
+}
+
+// event returns the crash that a loss has turned out to be.
+func (l loss) event(at time.Duration) crashEvent {
+	e := crashEvent{pool: l.pool, at: at}
+	for _, lost := range l.tasks {
+		if lost.unconfirmed {
+			continue
+		}
+		e.tasks = append(e.tasks, lost.name)
+		if lost.early {
+			e.early = append(e.early, lost.name)
 		}
+		e.onTrial = e.onTrial || lost.onTrial
 	}
+	return e
 }
 
 // giveUp fails the job of a task under which too many targets have crashed.
 func (s *Scheduler) giveUp(t *task, target string) {
 	crashes := max(t.crashes.Early, t.crashes.Total)
+	s.explain(t.name)
 	s.emit(LogEntry{Kind: LogTaskGivenUp, Job: t.name.Job, Task: t.name.String(), Run: crashes, Target: target})
 	s.endJob(t.job, cranjob.Failed, fmt.Sprintf("%d targets have crashed under %v", crashes, t.name))
 }
@@ -142,15 +184,31 @@
 // recordLossOfInherited counts the crash that a run of an earlier owner was lost with, if the target
 // on which it was placed has started anew or its instance has a new target by now.
 func (s *Scheduler) recordLossOfInherited(r *run, target string) {
-	if r.task == nil || r.task.crashes.Instance == "" {
+	if r.task == nil {
 		return
 	}
-	counts := r.task.crashes
+	if r.task.crashes.Instance == "" {
+		s.suspectInherited(r.task, target)
+		return
+	}
+	counts, pool := r.task.crashes, r.task.job.Pool
 	s.rememberLoss(counts.Instance, loss{
-		target: target, processStartMs: counts.ProcessStartMs, at: s.clock.Steady, tasks: []lostTask{{r.name, true, true}},
+		target: target, pool: pool, processStartMs: counts.ProcessStartMs, at: s.clock.Steady,
+		tasks: []lostTask{{name: r.name, early: true, inherited: true}},
 	})
 }
 
+// suspectInherited suspects a task whose target is gone since an earlier owner has placed it there. The
+// target may have crashed while there was no owner, so the task starts apart from others.
+func (s *Scheduler) suspectInherited(t *task, target string) {
+	if s.targets[target] != nil && s.targets[target].listed || t.suspected() || t.Status == cranjob.Done {
+		return
+	}
+	t.blame()
+	s.emit(LogEntry{Kind: LogTaskSuspected, Job: t.name.Job, Task: t.name.String(), Run: t.crashes.Early, Target: target})
+	s.crashesChanged(t.job)
+}
+
 // rememberLoss keeps what was lost with a target until its instance shows whether it has crashed.
 func (s *Scheduler) rememberLoss(instance string, l loss) {
 	if instance == "" || len(l.tasks) == 0 {
@@ -211,8 +269,8 @@
 // restoreCrashes restores the crash counts of a job.
 func (j *job) restoreCrashes(c cranjob.Crashes) {
 	for i, count := range c {
-		if i >= 0 && i < len(j.tasks) && count.Early >= 0 && count.Early <= count.Total && count.Total <= maxCrashes {
-			j.tasks[i].crashes = count
+		if i >= 0 && i < len(j.tasks) && count.Early >= 0 && count.Early <= count.Total && count.Total <= maxCountedCrashes {
+			j.tasks[i].crashes, j.tasks[i].crashesRestored = count, true
 			j.hasCrashes = true
 		}
 	}
--- a/internal/cransched/job.go
+++ b/internal/cransched/job.go
@@ -18,6 +18,8 @@
 	notBefore time.Duration
 	// crashes counts the targets that have crashed under the task.
 	crashes cranjob.CrashCount
+	// crashesRestored is set if an earlier owner has counted some of them.
+	crashesRestored bool
 }
 
 // stage is one step of one occurrence of a job.
--- a/internal/cransched/outcome.go
+++ b/internal/cransched/outcome.go
@@ -45,7 +45,11 @@
 		r.phase = confirmed
 		r.answeredAt = now
 		r.presentSince = now
-		t.advanceHeartbeat(now + minHeartbeatGap)
+		if r.apart {
+			t.advanceHeartbeat(now)
+		} else {
+			t.advanceHeartbeat(now + minHeartbeatGap)
+		}
 		s.markJobRunning(r)
 	case StatusUnanswered:
 		s.emit(LogEntry{Kind: LogStartUnanswered, Job: e.Task.Job, Task: e.Task.String(), Run: e.Run, Target: t.info.ID, AgeMs: (now - resp.SentAt).Milliseconds()})
--- a/internal/cransched/probation.go
+++ b/internal/cransched/probation.go
@@ -11,11 +11,10 @@
 
 const (
 	// maxEarlyCrashes is the number of targets that may crash right after a task's start, one
-	// after the other, until the task is given up. The last of them has started nothing else
-	// meanwhile.
+	// after the other, until the task is given up if no others crash. The last of them has started
+	// nothing else meanwhile.
 	maxEarlyCrashes = 2
-	// maxCrashes is the number of targets that may crash under a task at any time until it is
-	// given up.
+	// maxCrashes is the same for the targets that crash under a task at any time.
 	maxCrashes = 4
 	// suspectCrashes is the number of targets that have crashed under a suspected task at any time.
 	suspectCrashes = 3
@@ -32,11 +31,6 @@
 	return t.crashes.Early > 0 || t.crashes.Total >= suspectCrashes
 }
 
-// mustGiveUp reports whether a task may not start again.
-func (t *task) mustGiveUp() bool {
-	return t.crashes.Early >= maxEarlyCrashes || t.crashes.Total >= maxCrashes
-}
-
 // onProbation reports whether the run is of a suspected task that may still crash the target.
 func (r *run) onProbation(now time.Duration) bool {
 	if r.task == nil || r.task.run != r || !r.task.suspected() {
@@ -65,6 +59,20 @@
 	return true
 }
 
+// hasTrial reports whether a suspected task has started on the target and not outlived that.
+func (t *target) hasTrial() bool {
+	for _, r := range t.runs {
+		if r.apart && !r.survived && r.phase != stopping {
+			return true
+		}
+	}
+	return false
+}
+
+// isPolled reports whether a crash of the target would be noticed at once. During a long wait for a
+// response it isn't known when the target has fallen silent.
+func (t *target) isPolled() bool { return !t.heartbeatInFlight || t.heartbeatWait <= probationWait }
+
 // suspect is a suspected task that waits.
 type suspect struct {
 	task  *task
@@ -148,7 +156,7 @@
 		left[j]--
 		host.taken = true
 		targets[pool] = slices.DeleteFunc(targets[pool], func(t *target) bool { return t == host.target })
-		if host.calm && s.canPlace(w.stage, host.target) {
+		if host.calm && host.target.isPolled() && s.canPlace(w.stage, host.target) {
 			s.startTask(w.task, host.target, w.task.Run+1)
 		} else {
 			host.target.reserved = true
@@ -199,7 +207,7 @@
 		if h.taken {
 			continue
 		}
-		now := h.calm && h.target.free().Fits(st.step.Reservation())
+		now := h.calm && h.target.isPolled() && h.target.free().Fits(st.step.Reservation())
 		if best == nil || cmp.Or(
 			compareBools(!now, !startsNow),
 			cmp.Compare(h.longRunning, best.longRunning),
--- a/internal/cransched/report.go
+++ b/internal/cransched/report.go
@@ -79,6 +79,7 @@
 		return
 	}
 	t.recordResponse(resp.Response, s.clock.Steady)
+	t.unansweredBy = 0
 	if !t.fenced && t.addedAt > s.fleet.listRequestedAt && t.describesProcess() {
 		s.observeArrival(t)
 	}
@@ -108,6 +109,8 @@
 	switch {
 	case s.suspensions.active(t.info.ID):
 		t.nextHeartbeatAt = s.clock.Steady + minHeartbeatGap
+	case t.hasTrial():
+		t.nextHeartbeatAt = s.clock.Steady
 	case t.clockAt > 0 && t.leaseEndMs == 0:
 		// No lease could be granted until this report, the first with the target's clock.
 		t.nextHeartbeatAt = s.clock.Steady
--- a/internal/cransched/scheduler.go
+++ b/internal/cransched/scheduler.go
@@ -47,7 +47,11 @@
 	suspensions suspensions
 	predecessor Predecessor
 	// losses holds what was lost with a target that had fallen silent, by instance.
-	losses map[string]loss
+	losses       map[string]loss
+	crashHistory crashHistory
+	verdicts     []verdict
+	// createdAt is when this owner took over.
+	createdAt time.Duration
 }
 
 // Predecessor is what a new owner knows about the previous owner.
@@ -87,7 +91,7 @@
 		predictors: map[string]*predictor{}, arrivals: map[string]*arrivalHistory{},
 		losses: map[string]loss{}, starved: map[string]bool{}, nextTicketRequest: map[StepName]time.Duration{},
 		suspensions: newSuspensions(predecessor.LeasesEndAt),
-		predecessor: predecessor,
+		predecessor: predecessor, createdAt: now.Steady,
 	}
 	s.fleet = s.newFleet(stored.Orders())
 	for queue, d := range stored.Durations() {
@@ -131,11 +135,6 @@
 	if e.Cancelled() {
 		s.cancelJob(j)
 	}
-	for _, t := range j.tasks {
-		if t.mustGiveUp() && !j.state.Final() {
-			s.giveUp(t, t.Target)
-		}
-	}
 	s.completeIfDone(j)
 }
 
--- a/internal/cransched/target.go
+++ b/internal/cransched/target.go
@@ -124,6 +124,11 @@
 	// unanswered. The next one is due at nextHeartbeatAt.
 	heartbeatInFlight                bool
 	heartbeatSentAt, nextHeartbeatAt time.Duration
+	// heartbeatWait is how long the target may delay the response to the last heartbeat.
+	heartbeatWait time.Duration
+	// unansweredBy is when the first heartbeat since the last response should have been answered; 0
+	// if none is missing.
+	unansweredBy time.Duration
 	// heartbeatFailed is set if the last heartbeat got no response or an error.
 	heartbeatFailed bool
 	// awaitsStore is set if the next heartbeat waits until the seen ends are stored.
--- a/internal/cransched/targets.go
+++ b/internal/cransched/targets.go
@@ -115,6 +115,7 @@
 	t.fenced = false
 	t.answeredAddress = ""
 	t.awaitsStore = false
+	t.unansweredBy = 0
 	t.tickets = nil
 	s.recordCrash(lost, "it has restarted")
 }
@@ -173,6 +174,7 @@
 	for _, t := range slices.Clone(s.sorted) {
 		s.checkTarget(t)
 	}
+	s.reachVerdicts()
 	s.planWaves()
 	s.planPools()
 	s.place()
@@ -252,6 +254,8 @@
 	switch {
 	case !t.fenced || len(t.runs) == 0 || t.suspended:
 		wait = 0
+	case t.hasTrial():
+		wait = 0
 	case t.reserved || t.hasProbation(s.clock.Steady):
 		wait = probationWait
 	case s.waveInProgress() && t.hasStartingTask():
@@ -268,6 +272,10 @@
 		// The numbers of a new process begin anew.
 		acknowledged, wait = 0, 0
 	}
+	t.heartbeatWait = wait
+	if t.unansweredBy == 0 {
+		t.unansweredBy = s.clock.Steady + wait
+	}
 	s.emit(Heartbeat{Target: t.address(), DeadlineMs: deadline, Token: s.token, AcknowledgedEnd: acknowledged, Wait: wait})
 }
 
