cransched: release a run only if it was begun by the process that has ended

Cause: a response to an order carries a clock reading and no start time of the process. The owner took that of a new process for one of the process that it knew, and released the run as lost once it learnt of the restart, though the same report listed it. Change: a run counts as one of a process only by a report or a response that names it; others wait for the first report after a restart. A clock reading of an unnamed process isn't taken for the known one's. The stand-in names its process in lists of runs alone, as the protocol asks.

--- a/internal/cransched/coincidence_test.go
+++ b/internal/cransched/coincidence_test.go
@@ -47,12 +47,15 @@
 }
 
 // runBriefJobs submits jobs of many brief tasks for a duration.
-func (sim *simulation) runBriefJobs(duration time.Duration) {
+func (sim *simulation) runBriefJobs(duration time.Duration) { sim.runTasksOf(640, duration) }
+
+// runTasksOf submits jobs of many small tasks of an estimated duration for some time.
+func (sim *simulation) runTasksOf(estimateMs int64, duration time.Duration) {
 	for end := sim.now + duration; sim.now < end; {
 		sim.background++
 		j := newBatchJob(fmt.Sprintf("b%d", sim.background), 6)
 		for i := range j.Steps {
-			j.Steps[i].EstimateMs = 640
+			j.Steps[i].EstimateMs = estimateMs
 			j.Steps[i].Demand = cranjob.Resources{CPU: 300, Memory: 500}
 		}
 		sim.submit(j)
--- a/internal/cransched/crash.go
+++ b/internal/cransched/crash.go
@@ -56,8 +56,8 @@
 		}
 		l.tasks = append(l.tasks, lostTask{
 			name: r.name, early: r.early(),
-			unconfirmed: !r.startConfirmed && r.phase != unverified,
-			onTrial:     r.apart && r.startConfirmed && t.fellSilentAfter(r.startedAt),
+			unconfirmed: !r.hasBegun() && r.phase != unverified,
+			onTrial:     r.apart && r.hasBegun() && t.fellSilentAfter(r.startedAt),
 			inherited:   r.phase == unverified && r.task.crashes.Instance != "",
 		})
 	}
@@ -70,6 +70,9 @@
 	return t.unansweredBy >= max(start, t.stateAsOf) && t.unansweredBy <= start+quickCrashTime
 }
 
+// hasBegun reports whether the run is known to have begun in the target's process.
+func (r *run) hasBegun() bool { return r.inCurrentProcess || r.startConfirmed && r.answeredInTime }
+
 // early reports whether the run has not outlived its start. Of a run that an earlier owner has
 // started that is known only if its task is suspected: such a task starts apart from others.
 func (r *run) early() bool {
--- a/internal/cransched/outcome.go
+++ b/internal/cransched/outcome.go
@@ -34,6 +34,8 @@
 	r := t.runs[runName{e.Task, e.Run}]
 	if r != nil && resp.Status == StatusOK {
 		r.startConfirmed = true
+		r.inCurrentProcess = r.inCurrentProcess || resp.ProcessStartMs != 0
+		r.answeredInTime = !t.isFromRestarted(resp)
 	}
 	if r == nil || r.phase != startSent {
 		s.handleLateStartResponse(t, r, resp)
--- a/internal/cransched/report.go
+++ b/internal/cransched/report.go
@@ -153,7 +153,7 @@
 		r.phase = confirmed
 	}
 	r.missedReports = 0
-	r.startConfirmed = true
+	r.startConfirmed, r.inCurrentProcess, r.awaitsReport = true, true, false
 	r.progress, r.gauge = report.Percent, report.Gauge
 	if r.task == nil || r.task.run != r {
 		return
@@ -198,6 +198,10 @@
 		if r.answeredAt > sentAt {
 			return
 		}
+		if r.awaitsReport {
+			s.releaseRun(t, r, "the target has restarted")
+			return
+		}
 		r.missedReports++
 		if r.missedReports >= maxMissedReports {
 			s.stopRun(t, r, "missing from the report")
--- /dev/null
+++ b/internal/cransched/restart_test.go
@@ -0,0 +1,71 @@
+package cransched
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestRunOfRestartedTargetIsNotStartedElsewhere guards against a run that the new process of a target has
+// begun and that is released as lost with the old one, so that its task runs twice (TWICE).
+func TestRunOfRestartedTargetIsNotStartedElsewhere(t *testing.T) {
+	testRestartsWithoutSign(t, 640)
+}
+
+// testRestartsWithoutSign lets targets restart under their id while they get tasks of an estimated duration.
+// Their responses to orders don't name the process, and their entries change later.
+func testRestartsWithoutSign(t *testing.T, estimateMs int64) {
+	const entryDelay = 400 * time.Millisecond
+	seeds := uint64(10)
+	if testing.Short() {
+		seeds = 3
+	}
+	for seed := range seeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			sim := newSimulation(t, seed, 9)
+			sim.failureRate, sim.longPolls, sim.keepIDs, sim.briefResponses = 0, true, true, true
+			formerStartMs := map[string]int64{}
+			sim.entries = func(list []TargetInfo) []TargetInfo {
+				for i, info := range list {
+					if former, restarted := formerStartMs[info.ID]; restarted && sim.now-sim.targets[info.ID].startedAt < entryDelay {
+						list[i].ProcessStartMs = former
+					}
+				}
+				return list
+			}
+			sim.takeOver(sim.now - time.Hour)
+			sim.submit(newLongRunningJob("lasting", 4))
+			sim.runTasksOf(estimateMs, 2*time.Second)
+			for range 12 {
+				ids := slices.Sorted(maps.Keys(sim.targets))
+				victim := ids[sim.random.IntN(len(ids))]
+				formerStartMs[victim] = sim.targets[victim].info.ProcessStartMs
+				sim.goDark(victim, time.Duration(100+sim.random.IntN(600))*time.Millisecond)
+				sim.runTasksOf(estimateMs, 2*time.Second)
+			}
+			sim.runFor(30 * time.Second)
+			sim.requireBackgroundCompleted()
+			require.Equal(t, 4, sim.countRunning("lasting"))
+		})
+	}
+}
+
+// TestInvariantsWithBriefResponses is like TestInvariantsUnderFaults for targets that name their process
+// only in reports.
+func TestInvariantsWithBriefResponses(t *testing.T) {
+	seeds := uint64(60)
+	if testing.Short() {
+		seeds = 12
+	}
+	for seed := range seeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			sim := newSimulation(t, seed, 6)
+			sim.longPolls, sim.briefResponses = seed%2 == 1, true
+			sim.runWithFaults()
+		})
+	}
+}
--- a/internal/cransched/target.go
+++ b/internal/cransched/target.go
@@ -39,8 +39,15 @@
 	// task is nil for a run that belongs to no task any more or that is unknown.
 	task *task
 	step *cranjob.Step
-	// startConfirmed is set once the start has succeeded or a report has listed the run.
-	startConfirmed bool
+	// startConfirmed is set once the start has succeeded or a report has listed the run. Only a report
+	// or a response that names its process shows in which process it runs: inCurrentProcess is set then.
+	startConfirmed, inCurrentProcess bool
+	// answeredInTime is set if the clock reading of the response to the start fits the target's process.
+	// That is evidence, but no proof.
+	answeredInTime bool
+	// awaitsReport is set if the target has restarted since the start was confirmed, by either of the
+	// two processes. The next report shows whether the new one has the run.
+	awaitsReport bool
 	// answeredAt is when the start, or later the stop, was answered; 0 before.
 	answeredAt time.Duration
 	startedAt  time.Duration
@@ -198,15 +205,23 @@
 	return t.clockMs + int64(float64((now-t.clockAt).Milliseconds())*(1-maxClockDrift))
 }
 
-// recordResponse records the time of a response and its clock reading.
+// recordResponse records the time of a response and its clock reading. The reading of a response that
+// doesn't name its process may be of another one, whose clock began at another time.
 func (t *target) recordResponse(resp Response, now time.Duration) {
-	if resp.ClockMs > 0 && (t.clockAt == 0 || resp.ClockMs >= t.minClockMs(now)) {
+	isOfProcess := resp.ProcessStartMs != 0 || t.processStartMs == 0
+	if isOfProcess && resp.ClockMs > 0 && (t.clockAt == 0 || resp.ClockMs >= t.minClockMs(now)) {
 		t.clockMs, t.clockAt = resp.ClockMs, now
 	}
 	t.lastResponseAt = now
 	t.stateAsOf = max(t.stateAsOf, resp.SentAt)
 }
 
+// isFromRestarted reports whether a response is from a later process, since its clock reading is lower than
+// that of the known process was when the call was sent.
+func (t *target) isFromRestarted(resp Response) bool {
+	return resp.ClockMs > 0 && t.clockAt > 0 && resp.ClockMs < t.minClockMs(resp.SentAt)
+}
+
 // awaitResponse makes the target unavailable for new tasks until it has responded again.
 func (t *target) awaitResponse(now time.Duration) {
 	t.fenced = false
--- a/internal/cransched/targets.go
+++ b/internal/cransched/targets.go
@@ -121,13 +121,18 @@
 }
 
 // resetRun handles a run of the target's previous process. An unanswered start may still
-// reach the new process, so that run is stopped there. Runs of an earlier owner stay
-// unverified until the first report.
+// reach the new process, so that run is stopped there. A start whose response names no process may
+// have reached either; the next report shows whether the new one has begun the run. Runs of an earlier
+// owner stay unverified until the first report.
 func (s *Scheduler) resetRun(t *target, r *run) {
+	wasInProcess := r.inCurrentProcess
+	r.inCurrentProcess = false
 	switch {
 	case r.phase == unverified:
-	case r.phase == planned || r.startConfirmed:
+	case r.phase == planned || wasInProcess:
 		s.releaseRun(t, r, "the target has restarted")
+	case r.phase == confirmed:
+		r.awaitsReport = true
 	default:
 		r.phase = stopping
 		r.answeredAt = 0
--- a/internal/cransched/world_target_test.go
+++ b/internal/cransched/world_target_test.go
@@ -133,6 +133,15 @@
 	return Response{Status: status, ClockMs: tgt.clockMs(now), ProcessStartMs: tgt.info.ProcessStartMs}
 }
 
+// orderResponse returns the response to a start or a stop.
+func (sim *simulation) orderResponse(tgt *simTarget, status CallStatus) Response {
+	resp := tgt.response(sim.now, status)
+	if sim.briefResponses {
+		resp.ProcessStartMs = 0
+	}
+	return resp
+}
+
 // deliver returns the target that accepts an order, or the response if the order is
 // refused or lost.
 func (sim *simulation) deliver(to TargetRef, token uint64) (*simTarget, *Response) {
@@ -198,7 +207,7 @@
 	if r := tgt.runs[e.Task]; r != nil && r.number == e.Run && !r.stopped {
 		r.stopped, r.outcome, r.endsAt = true, OutcomeStopped, min(r.endsAt, sim.now+simStopTime)
 	}
-	return tgt.response(sim.now, StatusOK)
+	return sim.orderResponse(tgt, StatusOK)
 }
 
 // startRun carries out a start after checking it.
@@ -208,13 +217,13 @@
 		return *rejection
 	}
 	if r := tgt.runs[e.Task]; r != nil && r.number == e.Run {
-		return tgt.response(sim.now, StatusOK)
+		return sim.orderResponse(tgt, StatusOK)
 	}
 	switch {
 	case e.DeadlineMs > 0 && e.DeadlineMs < tgt.clockMs(sim.now):
-		return tgt.response(sim.now, StatusDeadlinePassed)
+		return sim.orderResponse(tgt, StatusDeadlinePassed)
 	case e.Run <= tgt.closedRuns[e.Task]:
-		return tgt.response(sim.now, StatusStaleRun)
+		return sim.orderResponse(tgt, StatusStaleRun)
 	}
 	sim.checkStart(tgt, e)
 	sim.starts = append(sim.starts, receivedStart{e, sim.now})
@@ -239,7 +248,7 @@
 	if step.Gang {
 		sim.scheduleGangEnd(e, r.endsAt)
 	}
-	return tgt.response(sim.now, StatusOK)
+	return sim.orderResponse(tgt, StatusOK)
 }
 
 // checkStart checks the invariants that a start may violate.
--- a/internal/cransched/world_test.go
+++ b/internal/cransched/world_test.go
@@ -51,6 +51,8 @@
 	// longPolls lets targets delay the response to a heartbeat until a run ends or its
 	// wait is over.
 	longPolls bool
+	// briefResponses lets responses to orders name no process. Only reports do then.
+	briefResponses bool
 	// startup is how long a long-running task takes until it is at work.
 	startup time.Duration
 	// checkUnavailable enables the check that evictions respect MaxUnavailable.
