cransched: ask a target at once whose clock shows that it has restarted

What callers saw: a task that started again after it was done (TWICE), when a target crashed and started again under its id and its entry changed later. A heartbeat acknowledged the ends of the old process up to a number; the new process forgot its own ends up to it, which nobody had read. Change: a response to an order with a clock reading below that of the known process shows a restart. The target is asked for a report at once, which acknowledges nothing, and gets no lease and no start before that.

--- a/internal/cransched/outcome.go
+++ b/internal/cransched/outcome.go
@@ -30,6 +30,7 @@
 		return
 	case resp.ClockMs > 0:
 		t.recordResponse(resp, s.clock.Steady)
+		s.suspectRestart(t, resp)
 	}
 	r := t.runs[runName{e.Task, e.Run}]
 	if r != nil && resp.Status == StatusOK {
@@ -149,6 +150,7 @@
 	}
 	if resp.ClockMs > 0 && s.fromCurrentProcess(t, resp) {
 		t.recordResponse(resp, s.clock.Steady)
+		s.suspectRestart(t, resp)
 	}
 	r := t.runs[runName{e.Task, e.Run}]
 	if r == nil || r.phase != stopping {
--- a/internal/cransched/report.go
+++ b/internal/cransched/report.go
@@ -86,6 +86,9 @@
 	t.fenced = t.fenced || resp.SentAt >= t.awaitsResponseSince
 	t.answeredAddress = t.info.Address
 	s.settleEntry(t, resp.SentAt)
+	if resp.SentAt >= t.restartSuspectedSince {
+		t.restartSuspectedSince = 0
+	}
 	s.recordCrashOfInstance(t)
 	delete(s.suspensions.wanted, t.info.ID)
 	for _, e := range resp.Finished {
--- a/internal/cransched/restart_test.go
+++ b/internal/cransched/restart_test.go
@@ -16,6 +16,13 @@
 	testRestartsWithoutSign(t, 640)
 }
 
+// TestEndsOfRestartedTargetAreNotLost guards against ends that the new process of a target forgets unseen,
+// since a heartbeat acknowledges the ends of the old one up to a higher number. Their tasks would start
+// again after they were done (TWICE).
+func TestEndsOfRestartedTargetAreNotLost(t *testing.T) {
+	testRestartsWithoutSign(t, 60)
+}
+
 // testRestartsWithoutSign lets targets restart under their id while they get tasks of an estimated duration.
 // Their responses to orders don't name the process, and their entries change later.
 func testRestartsWithoutSign(t *testing.T, estimateMs int64) {
--- a/internal/cransched/scheduler.go
+++ b/internal/cransched/scheduler.go
@@ -332,9 +332,9 @@
 }
 
 // mayGrantLease reports whether a lease may be granted to a target: its leases are not suspended,
-// and no entry tells of a restart, after which the target's clock begins anew.
+// and nothing tells of a restart, after which the target's clock begins anew.
 func (s *Scheduler) mayGrantLease(t *target) bool {
-	return !s.suspensions.active(t.info.ID) && t.unverifiedSince == 0
+	return !s.suspensions.active(t.info.ID) && !t.mayHaveRestarted()
 }
 
 // grantLease returns the deadline, on the target's clock, of a lease that begins now. It
--- a/internal/cransched/target.go
+++ b/internal/cransched/target.go
@@ -87,6 +87,9 @@
 	// unverifiedSince it tells of a restart that no response shows; 0 if it doesn't.
 	unverified      TargetInfo
 	unverifiedSince time.Duration
+	// restartSuspectedSince is when a response has shown by its clock reading that the target has
+	// restarted; 0 if none has since the last report.
+	restartSuspectedSince time.Duration
 	// listed is cleared once the target has been missing from the store's list for
 	// unlistedTimeout.
 	listed bool
@@ -222,6 +225,10 @@
 	return resp.ClockMs > 0 && t.clockAt > 0 && resp.ClockMs < t.minClockMs(resp.SentAt)
 }
 
+// mayHaveRestarted reports whether the target is about to tell whether it has restarted. Until then it gets
+// no lease, since its clock may have begun anew, and no end is acknowledged, since the numbers may have.
+func (t *target) mayHaveRestarted() bool { return t.unverifiedSince != 0 || t.restartSuspectedSince != 0 }
+
 // awaitResponse makes the target unavailable for new tasks until it has responded again.
 func (t *target) awaitResponse(now time.Duration) {
 	t.fenced = false
@@ -244,7 +251,7 @@
 // schedulable reports whether new tasks may be placed on the target.
 func (t *target) schedulable(now time.Duration) bool {
 	return t.listed && t.fenced && !t.superseded && !t.cordoned && !t.info.Draining && !t.unresponsive && !t.suspended &&
-		t.unverifiedSince == 0 && t.describesProcess() && !t.overdue(now) && now >= t.noStartsBefore && !t.health.suspended(now)
+		!t.mayHaveRestarted() && t.describesProcess() && !t.overdue(now) && now >= t.noStartsBefore && !t.health.suspended(now)
 }
 
 // describesProcess reports whether the target's entry may be of the process that responds. An
--- a/internal/cransched/targets.go
+++ b/internal/cransched/targets.go
@@ -73,14 +73,29 @@
 	switch {
 	case info.ProcessStartMs > t.processStartMs:
 		t.unverifiedSince = s.clock.Steady
-		t.earlierLeasesEndAt = max(t.earlierLeasesEndAt, s.clock.Steady+s.restartedLeaseBound())
-		t.heartbeatInFlight = false
-		t.advanceHeartbeat(s.clock.Steady)
+		s.askAtOnce(t)
 	case responds:
 		s.emit(LogEntry{Kind: LogEntryRefuted, Target: t.info.ID})
 	}
 }
 
+// askAtOnce asks a target that may have restarted for a report, also if the previous process owes one.
+func (s *Scheduler) askAtOnce(t *target) {
+	t.earlierLeasesEndAt = max(t.earlierLeasesEndAt, s.clock.Steady+s.restartedLeaseBound())
+	t.heartbeatInFlight = false
+	t.advanceHeartbeat(s.clock.Steady)
+}
+
+// suspectRestart handles a response to an order that doesn't name its process but shows by its clock reading
+// that the target has restarted.
+func (s *Scheduler) suspectRestart(t *target, resp Response) {
+	if resp.ProcessStartMs != 0 || t.restartSuspectedSince != 0 || !t.isFromRestarted(resp) {
+		return
+	}
+	t.restartSuspectedSince = s.clock.Steady
+	s.askAtOnce(t)
+}
+
 // settleEntry compares an unverified entry with a response of the target, by which it is known
 // whether it has restarted.
 func (s *Scheduler) settleEntry(t *target, sentAt time.Duration) {
@@ -273,8 +288,7 @@
 		deadline = s.grantLease(t)
 	}
 	acknowledged := t.endsStored
-	if t.unverifiedSince != 0 {
-		// The numbers of a new process begin anew.
+	if t.mayHaveRestarted() {
 		acknowledged, wait = 0, 0
 	}
 	t.heartbeatWait = wait
