cransched: ask the advice service about every target of a pool

Cause: a request names at most 30 targets, the first ones with room by their ids. If the policy allows none of them, the same ones were asked about again without end. Besides, a target with a ticket that was full for good or took no tasks kept its step from asking about others. Change: a target that an answer leaves out is denied for the step until it restarts, and the next request names others at once. Only a target with a ticket and with room keeps a step from asking. A request without an answer denies nothing.

--- a/internal/crannode/orders.go
+++ b/internal/crannode/orders.go
@@ -95,6 +95,8 @@
 		return func() {
 			if err != nil {
 				n.log.Emit(cranevent.LogUnavailable, cranevent.Stream("advice"), cranevent.Err(err))
+				o.scheduler.HandleTicketsUnavailable(e)
+				return
 			}
 			o.scheduler.HandleTickets(e, tickets, validFor, sent)
 		}
--- a/internal/cransched/advice.go
+++ b/internal/cransched/advice.go
@@ -1,6 +1,9 @@
 package cransched
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// maxTicketTargets is the maximum number of targets in one ticket request. The advice
@@ -17,35 +20,42 @@
 // Ticket permits the tasks of one step to start on one target until it expires.
 type Ticket struct{ Target, Text string }
 
-// ensureTicket requests tickets for a stage unless one of the targets has a valid ticket
-// or a request is in flight. It reports whether the stage can be placed: either its queue
-// requires no tickets or a valid one exists.
+// ensureTicket requests tickets for a stage, unless a target with a valid ticket has room or a request is
+// in flight. It reports whether the stage can be placed: either its queue requires no tickets or a valid
+// one exists.
 func (s *Scheduler) ensureTicket(c candidate, targets []*target) bool {
 	if c.job.queue == nil || !c.job.queue.RequiresTicket {
 		return true
 	}
 	now := s.clock.Steady
+	hasTicket, hasRoom := false, false
 	for _, t := range targets {
 		if t.validTicket(c.stage.name, now) != "" {
-			return true
+			hasTicket = true
+			hasRoom = hasRoom || s.canHold(c.stage, t)
 		}
 	}
-	if now < s.nextTicketRequest[c.stage.name] {
-		return false
+	if hasRoom || now < s.nextTicketRequest[c.stage.name] {
+		return hasTicket
 	}
 	var ids []string
 	for _, t := range targets {
-		if len(ids) < maxTicketTargets && s.canPlace(c.stage, t) {
+		if len(ids) < maxTicketTargets && !t.denied[c.stage.name] && t.validTicket(c.stage.name, now) == "" && s.canHold(c.stage, t) {
 			ids = append(ids, t.info.ID)
 		}
 	}
 	if len(ids) == 0 {
-		return false
+		return hasTicket
 	}
 	// Block further requests for the stage until the response or the timeout.
 	s.nextTicketRequest[c.stage.name] = now + ticketRequestTimeout
 	s.emit(RequestTickets{Queue: c.job.Queue, Step: c.stage.name, Targets: ids})
-	return false
+	return hasTicket
+}
+
+// canHold reports whether a task of a stage could run on a target now if it had a ticket.
+func (s *Scheduler) canHold(st *stage, t *target) bool {
+	return t.free().Fits(st.step.Reservation()) && s.meetsPlacementRules(st, t)
 }
 
 // ticketRequestTimeout is the time after a ticket request without a response after which
@@ -54,7 +64,7 @@
 
 // HandleTickets records the tickets that the advice service granted for a step. They are
 // valid for the given time from the sending of the request; 0 means the TicketValidity of
-// the queue.
+// the queue. The policy doesn't change, so a target without a ticket isn't asked about again.
 func (s *Scheduler) HandleTickets(e RequestTickets, tickets []Ticket, valid time.Duration, sentAt time.Duration) {
 	s.nextTicketRequest[e.Step] = s.clock.Steady + ticketRetryInterval
 	if valid == 0 {
@@ -62,6 +72,21 @@
 			valid = q.TicketValidity
 		}
 	}
+	if s.jobs[e.Step.Job] == nil {
+		return
+	}
+	if len(tickets) == 0 {
+		// The next request names other targets.
+		s.nextTicketRequest[e.Step] = s.clock.Steady
+	}
+	for _, id := range e.Targets {
+		if t := s.targets[id]; t != nil && !slices.ContainsFunc(tickets, func(granted Ticket) bool { return granted.Target == id }) {
+			if t.denied == nil {
+				t.denied = map[StepName]bool{}
+			}
+			t.denied[e.Step] = true
+		}
+	}
 	for _, granted := range tickets {
 		t := s.targets[granted.Target]
 		if t == nil {
@@ -74,6 +99,27 @@
 	}
 }
 
+// HandleTicketsUnavailable handles a ticket request without an answer.
+func (s *Scheduler) HandleTicketsUnavailable(e RequestTickets) {
+	s.nextTicketRequest[e.Step] = s.clock.Steady + ticketRetryInterval
+}
+
+// forgetAdvice drops what is known of the steps of a job that has ended.
+func (s *Scheduler) forgetAdvice(j *job) {
+	for _, st := range j.stages {
+		delete(s.nextTicketRequest, st.name)
+	}
+	if j.queue == nil || !j.queue.RequiresTicket {
+		return
+	}
+	for _, t := range s.sorted {
+		for _, st := range j.stages {
+			delete(t.tickets, st.name)
+			delete(t.denied, st.name)
+		}
+	}
+}
+
 // validTicket returns the text of the unexpired ticket for a step on the target, or "" if
 // there is none.
 func (t *target) validTicket(step StepName, now time.Duration) string {
--- a/internal/cransched/place.go
+++ b/internal/cransched/place.go
@@ -221,13 +221,15 @@
 // meetsConstraints reports whether a target satisfies all constraints of a stage other
 // than free capacity.
 func (s *Scheduler) meetsConstraints(st *stage, t *target) bool {
+	return (!s.hasTickets(st) || t.validTicket(st.name, s.clock.Steady) != "") && s.meetsPlacementRules(st, t)
+}
+
+// meetsPlacementRules reports whether a target satisfies the constraints that the step itself sets.
+func (s *Scheduler) meetsPlacementRules(st *stage, t *target) bool {
 	step := st.step
 	if step.Requires != "" && !t.hasLabel(step.Requires) {
 		return false
 	}
-	if s.hasTickets(st) && t.validTicket(st.name, s.clock.Steady) == "" {
-		return false
-	}
 	if s.spreadLimitReached(st, t) {
 		return false
 	}
--- a/internal/cransched/scheduler.go
+++ b/internal/cransched/scheduler.go
@@ -214,9 +214,7 @@
 	for _, t := range j.tasks {
 		s.abandonRun(t, reason)
 	}
-	for _, st := range j.stages {
-		delete(s.nextTicketRequest, st.name)
-	}
+	s.forgetAdvice(j)
 	delete(s.jobs, j.ID)
 }
 
--- a/internal/cransched/target.go
+++ b/internal/cransched/target.go
@@ -160,6 +160,8 @@
 	unresponsive, suspended bool
 	health                  health
 	tickets                 map[StepName]ticket
+	// denied holds the steps that the target's process may not run by the policy of their queue.
+	denied map[StepName]bool
 }
 
 type runName struct {
@@ -227,7 +229,9 @@
 
 // mayHaveRestarted reports whether the target is about to tell whether it has restarted. Until then it gets
 // no lease, since its clock may have begun anew, and no end is acknowledged, since the numbers may have.
-func (t *target) mayHaveRestarted() bool { return t.unverifiedSince != 0 || t.restartSuspectedSince != 0 }
+func (t *target) mayHaveRestarted() bool {
+	return t.unverifiedSince != 0 || t.restartSuspectedSince != 0
+}
 
 // awaitResponse makes the target unavailable for new tasks until it has responded again.
 func (t *target) awaitResponse(now time.Duration) {
--- a/internal/cransched/targets.go
+++ b/internal/cransched/targets.go
@@ -131,7 +131,7 @@
 	t.answeredAddress = ""
 	t.awaitsStore = false
 	t.unansweredBy = 0
-	t.tickets = nil
+	t.tickets, t.denied = nil, nil
 	s.recordCrash(lost, "it has restarted")
 }
 
