cransched: consider the suspected tasks of every job

What callers would see: a job that never runs, since the suspected tasks of another one, which fit nowhere, fill the 64 that are considered at a time (LOST). Cause: one page of a list taken for the whole. Change: of each stage no more suspected tasks are considered than may be tried. Evidence: TestSuspectsThatFitNowhereHoldUpNoOtherJob failed before.

--- a/internal/cransched/probation.go
+++ b/internal/cransched/probation.go
@@ -79,8 +79,9 @@
 	stage *stage
 }
 
-// waitingSuspects returns the suspected tasks that may start now, by pool in placement order. Those
-// of gangs start with their gang.
+// waitingSuspects returns the suspected tasks that may start now, by pool in placement order, and of each
+// stage no more than may be tried, so that those of one job don't keep others from being considered.
+// Those of gangs start with their gang.
 func (s *Scheduler) waitingSuspects(list []candidate, targets map[string][]*target) map[string][]suspect {
 	waiting := map[string][]suspect{}
 	for _, c := range list {
@@ -89,8 +90,9 @@
 			continue
 		}
 		var suspects []suspect
+		most := c.job.mayTry(s.clock.Steady)
 		for _, t := range c.stage.tasks {
-			if t.Status == cranjob.Waiting && t.suspected() && t.notBefore <= s.clock.Steady {
+			if len(suspects) < most && t.Status == cranjob.Waiting && t.suspected() && t.notBefore <= s.clock.Steady {
 				suspects = append(suspects, suspect{t, c.stage})
 			}
 		}
--- a/internal/cransched/probation_test.go
+++ b/internal/cransched/probation_test.go
@@ -194,6 +194,31 @@
 	require.True(t, sim.succeeded[cranjob.TaskName{Job: "j", Step: 2}])
 }
 
+// TestSuspectsThatFitNowhereHoldUpNoOtherJob guards against a suspected task that is never considered, since
+// those of a job before it fill the list of which a part is considered at a time (LOST).
+func TestSuspectsThatFitNowhereHoldUpNoOtherJob(t *testing.T) {
+	sim := newSimulation(t, 1, 8)
+	sim.failureRate = 0
+	sim.takeOver(sim.now - time.Hour)
+	sim.runFor(2 * time.Second)
+	suspectAll := func(id string) {
+		for _, tk := range sim.owner.jobs[id].tasks {
+			tk.crashes = cranjob.CrashCount{Early: 1, Total: 1}
+		}
+		sim.owner.jobs[id].hasCrashes = true
+	}
+	wide := newBatchJob("a", maxSuspectsPerTick+1)
+	wide.Steps[0].Requires = "gone"
+	sim.submit(wide)
+	suspectAll("a")
+	slow := newBatchJob("b", 1)
+	slow.Steps[0].EstimateMs = 3000
+	sim.submit(slow)
+	suspectAll("b")
+	sim.runFor(10 * time.Second)
+	require.Equal(t, cranjob.Completed, sim.states()["b"])
+}
+
 // TestSuspectThatFitsNowhereStarves guards against a suspected lasting task that fits on no target of
 // its pool and for which no room is made.
 func TestSuspectThatFitsNowhereStarves(t *testing.T) {
