cransched: uncordon a target whose move has run out of time

Cause: orderMove cordons a target; a move that had exceeded its time was deleted without uncordoning it. Change: such a move is dropped like a refused one, once its last order can't arrive any more.

--- a/internal/cransched/coincidence_test.go
+++ b/internal/cransched/coincidence_test.go
@@ -84,6 +84,7 @@
 			sim.runFor(60 * time.Second)
 			sim.requireBackgroundCompleted()
 			require.Equal(t, 4, sim.countRunning("lasting"))
+			sim.requireNothingHeld()
 		})
 	}
 }
@@ -115,6 +116,7 @@
 			sim.runFor(60 * time.Second)
 			sim.requireBackgroundCompleted()
 			require.Equal(t, 4, sim.countRunning("lasting"))
+			sim.requireNothingHeld()
 		})
 	}
 }
--- a/internal/cransched/crash_test.go
+++ b/internal/cransched/crash_test.go
@@ -255,6 +255,7 @@
 				}
 			}
 			require.Equal(t, 4, sim.countRunning("lasting"))
+			sim.requireNothingHeld()
 		})
 	}
 }
--- a/internal/cransched/moves.go
+++ b/internal/cransched/moves.go
@@ -160,7 +160,8 @@
 }
 
 // checkMoves retries unanswered moves. It removes moves whose instance is up in its new
-// pool or has left the list, and those that have exceeded moveTimeout.
+// pool or has left the list, and those that have exceeded moveTimeout. A target whose instance is not
+// moved takes tasks again once the last order can't arrive any more.
 func (s *Scheduler) checkMoves() {
 	now := s.clock.Steady
 	for _, id := range slices.Sorted(maps.Keys(s.fleet.moves)) {
@@ -173,7 +174,7 @@
 		}
 		i, found := s.fleet.instances[id]
 		listIsNewer := s.fleet.listRequestedAt > m.sentAt
-		if !m.accepted && now-m.sentAt >= moveRetryInterval && s.mayOrder(id) && (!listIsNewer || found && i.Up && i.Pool != m.pool) {
+		if !m.accepted && now-m.sentAt >= moveRetryInterval && now-m.beganAt <= moveTimeout-deliveryTimeout && s.mayOrder(id) && (!listIsNewer || found && i.Up && i.Pool != m.pool) {
 			if s.isIdle(id) {
 				s.sendMove(m)
 			} else {
@@ -183,8 +184,11 @@
 		}
 		arrived := found && i.Pool == m.pool && s.isUpSince(i, m.sentAt) &&
 			(s.isStandby(m.pool) || i.Target != m.target && s.targets[i.Target] != nil)
-		if arrived || listIsNewer && !found || now-m.beganAt > moveTimeout {
+		switch {
+		case arrived || listIsNewer && !found:
 			delete(s.fleet.moves, id)
+		case now-m.beganAt > moveTimeout && now-m.sentAt > deliveryTimeout:
+			s.dropMove(m)
 		}
 	}
 }
--- a/internal/cransched/rules_test.go
+++ b/internal/cransched/rules_test.go
@@ -113,6 +113,7 @@
 			require.True(sim.t, state.Final(), "%s is %s after the faults", id, state)
 		}
 	}
+	sim.requireNothingHeld()
 }
 
 // TestUnresponsiveTarget cuts a target off for good. Its tasks must run elsewhere once its
--- a/internal/cransched/world_test.go
+++ b/internal/cransched/world_test.go
@@ -48,6 +48,9 @@
 	// moves.
 	orderDelay time.Duration
 	dropMoves  bool
+	// platformDown lets the platform answer no order for an instance and no request for the list of
+	// instances, and carry nothing out.
+	platformDown bool
 	// longPolls lets targets delay the response to a heartbeat until a run ends or its
 	// wait is over.
 	longPolls bool
@@ -195,7 +198,9 @@
 	}
 	sim.owner.Advance(sim.clock())
 	sim.owner.SetTargets(sim.targetList())
-	sim.owner.SetInstances(sim.instanceList(), sim.now)
+	if !sim.platformDown {
+		sim.owner.SetInstances(sim.instanceList(), sim.now)
+	}
 	sim.owner.Tick()
 	sim.storeAndPerform(sim.owner, id)
 	sim.schedule(25*time.Millisecond, func() { sim.tick(id) })
@@ -286,8 +291,15 @@
 
 // order performs an order about an instance and returns the result to the owner.
 func (sim *simulation) order(s *Scheduler, id int, perform func() CallStatus, onResult func(CallStatus)) {
-	sim.schedule(5*time.Millisecond+sim.orderDelay, func() {
-		result := perform()
+	isLost, delay := sim.platformDown, 5*time.Millisecond+sim.orderDelay
+	if isLost {
+		delay = callTimeout
+	}
+	sim.schedule(delay, func() {
+		result := StatusUnanswered
+		if !isLost {
+			result = perform()
+		}
 		if id == sim.ownerID {
 			s.Advance(sim.clock())
 			onResult(result)
