cransched: end a cordon with its process and with its cause

What callers would see: a target that takes no tasks any more (LOST). Cause: a state that is entered with an order and left on some of its outcomes only. A target that was missing from the store's list while it was emptied for another pool stayed cordoned, and so did a target that started again under its id after a move or maintenance. Evidence: TestVacatingEndsWhileTargetIsUnlisted and TestCordonEndsWithProcess failed before.

--- a/internal/cransched/held_test.go
+++ b/internal/cransched/held_test.go
@@ -61,3 +61,31 @@
 		}
 	}
 }
+
+// TestCordonEndsWithProcess guards against a target that takes no tasks any more, since its former process was
+// cordoned for a move or for maintenance that is over (LOST).
+func TestCordonEndsWithProcess(t *testing.T) {
+	sim := newSimulation(t, 1, 2)
+	sim.takeOver(sim.now - time.Hour)
+	sim.submit(newLongRunningJob("lasting", 7))
+	sim.runFor(3 * time.Second)
+	sim.owner.targets["t0"].cordoned = true
+	sim.restart("t0")
+	sim.runFor(2 * time.Second)
+	sim.requireNothingHeld()
+}
+
+// TestVacatingEndsWhileTargetIsUnlisted guards against a target that takes no tasks any more, since it was
+// missing from the store's list for a while when it was to be emptied for another pool (LOST).
+func TestVacatingEndsWhileTargetIsUnlisted(t *testing.T) {
+	sim := newSimulation(t, 1, 2)
+	sim.takeOver(sim.now - time.Hour)
+	sim.submit(newLongRunningJob("lasting", 7))
+	sim.runFor(3 * time.Second)
+	tgt := sim.owner.targets["t0"]
+	tgt.cordoned, tgt.listed = true, false
+	sim.owner.fleet.vacating["p"], sim.owner.starved["p"] = tgt, true
+	sim.owner.continueVacating("p")
+	sim.runFor(2 * time.Second)
+	sim.requireNothingHeld()
+}
--- a/internal/cransched/vacate.go
+++ b/internal/cransched/vacate.go
@@ -48,9 +48,8 @@
 func (s *Scheduler) continueVacating(pool string) {
 	t := s.fleet.vacating[pool]
 	switch {
-	case s.targets[t.info.ID] != t || t.ended || !t.listed:
-		delete(s.fleet.vacating, pool)
-	case !s.starved[pool]:
+	case !s.starved[pool] || s.targets[t.info.ID] != t || t.ended || !t.listed:
+		// A target that is missing from the store's list may be back later.
 		t.cordoned = false
 		delete(s.fleet.vacating, pool)
 	case len(t.runs) == 0 && !s.hasPendingOrder(t) && s.orderMove(t.info.Instance, pool):
