crannode, cransched: let an owner take on no more than it gets to read

What callers saw: a task that ran again after it was done (TWICE), and jobs that don't run (LOST), on the grown Head Office after a takeover with a backlog by a machine with little processor time. Cause: the backlog was started at once. The process got to read its responses up to 1.6 s late; calls that had been answered timed out and closed their connections, and sound targets counted as silent. That doesn't end, since the repeats cost more than the calls. Ticks were in time, so the guard for late ticks didn't see it. Change: at most 128 starts under way, as responses are handled; a measured lag, with metric and event 1109, that reduces starts and reports, and above which no run of a silent target is released; handover after 3 s of lag.

--- a/internal/cranevent/catalogue.go
+++ b/internal/cranevent/catalogue.go
@@ -147,6 +147,8 @@
 		KeyCount, KeyOffset),
 	define(LayoutRefused, "layoutRefused", LevelError, "the shards can't be laid out",
 		KeyError),
+	rateLimited(define(SchedulerLags, "schedulerLags", LevelWarn, "the owner of a shard lags",
+		KeyElapsedMs, KeyShard)),
 	define(RunPlaced, "runPlaced", LevelInfo, "a run is placed on a target",
 		KeyAgeMs, KeyJob, KeyNumber, KeyTarget, KeyTask),
 	define(RunUnanswered, "runUnanswered", LevelWarn, "a request to start a run got no response",
--- a/internal/cranevent/event.go
+++ b/internal/cranevent/event.go
@@ -90,6 +90,8 @@
 	LayoutInForce     Event = 1107
 	// LayoutRefused means that this entry instance can't lay out the shards.
 	LayoutRefused Event = 1108
+	// SchedulerLags means that an owner gets its responses late, for want of processor time.
+	SchedulerLags Event = 1109
 )
 
 // Events of the runs of tasks.
--- a/internal/cranmetric/jobs.go
+++ b/internal/cranmetric/jobs.go
@@ -35,7 +35,7 @@
 	configApply      prometheus.Histogram
 	configRevision   prometheus.Gauge
 	configConfirmed  prometheus.Gauge
-	ownedShards      prometheus.Gauge
+	ownedShards, lag prometheus.Gauge
 	digestJobs       prometheus.Gauge
 	malformed        closedCounters[string]
 }
@@ -82,6 +82,7 @@
 	m.configRevision = prometheus.NewGauge(gauge("configuration_revision", "Revision of the configuration in force."))
 	m.configConfirmed = prometheus.NewGauge(gauge("configuration_confirmed_timestamp_seconds", "Unix time at which the configuration in force was last known to be the newest."))
 	m.ownedShards = prometheus.NewGauge(gauge("owned_shards", "Shards that this process schedules."))
+	m.lag = prometheus.NewGauge(gauge("scheduler_lag_seconds", "How long a tenth of the goroutines of an owner wait for the processor at least."))
 	m.digestJobs = prometheus.NewGauge(gauge("digest_jobs", "Jobs of which this process knows the state."))
 	malformed := vector("malformed_records_total", "Records of a stream that were skipped because they are malformed.", "stream")
 	m.malformed = newClosedCounters(malformed, streams)
@@ -92,7 +93,7 @@
 		m.retries.WithLabelValues(reason)
 	}
 	m.registry.MustRegister(m.refusals, m.retries, m.ended, m.runEnds, m.orders, m.accepted, m.cancelled,
-		m.takeovers, m.targetCrashes, m.givenUp, m.acceptance, m.orderTime, m.firstStart, m.reads, m.readBytes, m.behind, m.firstByte, m.configApply, m.configRevision, m.configConfirmed, m.ownedShards, m.digestJobs, malformed, collectors.NewGoCollector(),
+		m.takeovers, m.targetCrashes, m.givenUp, m.acceptance, m.orderTime, m.firstStart, m.reads, m.readBytes, m.behind, m.firstByte, m.configApply, m.configRevision, m.configConfirmed, m.ownedShards, m.lag, m.digestJobs, malformed, collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -127,6 +128,9 @@
 // OwnedShards records how many shards this process schedules.
 func (m *Jobs) OwnedShards(n int) { m.ownedShards.Set(float64(n)) }
 
+// Lagged records how long a tenth of the goroutines of an owner wait for the processor at least.
+func (m *Jobs) Lagged(lag time.Duration) { m.lag.Set(lag.Seconds()) }
+
 // DigestJobs records of how many jobs this process knows the state.
 func (m *Jobs) DigestJobs(n int) { m.digestJobs.Set(float64(n)) }
 
--- a/internal/crannode/control.go
+++ b/internal/crannode/control.go
@@ -26,6 +26,8 @@
 	// digestReadAt is when the digest was last read, and readThrough the time up to which all
 	// of its stored records are certain to have been read.
 	digestReadAt, readThrough time.Duration
+	// lagMeasuredAt is when the lag of the process was last measured.
+	lagMeasuredAt time.Duration
 	// readLatency is how long the store took to answer the newest read without records.
 	readLatency time.Duration
 	// readingSince is the time of the first read after the newest gap longer than
@@ -97,6 +99,7 @@
 	now := c.node.now()
 	c.configWatch.check(c.node, now.Steady)
 	c.decideLayout(now.Steady)
+	c.measureLag(now.Steady)
 	wait := maxStepInterval
 	for _, s := range c.node.shards {
 		if s.owner == nil {
--- /dev/null
+++ b/internal/crannode/lag_test.go
@@ -0,0 +1,64 @@
+package crannode
+
+import (
+	"math"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cranberrypick/cranberrypick/internal/crandigest"
+	"github.com/cranberrypick/cranberrypick/internal/cranjob"
+	"github.com/cranberrypick/cranberrypick/internal/cransched"
+	"github.com/cranberrypick/cranberrypick/internal/cranshard"
+)
+
+// TestOwnerThatLagsHandsOver guards against an owner that keeps a shard though it gets to read its responses
+// too late: its work is lost again and again (LOST, TWICE). Its ticks are in time all the while.
+func TestOwnerThatLagsHandsOver(t *testing.T) {
+	for _, lag := range []time.Duration{20 * time.Millisecond, 300 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			p := newPair(t, 0)
+			defer p.close()
+			require.True(t, p.isOwner(0))
+			n := p.nodes[0]
+			n.postAndWait(t.Context(), func() { n.measureLag = func() time.Duration { return lag } })
+			time.Sleep(5 * time.Second)
+			require.Equal(t, lag < maxLag, p.isOwner(0))
+			require.Equal(t, lag >= maxLag, p.isOwner(1))
+		})
+	}
+}
+
+// TestSmallOwnerThatLagsHandsOver is like TestOwnerThatLagsHandsOver for a process with less capacity than a
+// shard takes, which is late by less.
+func TestSmallOwnerThatLagsHandsOver(t *testing.T) {
+	for cores, want := range map[float64]bool{4: false, 0.1: true} {
+		now := cransched.Clock{Steady: time.Hour}
+		n := New("a", "a-1", memoryTopics(), Directory{}, noInstances{}, WithLimits(cranshard.Limits{Cores: cores}))
+		n.digest = crandigest.New()
+		_, err := n.digest.Apply(crandigest.KeyLayout, cranshard.New(1, 200, nil).Encode(), 0)
+		require.NoError(t, err)
+		o := &ownership{shard: &shard{node: n}, scheduler: cransched.New(1, cransched.Timing{}, nil, cranjob.NewReplica(), now, cransched.Predecessor{})}
+		for i := range maxLateIntervals + 2 {
+			// A moment in time among late ones doesn't end the count.
+			o.observeLag(map[bool]time.Duration{true: 40 * time.Millisecond, false: 80 * time.Millisecond}[i == 3])
+		}
+		require.Equal(t, want, o.shouldRelease(now.Steady), "%v cores", cores)
+		for range maxLateIntervals {
+			o.observeLag(0)
+		}
+		require.False(t, o.shouldRelease(now.Steady))
+	}
+}
+
+// TestQuantile checks the wait that a tenth of the goroutines exceed.
+func TestQuantile(t *testing.T) {
+	bounds := []float64{math.Inf(-1), 0, 0.1, 0.2, math.Inf(1)}
+	require.Equal(t, 100*time.Millisecond, quantile([]uint64{0, 80, 15, 5}, bounds))
+	require.Equal(t, 200*time.Millisecond, quantile([]uint64{0, 80, 0, 20}, bounds))
+	require.Zero(t, quantile([]uint64{0, 95, 0, 5}, bounds))
+	require.Zero(t, quantile([]uint64{0, 0, 0, 5}, bounds), "too few goroutines")
+	require.Zero(t, NewLagMeter().Measure())
+}
--- a/internal/crannode/node.go
+++ b/internal/crannode/node.go
@@ -46,6 +46,9 @@
 	metrics     *cranmetric.Jobs
 	limits      cranshard.Limits
 	now         func() cransched.Clock
+	// measureLag returns how late the process handles what has arrived, since the last call; nil if
+	// that isn't measured.
+	measureLag func() time.Duration
 
 	// events queues the functions that the control goroutine runs.
 	events chan func()
@@ -95,6 +98,12 @@
 // WithMetrics sets the metrics that count requests and orders.
 func WithMetrics(m *cranmetric.Jobs) Option { return func(n *Node) { n.metrics = m } }
 
+// WithLagMeter sets how the lag of the process is measured. Without it, an owner takes its process for
+// one that is always in time.
+func WithLagMeter(measure func() time.Duration) Option {
+	return func(n *Node) { n.measureLag = measure }
+}
+
 // WithDataCentre sets the data centre in which the process runs.
 func WithDataCentre(name string) Option { return func(n *Node) { n.dataCentre = name } }
 
--- a/internal/crannode/owner.go
+++ b/internal/crannode/owner.go
@@ -44,7 +44,7 @@
 // shouldRelease reports whether the owner must hand the shard over, because the process stops,
 // has too little processor time, or can't load the shard.
 func (o *ownership) shouldRelease(now time.Duration) bool {
-	return o.shard.node.stopping.Load() || o.lateTicks >= maxLateTicks || o.scheduler == nil && now-o.beganAt > loadTimeout
+	return o.shard.node.stopping.Load() || o.lateTicks >= maxLateTicks || o.lateIntervals >= maxLateIntervals || o.scheduler == nil && now-o.beganAt > loadTimeout
 }
 
 // appendProgress stores the scheduler's decisions.
--- a/internal/crannode/ownership.go
+++ b/internal/crannode/ownership.go
@@ -79,6 +79,8 @@
 	// that came later than lateTickThreshold.
 	tickedAt  time.Duration
 	lateTicks int
+	// lateIntervals is how many more intervals this process lagged too much than not.
+	lateIntervals int
 	// flushed is set once the last decisions before a release were stored.
 	flushed bool
 	ctx     context.Context
--- a/internal/cransched/outcome.go
+++ b/internal/cransched/outcome.go
@@ -19,6 +19,7 @@
 
 // HandleStartResponse handles the response to a StartRun.
 func (s *Scheduler) HandleStartResponse(e StartRun, resp Response) {
+	s.startsPaced.answered(runName{e.Task, e.Run})
 	t := s.targets[e.Target.ID]
 	if t == nil {
 		return
@@ -51,14 +52,14 @@
 		if r.apart {
 			t.advanceHeartbeat(now)
 		} else {
-			t.advanceHeartbeat(now + minHeartbeatGap)
+			t.advanceHeartbeat(now + s.heartbeatGap())
 		}
 		s.markJobRunning(r)
 	case StatusUnanswered:
 		s.emit(LogEntry{Kind: LogStartUnanswered, Job: e.Task.Job, Task: e.Task.String(), Run: e.Run, Target: t.info.ID, AgeMs: (now - resp.SentAt).Milliseconds()})
 		r.phase = startUnanswered
 		r.answeredAt = now
-		t.advanceHeartbeat(now)
+		t.advanceHeartbeat(now + s.lag)
 	default:
 		s.handleStartRefused(t, r, resp.Status)
 	}
@@ -161,7 +162,7 @@
 		if r.answeredAt == 0 {
 			r.answeredAt = now
 		}
-		t.advanceHeartbeat(now + minHeartbeatGap)
+		t.advanceHeartbeat(now + s.heartbeatGap())
 	case StatusFenced:
 		s.markSuperseded(t)
 	default:
--- a/internal/cransched/place.go
+++ b/internal/cransched/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -28,7 +29,10 @@
 			byPool[t.info.Pool] = append(byPool[t.info.Pool], t)
 		}
 	}
+	starvedBefore := maps.Clone(s.starved)
 	clear(s.starved)
+	// Pools that aren't reached before the starts of this round are planned keep their mark.
+	mostPlanned := s.startsPaced.planned + s.startsPaced.left(s.clock.Steady, s.lag)
 	rooms := idleRooms{}
 	list := s.candidates()
 	s.placeSuspects(list, byPool)
@@ -41,6 +45,10 @@
 		if !s.ensureTicket(c, targets) {
 			continue
 		}
+		if s.startsPaced.planned >= mostPlanned {
+			maps.Copy(s.starved, starvedBefore)
+			return
+		}
 		if c.stage.step.Gang {
 			s.placeGang(c, targets)
 			continue
@@ -60,6 +68,9 @@
 				break
 			}
 			s.startTask(t, chosen, t.Run+1)
+			if s.startsPaced.planned >= mostPlanned {
+				break
+			}
 		}
 	}
 }
@@ -386,6 +397,7 @@
 		s.rememberHost(t, dest)
 	}
 	s.markDirty(t.job)
+	s.startsPaced.planned++
 	s.emitOnceStored(LogEntry{Kind: LogRunPlaced, Job: t.job.ID, Task: t.name.String(), Run: number, Target: dest.info.ID, AgeMs: (s.clock.Steady - dest.lastResponseAt).Milliseconds()})
 	s.emitOnceStored(StartRun{
 		Target: dest.address(), Task: t.name, Run: number, Spec: t.job.Spec, Token: s.token, Checkpoint: t.Checkpoint,
--- a/internal/cransched/report.go
+++ b/internal/cransched/report.go
@@ -20,7 +20,7 @@
 		return
 	}
 	t.heartbeatInFlight = false
-	t.nextHeartbeatAt = s.clock.Steady + retryPause
+	t.nextHeartbeatAt = s.clock.Steady + retryPause + s.lag
 	t.heartbeatFailed = resp.Status != StatusOK
 	if t.info.Address != ref.Address {
 		t.heartbeatFailed = true
@@ -122,7 +122,7 @@
 		// once, without waiting.
 		t.nextHeartbeatAt = s.clock.Steady + heartbeatInterval
 	default:
-		t.nextHeartbeatAt = s.clock.Steady + minHeartbeatGap
+		t.nextHeartbeatAt = s.clock.Steady + s.heartbeatGap()
 	}
 	t.awaitsStore = t.acknowledgeableEnd() > t.endsStored
 }
--- a/internal/cransched/scheduler.go
+++ b/internal/cransched/scheduler.go
@@ -50,6 +50,9 @@
 	losses       map[string]loss
 	crashHistory crashHistory
 	verdicts     []verdict
+	startsPaced  startPacer
+	// lag is how late the owner's process handles what has arrived.
+	lag time.Duration
 	// createdAt is when this owner took over.
 	createdAt time.Duration
 }
@@ -292,6 +295,7 @@
 	s.inFlight = nil
 	for _, e := range b.effects {
 		if start, isStart := e.(StartRun); isStart {
+			s.startsPaced.planned--
 			s.sendStart(start)
 			continue
 		}
@@ -325,6 +329,7 @@
 	}
 	r.phase = startSent
 	r.startedAt = s.clock.Steady
+	s.startsPaced.sent(runName{e.Task, e.Run}, s.clock.Steady)
 	e.DeadlineMs = s.grantLease(t)
 	s.emit(e)
 }
--- a/internal/cransched/targets.go
+++ b/internal/cransched/targets.go
@@ -223,7 +223,7 @@
 	}
 	s.suspendIfSilent(t)
 	t.suspended = s.suspensions.active(t.info.ID)
-	if overdue && len(t.runs) > 0 && t.leasesExpired(now) {
+	if overdue && len(t.runs) > 0 && t.leasesExpired(now) && !s.isLagging() {
 		s.emit(LogEntry{Kind: LogLeaseExpired, Target: t.info.ID, AgeMs: (now - t.lastResponseAt).Milliseconds()})
 		s.recordExpiredLease(t)
 	}
--- a/internal/cransched/world_test.go
+++ b/internal/cransched/world_test.go
@@ -48,6 +48,9 @@
 	// moves.
 	orderDelay time.Duration
 	dropMoves  bool
+	// handlingTime is how long the owner takes to handle a response. Responses wait in a queue, of
+	// which busyUntil is the end; one that isn't handled in time counts as missing.
+	handlingTime, busyUntil time.Duration
 	// platformDown lets the platform answer no order for an instance and no request for the list of
 	// instances, and carry nothing out.
 	platformDown bool
@@ -197,6 +200,7 @@
 		return
 	}
 	sim.owner.Advance(sim.clock())
+	sim.owner.SetLag(max(sim.busyUntil-sim.now, 0))
 	sim.owner.SetTargets(sim.targetList())
 	if !sim.platformDown {
 		sim.owner.SetInstances(sim.instanceList(), sim.now)
@@ -253,10 +257,20 @@
 	}
 }
 
+// afterQueue performs an action once the owner has handled what arrived before.
+func (sim *simulation) afterQueue(perform func()) {
+	if sim.handlingTime == 0 {
+		perform()
+		return
+	}
+	sim.busyUntil = max(sim.busyUntil, sim.now) + sim.handlingTime
+	sim.schedule(sim.busyUntil-sim.now, perform)
+}
+
 // call performs a call to a target, subject to the simulated faults.
 func (sim *simulation) call(s *Scheduler, id int, to TargetRef, order bool, perform func() Response, onResponse func(Response)) {
 	sent := sim.now
-	reply := func(resp Response) {
+	handle := func(resp Response) {
 		if id == sim.ownerID {
 			resp.SentAt = sent
 			s.Advance(sim.clock())
@@ -264,6 +278,14 @@
 			sim.storeAndPerform(s, id)
 		}
 	}
+	reply := func(resp Response) {
+		sim.afterQueue(func() {
+			if sim.now-sent > callTimeout {
+				resp = Response{}
+			}
+			handle(resp)
+		})
+	}
 	timeout := func() { sim.schedule(callTimeout, func() { reply(Response{}) }) }
 	p := sim.random.Float64()
 	switch {
