cransched: take no delayed response for one after a restart

What callers would see: a target that gets no lease and no start for a moment, and whose runs are released 8 s later if it falls silent, though it never restarted. Cause: the clock reading of a response is compared with a bound for the time of its call. For a call sent before the newest reading, that bound was up to 2% of the time between too high. Change: before the newest reading a clock can't have advanced by more than the time since. Evidence: TestDelayedResponseIsNoRestart failed before.

--- a/internal/cransched/restart_test.go
+++ b/internal/cransched/restart_test.go
@@ -76,3 +76,23 @@
 		})
 	}
 }
+
+// TestDelayedResponseIsNoRestart guards against a target that counts as restarted, and gets no lease, since the
+// response to an order is handled after that to a heartbeat which was sent later.
+func TestDelayedResponseIsNoRestart(t *testing.T) {
+	const begin = time.Hour
+	for _, drift := range []float64{0, maxClockDrift} {
+		reading := func(at time.Duration) int64 {
+			return 100 + int64(float64((at-begin).Microseconds())*(1-drift)/1000)
+		}
+		for sent := range 2000 {
+			for _, transit := range []time.Duration{0, 700 * time.Microsecond, 40 * time.Millisecond} {
+				clockAt := begin + time.Second
+				tgt := &target{clockMs: reading(clockAt - transit), clockAt: clockAt}
+				at := begin + time.Duration(sent)*time.Millisecond - 300*time.Microsecond
+				require.False(t, tgt.isFromRestarted(Response{SentAt: at, ClockMs: max(reading(at), 1)}), "sent at %v, transit %v", at-begin, transit)
+				require.True(t, tgt.isFromRestarted(Response{SentAt: at, ClockMs: 1}) || at < begin+200*time.Millisecond)
+			}
+		}
+	}
+}
--- a/internal/cransched/target.go
+++ b/internal/cransched/target.go
@@ -222,9 +222,16 @@
 }
 
 // isFromRestarted reports whether a response is from a later process, since its clock reading is lower than
-// that of the known process was when the call was sent.
+// that of the known process was when the call was sent. The response may be older than the newest reading.
 func (t *target) isFromRestarted(resp Response) bool {
-	return resp.ClockMs > 0 && t.clockAt > 0 && resp.ClockMs < t.minClockMs(resp.SentAt)
+	if resp.ClockMs <= 0 || t.clockAt == 0 {
+		return false
+	}
+	if age := t.clockAt - resp.SentAt; age > 0 {
+		// A slow clock has advanced less since then; the readings are rounded down.
+		return resp.ClockMs < t.clockMs-age.Milliseconds()-2
+	}
+	return resp.ClockMs < t.minClockMs(resp.SentAt)
 }
 
 // mayHaveRestarted reports whether the target is about to tell whether it has restarted. Until then it gets
