cransched: count trials of which the owner polls late

Cause: a trial counted only if the owner's poll followed the start by at most 60 ms. Change: trials within 0.25 s count, too: two at least, and as many as the longer time asks for.

--- a/internal/cransched/coincidence.go
+++ b/internal/cransched/coincidence.go
@@ -13,6 +13,11 @@
 	// for a crash to be evidence against the started task. It covers the response to the start and
 	// the poll after it.
 	quickCrashTime = 60 * time.Millisecond
+	// slowCrashTime is the same for a trial of which the owner has handled the response or sent the poll
+	// late. It takes more of these.
+	slowCrashTime = 250 * time.Millisecond
+	// minSlowTrials is the number of them that it takes at least.
+	minSlowTrials = 2
 	// recentCrashes and shortRecentCrashes are the spans over which the rate of crashes is
 	// measured. The short one reacts to the beginning of a series.
 	recentCrashes      = 15 * time.Second
@@ -118,11 +123,12 @@
 // The more targets crash by other causes, the more crashes it takes: a task is given up only if its
 // crashes are hardly a coincidence.
 func (s *Scheduler) mustGiveUp(t *task) bool {
-	if t.crashes.Early < maxEarlyCrashes && t.crashes.Total < maxCrashes {
+	if t.crashes.Early < maxEarlyCrashes && t.crashes.Total < maxCrashes && t.failedTrials < minSlowTrials {
 		return false
 	}
 	rate := s.crashRate(t.name, t.job.Pool)
-	if t.crashes.Early >= maxEarlyCrashes && t.crashes.Early > requiredTrials(rate) {
+	if t.crashes.Early >= maxEarlyCrashes && t.crashes.Early > requiredTrials(rate, quickCrashTime) ||
+		t.failedTrials >= max(minSlowTrials, requiredTrials(rate, slowCrashTime)) {
 		return true
 	}
 	// A new owner doesn't know the crashes by other causes among those that its predecessor counted.
@@ -130,10 +136,10 @@
 	return isSettled && t.crashes.Total >= maxCrashes && isUnlikely(rate*s.atWork(t).Seconds(), t.crashes.Total)
 }
 
-// requiredTrials returns how many trials in a row must end with a crash until a task is given up, at
-// a rate of crashes by other causes.
-func requiredTrials(rate float64) int {
-	chance := rate * quickCrashTime.Seconds()
+// requiredTrials returns how many trials in a row must end with a crash within a time until a task is
+// given up, at a rate of crashes by other causes.
+func requiredTrials(rate float64, within time.Duration) int {
+	chance := rate * within.Seconds()
 	switch {
 	case chance == 0:
 		return 1
--- a/internal/cransched/coincidence_test.go
+++ b/internal/cransched/coincidence_test.go
@@ -120,3 +120,16 @@
 		})
 	}
 }
+
+// TestSlowTrialsGiveTaskUp guards against a task that crashes target after target, since its owner polls
+// them too late to know how soon they do (the users' limit of starts after three crashes).
+func TestSlowTrialsGiveTaskUp(t *testing.T) {
+	sim := newCrashSimulation(t, 1)
+	sim.deadly[cranjob.TaskName{Job: "deadly", Index: 1}] = 100 * time.Millisecond
+	sim.submit(newBatchJob("deadly", 4))
+	sim.runBackground(20 * time.Second)
+	sim.runFor(10 * time.Second)
+	require.Equal(t, cranjob.Failed, sim.states()["deadly"])
+	require.LessOrEqual(t, sim.crashed, 3)
+	sim.requireBackgroundCompleted()
+}
--- a/internal/cransched/crash.go
+++ b/internal/cransched/crash.go
@@ -37,8 +37,9 @@
 	// unconfirmed is set if the run isn't known to have begun. The target may have been silent before
 	// its start was sent.
 	unconfirmed bool
-	// onTrial is set if the run started apart from others and the target fell silent right after that.
-	onTrial bool
+	// onTrial is set if the run started apart from others and the target fell silent right after that,
+	// onSlowTrial if it did so within slowCrashTime.
+	onTrial, onSlowTrial bool
 	// inherited is set for a run of an earlier owner that was placed apart from others.
 	inherited bool
 }
@@ -57,17 +58,18 @@
 		l.tasks = append(l.tasks, lostTask{
 			name: r.name, early: r.early(),
 			unconfirmed: !r.hasBegun() && r.phase != unverified,
-			onTrial:     r.apart && r.hasBegun() && t.fellSilentAfter(r.startedAt),
+			onTrial:     r.apart && r.hasBegun() && t.fellSilentWithin(r.startedAt, quickCrashTime),
+			onSlowTrial: r.apart && r.hasBegun() && t.fellSilentWithin(r.startedAt, slowCrashTime),
 			inherited:   r.phase == unverified && r.task.crashes.Instance != "",
 		})
 	}
 	return l
 }
 
-// fellSilentAfter reports whether the target has answered no call since right after the start of a
-// run. Until the first call without an answer it may have been up.
-func (t *target) fellSilentAfter(start time.Duration) bool {
-	return t.unansweredBy >= max(start, t.stateAsOf) && t.unansweredBy <= start+quickCrashTime
+// fellSilentWithin reports whether the target has answered no call since a short time after the start of
+// a run. Until the first call without an answer it may have been up.
+func (t *target) fellSilentWithin(start, after time.Duration) bool {
+	return t.unansweredBy >= max(start, t.stateAsOf) && t.unansweredBy <= start+after
 }
 
 // hasBegun reports whether the run is known to have begun in the target's process.
@@ -105,6 +107,9 @@
 		hasSurvived := t.run != nil && t.run.survived
 		if lost.early && t.crashes.Early == most && !hasSurvived {
 			// A crash may become known only after the task has started again among others.
+			if lost.onSlowTrial {
+				t.failedTrials++
+			}
 			if lost.onTrial || t.crashes.Early == 0 {
 				t.blame()
 			} else if lost.inherited {
@@ -133,7 +138,7 @@
 		if lost.early {
 			e.early = append(e.early, lost.name)
 		}
-		e.onTrial = e.onTrial || lost.onTrial
+		e.onTrial = e.onTrial || lost.onSlowTrial
 	}
 	return e
 }
@@ -169,6 +174,7 @@
 	if !r.survived && sentAt >= r.presentSince+survivalTime {
 		r.survived = true
 		counts.Early = 0
+		r.task.failedTrials = 0
 		if r.apart {
 			r.task.job.survivors++
 		}
--- a/internal/cransched/crash_test.go
+++ b/internal/cransched/crash_test.go
@@ -270,6 +270,6 @@
 		s.recordCrash(loss{target: "t0", tasks: []lostTask{{name: name, early: true}}}, "")
 	}
 	require.Contains(t, s.jobs, "j")
-	s.recordCrash(loss{target: "t0", tasks: []lostTask{{name: name, early: true, onTrial: true}}}, "")
+	s.recordCrash(loss{target: "t0", tasks: []lostTask{{name: name, early: true, onTrial: true, onSlowTrial: true}}}, "")
 	require.NotContains(t, s.jobs, "j")
 }
--- a/internal/cransched/job.go
+++ b/internal/cransched/job.go
@@ -18,6 +18,9 @@
 	notBefore time.Duration
 	// crashes counts the targets that have crashed under the task.
 	crashes cranjob.CrashCount
+	// failedTrials counts the trials of the task since it has last outlived a start, also those of which
+	// it isn't known how soon the target crashed.
+	failedTrials int
 	// crashesRestored is set if an earlier owner has counted some of them.
 	crashesRestored bool
 }
