--- a/internal/crannode/lag.go
+++ b/internal/crannode/lag.go
@@ -53,8 +53,8 @@
 	return quantile(since, h.Buckets)
 }
 
-// quantile returns the upper bound of the waits of lagQuantile of the goroutines, from a histogram with the
-// bounds of its buckets in seconds; 0 if there are too few.
+// quantile returns the wait that all but lagQuantile of the goroutines have reached, rounded down to a bound
+// of the histogram's buckets, which are in seconds; 0 if there are too few goroutines.
 func quantile(counts []uint64, bounds []float64) time.Duration {
 	total := uint64(0)
 	for _, n := range counts {
