crannode: log how far an owner has got with its shard

The record of the incident can't tell an owner that reads no submissions from one whose decisions aren't stored, whose starts aren't answered, or whose pool is full: nothing logs the age of what it has read.

Owners now log every 2 s how many tasks wait, how many starts are under way, the age of their copy of the submissions and of the append to their progress (1110, and gauges by shard). The owner logs each cancellation that it reads with its offset (1212), which 1003 names at the process that acknowledged it, and 1201 says how old the copy was when a run was placed. No decision changes.

--- a/internal/cranevent/event.go
+++ b/internal/cranevent/event.go
@@ -92,6 +92,8 @@
 	LayoutRefused Event = 1108
 	// SchedulerLags means that an owner gets its responses late, for want of processor time.
 	SchedulerLags Event = 1109
+	// OwnerProgress says regularly how far an owner has got with its shard.
+	OwnerProgress Event = 1110
 )
 
 // Events of the runs of tasks.
@@ -107,6 +109,8 @@
 	EndWithheld     Event = 1209
 	TaskSuspected   Event = 1210
 	TaskGivenUp     Event = 1211
+	// CancellationRead means that the owner has read a cancellation.
+	CancellationRead Event = 1212
 )
 
 // Events of targets that run tasks, and of planned work on their instances.
--- a/internal/cranevent/field.go
+++ b/internal/cranevent/field.go
@@ -17,6 +17,7 @@
 	KeyAction      Key = "action"
 	KeyAddress     Key = "address"
 	KeyAgeMs       Key = "ageMs"
+	KeyAppendAgeMs Key = "appendAgeMs"
 	KeyBehind      Key = "behind"
 	KeyBytes       Key = "bytes"
 	KeyCause       Key = "cause"
@@ -38,6 +39,7 @@
 	KeyPeer        Key = "peer"
 	KeyPool        Key = "pool"
 	KeyQueue       Key = "queue"
+	KeyReadAgeMs   Key = "readAgeMs"
 	KeyReason      Key = "reason"
 	KeyRemainingMs Key = "remainingMs"
 	KeyRevision    Key = "revision"
@@ -49,6 +51,8 @@
 	KeyTask        Key = "task"
 	KeyToPhase     Key = "toPhase"
 	KeyToPool      Key = "toPool"
+	KeyUnderWay    Key = "underWay"
+	KeyWaiting     Key = "waiting"
 	KeyWave        Key = "wave"
 )
 
@@ -181,6 +185,18 @@
 // milliseconds.
 func Age(d time.Duration) Field { return integerField(KeyAgeMs, d.Milliseconds()) }
 
+// AppendAge returns a field with the time for which an append has been unanswered.
+func AppendAge(d time.Duration) Field { return integerField(KeyAppendAgeMs, d.Milliseconds()) }
+
+// ReadAge returns a field with the time since every stored submission was read.
+func ReadAge(d time.Duration) Field { return integerField(KeyReadAgeMs, d.Milliseconds()) }
+
+// UnderWay returns a field with the number of starts that wait for a response.
+func UnderWay(n int) Field { return integerField(KeyUnderWay, int64(n)) }
+
+// Waiting returns a field with the number of tasks that could run and wait for a target.
+func Waiting(n int) Field { return integerField(KeyWaiting, int64(n)) }
+
 // Epoch returns a field with the epoch of a scheduler's claim, which is the fencing
 // token of its orders.
 func Epoch(n uint64) Field { return unsignedField(KeyEpoch, n) }
--- a/internal/cranmetric/jobs.go
+++ b/internal/cranmetric/jobs.go
@@ -37,7 +37,9 @@
 	configConfirmed  prometheus.Gauge
 	ownedShards, lag prometheus.Gauge
 	digestJobs       prometheus.Gauge
-	malformed        closedCounters[string]
+	// The owner metrics are by shard.
+	waitingTasks, startsUnderWay, submissionsAge, appendAge *prometheus.GaugeVec
+	malformed                                               closedCounters[string]
 }
 
 // streams are the values of the label stream.
@@ -84,6 +86,14 @@
 	m.ownedShards = prometheus.NewGauge(gauge("owned_shards", "Shards that this process schedules."))
 	m.lag = prometheus.NewGauge(gauge("scheduler_lag_seconds", "How long a tenth of the goroutines of an owner wait for the processor at least."))
 	m.digestJobs = prometheus.NewGauge(gauge("digest_jobs", "Jobs of which this process knows the state."))
+	shardGauge := func(name, help string) *prometheus.GaugeVec {
+		return prometheus.NewGaugeVec(gauge(name, help), []string{"shard"})
+	}
+	m.waitingTasks = shardGauge("owner_waiting_tasks", "Tasks of a shard that could run and wait for a target.")
+	m.startsUnderWay = shardGauge("owner_starts_under_way", "Starts of a shard's owner that wait for the store or for a response.")
+	m.submissionsAge = shardGauge("owner_submissions_age_seconds", "Time since a shard's owner has read every stored submission.")
+	m.appendAge = shardGauge("owner_append_age_seconds", "Time for which the append of a shard's owner to the progress has been unanswered.")
+	m.registry.MustRegister(m.waitingTasks, m.startsUnderWay, m.submissionsAge, m.appendAge)
 	malformed := vector("malformed_records_total", "Records of a stream that were skipped because they are malformed.", "stream")
 	m.malformed = newClosedCounters(malformed, streams)
 	for _, k := range cranfault.Kinds() {
@@ -131,6 +141,21 @@
 // Lagged records how long a tenth of the goroutines of an owner wait for the processor at least.
 func (m *Jobs) Lagged(lag time.Duration) { m.lag.Set(lag.Seconds()) }
 
+// OwnerProgressed records how far the owner of a shard has got.
+func (m *Jobs) OwnerProgressed(shard string, waiting, underWay int, submissionsAge, appendAge time.Duration) {
+	m.waitingTasks.WithLabelValues(shard).Set(float64(waiting))
+	m.startsUnderWay.WithLabelValues(shard).Set(float64(underWay))
+	m.submissionsAge.WithLabelValues(shard).Set(submissionsAge.Seconds())
+	m.appendAge.WithLabelValues(shard).Set(appendAge.Seconds())
+}
+
+// OwnerEnded removes what was recorded of the owner of a shard, which this process no longer is.
+func (m *Jobs) OwnerEnded(shard string) {
+	for _, v := range []*prometheus.GaugeVec{m.waitingTasks, m.startsUnderWay, m.submissionsAge, m.appendAge} {
+		v.DeleteLabelValues(shard)
+	}
+}
+
 // DigestJobs records of how many jobs this process knows the state.
 func (m *Jobs) DigestJobs(n int) { m.digestJobs.Set(float64(n)) }
 
--- a/internal/crannode/note.go
+++ b/internal/crannode/note.go
@@ -35,8 +35,9 @@
 	cransched.LogThrottleChanged:    cranevent.ThrottleChanged,
 }
 
-// logDecision logs a decision of the scheduler and updates the metrics.
-func (n *Node) logDecision(e cransched.LogEntry) {
+// logDecision logs a decision of the scheduler, for which all submissions stored up to readAge ago were
+// known, and updates the metrics.
+func (n *Node) logDecision(e cransched.LogEntry, readAge time.Duration) {
 	switch e.Kind {
 	case cransched.LogRunEnded:
 		n.metrics.RunEnded(e.Reason)
@@ -57,6 +58,9 @@
 		return
 	}
 	fields := make([]cranevent.Field, 0, 6)
+	if e.Kind == cransched.LogRunPlaced {
+		fields = append(fields, cranevent.ReadAge(readAge))
+	}
 	if e.Job != "" {
 		fields = append(fields, cranevent.Job(e.Job))
 	}
--- a/internal/crannode/owner.go
+++ b/internal/crannode/owner.go
@@ -20,6 +20,7 @@
 		wait = o.tick(now)
 		o.appendProgress(now.Steady)
 		o.performEffects()
+		o.reportProgress(now.Steady)
 	}
 	o.appendDigest(now.Steady)
 	return wait
@@ -173,7 +174,7 @@
 		case cransched.WaveStatus:
 			o.waveRecords = append(o.waveRecords, crandigest.WaveProgress{Begun: e.Begun, Done: e.Done}.Record(e.Wave, o.shard.number))
 		case cransched.LogEntry:
-			o.shard.node.logDecision(e)
+			o.shard.node.logDecision(e, o.readAge())
 		default:
 			o.sendEffect(effect)
 		}
--- a/internal/crannode/ownership.go
+++ b/internal/crannode/ownership.go
@@ -68,8 +68,10 @@
 	// scheduler is nil until the shard is loaded.
 	scheduler *cransched.Scheduler
 
-	// through is the offset up to which the submissions were passed to the scheduler.
-	through uint64
+	// through is the offset up to which the submissions were passed to the scheduler, and
+	// submissionsReadAt the time up to which all stored ones were.
+	through           uint64
+	submissionsReadAt time.Duration
 	// states holds the changed states of jobs, and waveRecords the progress with waves, that
 	// are to be appended to the digest. stateIndex maps a job to its position in states.
 	states      []crandigest.JobState
@@ -79,6 +81,8 @@
 	// that came later than lateTickThreshold.
 	tickedAt  time.Duration
 	lateTicks int
+	// reportedAt is when the progress of this owner was last logged.
+	reportedAt time.Duration
 	// lateIntervals is how many more intervals this process lagged too much than not.
 	lateIntervals int
 	// flushed is set once the last decisions before a release were stored.
@@ -189,6 +193,7 @@
 		return
 	}
 	o.shard.batcher.Observe(u.Records)
+	o.logCancellations(u)
 	if o.scheduler != nil {
 		o.scheduler.Advance(o.shard.node.now())
 	}
@@ -198,6 +203,9 @@
 		}
 	}
 	o.through = u.Next
+	if at, current := u.CurrentAt(); current {
+		o.submissionsReadAt = at
+	}
 	o.submissionsLoaded = true
 }
 
@@ -289,6 +297,7 @@
 	n.control.group.Go(o.trims.Close)
 	n.log.Emit(cranevent.SchedulerLost, cranevent.Shard(s.name), cranevent.Epoch(o.epoch), cranevent.Cause(reason))
 	s.owner = nil
+	n.metrics.OwnerEnded(s.name)
 	s.nextClaimAt = n.now().Steady + claimRetryPause
 	n.control.ownershipChanged()
 }
--- a/internal/crannode/writer.go
+++ b/internal/crannode/writer.go
@@ -33,10 +33,20 @@
 	busy     bool
 	nextAt   time.Duration
 	interval time.Duration
+	// begunAt is when the append in flight was begun.
+	begunAt time.Duration
 	// latency is how long the newest append took.
 	latency time.Duration
 }
 
+// age returns how long the append in flight has taken; 0 if there is none.
+func (w *fencedWriter) age(now time.Duration) time.Duration {
+	if !w.busy {
+		return 0
+	}
+	return now - w.begunAt
+}
+
 // splitBatch divides records into parts of at most maxBytes, or of one record if that is
 // larger.
 func splitBatch(records []cranstore.Record, maxBytes int) [][]cranstore.Record {
@@ -69,7 +79,7 @@
 	parts := splitBatch(records, maxAppendBytes)
 	options := cranstore.AppendOptions{Producer: w.producer, Epoch: w.epoch, Sequence: w.sequence + 1}
 	w.sequence += uint64(len(parts))
-	w.busy = true
+	w.busy, w.begunAt = true, n.now().Steady
 	n.control.group.Go(func() {
 		sent, err := n.appendParts(o.ctx, w.topic, parts, options)
 		n.post(n.control.runCtx, func() {
--- a/internal/cransched/scheduler.go
+++ b/internal/cransched/scheduler.go
@@ -378,5 +378,24 @@
 	}
 }
 
+// WaitingTasks returns the number of tasks that could run and wait for a target.
+func (s *Scheduler) WaitingTasks() int {
+	count := 0
+	for _, j := range s.jobs {
+		if j.waiting == 0 {
+			continue
+		}
+		for _, st := range j.stages {
+			if st.waiting > 0 && j.ready(st, s.clock.UnixMs) {
+				count += st.waiting
+			}
+		}
+	}
+	return count
+}
+
+// StartsUnderWay returns the number of starts that wait for the store or for a response.
+func (s *Scheduler) StartsUnderWay() int { return s.startsPaced.planned + len(s.startsPaced.sentAt) }
+
 // JobCount returns the number of jobs that have not ended.
 func (s *Scheduler) JobCount() int { return len(s.jobs) }
