crannode: record an append before the test's targets can see its effects

Cause: in the test, an append could be read, and the owner act on it at the same virtual moment, before the goroutine that appended had noted its time; two appends of one process could also note them in the wrong order. The check itself is as it was.

--- a/internal/crannode/claim_test.go
+++ b/internal/crannode/claim_test.go
@@ -47,8 +47,10 @@
 type link struct {
 	*cranmemory.Topic
 	fault *fault
-	// appended, if set, is called after each append that has added records.
+	// appended, if set, is called after each append that has added records. The lock recorder is
+	// held from before the records can be read until then.
 	appended func()
+	recorder sync.Locker
 	mu       sync.Mutex
 	// stored is the end of the newest append, and losing is set while appends are stored and
 	// their answers are lost.
@@ -70,22 +72,31 @@
 	if err := l.fault.apply(); err != nil {
 		return 0, err
 	}
-	offset, err := l.Topic.Append(ctx, records, o)
-	if err != nil {
-		return offset, err
+	offset, losing, err := l.store(ctx, records, o)
+	if err == nil && losing {
+		<-ctx.Done()
+		return 0, ctx.Err()
+	}
+	return offset, err
+}
+
+// store appends records, and reports whether the answer is lost.
+func (l *link) store(ctx context.Context, records []cranstore.Record, o cranstore.AppendOptions) (offset uint64, losing bool, err error) {
+	if l.recorder != nil {
+		l.recorder.Lock()
+		defer l.recorder.Unlock()
 	}
 	l.mu.Lock()
-	added, losing := offset >= l.stored, l.losing
+	defer l.mu.Unlock()
+	if offset, err = l.Topic.Append(ctx, records, o); err != nil {
+		return offset, false, err
+	}
+	added := offset >= l.stored
 	l.stored = max(l.stored, offset+uint64(len(records)))
-	l.mu.Unlock()
 	if added && l.appended != nil {
 		l.appended()
 	}
-	if losing {
-		<-ctx.Done()
-		return 0, ctx.Err()
-	}
-	return offset, nil
+	return offset, l.losing, nil
 }
 
 // lose sets whether the answers to appends are lost.
--- a/internal/crannode/fleet_test.go
+++ b/internal/crannode/fleet_test.go
@@ -93,11 +93,8 @@
 	connect := func(t cranstore.Topic) *link { return &link{Topic: t.(*cranmemory.Topic), fault: n.fault} }
 	digest := connect(f.digest)
 	n.digest = digest
-	digest.appended = func() {
-		f.targets.mu.Lock()
-		defer f.targets.mu.Unlock()
-		f.targets.confirmedAt[incarnation] = f.targets.clock().Steady
-	}
+	digest.recorder = &f.targets.mu
+	digest.appended = func() { f.targets.confirmedAt[incarnation] = f.targets.clock().Steady }
 	topics := Topics{
 		Digest: digest, MaxShards: fleetShards,
 		Shard: func(number int) ShardTopics {
