crannode: carry a release through once its last decisions are stored

What callers would see (LOST): every job of a shard stands still for as long as the process lives.

Cause: an owner that lags for 3 s stores its last decisions and then releases the shard. If its lag ended before the release was sent, for instance because the append to the digest was unanswered at the time, it went on as the owner, but stored no decision any more. A release that was stored without an answer could also be taken back, while a successor already took the owner for stopped.

Change: the decision to release is kept until the ownership ends.

Evidence: TestOwnerThatCatchesUpDuringItsReleaseGoesOn failed before, 0 of 3 tasks running 3 s after the job was accepted and 4 s after the fault; it passes now.

--- a/internal/crannode/lag_test.go
+++ b/internal/crannode/lag_test.go
@@ -62,3 +62,34 @@
 	require.Zero(t, quantile([]uint64{0, 0, 0, 5}, bounds), "too few goroutines")
 	require.Zero(t, NewLagMeter().Measure())
 }
+
+// TestOwnerThatCatchesUpDuringItsReleaseGoesOn guards against an owner that keeps a shard and stores no decision
+// any more, since its lag ended after it had stored the last decisions before a release (LOST).
+func TestOwnerThatCatchesUpDuringItsReleaseGoesOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 2)
+		defer f.close()
+		time.Sleep(3 * time.Second)
+		n := f.nodes[0]
+		require.NotZero(t, n.node.owned.Load())
+		lag := func(lag time.Duration) {
+			n.node.postAndWait(t.Context(), func() { n.node.measureLag = func() time.Duration { return lag } })
+		}
+		lag(2 * maxLag)
+		time.Sleep((maxLateIntervals - 1) * lagInterval)
+		n.fault.set(true, 0)
+		time.Sleep(2 * lagInterval)
+		lag(0)
+		time.Sleep(2 * lagInterval)
+		n.fault.set(false, 0)
+		time.Sleep(4 * time.Second)
+		jobs := make([]*cranjob.Job, 4*fleetShards)
+		for number := range jobs {
+			jobs[number] = f.submitLasting(number)
+		}
+		time.Sleep(3 * time.Second)
+		for _, j := range jobs {
+			require.Equal(t, j.Steps[0].Count, f.targets.runningTasks(j.ID), j.ID)
+		}
+	})
+}
--- a/internal/crannode/owner.go
+++ b/internal/crannode/owner.go
@@ -13,6 +13,7 @@
 // jobs before the offset that it confirms.
 func (o *ownership) step(now cransched.Clock) time.Duration {
 	wait := maxStepInterval
+	o.releasing = o.releasing || o.shouldRelease(now.Steady)
 	if o.scheduler == nil {
 		o.startIfLoaded(now)
 	} else {
@@ -32,7 +33,7 @@
 	if since := now.Steady - o.tickedAt; since < minTickInterval {
 		return minTickInterval - since
 	}
-	if !o.shouldRelease(now.Steady) {
+	if !o.releasing {
 		if o.tickedAt != 0 && now.Steady-o.tickedAt > lateTickThreshold {
 			o.lateTicks++
 		}
@@ -50,11 +51,10 @@
 
 // appendProgress stores the scheduler's decisions.
 func (o *ownership) appendProgress(now time.Duration) {
-	releasing := o.shouldRelease(now)
-	if o.progress.busy || !releasing && now < o.progress.nextAt || o.flushed {
+	if o.progress.busy || !o.releasing && now < o.progress.nextAt || o.flushed {
 		return
 	}
-	o.flushed = releasing
+	o.flushed = o.releasing
 	records, decided := o.scheduler.NextBatch()
 	switch {
 	case !decided:
@@ -85,7 +85,7 @@
 
 // appendDigest publishes the states of jobs and renews or releases the claim.
 func (o *ownership) appendDigest(now time.Duration) {
-	releasing := o.shouldRelease(now)
+	releasing := o.releasing
 	renewing := now-o.renewedAt >= claimInterval
 	switch {
 	case o.digest.busy || releasing && (o.progress.busy || o.scheduler != nil && !o.flushed):
--- a/internal/crannode/ownership.go
+++ b/internal/crannode/ownership.go
@@ -85,10 +85,11 @@
 	reportedAt time.Duration
 	// lateIntervals is how many more intervals this process lagged too much than not.
 	lateIntervals int
-	// flushed is set once the last decisions before a release were stored.
-	flushed bool
-	ctx     context.Context
-	cancel  context.CancelFunc
+	// releasing is set once the shard is to be handed over, and never cleared: the release may be stored
+	// before its answer arrives. flushed is set once the last decisions before it were stored.
+	releasing, flushed bool
+	ctx                context.Context
+	cancel             context.CancelFunc
 }
 
 // beginOwnership makes this process the owner of the shard. It schedules once the shard is
