cransched: acknowledge no end while a start is unanswered

What callers saw: a task runs again after it was done (TWICE).

Cause: a target restarts, and the response to a start that its new process has carried out is missing. No other sign of the restart has come when the next heartbeat is sent. It acknowledges the ends of the old process up to N, and the new one, which numbers its ends anew, forgets the end of the run unseen.

Change: a heartbeat acknowledges nothing while a start to its target has neither been answered nor listed. A target that then lists a stored end again is asked soon, although nothing runs there.

--- a/internal/cransched/restart_test.go
+++ b/internal/cransched/restart_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/cranberrypick/cranberrypick/internal/cranjob"
 )
 
 // TestRunOfRestartedTargetIsNotStartedElsewhere guards against a run that the new process of a target has
@@ -96,3 +98,41 @@
 		}
 	}
 }
+
+// The response to a start, which is missing, would be the only sign of the restart (TWICE).
+func TestEndsOfRestartedTargetAreNotLostWithoutResponse(t *testing.T) {
+	for _, silence := range []time.Duration{0, 300 * time.Millisecond, 600 * time.Millisecond, 900 * time.Millisecond} {
+		t.Run(silence.String(), func(t *testing.T) {
+			sim := newSimulation(t, 1, 2)
+			sim.failureRate, sim.briefResponses, sim.platformDown = 0, true, true
+			formerStartMs := sim.targets["t0"].info.ProcessStartMs
+			sim.entries = func(list []TargetInfo) []TargetInfo {
+				list[0].ProcessStartMs = formerStartMs
+				return list
+			}
+			sim.targets["t1"].unreachable = true
+			sim.takeOver(sim.now - time.Hour)
+			sim.submit(newBriefJob("before", 3))
+			sim.runFor(2*time.Second + silence)
+			require.EqualValues(t, 3, sim.owner.targets["t0"].endsStored)
+			sim.restart("t0")
+			sim.noResponseRate = 1
+			sim.submit(newBriefJob("after", 2))
+			for len(sim.starts) < 5 {
+				sim.runFor(time.Millisecond)
+			}
+			sim.noResponseRate, sim.targets["t1"].unreachable = 0, false
+			sim.runFor(5 * time.Second)
+			require.Equal(t, cranjob.Completed, sim.states()["after"])
+			require.Len(t, sim.starts, 5)
+		})
+	}
+}
+
+// newBriefJob returns a job of tasks that each take a tenth of a second at most.
+func newBriefJob(id string, tasks int) *cranjob.Job {
+	j := newBatchJob(id, tasks)
+	j.Steps = j.Steps[:1]
+	j.Steps[0].EstimateMs = 60
+	return j
+}
--- a/internal/cransched/targets.go
+++ b/internal/cransched/targets.go
@@ -289,8 +289,11 @@
 		deadline = s.grantLease(t)
 	}
 	acknowledged := t.endsStored
-	if t.mayHaveRestarted() {
+	switch {
+	case t.mayHaveRestarted():
 		acknowledged, wait = 0, 0
+	case t.hasUnansweredStart():
+		acknowledged = 0
 	}
 	t.heartbeatWait = wait
 	if t.unansweredBy == 0 {
@@ -299,6 +302,21 @@
 	s.emit(Heartbeat{Target: t.address(), DeadlineMs: deadline, Token: s.token, AcknowledgedEnd: acknowledged, Wait: wait})
 }
 
+// hasUnansweredStart reports whether a start may have reached a later process than the known one without
+// a sign of it. That process numbers its ends anew, and an acknowledgement of the earlier ones would make
+// it forget them unseen.
+func (t *target) hasUnansweredStart() bool {
+	for _, r := range t.runs {
+		switch r.phase {
+		case startSent, startUnanswered, stopping:
+			if !r.startConfirmed {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // hasStartingTask reports whether a long-running task on the target is not at work yet.
 func (t *target) hasStartingTask() bool {
 	for _, r := range t.runs {
