cransched: acknowledge no end after a heartbeat that failed

Cause: the process of a target dies, and the heartbeat that was waiting there fails. The next one still acknowledges the ends of the old process. If it is slow, the new process ends runs before it arrives, and forgets their ends unseen.

Change: the heartbeat after a failed one acknowledges nothing.

Evidence: TestEndsOfRestartedTargetAreNotLostBySlowHeartbeat failed before for all three downtimes: "starts after it was done".

--- a/internal/cransched/restart_test.go
+++ b/internal/cransched/restart_test.go
@@ -129,6 +129,46 @@
 	}
 }
 
+// The heartbeat after one that failed is slow, and starts overtake it (TWICE).
+func TestEndsOfRestartedTargetAreNotLostBySlowHeartbeat(t *testing.T) {
+	for _, downtime := range []time.Duration{20 * time.Millisecond, 100 * time.Millisecond, 240 * time.Millisecond} {
+		t.Run(downtime.String(), func(t *testing.T) {
+			sim := newSimulation(t, 1, 2)
+			sim.failureRate, sim.longPolls, sim.keepIDs, sim.briefResponses, sim.platformDown = 0, true, true, true, true
+			formerStartMs := sim.targets["t0"].info.ProcessStartMs
+			sim.entries = func(list []TargetInfo) []TargetInfo {
+				for i := range list {
+					list[i].ProcessStartMs = formerStartMs
+				}
+				return list
+			}
+			sim.targets["t1"].unreachable = true
+			sim.takeOver(sim.now - time.Hour)
+			sim.submit(newBriefJob("before", 3))
+			sim.runFor(2 * time.Second)
+			known := sim.owner.targets["t0"]
+			require.EqualValues(t, 3, known.endsStored)
+			for !known.heartbeatFailed {
+				sim.goDark("t0", downtime)
+				sim.runFor(time.Millisecond)
+			}
+			sim.transit = 300 * time.Millisecond
+			for !known.heartbeatInFlight {
+				sim.runFor(time.Millisecond)
+			}
+			sim.transit, sim.noResponseRate = 0, 1
+			sim.submit(newBriefJob("after", 2))
+			for len(sim.starts) < 5 {
+				sim.runFor(time.Millisecond)
+			}
+			sim.noResponseRate, sim.targets["t1"].unreachable = 0, false
+			sim.runFor(5 * time.Second)
+			require.Equal(t, cranjob.Completed, sim.states()["after"])
+			require.Len(t, sim.starts, 5)
+		})
+	}
+}
+
 // newBriefJob returns a job of tasks that each take a tenth of a second at most.
 func newBriefJob(id string, tasks int) *cranjob.Job {
 	j := newBatchJob(id, tasks)
--- a/internal/cransched/targets.go
+++ b/internal/cransched/targets.go
@@ -288,11 +288,13 @@
 		// time at which the runs have ended with certainty.
 		deadline = s.grantLease(t)
 	}
+	// A later process than the known one numbers its ends anew. It would forget them unseen if the ends of
+	// the earlier one were acknowledged.
 	acknowledged := t.endsStored
 	switch {
 	case t.mayHaveRestarted():
 		acknowledged, wait = 0, 0
-	case t.hasUnansweredStart():
+	case t.heartbeatFailed || t.hasUnansweredStart():
 		acknowledged = 0
 	}
 	t.heartbeatWait = wait
@@ -303,8 +305,7 @@
 }
 
 // hasUnansweredStart reports whether a start may have reached a later process than the known one without
-// a sign of it. That process numbers its ends anew, and an acknowledgement of the earlier ones would make
-// it forget them unseen.
+// a sign of it.
 func (t *target) hasUnansweredStart() bool {
 	for _, r := range t.runs {
 		switch r.phase {
