--- a/internal/cransched/targets.go
+++ b/internal/cransched/targets.go
@@ -288,9 +288,14 @@
 		// time at which the runs have ended with certainty.
 		deadline = s.grantLease(t)
 	}
+	// A later process than the known one numbers its ends anew. It would forget them unseen if the ends of
+	// the earlier one were acknowledged.
 	acknowledged := t.endsStored
-	if t.mayHaveRestarted() {
+	switch {
+	case t.mayHaveRestarted():
 		acknowledged, wait = 0, 0
+	case t.heartbeatFailed || t.hasUnansweredStart():
+		acknowledged = 0
 	}
 	t.heartbeatWait = wait
 	if t.unansweredBy == 0 {
@@ -299,6 +304,20 @@
 	s.emit(Heartbeat{Target: t.address(), DeadlineMs: deadline, Token: s.token, AcknowledgedEnd: acknowledged, Wait: wait})
 }
 
+// hasUnansweredStart reports whether a start may have reached a later process than the known one without
+// a sign of it.
+func (t *target) hasUnansweredStart() bool {
+	for _, r := range t.runs {
+		switch r.phase {
+		case startSent, startUnanswered, stopping:
+			if !r.startConfirmed {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // hasStartingTask reports whether a long-running task on the target is not at work yet.
 func (t *target) hasStartingTask() bool {
 	for _, r := range t.runs {
