cranstore: request a page of a load again while no response begins

What callers saw: the jobs of a shard whose new owner was loading it while a partition was silent stood still for longer than 3 s after the partition was back.

Cause: a page is requested once, and its response may take 4 s to begin, since the store looks up to 500 keys up for it. A request that the store has lost is waited for as long.

Change: the page is requested again each 1.2 s until a response begins, which ends the other requests. A page that takes its 4 s loads as before.

Evidence: TestLoadOutlastsLostRequest failed before (4 s instead of 1.2 s) and passes.

The connection in the tests of crannode slept through the time of a page without looking at the context and without reporting data, which no client does; a page now arrives in parts over the same time, and its request can be cancelled. The checks on it are the same.

--- a/internal/crannode/claim_test.go
+++ b/internal/crannode/claim_test.go
@@ -14,6 +14,7 @@
 	"github.com/cranberrypick/cranberrypick/internal/crandigest"
 	"github.com/cranberrypick/cranberrypick/internal/cranjob"
 	"github.com/cranberrypick/cranberrypick/internal/cranmemory"
+	"github.com/cranberrypick/cranberrypick/internal/cranpause"
 	"github.com/cranberrypick/cranberrypick/internal/cransched"
 	"github.com/cranberrypick/cranberrypick/internal/cranstore"
 )
@@ -118,7 +119,10 @@
 // Newest takes loadTime for a later page, like a read over a slow link.
 func (l *link) Newest(ctx context.Context, after string, received func(int)) (cranstore.Page, error) {
 	if after != "" {
-		time.Sleep(l.loadTime)
+		for left := l.loadTime; left > 0 && ctx.Err() == nil; left -= time.Second {
+			received(1)
+			cranpause.Sleep(ctx, min(left, time.Second))
+		}
 	}
 	if err := l.fault.apply(); err != nil {
 		return cranstore.Page{}, err
--- a/internal/cranstore/link_test.go
+++ b/internal/cranstore/link_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -157,3 +158,48 @@
 		<-done
 	})
 }
+
+// hangingTopic doesn't answer the first requests of a page, and begins to answer the others after a delay.
+type hangingTopic struct {
+	*cranmemory.Topic
+	hanging atomic.Int32
+	delay   time.Duration
+}
+
+func (h *hangingTopic) Newest(ctx context.Context, after string, received func(int)) (cranstore.Page, error) {
+	if h.hanging.Add(-1) >= 0 {
+		<-ctx.Done()
+	}
+	cranpause.Sleep(ctx, h.delay)
+	if ctx.Err() != nil {
+		return cranstore.Page{}, ctx.Err()
+	}
+	received(1)
+	return h.Topic.Newest(ctx, after, received)
+}
+
+// TestLoadOutlastsLostRequest guards against a load that waits for the answer to a request that was lost, as long as
+// for that of a slow store.
+func TestLoadOutlastsLostRequest(t *testing.T) {
+	for _, c := range []struct {
+		hanging     int32
+		delay, want time.Duration
+	}{
+		{0, 0, 0},
+		{1, 0, 1200 * time.Millisecond},
+		{2, 100 * time.Millisecond, 2500 * time.Millisecond},
+		{0, 3500 * time.Millisecond, 3500 * time.Millisecond},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			topic := &hangingTopic{Topic: cranmemory.New(), delay: c.delay}
+			topic.hanging.Store(c.hanging)
+			topic.Put("key", []byte{1})
+			start := time.Now()
+			records, end, err := cranstore.Load(t.Context(), topic)
+			require.NoError(t, err)
+			require.Len(t, records, 1)
+			require.EqualValues(t, 1, end)
+			require.Equal(t, c.want, time.Since(start))
+		})
+	}
+}
--- a/internal/cranstore/load.go
+++ b/internal/cranstore/load.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strings"
+	"sync"
 	"time"
 	"unicode/utf8"
 )
@@ -11,6 +12,9 @@
 	// pageResponseTime bounds the time until the response to the request of a page begins.
 	// The store looks up to 500 keys up for it.
 	pageResponseTime = 4 * time.Second
+	// pageRepeatInterval is how long the response to the request of a page may take to begin before
+	// the page is requested once more: the store may have lost the request.
+	pageRepeatInterval = 1200 * time.Millisecond
 	// pageAttempts is how often Load requests a page before it fails.
 	pageAttempts = 3
 )
@@ -52,18 +56,80 @@
 
 // loadPage requests the next page.
 func (l *loader) loadPage(ctx context.Context, clock func() time.Duration) (Transfer, error) {
-	watched, w := newWatch(ctx, clock, pageResponseTime)
-	page, err := l.topic.Newest(watched, l.after, w.received)
-	err = failure(watched, err)
-	transfer := w.stop()
-	if err != nil {
-		return transfer, err
+	r := l.requestPage(ctx, clock)
+	if r.err != nil {
+		return r.transfer, r.err
 	}
 	if !l.started {
-		l.started, l.end, l.sent = true, page.End, w.sent
+		l.started, l.end, l.sent = true, r.page.End, r.sent
+	}
+	l.add(r.page)
+	return r.transfer, nil
+}
+
+// pageResponse is the outcome of one request of a page, which was sent at sent.
+type pageResponse struct {
+	request  int
+	page     Page
+	sent     time.Duration
+	transfer Transfer
+	err      error
+}
+
+// requestPage requests the next page, and once more after each pageRepeatInterval until a response begins or a
+// request fails. The first response that begins ends the other requests.
+func (l *loader) requestPage(ctx context.Context, clock func() time.Duration) pageResponse {
+	const maxRequests = int(pageResponseTime/pageRepeatInterval) + 1
+	begun, responses := make(chan int, maxRequests), make(chan pageResponse, maxRequests)
+	var cancels []context.CancelFunc
+	cancelExcept := func(request int) {
+		for i, cancel := range cancels {
+			if i != request {
+				cancel()
+			}
+		}
 	}
-	l.add(page)
-	return transfer, nil
+	var group sync.WaitGroup
+	defer group.Wait()
+	defer cancelExcept(-1)
+	repeat := time.NewTimer(0)
+	defer repeat.Stop()
+	for chosen := -1; ; {
+		select {
+		case <-repeat.C:
+			if chosen >= 0 || len(cancels) == maxRequests {
+				continue
+			}
+			request := len(cancels)
+			requestCtx, cancel := context.WithCancel(ctx)
+			cancels = append(cancels, cancel)
+			group.Go(func() {
+				responses <- l.sendRequest(requestCtx, clock, request, func() { begun <- request })
+			})
+			repeat.Reset(pageRepeatInterval)
+		case request := <-begun:
+			if chosen < 0 {
+				chosen = request
+				cancelExcept(chosen)
+			}
+		case r := <-responses:
+			if chosen < 0 || r.request == chosen {
+				return r
+			}
+		}
+	}
+}
+
+// sendRequest sends one request of the next page, and calls begun when its response begins.
+func (l *loader) sendRequest(ctx context.Context, clock func() time.Duration, request int, begun func()) pageResponse {
+	watched, w := newWatch(ctx, clock, pageResponseTime)
+	var once sync.Once
+	page, err := l.topic.Newest(watched, l.after, func(bytes int) {
+		once.Do(begun)
+		w.received(bytes)
+	})
+	err = failure(watched, err)
+	return pageResponse{request: request, page: page, sent: w.sent, transfer: w.stop(), err: err}
 }
 
 // maxKeyBytes is the maximum size of a key, of which the store keeps the size in one byte.
