crannode: let another process take over from an owner that doesn't get on

After partitions that were silent for all, or with owners that lag, a shard could be without an owner for 10 s and more.

Cause: a claim is renewed through the digest, and nothing looked at the shard's own partitions. An owner that lagged, or couldn't load the shard within 8 s, released it without knowing whether any other could do better, and claimed no more for 10 s, also if it was the only one or the partitions were back.

Change: an owner whose copy of the submissions and append to the progress are 2 s old together, that has lagged for 3 s, or that couldn't load for 8 s, counts as stalled. It says so in a record of its claim (a map, of which older versions ignore the field, as they ignore a repeat of the epoch; a renewal is an array, which they would refuse) and goes on. Another process takes over if it doesn't lag itself and both partitions answer its probes in 0.4 s for as long as its delay. The probe of the progress is an append without records, which takes its turn there: a store that is slow for all moves no shard. A process that was relieved doesn't take over from a stalled owner for 10 s. Releases are left to processes that stop. Events 1111 to 1113 tell of it.

TestSmallOwnerThatLagsHandsOver asked for the release; it asks for the stall in the same place, under the same lags.

--- a/internal/crandigest/digest.go
+++ b/internal/crandigest/digest.go
@@ -194,7 +194,7 @@
 }
 
 // applyClaim applies a claim of a higher epoch than the current one, or the release of the
-// current one.
+// current one, or a change of whether its owner has stalled.
 func (d *Digest) applyClaim(key string, number int, value []byte) (Change, error) {
 	c, err := decode[cranjob.Claim](key, value)
 	if err != nil {
@@ -202,6 +202,10 @@
 	}
 	s := d.shard(number)
 	released := c.Epoch == s.claim.Epoch && c.Released && !s.claim.Released
+	if c.Epoch == s.claim.Epoch && !c.Released && !s.claim.Released && c.Stalled != s.claim.Stalled {
+		s.claim.Stalled = c.Stalled
+		return Change{Kind: Renewed, Shard: number}, nil
+	}
 	if c.Epoch <= s.claim.Epoch && !released {
 		return Change{}, nil
 	}
--- a/internal/crandigest/digest_test.go
+++ b/internal/crandigest/digest_test.go
@@ -209,3 +209,28 @@
 	_, err := New().Apply(r.Key, r.Value, 0)
 	require.Error(t, err)
 }
+
+// TestStallIsThatOfNewestClaim guards against an owner that counts as stalled since an earlier one was, and against a
+// claim that a report of a stall brings back.
+func TestStallIsThatOfNewestClaim(t *testing.T) {
+	d := New()
+	apply := func(epoch uint64, stalled, released bool) ChangeKind {
+		r := ClaimRecord(0, cranjob.Claim{Epoch: epoch, Node: "a", Incarnation: "a-1", Stalled: stalled, Released: released})
+		change, err := d.Apply(r.Key, r.Value, 0)
+		require.NoError(t, err)
+		return change.Kind
+	}
+	require.Equal(t, Claimed, apply(1, false, false))
+	require.Equal(t, Renewed, apply(1, true, false))
+	require.True(t, d.Claim(0).Stalled)
+	require.Equal(t, NoChange, apply(1, true, false))
+	require.Equal(t, Renewed, apply(1, false, false))
+	require.False(t, d.Claim(0).Stalled)
+	require.Equal(t, Claimed, apply(2, false, false))
+	require.Equal(t, NoChange, apply(1, true, false))
+	require.False(t, d.Claim(0).Stalled)
+	require.Equal(t, Claimed, apply(2, false, true))
+	require.Equal(t, NoChange, apply(2, true, false))
+	require.True(t, d.Claim(0).Released)
+	require.False(t, d.Claim(0).Stalled)
+}
--- a/internal/cranevent/event.go
+++ b/internal/cranevent/event.go
@@ -94,6 +94,11 @@
 	SchedulerLags Event = 1109
 	// OwnerProgress says regularly how far an owner has got with its shard.
 	OwnerProgress Event = 1110
+	// OwnerStalled means that an owner doesn't get on with its shard, OwnerRecovered that it does again, and
+	// OwnerRelieved that this entry instance claims the shard of an owner that has stalled.
+	OwnerStalled   Event = 1111
+	OwnerRecovered Event = 1112
+	OwnerRelieved  Event = 1113
 )
 
 // Events of the runs of tasks.
--- a/internal/cranjob/progress.go
+++ b/internal/cranjob/progress.go
@@ -122,6 +122,9 @@
 	// Released is set if the scheduler has stopped and another process may take over
 	// at once.
 	Released bool `cbor:"5,keyasint,omitempty"`
+	// Stalled is set while the scheduler doesn't get on with the shard. Any other process that
+	// can do better may take over.
+	Stalled bool `cbor:"7,keyasint,omitempty"`
 }
 
 // InstanceOrder is the record of the newest orders to the platform for an instance.
--- a/internal/crannode/claim.go
+++ b/internal/crannode/claim.go
@@ -31,9 +31,6 @@
 	// maxCapacityDelay is how much later a process without any capacity would claim. One that
 	// has half of what a shard takes claims half as much later.
 	maxCapacityDelay = 2 * time.Second
-	// lateOwnerPause is how long a process doesn't claim again after it has handed a shard
-	// over for lack of processor time, or because it couldn't load it.
-	lateOwnerPause = 10 * time.Second
 	// claimRetryPause is the pause after a failed claim.
 	claimRetryPause = 400 * time.Millisecond
 	// maxReadGap is the longest time between two reads of the digest. After a longer gap, in
@@ -54,6 +51,9 @@
 	}
 	s.claimReadAt = now.Steady
 	if s.owner != nil && claim.Epoch > s.owner.epoch {
+		if s.owner.stalled {
+			s.relief.notBefore = now.Steady + reliefPause
+		}
 		s.stopScheduling("another entry instance has claimed")
 	}
 	if before.Epoch != claim.Epoch {
@@ -90,7 +90,10 @@
 		unrenewedFor, timeout = now-max(s.claimReadAt, s.eligibleSince), s.claimDelay()
 	}
 	if unrenewedFor < timeout {
-		return
+		if !s.relieves(claim, now) {
+			return
+		}
+		n.log.Emit(cranevent.OwnerRelieved, cranevent.Shard(s.name), cranevent.Epoch(claim.Epoch), cranevent.Member(claim.Node))
 	}
 	s.sendClaim(max(claim.Epoch, s.fencedEpoch)+1, now, unrenewedFor)
 }
--- a/internal/crannode/control.go
+++ b/internal/crannode/control.go
@@ -26,8 +26,8 @@
 	// digestReadAt is when the digest was last read, and readThrough the time up to which all
 	// of its stored records are certain to have been read.
 	digestReadAt, readThrough time.Duration
-	// lagMeasuredAt is when the lag of the process was last measured.
-	lagMeasuredAt time.Duration
+	// lag is the lag of the process when it was last measured, at lagMeasuredAt.
+	lag, lagMeasuredAt time.Duration
 	// readLatency is how long the store took to answer the newest read without records.
 	readLatency time.Duration
 	// readingSince is the time of the first read after the newest gap longer than
--- a/internal/crannode/fleet_test.go
+++ b/internal/crannode/fleet_test.go
@@ -35,7 +35,9 @@
 	directory Directory
 	nodes     []*fleetNode
 	processes int
-	group     sync.WaitGroup
+	// wrap, if set, returns the connection of an entry instance to the topics of a shard.
+	wrap  func(n *fleetNode, number int, topics ShardTopics) ShardTopics
+	group sync.WaitGroup
 }
 
 // fleetNode is an entry instance and its present process.
@@ -101,7 +103,11 @@
 	topics := Topics{
 		Digest: digest, MaxShards: fleetShards,
 		Shard: func(number int) ShardTopics {
-			return ShardTopics{Progress: connect(f.shards[number].Progress), Submissions: connect(f.shards[number].Submissions)}
+			topics := ShardTopics{Progress: connect(f.shards[number].Progress), Submissions: connect(f.shards[number].Submissions)}
+			if f.wrap != nil {
+				topics = f.wrap(n, number, topics)
+			}
+			return topics
 		},
 	}
 	// A process that can schedule 10 targets makes the layout have fleetShards.
--- a/internal/crannode/lag.go
+++ b/internal/crannode/lag.go
@@ -14,7 +14,7 @@
 	// lagQuantile is the share of the goroutines that waited for the processor no longer than the lag.
 	lagQuantile = 0.9
 	// maxLag is the lag above which an interval counts as late. If there are maxLateIntervals more of
-	// them than of others, the owner hands the shard over: the scheduler's ticks may be in time while
+	// them than of others, the owner counts as stalled: the scheduler's ticks may be in time while
 	// responses wait to be read.
 	maxLag           = 250 * time.Millisecond
 	maxLateIntervals = 12
@@ -81,25 +81,29 @@
 		return
 	}
 	c.lagMeasuredAt = now
-	lag := n.measureLag()
-	n.metrics.Lagged(lag)
+	c.lag = n.measureLag()
+	n.metrics.Lagged(c.lag)
 	for _, s := range n.shards {
 		if s.owner != nil && s.owner.scheduler != nil {
-			s.owner.observeLag(lag)
+			s.owner.observeLag(c.lag)
 		}
 	}
 }
 
+// lagLimit returns the lag above which an owner is too slow.
+func (n *Node) lagLimit() time.Duration {
+	if n.capacityDelay() > 0 {
+		return maxSmallLag
+	}
+	return maxLag
+}
+
 // observeLag passes the lag of the process to the scheduler, and counts the intervals in which it is too
 // long.
 func (o *ownership) observeLag(lag time.Duration) {
 	n := o.shard.node
 	o.scheduler.SetLag(lag)
-	limit := maxLag
-	if n.capacityDelay() > 0 {
-		limit = maxSmallLag
-	}
-	if lag <= limit {
+	if lag <= n.lagLimit() {
 		o.lateIntervals = max(o.lateIntervals-1, 0)
 		return
 	}
--- a/internal/crannode/lag_test.go
+++ b/internal/crannode/lag_test.go
@@ -40,16 +40,16 @@
 		n.digest = crandigest.New()
 		_, err := n.digest.Apply(crandigest.KeyLayout, cranshard.New(1, 200, nil).Encode(), 0)
 		require.NoError(t, err)
-		o := &ownership{shard: &shard{node: n}, scheduler: cransched.New(1, cransched.Timing{}, nil, cranjob.NewReplica(), now, cransched.Predecessor{})}
+		o := &ownership{shard: &shard{node: n}, progress: &fencedWriter{}, scheduledAt: now.Steady, scheduler: cransched.New(1, cransched.Timing{}, nil, cranjob.NewReplica(), now, cransched.Predecessor{})}
 		for i := range maxLateIntervals + 2 {
 			// A moment in time among late ones doesn't end the count.
 			o.observeLag(map[bool]time.Duration{true: 40 * time.Millisecond, false: 80 * time.Millisecond}[i == 3])
 		}
-		require.Equal(t, want, o.shouldRelease(now.Steady), "%v cores", cores)
+		require.Equal(t, want, o.observeStall(now.Steady), "%v cores", cores)
 		for range maxLateIntervals {
 			o.observeLag(0)
 		}
-		require.False(t, o.shouldRelease(now.Steady))
+		require.False(t, o.observeStall(now.Steady+stallMemory))
 	}
 }
 
--- a/internal/crannode/owner.go
+++ b/internal/crannode/owner.go
@@ -32,7 +32,7 @@
 	if since := now.Steady - o.tickedAt; since < minTickInterval {
 		return minTickInterval - since
 	}
-	if !o.shouldRelease(now.Steady) {
+	if !o.releasing() {
 		if o.tickedAt != 0 && now.Steady-o.tickedAt > lateTickThreshold {
 			o.lateTicks++
 		}
@@ -42,15 +42,12 @@
 	return maxStepInterval
 }
 
-// shouldRelease reports whether the owner must hand the shard over, because the process stops,
-// has too little processor time, or can't load the shard.
-func (o *ownership) shouldRelease(now time.Duration) bool {
-	return o.shard.node.stopping.Load() || o.lateTicks >= maxLateTicks || o.lateIntervals >= maxLateIntervals || o.scheduler == nil && now-o.beganAt > loadTimeout
-}
+// releasing reports whether the owner is to hand the shard over, because the process stops.
+func (o *ownership) releasing() bool { return o.shard.node.stopping.Load() }
 
 // appendProgress stores the scheduler's decisions.
 func (o *ownership) appendProgress(now time.Duration) {
-	releasing := o.shouldRelease(now)
+	releasing := o.releasing()
 	if o.progress.busy || !releasing && now < o.progress.nextAt || o.flushed {
 		return
 	}
@@ -85,12 +82,14 @@
 
 // appendDigest publishes the states of jobs and renews or releases the claim.
 func (o *ownership) appendDigest(now time.Duration) {
-	releasing := o.shouldRelease(now)
+	releasing := o.releasing()
 	renewing := now-o.renewedAt >= claimInterval
+	stalled := o.observeStall(now)
+	stallChanged := stalled != o.stallStored
 	switch {
 	case o.digest.busy || releasing && (o.progress.busy || o.scheduler != nil && !o.flushed):
 		return
-	case !releasing && (now < o.digest.nextAt || !renewing && len(o.states) == 0 && len(o.waveRecords) == 0 && !o.silentTargetsChanged()):
+	case !releasing && (now < o.digest.nextAt || !renewing && !stallChanged && len(o.states) == 0 && len(o.waveRecords) == 0 && !o.silentTargetsChanged()):
 		return
 	}
 	s := o.shard
@@ -106,10 +105,11 @@
 		records = append(records, s.node.digest.Merge(s.number, o.epoch, o.digest.sequence+1)...)
 		records = append(records, o.renewal(now).Record(s.number))
 	}
-	if releasing {
+	if releasing || stallChanged {
 		claim := s.claim()
-		claim.Released = true
+		claim.Stalled, claim.Released = stalled, releasing
 		records = append(records, crandigest.ClaimRecord(s.number, claim))
+		o.stallStored = stalled
 	}
 	o.digest.write(o, records, func(sent time.Duration, err error) {
 		if leases && err == nil {
@@ -152,14 +152,13 @@
 // digestAppended handles the result of an append to the digest. The ownership ends if the
 // append was refused or has released the claim.
 func (o *ownership) digestAppended(sent time.Duration, err error, released bool) {
-	s, n := o.shard, o.shard.node
+	s := o.shard
 	switch {
 	case err != nil:
 		s.stopScheduling("an append was refused: " + err.Error())
 	case released:
 		// In the log, "vacated" means that this process has released its claim.
 		s.stopScheduling("vacated")
-		s.nextClaimAt = n.now().Steady + lateOwnerPause
 	default:
 		o.confirmedAt.Store(int64(sent))
 	}
--- a/internal/crannode/ownership.go
+++ b/internal/crannode/ownership.go
@@ -23,12 +23,10 @@
 	// owner to the progress records and to the digest, which every entry instance reads.
 	progressInterval = 25 * time.Millisecond
 	digestInterval   = 60 * time.Millisecond
-	// loadTimeout is how long a new owner may take to load the shard before it releases its
-	// claim for another entry instance.
+	// loadTimeout is how long a new owner may take to load the shard before it counts as stalled.
 	loadTimeout = 8 * time.Second
 	// lateTickThreshold is the time between two scheduler ticks above which a tick
-	// counts as late. After maxLateTicks late ticks the owner hands the shard over
-	// and does not claim again for lateOwnerPause.
+	// counts as late. After maxLateTicks late ticks the owner counts as stalled.
 	lateTickThreshold = 250 * time.Millisecond
 	maxLateTicks      = 8
 	// minTickInterval is the shortest time between two scheduler ticks, so that one tick
@@ -60,7 +58,8 @@
 	// which progressLoaded and submissionsLoaded say whether they were read.
 	replica                           *cranjob.Replica
 	progressLoaded, submissionsLoaded bool
-	beganAt                           time.Duration
+	// beganAt is when the ownership began, and scheduledAt when the shard was loaded.
+	beganAt, scheduledAt time.Duration
 	// predecessor is what this owner knows about the one before, with the leases of silent
 	// targets as read at leasesReadAt.
 	predecessor  cransched.Predecessor
@@ -85,6 +84,10 @@
 	reportedAt time.Duration
 	// lateIntervals is how many more intervals this process lagged too much than not.
 	lateIntervals int
+	// stalledAt is when this owner was last seen not to get on with the shard; 0 if it never was. stalled says whether
+	// it counts as stalled, and stallStored whether the digest was told so.
+	stalledAt            time.Duration
+	stalled, stallStored bool
 	// flushed is set once the last decisions before a release were stored.
 	flushed bool
 	ctx     context.Context
@@ -248,6 +251,7 @@
 		n.log.Emit(cranevent.LeaseEndInherited, cranevent.Shard(s.name), cranevent.Epoch(o.epoch), cranevent.Target(id),
 			cranevent.Age(now.Steady-o.leasesReadAt), cranevent.Remaining(o.predecessor.LeasesEndAt[id]-now.Steady))
 	}
+	o.scheduledAt = now.Steady
 	o.scheduler = cransched.New(o.epoch, timing, c.config, o.replica, now, o.predecessor)
 	for id, e := range o.replica.Jobs() {
 		if e.Job() != nil {
--- /dev/null
+++ b/internal/crannode/stall.go
@@ -0,0 +1,116 @@
+package crannode
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/cranberrypick/cranberrypick/internal/cranevent"
+	"github.com/cranberrypick/cranberrypick/internal/cranjob"
+	"github.com/cranberrypick/cranberrypick/internal/cranstore"
+)
+
+const (
+	// stallBound is the age of an owner's copy of the submissions and of its append to the progress together, for
+	// which a new task waits at least, above which the owner has stalled: a job may have nothing running for 3 s, and a
+	// takeover takes one. A read without an answer takes 1.7 s.
+	stallBound = 2 * time.Second
+	// stallMemory is how long an owner counts as stalled after it was.
+	stallMemory = time.Second
+	// probeTimeout is the time in which the store must answer a process that could take over from a stalled owner.
+	// probeInterval is the pause between two attempts.
+	probeTimeout  = 400 * time.Millisecond
+	probeInterval = 300 * time.Millisecond
+	// reliefPause is how long a process from which another has taken over, since it had stalled, doesn't do the same.
+	reliefPause = 10 * time.Second
+)
+
+// relief is what a process knows about taking a shard over from an owner that has stalled.
+type relief struct {
+	// possibleSince is the time since which the store has answered the probes; 0 if it hasn't answered the last.
+	possibleSince time.Duration
+	probing       bool
+	nextProbeAt   time.Duration
+	// notBefore is when this process may take over next.
+	notBefore time.Duration
+}
+
+// observeStall reports whether this owner has stalled: it reads or appends too late, has too little processor time,
+// or can't load the shard. It keeps the shard all the same until another process, which can do better, takes over.
+func (o *ownership) observeStall(now time.Duration) bool {
+	late := o.waitAge(now) > stallBound
+	if o.scheduler == nil {
+		// How long a load takes depends on what is stored.
+		late = now-o.beganAt > loadTimeout
+	}
+	if late || o.lateTicks >= maxLateTicks || o.lateIntervals >= maxLateIntervals {
+		o.stalledAt = now
+	}
+	stalled := o.stalledAt != 0 && now-o.stalledAt < stallMemory
+	if stalled != o.stalled {
+		o.stalled = stalled
+		o.logStall(now)
+	}
+	return stalled
+}
+
+// waitAge returns how long a task waits at least that is submitted now, as far as this owner can tell.
+func (o *ownership) waitAge(now time.Duration) time.Duration {
+	return now - max(o.submissionsReadAt, o.scheduledAt) + o.progress.age(now)
+}
+
+// logStall logs that this owner has stalled, or that it gets on again.
+func (o *ownership) logStall(now time.Duration) {
+	n, event := o.shard.node, cranevent.OwnerRecovered
+	if o.stalled {
+		event = cranevent.OwnerStalled
+	}
+	n.log.Emit(event, cranevent.Shard(o.shard.name), cranevent.Epoch(o.epoch), cranevent.ReadAge(now-max(o.submissionsReadAt, o.beganAt)),
+		cranevent.AppendAge(o.progress.age(now)), cranevent.Elapsed(n.control.lag))
+}
+
+// relieves reports whether this process is to take the shard over from an owner that has stalled: the store has
+// answered it for as long as claimDelay.
+func (s *shard) relieves(claim cranjob.Claim, now time.Duration) bool {
+	n, r := s.node, &s.relief
+	if !claim.Stalled || now < r.notBefore || n.control.lag > n.lagLimit() {
+		r.possibleSince = 0
+		return false
+	}
+	if !r.probing && now >= r.nextProbeAt {
+		r.probing = true
+		from := n.digest.Through(s.number)
+		n.control.group.Go(func() {
+			err := s.probe(n.control.runCtx, from)
+			n.post(n.control.runCtx, func() { s.probeCompleted(err) })
+		})
+	}
+	return !r.probing && r.possibleSince != 0 && now-r.possibleSince >= s.claimDelay()
+}
+
+// probe reads the submissions from an offset on, and appends nothing to the progress, which takes its turn like any append.
+func (s *shard) probe(ctx context.Context, from uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	_, err := s.topics.Submissions.Read(ctx, from, cranstore.ReadOptions{MaxBytes: 1})
+	if errors.Is(err, cranstore.ErrExpired) {
+		err = nil
+	}
+	if err != nil {
+		return err
+	}
+	_, err = s.topics.Progress.Append(ctx, nil, cranstore.AppendOptions{})
+	return err
+}
+
+// probeCompleted handles the result of a probe.
+func (s *shard) probeCompleted(err error) {
+	now, r := s.node.now().Steady, &s.relief
+	r.probing, r.nextProbeAt = false, now+probeInterval
+	switch {
+	case err != nil:
+		r.possibleSince = 0
+	case r.possibleSince == 0:
+		r.possibleSince = now
+	}
+}
