crannode: bound the call of a start by what is left of the cancel bound

A call is now given up at the bound, and starts are withheld once less than 0.3 s is left for it, that is from 2.6 s on. TestStartIsWithheldWhenItIsSentLate checks the time of the call as well.

--- a/internal/crannode/cancel_test.go
+++ b/internal/crannode/cancel_test.go
@@ -178,14 +178,17 @@
 	})
 }
 
-// startCounter counts the starts that are sent.
+// startCounter counts the starts that are sent. timeout is how long the newest call may take.
 type startCounter struct {
 	noInstances
-	sent int
+	sent    int
+	timeout time.Duration
 }
 
-func (c *startCounter) StartRun(context.Context, cransched.StartRun) cransched.Response {
+func (c *startCounter) StartRun(ctx context.Context, _ cransched.StartRun) cransched.Response {
 	c.sent++
+	deadline, _ := ctx.Deadline()
+	c.timeout = time.Until(deadline)
 	return cransched.Response{Status: cransched.StatusOK}
 }
 
@@ -206,6 +209,7 @@
 			o.sendEffect(cransched.StartRun{SendBy: now - late})
 			synctest.Wait()
 			require.Equal(t, 1-int(late), orders.sent)
+			require.LessOrEqual(t, orders.timeout, minStartTime)
 		})
 	}
 }
--- a/internal/crannode/orders.go
+++ b/internal/crannode/orders.go
@@ -33,17 +33,20 @@
 		// A start that is withheld has certainly not been sent. The process may have been suspended
 		// since the scheduler has decided on it.
 		withheld := cransched.Response{Status: cransched.StatusWithheld}
-		o.sendRunOrder("start", n.startTimeout(), withheld, func(ctx context.Context) cransched.Response {
-			if n.now().Steady > e.SendBy {
+		o.sendRunOrder("start", withheld, func(ctx context.Context) cransched.Response {
+			left := e.SendBy - n.now().Steady
+			if left < 0 {
 				return withheld
 			}
+			ctx, cancel := context.WithTimeout(ctx, left+minStartTime)
+			defer cancel()
 			return n.orders.StartRun(ctx, e)
 		}, func(a cransched.Response) { s.HandleStartResponse(e, a) })
 	case cransched.StopRun:
-		o.sendRunOrder("stop", callTimeout, cransched.Response{}, func(ctx context.Context) cransched.Response { return n.orders.StopRun(ctx, e) },
+		o.sendRunOrder("stop", cransched.Response{}, func(ctx context.Context) cransched.Response { return n.orders.StopRun(ctx, e) },
 			func(a cransched.Response) { s.HandleStopResponse(e, a) })
 	case cransched.Throttle:
-		o.sendRunOrder("pace", callTimeout, cransched.Response{}, func(ctx context.Context) cransched.Response { return n.orders.Throttle(ctx, e) },
+		o.sendRunOrder("pace", cransched.Response{}, func(ctx context.Context) cransched.Response { return n.orders.Throttle(ctx, e) },
 			func(a cransched.Response) { s.HandleThrottleResponse(e, a) })
 	case cransched.RequestTickets:
 		o.requestTickets(e)
@@ -65,10 +68,10 @@
 
 // sendRunOrder sends an order about a run and passes the response to handle. If the
 // order is not sent, it passes withheld instead.
-func (o *ownership) sendRunOrder(kind string, timeout time.Duration, withheld cransched.Response,
+func (o *ownership) sendRunOrder(kind string, withheld cransched.Response,
 	send func(context.Context) cransched.Response, handle func(cransched.Response),
 ) {
-	o.callAsync(timeout, func(ctx context.Context) func() {
+	o.callAsync(callTimeout, func(ctx context.Context) func() {
 		response := withheld
 		o.sendOrder(kind, cransched.OwnershipTimeout, func() cransched.CallStatus {
 			response = send(ctx)
--- a/internal/crannode/starts.go
+++ b/internal/crannode/starts.go
@@ -13,6 +13,8 @@
 	defaultCancelBound = 2 * time.Second
 	// startMargin is taken off that time for the drift between clocks.
 	startMargin = 100 * time.Millisecond
+	// minStartTime is the least time that the call of a start has.
+	minStartTime = 300 * time.Millisecond
 	// cancelReadsPerBound is how many reads of the submissions fit into that time.
 	cancelReadsPerBound = 4
 )
@@ -28,9 +30,6 @@
 	}
 }
 
-// startTimeout bounds the call that starts a run.
-func (n *Node) startTimeout() time.Duration { return min(callTimeout, n.cancelBound/2) }
-
 // submissionsReadWait is how long a read of the submissions waits for a record.
 func (n *Node) submissionsReadWait() time.Duration {
 	return min(replicaReadWait, n.cancelBound/cancelReadsPerBound)
@@ -45,11 +44,11 @@
 }
 
 // boundStarts tells the scheduler up to when tasks may start: a cancellation that isn't known was
-// acknowledged after the newest complete read of the submissions was sent, and the call of a start may
-// take a while.
+// acknowledged after the newest complete read of the submissions was sent, and the call of a start takes
+// up to minStartTime longer.
 func (o *ownership) boundStarts(now time.Duration) {
 	n := o.shard.node
-	until := o.submissionsReadAt + n.cancelBound - n.startTimeout() - startMargin
+	until := o.submissionsReadAt + n.cancelBound - minStartTime - startMargin
 	until = min(until, time.Duration(o.confirmedAt.Load())+cransched.OwnershipTimeout)
 	o.scheduler.SetStartsUntil(until)
 	w := &o.startWatch
