crannode: start tasks only while every old cancellation is known

What callers saw: a task of a job starts 3.2 to 8 s after the cancellation of the job was acknowledged (bound 3 s).

Cause: an owner learns of cancellations from the submissions alone, and no start asked how old its copy of them was. An owner whose reads of the submissions failed, came late or lagged by many records, while its appends to the digest and the progress worked, went on deciding on that copy. So did a new owner whose load had taken long.

Change: the platform's bound (cancel_ms; 2 s without it) less 0.3 s for the call and 0.1 s for the drift of clocks is how old the last complete read may be. A call of a start that has less than the usual 0.9 s left ends at the bound. The scheduler is told up to when it may start tasks, places nothing after that, and gives each start the time by which it must be sent, as of its decision; crannode checks that right before the call. A withheld start releases its run and doesn't count against the target. The bound of the ownership counts too, so nothing is placed that can't be sent.

Evidence, in virtual time: TestCancelledJobStartsNothingWhileOwnerReadsLate (6 variants), TestLastingTaskOfCancelledJobDoesNotRestart (3) failed on the code before with starts 3.2 to 8 s after the acknowledgement. With the bound taken out of this change, these, TestSuccessorThatLoadsLateStartsNothingOfCancelledJob (4.7 s), TestStartIsWithheldWhenItIsSentLate and TestStartsResumeOnceReadsSucceed (88 tasks run after 4 s without a read) fail. With it, all pass; after 6 s without reads more than 20 tasks run 0.6 s after the first read could succeed, the progress gets no append meanwhile, and the lasting tasks have gone on.

--- a/internal/cranevent/event.go
+++ b/internal/cranevent/event.go
@@ -111,6 +111,10 @@
 	TaskGivenUp     Event = 1211
 	// CancellationRead means that the owner has read a cancellation.
 	CancellationRead Event = 1212
+	// StartsWithheld means that an owner may know too little to start tasks, StartsResumed that it
+	// knows enough again.
+	StartsWithheld Event = 1213
+	StartsResumed  Event = 1214
 )
 
 // Events of targets that run tasks, and of planned work on their instances.
--- a/internal/crannode/claim_test.go
+++ b/internal/crannode/claim_test.go
@@ -47,6 +47,8 @@
 type link struct {
 	*cranmemory.Topic
 	fault *fault
+	// readFault, if set, is what is wrong with reads alone.
+	readFault *fault
 	// appended, if set, is called after each append that has added records.
 	appended func()
 	mu       sync.Mutex
@@ -103,7 +105,7 @@
 // Read delays the answer after reading, so that the records are as old as the lag.
 func (l *link) Read(ctx context.Context, from uint64, o cranstore.ReadOptions) (cranstore.Batch, error) {
 	batch, err := l.Topic.Read(ctx, from, o)
-	if faultErr := l.fault.apply(); faultErr != nil {
+	if faultErr := l.applyToRead(); faultErr != nil {
 		return cranstore.Batch{}, faultErr
 	}
 	l.mu.Lock()
@@ -120,10 +122,19 @@
 	if after != "" {
 		time.Sleep(l.loadTime)
 	}
-	if err := l.fault.apply(); err != nil {
-		return cranstore.Page{}, err
+	page, err := l.Topic.Newest(ctx, after, received)
+	if faultErr := l.applyToRead(); faultErr != nil {
+		return cranstore.Page{}, faultErr
+	}
+	return page, err
+}
+
+// applyToRead applies the faults of a read.
+func (l *link) applyToRead() error {
+	if err := l.fault.apply(); err != nil || l.readFault == nil {
+		return err
 	}
-	return l.Topic.Newest(ctx, after, received)
+	return l.readFault.apply()
 }
 
 // memoryTopics returns empty topics for one shard.
--- a/internal/crannode/fleet_test.go
+++ b/internal/crannode/fleet_test.go
@@ -22,6 +22,9 @@
 	// fleetTargets and fleetShards are the numbers of targets and of shards of a testFleet.
 	fleetTargets = 40
 	fleetShards  = 4
+	// fleetCancelBound is the time after the acknowledgement of a cancellation within which the last
+	// task of the job may start.
+	fleetCancelBound = 3 * time.Second
 )
 
 // testFleet is a set of entry instances with several shards.
@@ -34,6 +37,8 @@
 	stored    []*cranmemory.Topic
 	directory Directory
 	nodes     []*fleetNode
+	// options are those of all processes.
+	options   []Option
 	processes int
 	group     sync.WaitGroup
 }
@@ -44,16 +49,19 @@
 	node   *Node
 	fault  *fault
 	digest *link
-	stop   context.CancelFunc
+	// submissions are the connections to the submissions, which have a fault of their own.
+	submissions      []*link
+	submissionsFault *fault
+	stop             context.CancelFunc
 }
 
-func newTestFleet(t *testing.T, nodes int) *testFleet {
-	f := &testFleet{t: t, digest: cranmemory.New()}
+func newTestFleet(t *testing.T, nodes int, options ...Option) *testFleet {
+	f := &testFleet{t: t, options: options, digest: cranmemory.New()}
 	start := time.Now()
 	clock := func() cransched.Clock {
 		return cransched.Clock{Steady: time.Hour + time.Since(start), UnixMs: time.Now().UnixMilli()}
 	}
-	f.targets = &fakeTargets{t: t, clock: clock, targets: map[string]*fakeTarget{}, senders: map[string]string{}, done: map[cranjob.TaskName]bool{}, lasting: map[string]bool{}, confirmedAt: map[string]time.Duration{}}
+	f.targets = &fakeTargets{t: t, clock: clock, targets: map[string]*fakeTarget{}, senders: map[string]string{}, done: map[cranjob.TaskName]bool{}, lasting: map[string]bool{}, cancelledAt: map[string]time.Duration{}, confirmedAt: map[string]time.Duration{}}
 	operator, targets := cranmemory.New(), cranmemory.New()
 	operator.Put("config", []byte{1})
 	for i := range fleetTargets {
@@ -92,7 +100,14 @@
 	incarnation := fmt.Sprintf("%s-%d", n.name, f.processes)
 	connect := func(t cranstore.Topic) *link { return &link{Topic: t.(*cranmemory.Topic), fault: n.fault} }
 	digest := connect(f.digest)
-	n.digest = digest
+	if n.submissionsFault == nil {
+		n.submissionsFault = &fault{}
+	}
+	submissions := make([]*link, fleetShards)
+	n.digest, n.submissions = digest, submissions
+	for number := range submissions {
+		submissions[number] = &link{Topic: f.shards[number].Submissions.(*cranmemory.Topic), fault: n.fault, readFault: n.submissionsFault}
+	}
 	digest.appended = func() {
 		f.targets.mu.Lock()
 		defer f.targets.mu.Unlock()
@@ -101,12 +116,15 @@
 	topics := Topics{
 		Digest: digest, MaxShards: fleetShards,
 		Shard: func(number int) ShardTopics {
-			return ShardTopics{Progress: connect(f.shards[number].Progress), Submissions: connect(f.shards[number].Submissions)}
+			return ShardTopics{Progress: connect(f.shards[number].Progress), Submissions: submissions[number]}
 		},
 	}
 	// A process that can schedule 10 targets makes the layout have fleetShards.
-	n.node = New(n.name, incarnation, topics, f.directory, connection{targets: f.targets, process: incarnation}, WithClock(f.targets.clock),
-		WithLimits(cranshard.Limits{Cores: 0.025}), WithTiming(cransched.Timing{MaxLease: maxLease, StopTime: 900 * time.Millisecond, OrderLease: 3 * time.Second}))
+	options := []Option{
+		WithClock(f.targets.clock), WithLimits(cranshard.Limits{Cores: 0.025}), WithCancelBound(fleetCancelBound),
+		WithTiming(cransched.Timing{MaxLease: maxLease, StopTime: 900 * time.Millisecond, OrderLease: 3 * time.Second}),
+	}
+	n.node = New(n.name, incarnation, topics, f.directory, connection{targets: f.targets, process: incarnation}, append(options, f.options...)...)
 	ctx, cancel := context.WithCancel(context.Background())
 	n.stop = cancel
 	node := n.node
@@ -116,6 +134,7 @@
 func (f *testFleet) close() {
 	for _, n := range f.nodes {
 		n.fault.set(false, 0)
+		n.submissionsFault.set(false, 0)
 		n.stop()
 	}
 	f.group.Wait()
@@ -158,6 +177,16 @@
 	return job
 }
 
+// cancel cancels a job through an entry instance. From then on the targets check its starts.
+func (f *testFleet) cancel(n *fleetNode, job string) {
+	found, err := n.node.Cancel(f.t.Context(), job)
+	require.NoError(f.t, err)
+	require.True(f.t, found)
+	f.targets.mu.Lock()
+	defer f.targets.mu.Unlock()
+	f.targets.cancelledAt[job] = f.targets.clock().Steady
+}
+
 // TestShardsSpreadOverProcesses starts as many processes as there are shards. Each must get
 // one. When all but one are cut off from the store, that one must own all shards.
 func TestShardsSpreadOverProcesses(t *testing.T) {
--- a/internal/crannode/orders.go
+++ b/internal/crannode/orders.go
@@ -30,10 +30,18 @@
 			return func() { s.HandleHeartbeatResponse(e.Target, response) }
 		})
 	case cransched.StartRun:
-		// A start that is withheld has certainly not been sent.
-		withheld := cransched.Response{Status: cransched.StatusNotSent}
-		o.sendRunOrder("start", withheld, func(ctx context.Context) cransched.Response { return n.orders.StartRun(ctx, e) },
-			func(a cransched.Response) { s.HandleStartResponse(e, a) })
+		// A start that is withheld has certainly not been sent. The process may have been suspended
+		// since the scheduler has decided on it.
+		withheld := cransched.Response{Status: cransched.StatusWithheld}
+		o.sendRunOrder("start", withheld, func(ctx context.Context) cransched.Response {
+			left := e.SendBy - n.now().Steady
+			if left < 0 {
+				return withheld
+			}
+			ctx, cancel := context.WithTimeout(ctx, left+minStartTime)
+			defer cancel()
+			return n.orders.StartRun(ctx, e)
+		}, func(a cransched.Response) { s.HandleStartResponse(e, a) })
 	case cransched.StopRun:
 		o.sendRunOrder("stop", cransched.Response{}, func(ctx context.Context) cransched.Response { return n.orders.StopRun(ctx, e) },
 			func(a cransched.Response) { s.HandleStopResponse(e, a) })
--- a/internal/crannode/owner.go
+++ b/internal/crannode/owner.go
@@ -17,6 +17,7 @@
 		o.startIfLoaded(now)
 	} else {
 		o.scheduler.Advance(now)
+		o.boundStarts(now.Steady)
 		wait = o.tick(now)
 		o.appendProgress(now.Steady)
 		o.performEffects()
--- a/internal/crannode/ownership.go
+++ b/internal/crannode/ownership.go
@@ -72,6 +72,7 @@
 	// submissionsReadAt the time up to which all stored ones were.
 	through           uint64
 	submissionsReadAt time.Duration
+	startWatch        startWatch
 	// states holds the changed states of jobs, and waveRecords the progress with waves, that
 	// are to be appended to the digest. stateIndex maps a job to its position in states.
 	states      []crandigest.JobState
@@ -180,7 +181,7 @@
 // followSubmissions passes the submissions of a shard to its owner until the ownership ends.
 // The control goroutine applies each update before the next read.
 func (n *Node) followSubmissions(o *ownership) {
-	f := n.newFollower(readOptions{topic: o.shard.topics.Submissions, wait: replicaReadWait, pause: submissionsPause})
+	f := n.newFollower(readOptions{topic: o.shard.topics.Submissions, wait: n.submissionsReadWait(), pause: submissionsPause})
 	n.follow(o.ctx, "submissions", f, func(u cranstore.Update) {
 		n.postAndWait(o.ctx, func() { o.applySubmissions(u) })
 	})
--- a/internal/crannode/targets_test.go
+++ b/internal/crannode/targets_test.go
@@ -72,6 +72,8 @@
 	// until they are stopped.
 	done    map[cranjob.TaskName]bool
 	lasting map[string]bool
+	// cancelledAt is when the cancellation of each job was acknowledged.
+	cancelledAt map[string]time.Duration
 	// confirmedAt is when the newest append of each process to the digest was stored.
 	confirmedAt map[string]time.Duration
 }
@@ -142,6 +144,9 @@
 	if f.done[e.Task] {
 		f.t.Errorf("%v: %s starts %v, of which a success was acknowledged", f.clock().Steady, c.process, e.Task)
 	}
+	if at, cancelled := f.cancelledAt[e.Task.Job]; cancelled && f.clock().Steady-at > fleetCancelBound {
+		f.t.Errorf("%v: %s starts %v %v after its cancellation was acknowledged", f.clock().Steady, c.process, e.Task, f.clock().Steady-at)
+	}
 	for id, other := range f.targets {
 		other.endRuns(f.clock().Steady)
 		if r, found := other.running[e.Task]; found && f.clock().Steady < r.endsAt && (id != e.Target.ID || r.number != e.Run) {
--- a/internal/cransched/effect.go
+++ b/internal/cransched/effect.go
@@ -47,6 +47,8 @@
 	// Ticket is the text of the target's ticket for the step; empty if the queue requires
 	// none.
 	Ticket string
+	// SendBy is the latest time at which the start may be sent, on this process's steady clock.
+	SendBy time.Duration
 }
 
 // StopRun stops a run. The target also rejects a start of the run that arrives later.
--- a/internal/cransched/lease.go
+++ b/internal/cransched/lease.go
@@ -102,3 +102,20 @@
 	}
 	return stopped + leaseBound(s.leaseDuration())
 }
+
+// mayGrantLease reports whether a lease may be granted to a target: its leases are not suspended,
+// and nothing tells of a restart, after which the target's clock begins anew.
+func (s *Scheduler) mayGrantLease(t *target) bool {
+	return !s.suspensions.active(t.info.ID) && !t.mayHaveRestarted()
+}
+
+// grantLease returns the deadline, on the target's clock, of a lease that begins now. It
+// returns 0 if the target's clock isn't known yet, or if no lease may be granted.
+func (s *Scheduler) grantLease(t *target) int64 {
+	if t.clockAt == 0 || !s.mayGrantLease(t) {
+		return 0
+	}
+	deadline := t.minClockMs(s.clock.Steady) + s.leaseDuration().Milliseconds()
+	t.leaseEndMs = max(t.leaseEndMs, deadline)
+	return deadline
+}
--- a/internal/cransched/outcome.go
+++ b/internal/cransched/outcome.go
@@ -89,6 +89,13 @@
 // handleStartRefused handles a start that had no effect.
 func (s *Scheduler) handleStartRefused(t *target, r *run, status CallStatus) {
 	now := s.clock.Steady
+	if status == StatusWithheld {
+		if r.task != nil {
+			r.task.notBefore = now + taskRefusalPause
+		}
+		s.releaseRun(t, r, "the start was withheld")
+		return
+	}
 	s.emit(LogEntry{Kind: LogStartRefused, Job: r.name.Job, Task: r.name.String(), Run: r.number, Target: t.info.ID, Reason: status.String()})
 	switch status {
 	case StatusFenced:
@@ -184,5 +191,5 @@
 
 // String returns the status as it is written to logs and metrics.
 func (c CallStatus) String() string {
-	return [...]string{"unanswered", "done", "fenced", "old", "late", "room", "ticket", "refused", "invalid", "otherLife", "unreached", "busy"}[c]
+	return [...]string{"unanswered", "done", "fenced", "old", "late", "room", "ticket", "refused", "invalid", "otherLife", "unreached", "withheld", "busy"}[c]
 }
--- a/internal/cransched/place.go
+++ b/internal/cransched/place.go
@@ -23,6 +23,9 @@
 // it places long-running tasks first, then stages that can still complete in time by
 // priority and least slack, then the rest.
 func (s *Scheduler) place() {
+	if !s.mayStart() {
+		return
+	}
 	byPool := map[string][]*target{}
 	for _, t := range s.sorted {
 		if t.schedulable(s.clock.Steady) && !s.hasPendingOrder(t) {
@@ -379,28 +382,3 @@
 	})
 	return groups
 }
-
-// startTask reserves a task's resources on a target. The start is sent once the placement
-// is stored.
-func (s *Scheduler) startTask(t *task, dest *target, number int) {
-	if j := t.job; !j.placedBefore && j.Times == 0 {
-		j.placedBefore = true
-		s.emitOnceStored(LogEntry{Kind: LogFirstStart, AgeMs: s.clock.UnixMs - j.ReceivedMs})
-	}
-	t.Run = number
-	t.job.setStatus(t, cranjob.Placed)
-	t.Target = dest.info.ID
-	t.run = &run{name: t.name, number: number, reserved: t.step.Reservation(), phase: planned, task: t, step: t.step, share: fullShare, resumed: t.Checkpoint != ""}
-	dest.add(t.run)
-	if t.suspected() {
-		t.run.apart = true
-		s.rememberHost(t, dest)
-	}
-	s.markDirty(t.job)
-	s.startsPaced.planned++
-	s.emitOnceStored(LogEntry{Kind: LogRunPlaced, Job: t.job.ID, Task: t.name.String(), Run: number, Target: dest.info.ID, AgeMs: (s.clock.Steady - dest.lastResponseAt).Milliseconds()})
-	s.emitOnceStored(StartRun{
-		Target: dest.address(), Task: t.name, Run: number, Spec: t.job.Spec, Token: s.token, Checkpoint: t.Checkpoint,
-		Ticket: dest.validTicket(t.job.stageOf(t).name, s.clock.Steady),
-	})
-}
--- a/internal/cransched/scheduler.go
+++ b/internal/cransched/scheduler.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -51,6 +52,8 @@
 	crashHistory crashHistory
 	verdicts     []verdict
 	startsPaced  startPacer
+	// startsUntil is the time up to which what is known suffices to start tasks.
+	startsUntil time.Duration
 	// lag is how late the owner's process handles what has arrived.
 	lag time.Duration
 	// createdAt is when this owner took over.
@@ -94,7 +97,7 @@
 		predictors: map[string]*predictor{}, arrivals: map[string]*arrivalHistory{},
 		losses: map[string]loss{}, starved: map[string]bool{}, nextTicketRequest: map[StepName]time.Duration{},
 		suspensions: newSuspensions(predecessor.LeasesEndAt),
-		predecessor: predecessor, createdAt: now.Steady,
+		predecessor: predecessor, createdAt: now.Steady, startsUntil: math.MaxInt64,
 	}
 	s.fleet = s.newFleet(stored.Orders())
 	for queue, d := range stored.Durations() {
@@ -309,48 +312,6 @@
 	}
 }
 
-// sendStart sends a stored start unless its run was released in the meantime.
-func (s *Scheduler) sendStart(e StartRun) {
-	t := s.targets[e.Target.ID]
-	if t == nil {
-		return
-	}
-	r := t.runs[runName{e.Task, e.Run}]
-	if r == nil || r.phase != planned {
-		return
-	}
-	if !s.mayGrantLease(t) {
-		s.releaseRun(t, r, "no lease may be granted to the target")
-		return
-	}
-	if !t.info.Capacity.Fits(t.used) {
-		s.releaseRun(t, r, "the target has shrunk")
-		return
-	}
-	r.phase = startSent
-	r.startedAt = s.clock.Steady
-	s.startsPaced.sent(runName{e.Task, e.Run}, s.clock.Steady)
-	e.DeadlineMs = s.grantLease(t)
-	s.emit(e)
-}
-
-// mayGrantLease reports whether a lease may be granted to a target: its leases are not suspended,
-// and nothing tells of a restart, after which the target's clock begins anew.
-func (s *Scheduler) mayGrantLease(t *target) bool {
-	return !s.suspensions.active(t.info.ID) && !t.mayHaveRestarted()
-}
-
-// grantLease returns the deadline, on the target's clock, of a lease that begins now. It
-// returns 0 if the target's clock isn't known yet, or if no lease may be granted.
-func (s *Scheduler) grantLease(t *target) int64 {
-	if t.clockAt == 0 || !s.mayGrantLease(t) {
-		return 0
-	}
-	deadline := t.minClockMs(s.clock.Steady) + s.leaseDuration().Milliseconds()
-	t.leaseEndMs = max(t.leaseEndMs, deadline)
-	return deadline
-}
-
 // addTarget adds a target. Targets are sorted by id so that the effects are deterministic.
 func (s *Scheduler) addTarget(t *target) {
 	s.targets[t.info.ID] = t
--- /dev/null
+++ b/internal/cransched/start.go
@@ -0,0 +1,64 @@
+package cransched
+
+import (
+	"time"
+
+	"github.com/cranberrypick/cranberrypick/internal/cranjob"
+)
+
+// startTask reserves a task's resources on a target. The start is sent once the placement
+// is stored.
+func (s *Scheduler) startTask(t *task, dest *target, number int) {
+	if j := t.job; !j.placedBefore && j.Times == 0 {
+		j.placedBefore = true
+		s.emitOnceStored(LogEntry{Kind: LogFirstStart, AgeMs: s.clock.UnixMs - j.ReceivedMs})
+	}
+	t.Run = number
+	t.job.setStatus(t, cranjob.Placed)
+	t.Target = dest.info.ID
+	t.run = &run{name: t.name, number: number, reserved: t.step.Reservation(), phase: planned, task: t, step: t.step, share: fullShare, resumed: t.Checkpoint != ""}
+	dest.add(t.run)
+	if t.suspected() {
+		t.run.apart = true
+		s.rememberHost(t, dest)
+	}
+	s.markDirty(t.job)
+	s.startsPaced.planned++
+	s.emitOnceStored(LogEntry{Kind: LogRunPlaced, Job: t.job.ID, Task: t.name.String(), Run: number, Target: dest.info.ID, AgeMs: (s.clock.Steady - dest.lastResponseAt).Milliseconds()})
+	s.emitOnceStored(StartRun{
+		Target: dest.address(), Task: t.name, Run: number, Spec: t.job.Spec, Token: s.token, Checkpoint: t.Checkpoint,
+		Ticket: dest.validTicket(t.job.stageOf(t).name, s.clock.Steady),
+	})
+}
+
+// sendStart sends a stored start unless its run was released in the meantime.
+func (s *Scheduler) sendStart(e StartRun) {
+	t := s.targets[e.Target.ID]
+	if t == nil {
+		return
+	}
+	r := t.runs[runName{e.Task, e.Run}]
+	if r == nil || r.phase != planned {
+		return
+	}
+	if !s.mayGrantLease(t) {
+		s.releaseRun(t, r, "no lease may be granted to the target")
+		return
+	}
+	if !t.info.Capacity.Fits(t.used) {
+		s.releaseRun(t, r, "the target has shrunk")
+		return
+	}
+	r.phase = startSent
+	r.startedAt = s.clock.Steady
+	s.startsPaced.sent(runName{e.Task, e.Run}, s.clock.Steady)
+	e.DeadlineMs, e.SendBy = s.grantLease(t), s.startsUntil
+	s.emit(e)
+}
+
+// SetStartsUntil sets the time up to which tasks may start, as the owner may not know of every
+// cancellation by then that must be in effect. Without a call there is no bound.
+func (s *Scheduler) SetStartsUntil(at time.Duration) { s.startsUntil = at }
+
+// mayStart reports whether the owner knows enough to start tasks.
+func (s *Scheduler) mayStart() bool { return s.clock.Steady <= s.startsUntil }
