cransched: acknowledge an end only while its target lists it

What callers saw: a task runs again after it was done (TWICE), in the simulation.

Cause: each heartbeat repeats the acknowledgement of all stored ends, although the target has forgotten them long ago. A heartbeat that is under way while the target restarts without a sign, and that starts overtake, makes the new process forget ends unseen.

Change: a heartbeat acknowledges ends only if the last report has listed one that is stored. So a target at rest, or with lasting runs alone, gets no acknowledgement that a restart could turn into a loss.

Evidence: TestEndsAreAcknowledgedOnce failed before: "starts after it was done".

What remains: a target that restarts after a report with ends, before the heartbeat that acknowledges them has arrived, and that ends a run in between.

--- a/internal/cransched/report.go
+++ b/internal/cransched/report.go
@@ -91,10 +91,11 @@
 	}
 	s.recordCrashOfInstance(t)
 	delete(s.suspensions.wanted, t.info.ID)
-	// relisted is set if the target still lists an end that is stored.
-	relisted := false
+	t.firstListedEnd = 0
 	for _, e := range resp.Finished {
-		relisted = relisted || e.Number <= t.endsStored
+		if t.firstListedEnd == 0 || e.Number < t.firstListedEnd {
+			t.firstListedEnd = e.Number
+		}
 		if e.Number <= t.endsSeen {
 			continue
 		}
@@ -120,7 +121,7 @@
 	case t.clockAt > 0 && t.leaseEndMs == 0:
 		// No lease could be granted until this report, the first with the target's clock.
 		t.nextHeartbeatAt = s.clock.Steady
-	case t.withheldEnd > 0, len(t.runs) == 0 && t.endsSeen == t.endsStored && !relisted:
+	case t.withheldEnd > 0, len(t.runs) == 0 && t.endsSeen == t.endsStored && !t.listsStoredEnd():
 		// A target with a withheld end reports it each time and therefore responds at
 		// once, without waiting.
 		t.nextHeartbeatAt = s.clock.Steady + heartbeatInterval
--- a/internal/cransched/restart_test.go
+++ b/internal/cransched/restart_test.go
@@ -169,6 +169,38 @@
 	}
 }
 
+// The heartbeat that is under way during the restart acknowledges ends once more (TWICE).
+func TestEndsAreAcknowledgedOnce(t *testing.T) {
+	sim := newSimulation(t, 1, 2)
+	sim.failureRate, sim.briefResponses, sim.platformDown = 0, true, true
+	formerStartMs := sim.targets["t0"].info.ProcessStartMs
+	sim.entries = func(list []TargetInfo) []TargetInfo {
+		list[0].ProcessStartMs = formerStartMs
+		return list
+	}
+	sim.targets["t1"].unreachable = true
+	sim.takeOver(sim.now - time.Hour)
+	sim.submit(newBriefJob("before", 3))
+	sim.runFor(2 * time.Second)
+	known := sim.owner.targets["t0"]
+	require.EqualValues(t, 3, known.endsStored)
+	require.Empty(t, sim.targets["t0"].ends)
+	sim.transit = 300 * time.Millisecond
+	for !known.heartbeatInFlight {
+		sim.runFor(time.Millisecond)
+	}
+	sim.restart("t0")
+	sim.transit, sim.noResponseRate = 0, 1
+	sim.submit(newBriefJob("after", 2))
+	for len(sim.starts) < 5 {
+		sim.runFor(time.Millisecond)
+	}
+	sim.noResponseRate, sim.targets["t1"].unreachable = 0, false
+	sim.runFor(5 * time.Second)
+	require.Equal(t, cranjob.Completed, sim.states()["after"])
+	require.Len(t, sim.starts, 5)
+}
+
 // newBriefJob returns a job of tasks that each take a tenth of a second at most.
 func newBriefJob(id string, tasks int) *cranjob.Job {
 	j := newBatchJob(id, tasks)
--- a/internal/cransched/target.go
+++ b/internal/cransched/target.go
@@ -123,6 +123,8 @@
 	// endsSeen is the highest number of an end that was handled, endsStored the highest
 	// number of an end that is stored.
 	endsSeen, endsStored int64
+	// firstListedEnd is the lowest number of an end in the last report; 0 if it lists none.
+	firstListedEnd int64
 	// restarts counts the restarts of the target under its id.
 	restarts int
 	// withheldEnd is the lowest number of an end that must not be acknowledged; 0 if there
@@ -202,6 +204,12 @@
 	return t.endsSeen
 }
 
+// listsStoredEnd reports whether the last report lists an end that is stored. Otherwise the target has nothing
+// to forget.
+func (t *target) listsStoredEnd() bool {
+	return t.firstListedEnd > 0 && t.firstListedEnd <= t.endsStored
+}
+
 func (t *target) free() cranjob.Resources { return t.info.Capacity.Sub(t.used) }
 
 // minClockMs returns a lower bound of the target's clock. A response may be older than its
--- a/internal/cransched/targets.go
+++ b/internal/cransched/targets.go
@@ -126,7 +126,7 @@
 	t.clockMs, t.clockAt, t.leaseEndMs = 0, 0, 0
 	t.earlierLeasesEndAt = s.clock.Steady + s.restartedLeaseBound()
 	t.restarts++
-	t.endsSeen, t.endsStored, t.withheldEnd = 0, 0, 0
+	t.endsSeen, t.endsStored, t.firstListedEnd, t.withheldEnd = 0, 0, 0, 0
 	t.fenced = false
 	t.answeredAddress = ""
 	t.awaitsStore = false
@@ -294,7 +294,7 @@
 	switch {
 	case t.mayHaveRestarted():
 		acknowledged, wait = 0, 0
-	case t.heartbeatFailed || t.hasUnansweredStart():
+	case t.heartbeatFailed || t.hasUnansweredStart() || !t.listsStoredEnd():
 		acknowledged = 0
 	}
 	t.heartbeatWait = wait
