crannode: forget late ticks once an owner ticks in time

What callers would see: a shard is taken from an owner that gets on, a second without starts, each time another process may.

Cause: the ticks that come late are counted over the whole ownership. Before, the eighth made the owner release the shard, which ended the count. Now the owner keeps the shard, and counts as stalled until another process takes over.

Change: the count starts anew once the last late tick is 10 s ago.

Evidence: TestOwnerRecoversFromLateTicks failed before: an owner with eight late ticks 20 s apart, or 1 s apart and 12 s ago, was published as stalled.

--- a/internal/crannode/lag_test.go
+++ b/internal/crannode/lag_test.go
@@ -93,3 +93,28 @@
 		}
 	})
 }
+
+// TestOwnerRecoversFromLateTicks guards against a shard that is taken from an owner that gets on, since some of its
+// ticks were late long ago.
+func TestOwnerRecoversFromLateTicks(t *testing.T) {
+	for name, pause := range map[string]time.Duration{"rare": 20 * time.Second, "frequent": time.Second} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newStallFleet(t, 1)
+				defer f.close()
+				n := f.nodes[0].node
+				claim := func() (c cranjob.Claim) {
+					n.postAndWait(t.Context(), func() { c = n.digest.Claim(stalledShard) })
+					return c
+				}
+				for range maxLateTicks {
+					n.postAndWait(t.Context(), func() { time.Sleep(2 * lateTickThreshold) })
+					time.Sleep(pause)
+				}
+				require.Equal(t, pause < lateTickMemory, claim().Stalled)
+				time.Sleep(lateTickMemory + 2*stallMemory)
+				require.False(t, claim().Stalled)
+			})
+		})
+	}
+}
--- a/internal/crannode/owner.go
+++ b/internal/crannode/owner.go
@@ -34,15 +34,24 @@
 		return minTickInterval - since
 	}
 	if !o.releasing() {
-		if o.tickedAt != 0 && now.Steady-o.tickedAt > lateTickThreshold {
-			o.lateTicks++
-		}
+		o.observeTick(now.Steady)
 		o.tickedAt = now.Steady
 		o.scheduler.Tick()
 	}
 	return maxStepInterval
 }
 
+// observeTick counts the ticks that are late. Late ticks far apart are no sign of a process that is too slow.
+func (o *ownership) observeTick(now time.Duration) {
+	if now-o.lateTickAt > lateTickMemory {
+		o.lateTicks = 0
+	}
+	if o.tickedAt != 0 && now-o.tickedAt > lateTickThreshold {
+		o.lateTicks++
+		o.lateTickAt = now
+	}
+}
+
 // releasing reports whether the owner is to hand the shard over, because the process stops.
 func (o *ownership) releasing() bool { return o.shard.node.stopping.Load() }
 
--- a/internal/crannode/ownership.go
+++ b/internal/crannode/ownership.go
@@ -26,9 +26,11 @@
 	// loadTimeout is how long a new owner may take to load the shard before it counts as stalled.
 	loadTimeout = 8 * time.Second
 	// lateTickThreshold is the time between two scheduler ticks above which a tick
-	// counts as late. After maxLateTicks late ticks the owner counts as stalled.
+	// counts as late. After maxLateTicks late ticks, each at most lateTickMemory after the one
+	// before, the owner counts as stalled until lateTickMemory after the last.
 	lateTickThreshold = 250 * time.Millisecond
 	maxLateTicks      = 8
+	lateTickMemory    = 10 * time.Second
 	// minTickInterval is the shortest time between two scheduler ticks, so that one tick
 	// covers several events.
 	minTickInterval = 12 * time.Millisecond
@@ -78,9 +80,10 @@
 	stateIndex  map[string]int
 	waveRecords []cranstore.Record
 	// tickedAt is when the scheduler last ran a full tick; lateTicks counts the ticks
-	// that came later than lateTickThreshold.
-	tickedAt  time.Duration
-	lateTicks int
+	// that came later than lateTickThreshold, the last at lateTickAt.
+	tickedAt   time.Duration
+	lateTicks  int
+	lateTickAt time.Duration
 	// reportedAt is when the progress of this owner was last logged.
 	reportedAt time.Duration
 	// lateIntervals is how many more intervals this process lagged too much than not.
