crannode: let a process with enough capacity take over from an undersized owner

All large instances had been cut off for 5 s; small ones took the shards over with 520 and 710 tasks waiting and kept them for over 20 s after the large ones were back. Their reads and appends were fresh and they did not lag, but as many starts as allowed were under way all the time.

Cause: a shard stays with the process that has claimed it, however small that is, as long as it doesn't lag. A process with a fifth of a core isn't late; it starts too little for a surge.

Change: a claim says that its process is undersized, if it has less capacity than a shard takes, or half of that for each of several. A process with enough takes over, by the same probes and delays as from a stalled owner.

--- a/internal/cranjob/progress.go
+++ b/internal/cranjob/progress.go
@@ -125,6 +125,9 @@
 	// Stalled is set while the scheduler doesn't get on with the shard. Any other process that
 	// can do better may take over.
 	Stalled bool `cbor:"7,keyasint,omitempty"`
+	// Undersized is set if the scheduler's instance has less capacity than its shards take. A
+	// process with enough of it may take over.
+	Undersized bool `cbor:"8,keyasint,omitempty"`
 }
 
 // InstanceOrder is the record of the newest orders to the platform for an instance.
--- a/internal/crannode/claim.go
+++ b/internal/crannode/claim.go
@@ -10,6 +10,7 @@
 	"github.com/cranberrypick/cranberrypick/internal/cranevent"
 	"github.com/cranberrypick/cranberrypick/internal/cranjob"
 	"github.com/cranberrypick/cranberrypick/internal/cransched"
+	"github.com/cranberrypick/cranberrypick/internal/cranshard"
 	"github.com/cranberrypick/cranberrypick/internal/cranstore"
 )
 
@@ -93,7 +94,8 @@
 		if !s.relieves(claim, now) {
 			return
 		}
-		n.log.Emit(cranevent.OwnerRelieved, cranevent.Shard(s.name), cranevent.Epoch(claim.Epoch), cranevent.Member(claim.Node))
+		n.log.Emit(cranevent.OwnerRelieved, cranevent.Shard(s.name), cranevent.Epoch(claim.Epoch), cranevent.Member(claim.Node),
+			cranevent.Cause(reliefCause(claim)))
 	}
 	s.sendClaim(max(claim.Epoch, s.fencedEpoch)+1, now, unrenewedFor)
 }
@@ -102,11 +104,12 @@
 // number, so the store accepts only the first of them.
 func (s *shard) sendClaim(epoch uint64, now, unrenewedFor time.Duration) {
 	n := s.node
+	undersized := !n.hasCapacityFor(n.control.ownerships() + 1)
 	s.claiming = true
 	if epoch != s.claimedEpoch {
 		s.claimSentAt, s.claimedEpoch = now, epoch
 	}
-	record := crandigest.ClaimRecord(s.number, cranjob.Claim{Epoch: epoch, Node: n.name, Incarnation: n.incarnation})
+	record := crandigest.ClaimRecord(s.number, cranjob.Claim{Epoch: epoch, Node: n.name, Incarnation: n.incarnation, Undersized: undersized})
 	o := cranstore.AppendOptions{Producer: s.digestProducer(), Epoch: epoch}
 	n.log.Emit(cranevent.SchedulerClaiming, cranevent.Shard(s.name), cranevent.Epoch(epoch), cranevent.Elapsed(unrenewedFor))
 	go func() {
@@ -149,6 +152,16 @@
 	return time.Duration((1 - have/need) * float64(maxCapacityDelay))
 }
 
+// hasCapacityFor reports whether this process can schedule a number of shards. One shard must take no more than the
+// process can do in the long run, several together no more than it can do at all.
+func (n *Node) hasCapacityFor(shards int) bool {
+	if n.digest.Layout() == nil {
+		return true
+	}
+	need, have := float64(n.digest.Layout().TargetsPerShard()), n.limits.Targets()
+	return have >= need && cranshard.FullLoad*have >= need*float64(shards)
+}
+
 // claimCompleted handles the result of appending a claim. A claim that was stored takes
 // effect only when it is read back from the digest.
 func (s *shard) claimCompleted(err error) {
--- a/internal/crannode/fleet_test.go
+++ b/internal/crannode/fleet_test.go
@@ -1,6 +1,7 @@
 package crannode
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -22,6 +23,8 @@
 	// fleetTargets and fleetShards are the numbers of targets and of shards of a testFleet.
 	fleetTargets = 40
 	fleetShards  = 4
+	// shardCores is the processor capacity that a shard takes.
+	shardCores = 0.025
 	// fleetCancelBound is the time after the acknowledgement of a cancellation within which the last
 	// task of the job may start.
 	fleetCancelBound = 3 * time.Second
@@ -54,7 +57,9 @@
 	// submissions are the connections to the submissions, which have a fault of their own.
 	submissions      []*link
 	submissionsFault *fault
-	stop             context.CancelFunc
+	// cores is the processor capacity of the instance; 0 means shardCores.
+	cores float64
+	stop  context.CancelFunc
 }
 
 func newTestFleet(t *testing.T, nodes int, options ...Option) *testFleet {
@@ -122,9 +127,8 @@
 			return topics
 		},
 	}
-	// A process that can schedule 10 targets makes the layout have fleetShards.
 	options := []Option{
-		WithClock(f.targets.clock), WithLimits(cranshard.Limits{Cores: 0.025}), WithCancelBound(fleetCancelBound),
+		WithClock(f.targets.clock), WithLimits(cranshard.Limits{Cores: cmp.Or(n.cores, shardCores)}), WithCancelBound(fleetCancelBound),
 		WithTiming(cransched.Timing{MaxLease: maxLease, StopTime: 900 * time.Millisecond, OrderLease: 3 * time.Second}),
 	}
 	n.node = New(n.name, incarnation, topics, f.directory, connection{targets: f.targets, process: incarnation}, append(options, f.options...)...)
--- a/internal/crannode/stall.go
+++ b/internal/crannode/stall.go
@@ -69,11 +69,26 @@
 		cranevent.AppendAge(o.progress.age(now)), cranevent.Elapsed(n.control.lag))
 }
 
-// relieves reports whether this process is to take the shard over from an owner that has stalled: the store has
-// answered it for as long as claimDelay.
+// reliefCause returns why another process may take over from the owner with a claim.
+func reliefCause(claim cranjob.Claim) string {
+	if claim.Stalled {
+		return "stalled"
+	}
+	return "undersized"
+}
+
+// mayRelieve reports whether this process does better than the owner with a claim, if the store answers it.
+func (s *shard) mayRelieve(claim cranjob.Claim, now time.Duration) bool {
+	n := s.node
+	better := claim.Stalled || claim.Undersized && n.hasCapacityFor(n.control.ownerships()+1)
+	return better && now >= s.relief.notBefore && n.control.lag <= n.lagLimit()
+}
+
+// relieves reports whether this process is to take the shard over from an owner that has stalled or is undersized: the
+// store has answered it for as long as claimDelay.
 func (s *shard) relieves(claim cranjob.Claim, now time.Duration) bool {
 	n, r := s.node, &s.relief
-	if !claim.Stalled || now < r.notBefore || n.control.lag > n.lagLimit() {
+	if !s.mayRelieve(claim, now) {
 		r.possibleSince = 0
 		return false
 	}
--- a/internal/cranshard/layout.go
+++ b/internal/cranshard/layout.go
@@ -124,6 +124,8 @@
 	// core and with 1 Mbit/s, at half of their capacity.
 	targetsPerCore = 400
 	targetsPerMbps = 25
+	// FullLoad is how many times as many targets an owner schedules at its full capacity.
+	FullLoad = 2
 )
 
 // Limits are the resources of an entry instance. A value of 0 means that it is not known.
