crannode: test the bound on starts where no other process takes over

TestCancelledJobStartsNothingWhileOwnerReadsLate and TestLastingTaskOfCancelledJobDoesNotRestart passed without the bound that they test, all 9 variants: since the merge of another process takes over from an owner that alone reads late, before the 3 s are over. Now all processes read late. The checks are as they were, the faults are wider: 0.5 s for 0.4 s in "many records behind", more than a probe waits, and a read of the test's connection that ends after its context is over returns the error of the context, like a read of a client.

Evidence: with SetStartsUntil taken out, 9 of 9 variants fail (0 of 9 before this change), with it all pass.

--- a/internal/crannode/cancel_test.go
+++ b/internal/crannode/cancel_test.go
@@ -52,12 +52,13 @@
 	return nil
 }
 
-// readTroubles are ways in which an owner gets the submissions late while it can still append.
+// readTroubles are ways in which an entry instance gets the submissions late while it can still append. The tests
+// let all instances have them: another process takes over from an owner that alone reads late.
 var readTroubles = map[string]func(*fleetNode){
 	"reads fail": func(n *fleetNode) { n.submissionsFault.set(true, 0) },
 	"reads late": func(n *fleetNode) { n.submissionsFault.set(false, 7*time.Second) },
 	"many records behind": func(n *fleetNode) {
-		n.submissionsFault.set(false, 400*time.Millisecond)
+		n.submissionsFault.set(false, probeTimeout+100*time.Millisecond)
 		for _, l := range n.submissions {
 			l.limit(1)
 		}
@@ -79,7 +80,9 @@
 					time.Sleep(time.Second)
 					owner := f.ownerOf(job)
 					require.NotNil(t, owner)
-					begin(owner)
+					for _, n := range f.nodes {
+						begin(n)
+					}
 					time.Sleep(500 * time.Millisecond)
 					for number := range 200 {
 						require.NoError(t, f.other(owner).node.Submit(t.Context(), fleetJob(100+number)))
@@ -105,7 +108,9 @@
 				time.Sleep(2 * time.Second)
 				owner := f.ownerOf(job)
 				require.NotNil(t, owner)
-				begin(owner)
+				for _, n := range f.nodes {
+					begin(n)
+				}
 				time.Sleep(500 * time.Millisecond)
 				for number := range 200 {
 					require.NoError(t, f.other(owner).node.Submit(t.Context(), fleetJob(100+number)))
--- a/internal/crannode/claim_test.go
+++ b/internal/crannode/claim_test.go
@@ -120,6 +120,9 @@
 	if faultErr := l.applyToRead(); faultErr != nil {
 		return cranstore.Batch{}, faultErr
 	}
+	if ctx.Err() != nil {
+		return cranstore.Batch{}, ctx.Err()
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.maxRecords > 0 && len(batch.Records) > l.maxRecords {
