crannode: start tasks only while every old entry that drains is known

What callers saw: nothing in the record; the same class as the starts after a cancellation. A task starts on a target 3.2 s and later after its entry was stored as draining (bound 3 s), and may be lost when the target exits.

Cause: an owner learns that a target drains from the targets alone, and no start asked how old its copy of them was.

Change: the time up to which tasks may start also ends drain_ms (2 s without it) less 0.4 s after the last complete read of the targets. Reads of the targets wait for a quarter of the bound at most, as those of the configuration do. 1213 names the stream that is too old.

--- a/internal/cranevent/catalogue.go
+++ b/internal/cranevent/catalogue.go
@@ -176,7 +176,7 @@
 	define(CancellationRead, "cancellationRead", LevelInfo, "the owner has read a cancellation",
 		KeyElapsedMs, KeyJob, KeyOffset, KeyReadAgeMs),
 	define(StartsWithheld, "startsWithheld", LevelWarn, "the owner of a shard starts no tasks",
-		KeyAgeMs, KeyEpoch, KeyReadAgeMs, KeyShard),
+		KeyAgeMs, KeyEpoch, KeyShard, KeyStream),
 	define(StartsResumed, "startsResumed", LevelInfo, "the owner of a shard starts tasks again",
 		KeyElapsedMs, KeyEpoch, KeyShard),
 	define(TargetUnresponsive, "targetLost", LevelWarn, "a target does not respond",
--- a/internal/crannode/cancel_test.go
+++ b/internal/crannode/cancel_test.go
@@ -201,7 +201,6 @@
 			takeOverAt(t, n, 9)
 			o := n.shards[0].owner
 			o.confirmedAt.Store(int64(now))
-			o.submissionsReadAt = now
 			o.sendEffect(cransched.StartRun{SendBy: now - late})
 			synctest.Wait()
 			require.Equal(t, 1-int(late), orders.sent)
--- a/internal/crannode/fleet_test.go
+++ b/internal/crannode/fleet_test.go
@@ -25,6 +25,9 @@
 	// fleetCancelBound is the time after the acknowledgement of a cancellation within which the last
 	// task of the job may start.
 	fleetCancelBound = 3 * time.Second
+	// fleetDrainBound is the time after a target's entry is stored as draining within which the last
+	// task may start there.
+	fleetDrainBound = 3 * time.Second
 )
 
 // testFleet is a set of entry instances with several shards.
@@ -52,7 +55,9 @@
 	// submissions are the connections to the submissions, which have a fault of their own.
 	submissions      []*link
 	submissionsFault *fault
-	stop             context.CancelFunc
+	// targetsFault is what is wrong with reads of the targets.
+	targetsFault *fault
+	stop         context.CancelFunc
 }
 
 func newTestFleet(t *testing.T, nodes int, options ...Option) *testFleet {
@@ -61,7 +66,7 @@
 	clock := func() cransched.Clock {
 		return cransched.Clock{Steady: time.Hour + time.Since(start), UnixMs: time.Now().UnixMilli()}
 	}
-	f.targets = &fakeTargets{t: t, clock: clock, targets: map[string]*fakeTarget{}, senders: map[string]string{}, done: map[cranjob.TaskName]bool{}, lasting: map[string]bool{}, cancelledAt: map[string]time.Duration{}, confirmedAt: map[string]time.Duration{}}
+	f.targets = &fakeTargets{t: t, clock: clock, targets: map[string]*fakeTarget{}, senders: map[string]string{}, done: map[cranjob.TaskName]bool{}, lasting: map[string]bool{}, cancelledAt: map[string]time.Duration{}, drainingAt: map[string]time.Duration{}, confirmedAt: map[string]time.Duration{}}
 	operator, targets := cranmemory.New(), cranmemory.New()
 	operator.Put("config", []byte{1})
 	for i := range fleetTargets {
@@ -76,8 +81,8 @@
 	f.directory = Directory{
 		Operator: operator, Targets: targets,
 		DecodeOperatorRecord: func(string, []byte) (any, error) { return &Config{Config: config}, nil },
-		DecodeTargetRecord: func(id string, _ []byte) (cransched.TargetInfo, error) {
-			return cransched.TargetInfo{ID: id, Pool: "p", Address: id, Instance: "m" + id, Capacity: cranjob.Resources{CPU: 4000, Memory: 4000}}, nil
+		DecodeTargetRecord: func(id string, value []byte) (cransched.TargetInfo, error) {
+			return cransched.TargetInfo{ID: id, Pool: "p", Address: id, Instance: "m" + id, Capacity: cranjob.Resources{CPU: 4000, Memory: 4000}, Draining: value[0] == drainingEntry}, nil
 		},
 	}
 	f.stored = []*cranmemory.Topic{f.digest, operator, targets}
@@ -101,7 +106,7 @@
 	connect := func(t cranstore.Topic) *link { return &link{Topic: t.(*cranmemory.Topic), fault: n.fault} }
 	digest := connect(f.digest)
 	if n.submissionsFault == nil {
-		n.submissionsFault = &fault{}
+		n.submissionsFault, n.targetsFault = &fault{}, &fault{}
 	}
 	submissions := make([]*link, fleetShards)
 	n.digest, n.submissions = digest, submissions
@@ -120,11 +125,13 @@
 		},
 	}
 	// A process that can schedule 10 targets makes the layout have fleetShards.
+	directory := f.directory
+	directory.Targets = &link{Topic: f.directory.Targets.(*cranmemory.Topic), fault: &fault{}, readFault: n.targetsFault}
 	options := []Option{
-		WithClock(f.targets.clock), WithLimits(cranshard.Limits{Cores: 0.025}), WithCancelBound(fleetCancelBound),
+		WithClock(f.targets.clock), WithLimits(cranshard.Limits{Cores: 0.025}), WithCancelBound(fleetCancelBound), WithDrainBound(fleetDrainBound),
 		WithTiming(cransched.Timing{MaxLease: maxLease, StopTime: 900 * time.Millisecond, OrderLease: 3 * time.Second}),
 	}
-	n.node = New(n.name, incarnation, topics, f.directory, connection{targets: f.targets, process: incarnation}, append(options, f.options...)...)
+	n.node = New(n.name, incarnation, topics, directory, connection{targets: f.targets, process: incarnation}, append(options, f.options...)...)
 	ctx, cancel := context.WithCancel(context.Background())
 	n.stop = cancel
 	node := n.node
@@ -135,6 +142,7 @@
 	for _, n := range f.nodes {
 		n.fault.set(false, 0)
 		n.submissionsFault.set(false, 0)
+		n.targetsFault.set(false, 0)
 		n.stop()
 	}
 	f.group.Wait()
@@ -187,6 +195,19 @@
 	f.targets.cancelledAt[job] = f.targets.clock().Steady
 }
 
+// drainingEntry is the entry of a target that drains.
+const drainingEntry = 2
+
+// drainAll stores that all targets drain. From then on the targets check their starts.
+func (f *testFleet) drainAll() {
+	f.targets.mu.Lock()
+	defer f.targets.mu.Unlock()
+	for id := range f.targets.targets {
+		f.directory.Targets.(*cranmemory.Topic).Put(id, []byte{drainingEntry})
+		f.targets.drainingAt[id] = f.targets.clock().Steady
+	}
+}
+
 // TestShardsSpreadOverProcesses starts as many processes as there are shards. Each must get
 // one. When all but one are cut off from the store, that one must own all shards.
 func TestShardsSpreadOverProcesses(t *testing.T) {
--- a/internal/crannode/node.go
+++ b/internal/crannode/node.go
@@ -59,8 +59,9 @@
 	configReadAt atomic.Int64
 	// configBound is the time within which a stored configuration must be in effect.
 	configBound time.Duration
-	// cancelBound is the time within which an acknowledged cancellation must be in effect.
-	cancelBound time.Duration
+	// cancelBound is the time within which an acknowledged cancellation must be in effect, drainBound
+	// that within which a stored entry of a target that drains must be.
+	cancelBound, drainBound time.Duration
 	// digestFollower reads the digest. digestContactAt is when its newest successful read was
 	// sent; 0 before the first.
 	digestFollower  *cranstore.Follower
@@ -121,7 +122,7 @@
 	n := &Node{
 		name: name, incarnation: incarnation, topics: topics, directory: directory, orders: orders,
 		log: cranevent.Discard(), metrics: cranmetric.NewJobs(), now: Now, events: make(chan func(), eventQueueSize),
-		configBound: defaultConfigBound, cancelBound: defaultCancelBound, digest: crandigest.New(), stored: map[string]localJob{}, advanced: make(chan struct{}),
+		configBound: defaultConfigBound, cancelBound: defaultCancelBound, drainBound: defaultDrainBound, digest: crandigest.New(), stored: map[string]localJob{}, advanced: make(chan struct{}),
 	}
 	for _, set := range opts {
 		set(n)
--- a/internal/crannode/starts.go
+++ b/internal/crannode/starts.go
@@ -1,6 +1,8 @@
 package crannode
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/cranberrypick/cranberrypick/internal/cranevent"
@@ -8,15 +10,16 @@
 )
 
 const (
-	// defaultCancelBound is the time within which an acknowledged cancellation must be in effect if the
-	// settings don't say.
+	// defaultCancelBound and defaultDrainBound are the times within which an acknowledged cancellation
+	// and a stored entry of a target that drains must be in effect if the settings don't say.
 	defaultCancelBound = 2 * time.Second
-	// startMargin is taken off that time for the drift between clocks.
+	defaultDrainBound  = 2 * time.Second
+	// startMargin is taken off these times for the drift between clocks.
 	startMargin = 100 * time.Millisecond
 	// minStartTime is the least time that the call of a start has.
 	minStartTime = 300 * time.Millisecond
-	// cancelReadsPerBound is how many reads of the submissions fit into that time.
-	cancelReadsPerBound = 4
+	// startReadsPerBound is how many reads of the submissions, and of the targets, fit into these times.
+	startReadsPerBound = 4
 )
 
 // WithCancelBound sets the time within which an acknowledged cancellation must be in effect: later no
@@ -30,34 +33,58 @@
 	}
 }
 
+// WithDrainBound sets the time within which a stored entry of a target that drains must be in effect: later
+// no task starts there. Zero leaves the default of 2 s.
+func WithDrainBound(bound time.Duration) Option {
+	return func(n *Node) {
+		if bound > 0 {
+			n.drainBound = bound
+		}
+	}
+}
+
 // submissionsReadWait is how long a read of the submissions waits for a record.
 func (n *Node) submissionsReadWait() time.Duration {
-	return min(replicaReadWait, n.cancelBound/cancelReadsPerBound)
+	return min(replicaReadWait, n.cancelBound/startReadsPerBound)
 }
 
-// startWatch knows up to when the owner may start tasks, and logs when it begins and ceases to withhold
-// starts. Only the control goroutine uses it.
+// targetsReadWait is how long a read of the targets waits for a record.
+func (n *Node) targetsReadWait() time.Duration { return min(readWait, n.drainBound/startReadsPerBound) }
+
+// startWatch logs when the owner begins and ceases to withhold starts. Only the control goroutine uses it.
 type startWatch struct {
 	withheld bool
 	// since is when the owner began to withhold starts.
 	since time.Duration
 }
 
-// boundStarts tells the scheduler up to when tasks may start: a cancellation that isn't known was
-// acknowledged after the newest complete read of the submissions was sent, and the call of a start takes
-// up to minStartTime longer.
+// premise is something that a start relies on, and the time up to which it is known to hold.
+type premise struct {
+	stream    string
+	readAt    time.Duration
+	holdsTill time.Duration
+}
+
+// boundStarts tells the scheduler up to when tasks may start. A cancellation that isn't known was
+// acknowledged after the newest complete read of the submissions was sent, and so it is with a target
+// that drains; the call of a start takes up to minStartTime longer. After the ownership, another process
+// may start the same tasks.
 func (o *ownership) boundStarts(now time.Duration) {
 	n := o.shard.node
-	until := o.submissionsReadAt + n.cancelBound - minStartTime - startMargin
-	until = min(until, time.Duration(o.confirmedAt.Load())+cransched.OwnershipTimeout)
-	o.scheduler.SetStartsUntil(until)
+	targetsReadAt, confirmedAt := n.control.targets.readAt, time.Duration(o.confirmedAt.Load())
+	first := slices.MinFunc([]premise{
+		{"submissions", o.submissionsReadAt, o.submissionsReadAt + n.cancelBound - minStartTime - startMargin},
+		{"targets", targetsReadAt, targetsReadAt + n.drainBound - minStartTime - startMargin},
+		{"digest", confirmedAt, confirmedAt + cransched.OwnershipTimeout},
+	}, func(a, b premise) int { return cmp.Compare(a.holdsTill, b.holdsTill) })
+	o.scheduler.SetStartsUntil(first.holdsTill)
 	w := &o.startWatch
-	if withheld := now > until; withheld != w.withheld {
+	if withheld := now > first.holdsTill; withheld != w.withheld {
 		w.withheld = withheld
 		if withheld {
 			w.since = now
 			n.log.Emit(cranevent.StartsWithheld, cranevent.Shard(o.shard.name), cranevent.Epoch(o.epoch),
-				cranevent.ReadAge(now-o.submissionsReadAt), cranevent.Age(now-time.Duration(o.confirmedAt.Load())))
+				cranevent.Stream(first.stream), cranevent.Age(now-first.readAt))
 			return
 		}
 		n.log.Emit(cranevent.StartsResumed, cranevent.Shard(o.shard.name), cranevent.Epoch(o.epoch), cranevent.Elapsed(now-w.since))
--- a/internal/crannode/targets.go
+++ b/internal/crannode/targets.go
@@ -20,6 +20,8 @@
 	node *Node
 	// known is true once the list has been read.
 	known bool
+	// readAt is the time up to which all stored entries were read.
+	readAt time.Duration
 	// byShard holds the targets of each shard by id, and shards the shard of each target.
 	byShard map[int]map[string]cransched.TargetInfo
 	shards  map[string]int
@@ -40,7 +42,7 @@
 		l.stop = cancel
 		n.control.group.Go(func() {
 			f := n.newFollower(readOptions{
-				topic: n.directory.Targets, wait: readWait, pause: targetsPause,
+				topic: n.directory.Targets, wait: n.targetsReadWait(), pause: targetsPause,
 				options: []cranstore.FollowerOption{cranstore.WithNewestOnly()},
 			})
 			n.follow(ctx, "targets", f, func(u cranstore.Update) {
@@ -68,6 +70,9 @@
 		l.applyRecord(r)
 	}
 	l.known = true
+	if at, current := u.CurrentAt(); current {
+		l.readAt = at
+	}
 	for _, s := range n.shards {
 		if s.scheduling() {
 			s.owner.scheduler.Advance(n.now())
--- a/internal/crannode/targets_test.go
+++ b/internal/crannode/targets_test.go
@@ -74,6 +74,8 @@
 	lasting map[string]bool
 	// cancelledAt is when the cancellation of each job was acknowledged.
 	cancelledAt map[string]time.Duration
+	// drainingAt is when each target's entry was stored as draining.
+	drainingAt map[string]time.Duration
 	// confirmedAt is when the newest append of each process to the digest was stored.
 	confirmedAt map[string]time.Duration
 }
@@ -147,6 +149,9 @@
 	if at, cancelled := f.cancelledAt[e.Task.Job]; cancelled && f.clock().Steady-at > fleetCancelBound {
 		f.t.Errorf("%v: %s starts %v %v after its cancellation was acknowledged", f.clock().Steady, c.process, e.Task, f.clock().Steady-at)
 	}
+	if at, draining := f.drainingAt[e.Target.ID]; draining && f.clock().Steady-at > fleetDrainBound {
+		f.t.Errorf("%v: %s starts %v at %s %v after that drains", f.clock().Steady, c.process, e.Task, e.Target.ID, f.clock().Steady-at)
+	}
 	for id, other := range f.targets {
 		other.endRuns(f.clock().Steady)
 		if r, found := other.running[e.Task]; found && f.clock().Steady < r.endsAt && (id != e.Target.ID || r.number != e.Run) {
