cransched: drop a stored start whose target drains meanwhile

What callers saw: nothing in the record. A start that waits for the store is sent to a target although its entry was read as draining in between; where the store takes longer than the bound for draining targets, the task starts too late and may be lost with the target.

Cause: the check of a start when it is sent looked at the target's leases and capacity, but not at whether it drains.

Change: it looks at that too. The members of a gang are dropped together, since those that were sent would end alone; that holds for the other reasons as well.

Evidence: TestStartIsDroppedWhenTargetDrains failed on the code before (a start is sent; without a gang), with the check taken out (2 starts), and for the gang with members dropped one by one (2 starts at the other target).

--- a/internal/cransched/scheduler.go
+++ b/internal/cransched/scheduler.go
@@ -296,6 +296,11 @@
 		return
 	}
 	s.inFlight = nil
+	for _, e := range b.effects {
+		if start, isStart := e.(StartRun); isStart {
+			s.dropStart(start)
+		}
+	}
 	for _, e := range b.effects {
 		if start, isStart := e.(StartRun); isStart {
 			s.startsPaced.planned--
--- a/internal/cransched/start.go
+++ b/internal/cransched/start.go
@@ -31,8 +31,9 @@
 	})
 }
 
-// sendStart sends a stored start unless its run was released in the meantime.
-func (s *Scheduler) sendStart(e StartRun) {
+// dropStart releases the run of a stored start whose target has changed so that it must not be sent. The
+// other members of a gang, which are stored with it, would wait for it in vain and are released too.
+func (s *Scheduler) dropStart(e StartRun) {
 	t := s.targets[e.Target.ID]
 	if t == nil {
 		return
@@ -41,12 +42,36 @@
 	if r == nil || r.phase != planned {
 		return
 	}
-	if !s.mayGrantLease(t) {
-		s.releaseRun(t, r, "no lease may be granted to the target")
+	reason := ""
+	switch {
+	case !s.mayGrantLease(t):
+		reason = "no lease may be granted to the target"
+	case !t.info.Capacity.Fits(t.used):
+		reason = "the target has shrunk"
+	case t.info.Draining:
+		reason = "the target drains"
+	default:
+		return
+	}
+	if r.task == nil || !r.step.Gang {
+		s.releaseRun(t, r, reason)
 		return
 	}
-	if !t.info.Capacity.Fits(t.used) {
-		s.releaseRun(t, r, "the target has shrunk")
+	for _, member := range r.task.job.stageOf(r.task).tasks {
+		if member.run != nil && member.run.phase == planned {
+			s.releaseRun(s.targets[member.Target], member.run, reason)
+		}
+	}
+}
+
+// sendStart sends a stored start unless its run was released in the meantime.
+func (s *Scheduler) sendStart(e StartRun) {
+	t := s.targets[e.Target.ID]
+	if t == nil {
+		return
+	}
+	r := t.runs[runName{e.Task, e.Run}]
+	if r == nil || r.phase != planned {
 		return
 	}
 	r.phase = startSent
--- a/internal/cransched/start_test.go
+++ b/internal/cransched/start_test.go
@@ -41,3 +41,39 @@
 	s.Tick()
 	require.Len(t, target.runs, 1)
 }
+
+// TestStartIsDroppedWhenTargetDrains guards against a start that is sent to a target that drains, because it
+// waited for the store when the target's entry was read (DRAIN), and against the rest of a gang (GANG).
+func TestStartIsDroppedWhenTargetDrains(t *testing.T) {
+	for _, gang := range []bool{false, true} {
+		sim := newSimulation(t, 1, 2)
+		sim.takeOver(sim.now - time.Hour)
+		sim.runFor(90 * time.Millisecond)
+		s := sim.owner
+		j := newBatchJob("j", 4)
+		j.Steps[0].Gang, j.Steps[0].MaxPerTarget = gang, 2
+		sim.submit(j)
+		s.Tick()
+		_, any := s.NextBatch()
+		require.True(t, any)
+		require.Len(t, s.targets["t0"].runs, 2)
+		list := sim.targetList()
+		list[0].Draining = true
+		s.SetTargets(list)
+		s.ConfirmBatch()
+		sent := map[string]int{}
+		for _, e := range s.Effects() {
+			if start, isStart := e.(StartRun); isStart {
+				sent[start.Target.ID]++
+			}
+		}
+		require.Zero(t, sent["t0"])
+		require.Empty(t, s.targets["t0"].runs)
+		if gang {
+			require.Empty(t, sent)
+			require.Empty(t, s.targets["t1"].runs)
+		} else {
+			require.Equal(t, 2, sent["t1"])
+		}
+	}
+}
