cransched: start a task of each job that waits for want of starts

In a soak with a small owner, one waited 10 s while some 4,000 other tasks started.

Cause: stages that can't complete in time come last. A round ends when the bound of starts under way is reached, so it doesn't get to them for as long as punctual ones keep arriving.

Change: if the last round ended for want of starts, half of those of the next go first to jobs that have had nothing placed for 1 s though a stage is ready: one task each, the one that has waited longest first. Where room is what limits, the order stays as it was.

Evidence: TestLateJobBeginsWhilePunctualOnesTakeAllStarts failed before (the fourth late job hadn't begun after 6 s) and passes: each begins within 3 s.

--- a/internal/cransched/job.go
+++ b/internal/cransched/job.go
@@ -62,7 +62,9 @@
 	estimatedAt                time.Duration
 	waiting                    int
 	done                       int
-	endedMs                    int64
+	// waitsSince is the time since which a stage has been ready while no task was placed.
+	waitsSince time.Duration
+	endedMs    int64
 }
 
 // newJob creates the tasks of a submission and restores their progress, if any.
--- /dev/null
+++ b/internal/cransched/overdue.go
@@ -0,0 +1,55 @@
+package cransched
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cranberrypick/cranberrypick/internal/cranjob"
+)
+
+const (
+	// overdueAfter is how long a job with a ready stage has nothing placed until it is overdue. It may have nothing
+	// running for 3 s while there is room.
+	overdueAfter = time.Second
+	// overdueShare is the part of the starts of a round, as a divisor, that overdue jobs may take.
+	overdueShare = 2
+)
+
+// idle reports whether no task of the job is placed.
+func (j *job) idle() bool { return j.waiting+j.done == len(j.tasks) }
+
+// placeOverdue starts one task of each overdue job, the one that has waited longest first. Only jobs that begin late
+// for want of starts need it: where room is scarce, the order of candidates says who gets it.
+func (s *Scheduler) placeOverdue(list []candidate, byPool map[string][]*target, starts int) {
+	if !s.startsLimited {
+		return
+	}
+	overdue := slices.DeleteFunc(slices.Clone(list), func(c candidate) bool {
+		return c.stage.step.Gang || s.clock.Steady-c.job.waitsSince < overdueAfter
+	})
+	slices.SortStableFunc(overdue, func(a, b candidate) int { return cmp.Compare(a.job.waitsSince, b.job.waitsSince) })
+	for _, c := range overdue {
+		targets := byPool[c.job.Pool]
+		if starts <= 0 {
+			return
+		}
+		if !c.job.idle() || len(targets) == 0 || !s.ensureTicket(c, targets) {
+			continue
+		}
+		i := slices.IndexFunc(c.stage.tasks, func(t *task) bool { return s.mayPlace(t) })
+		if i < 0 {
+			continue
+		}
+		if chosen := s.chooseTarget(c.stage, targets); chosen != nil {
+			t := c.stage.tasks[i]
+			s.startTask(t, chosen, t.Run+1)
+			starts--
+		}
+	}
+}
+
+// mayPlace reports whether a task waits to be placed like any other.
+func (s *Scheduler) mayPlace(t *task) bool {
+	return t.Status == cranjob.Waiting && t.notBefore <= s.clock.Steady && !t.suspected()
+}
--- a/internal/cransched/place.go
+++ b/internal/cransched/place.go
@@ -39,6 +39,8 @@
 	rooms := idleRooms{}
 	list := s.candidates()
 	s.placeSuspects(list, byPool)
+	s.placeOverdue(list, byPool, (mostPlanned-s.startsPaced.planned+overdueShare-1)/overdueShare)
+	s.startsLimited = false
 	for _, c := range list {
 		targets := byPool[c.job.Pool]
 		if len(targets) == 0 {
@@ -49,6 +51,7 @@
 			continue
 		}
 		if s.startsPaced.planned >= mostPlanned {
+			s.startsLimited = true
 			maps.Copy(s.starved, starvedBefore)
 			return
 		}
@@ -57,7 +60,7 @@
 			continue
 		}
 		for _, t := range c.stage.tasks {
-			if t.Status != cranjob.Waiting || t.notBefore > s.clock.Steady || t.suspected() {
+			if !s.mayPlace(t) {
 				continue
 			}
 			chosen := s.chooseTarget(c.stage, targets)
@@ -127,9 +130,13 @@
 func (s *Scheduler) candidates() []candidate {
 	var list []candidate
 	for _, j := range s.jobs {
+		if !j.idle() || j.waitsSince == 0 {
+			j.waitsSince = s.clock.Steady
+		}
 		if j.waiting == 0 || j.state.Final() {
 			continue
 		}
+		ready := len(list)
 		for _, st := range j.stages {
 			if st.waiting == 0 || !j.ready(st, s.clock.UnixMs) {
 				continue
@@ -140,6 +147,9 @@
 				job: j, stage: st, slackMs: slack, late: slack < 0 && !st.step.LongRunning,
 			})
 		}
+		if len(list) == ready {
+			j.waitsSince = s.clock.Steady
+		}
 	}
 	slices.SortFunc(list, compareCandidates)
 	return list
--- a/internal/cransched/scheduler.go
+++ b/internal/cransched/scheduler.go
@@ -52,6 +52,8 @@
 	crashHistory crashHistory
 	verdicts     []verdict
 	startsPaced  startPacer
+	// startsLimited is set if the last round ended for want of starts.
+	startsLimited bool
 	// startsUntil is the time up to which what is known suffices to start tasks.
 	startsUntil time.Duration
 	// lag is how late the owner's process handles what has arrived.
