cransched: start nothing at a restarted target that an old heartbeat may reach

Cause: an entry or a clock reading tells of a restart while a heartbeat to the old process is under way that acknowledges ends. A second heartbeat asks the new process, which then gets starts. If it ends runs before the first heartbeat arrives, it forgets their ends unseen.

Change: while the call of such a heartbeat isn't over when a restart is known, the target gets no start until deliveryTimeout after it was sent. Other restarts delay nothing. A refused start no longer shortens a longer pause.

Evidence: TestEndsOfRestartedTargetAreNotLostByEarlierHeartbeat failed before: "starts after it was done".

What remains: a start that is sent before the restart is known, carried out and ended by the new process, all before an acknowledgement arrives that was sent earlier.

--- a/internal/cransched/outcome.go
+++ b/internal/cransched/outcome.go
@@ -94,11 +94,11 @@
 	case StatusFenced:
 		s.markSuperseded(t)
 	case StatusNoCapacity:
-		t.noStartsBefore = now + noCapacityPause
+		t.noStartsBefore = max(t.noStartsBefore, now+noCapacityPause)
 	case StatusInvalidTicket:
 		t.tickets = nil
 	case StatusRefused, StatusNotSent:
-		t.noStartsBefore = now + refusalPause
+		t.noStartsBefore = max(t.noStartsBefore, now+refusalPause)
 	}
 	if r.task != nil {
 		r.task.notBefore = now + taskRefusalPause
--- a/internal/cransched/report.go
+++ b/internal/cransched/report.go
@@ -20,6 +20,9 @@
 		return
 	}
 	t.heartbeatInFlight = false
+	if t.heartbeatsUnderWay = max(t.heartbeatsUnderWay-1, 0); t.heartbeatsUnderWay == 0 {
+		t.acknowledgementArrivesBy = 0
+	}
 	t.nextHeartbeatAt = s.clock.Steady + retryPause + s.lag
 	t.heartbeatFailed = resp.Status != StatusOK
 	if t.info.Address != ref.Address {
@@ -34,7 +37,7 @@
 	case StatusOtherTarget:
 		s.handleOtherTarget(t, ref.Address)
 	case StatusNotSent:
-		t.noStartsBefore = s.clock.Steady + refusalPause
+		t.noStartsBefore = max(t.noStartsBefore, s.clock.Steady+refusalPause)
 	}
 }
 
--- a/internal/cransched/restart_test.go
+++ b/internal/cransched/restart_test.go
@@ -201,6 +201,37 @@
 	require.Len(t, sim.starts, 5)
 }
 
+// A heartbeat to the old process is still under way when another one reports the restart (TWICE).
+func TestEndsOfRestartedTargetAreNotLostByEarlierHeartbeat(t *testing.T) {
+	const transit = 400 * time.Millisecond
+	sim := newSimulation(t, 1, 2)
+	sim.failureRate, sim.briefResponses, sim.platformDown = 0, true, true
+	sim.targets["t1"].unreachable = true
+	sim.takeOver(sim.now - time.Hour)
+	sim.submit(newBriefJob("before", 3))
+	known := sim.owner.targets["t0"]
+	for !known.listsStoredEnd() || known.heartbeatInFlight {
+		sim.runFor(time.Millisecond)
+	}
+	sim.transit = transit
+	for !known.heartbeatInFlight {
+		sim.runFor(time.Millisecond)
+	}
+	sentAt := sim.now
+	sim.transit = 0
+	sim.restart("t0")
+	for known.restarts == 0 {
+		sim.runFor(time.Millisecond)
+	}
+	require.Less(t, sim.now-sentAt, transit)
+	sim.submit(newBriefJob("after", 2))
+	sim.noResponseRate = 1
+	sim.runFor(sentAt + transit + 10*time.Millisecond - sim.now)
+	sim.noResponseRate, sim.targets["t1"].unreachable = 0, false
+	sim.runFor(5 * time.Second)
+	require.Equal(t, map[string]cranjob.State{"before": cranjob.Completed, "after": cranjob.Completed}, sim.states())
+}
+
 // newBriefJob returns a job of tasks that each take a tenth of a second at most.
 func newBriefJob(id string, tasks int) *cranjob.Job {
 	j := newBatchJob(id, tasks)
--- a/internal/cransched/target.go
+++ b/internal/cransched/target.go
@@ -136,6 +136,10 @@
 	// unanswered. The next one is due at nextHeartbeatAt.
 	heartbeatInFlight                bool
 	heartbeatSentAt, nextHeartbeatAt time.Duration
+	// heartbeatsUnderWay counts the heartbeats whose call isn't over. The newest of them that acknowledges ends
+	// arrives by acknowledgementArrivesBy; 0 if none does.
+	heartbeatsUnderWay       int
+	acknowledgementArrivesBy time.Duration
 	// heartbeatWait is how long the target may delay the response to the last heartbeat.
 	heartbeatWait time.Duration
 	// unansweredBy is when the first heartbeat since the last response should have been answered; 0
@@ -155,7 +159,7 @@
 	leaving bool
 	// shareChangedAt is when the share of a best-effort task was last changed.
 	shareChangedAt time.Duration
-	// noStartsBefore is the earliest time of the next start, after a refused one.
+	// noStartsBefore is the earliest time of the next start, after a refused one or a restart.
 	noStartsBefore time.Duration
 	// unresponsive is set while a fenced target is overdue, and suspended while no lease may be
 	// granted to the target, both as of the last Tick.
--- a/internal/cransched/targets.go
+++ b/internal/cransched/targets.go
@@ -126,6 +126,8 @@
 	t.clockMs, t.clockAt, t.leaseEndMs = 0, 0, 0
 	t.earlierLeasesEndAt = s.clock.Steady + s.restartedLeaseBound()
 	t.restarts++
+	// A heartbeat to the previous process may still make the new one forget ends. It gets no start until then.
+	t.noStartsBefore = max(t.noStartsBefore, t.acknowledgementArrivesBy)
 	t.endsSeen, t.endsStored, t.firstListedEnd, t.withheldEnd = 0, 0, 0, 0
 	t.fenced = false
 	t.answeredAddress = ""
@@ -297,6 +299,10 @@
 	case t.heartbeatFailed || t.hasUnansweredStart() || !t.listsStoredEnd():
 		acknowledged = 0
 	}
+	t.heartbeatsUnderWay++
+	if acknowledged > 0 {
+		t.acknowledgementArrivesBy = s.clock.Steady + deliveryTimeout
+	}
 	t.heartbeatWait = wait
 	if t.unansweredBy == 0 {
 		t.unansweredBy = s.clock.Steady + wait
