cransched: simulate a former owner that acts beside its successor

The simulation ended an owner at the moment at which its successor began, so nothing checked that the successor waits for the leases that the former one goes on granting until it must stop, nor what orders of both do at one target.

--- a/internal/cransched/world_call_test.go
+++ b/internal/cransched/world_call_test.go
@@ -16,7 +16,7 @@
 func (sim *simulation) call(s *Scheduler, id int, to TargetRef, order bool, perform func() Response, onResponse func(Response)) {
 	sent := sim.now
 	handle := func(resp Response) {
-		if id == sim.ownerID {
+		if sim.acts(id) {
 			resp.SentAt = sent
 			s.Advance(sim.clock())
 			onResponse(resp)
@@ -34,6 +34,8 @@
 	timeout := func() { sim.schedule(callTimeout, func() { reply(Response{}) }) }
 	p := sim.random.Float64()
 	switch {
+	case sim.now < sim.cutOffUntil[id][to.ID]:
+		timeout()
 	case p < sim.lossRate:
 		timeout()
 	case p < sim.lossRate+sim.noResponseRate:
@@ -58,7 +60,7 @@
 
 // order performs an order about an instance and returns the result to the owner.
 func (sim *simulation) order(s *Scheduler, id int, perform func() CallStatus, onResult func(CallStatus)) {
-	isLost, delay := sim.platformDown, 5*time.Millisecond+sim.orderDelay
+	isLost, delay := sim.platformDown || id != sim.ownerID, 5*time.Millisecond+sim.orderDelay
 	if isLost {
 		delay = callTimeout
 	}
--- a/internal/cransched/world_target_test.go
+++ b/internal/cransched/world_target_test.go
@@ -65,7 +65,7 @@
 func (sim *simulation) answerHeartbeat(s *Scheduler, id int, e Heartbeat, sent, wait time.Duration, response HeartbeatResponse) {
 	if tgt := sim.targets[e.Target.ID]; response.Status == StatusOK && len(response.Finished) == 0 && wait > 0 && sim.longPolls && tgt != nil && tgt.up {
 		sim.schedule(longPollInterval, func() {
-			if response := sim.reportOf(e.Target); response.Status == StatusOK {
+			if response := sim.reportOf(e.Target); response.Status == StatusOK && sim.now >= sim.cutOffUntil[id][e.Target.ID] {
 				sim.answerHeartbeat(s, id, e, sent, wait-longPollInterval, response)
 				return
 			}
@@ -73,7 +73,7 @@
 		})
 		return
 	}
-	if id == sim.ownerID {
+	if sim.acts(id) {
 		response.SentAt = sent
 		s.Advance(sim.clock())
 		s.HandleHeartbeatResponse(e.Target, response)
--- a/internal/cransched/world_test.go
+++ b/internal/cransched/world_test.go
@@ -35,6 +35,13 @@
 	entries func([]TargetInfo) []TargetInfo
 	owner   *Scheduler
 	ownerID int
+	// formerOwnersAct lets owners send orders until predecessorStop after their successor has begun, though
+	// nothing that they decide is stored. actsUntil holds until when, by owner, and owners all of them.
+	formerOwnersAct bool
+	owners          map[int]*Scheduler
+	actsUntil       map[int]time.Duration
+	// cutOffUntil holds until when an owner can't reach a target, by owner and target.
+	cutOffUntil map[int]map[string]time.Duration
 
 	// lossRate is the fraction of calls that are lost before they take effect,
 	// noResponseRate that of calls that take effect without a response, and delayRate that
@@ -120,6 +127,7 @@
 
 func newSimulation(t *testing.T, seed uint64, targets int) *simulation {
 	sim := &simulation{
+		owners: map[int]*Scheduler{}, actsUntil: map[int]time.Duration{}, cutOffUntil: map[int]map[string]time.Duration{},
 		t: t, random: rand.New(rand.NewPCG(seed, 1)), now: time.Hour, stored: cranjob.NewReplica(),
 		config: &Config{Version: 1, Queues: map[string]*Queue{
 			"q": {Name: "q", Pool: "p", Attempts: 3, Stretch: 1.6, LatencyTarget: 600 * time.Millisecond},
@@ -175,15 +183,22 @@
 // takeOver replaces the owner, once the predecessor has stopped or released its claim. The
 // predecessor may send orders until predecessorStop.
 func (sim *simulation) takeOver(predecessorStop time.Duration) {
+	if sim.formerOwnersAct {
+		sim.actsUntil[sim.ownerID] = predecessorStop
+	}
 	sim.epoch++
 	sim.ownerID++
 	sim.owner = New(sim.epoch, simTiming, sim.config, sim.stored, sim.clock(), Predecessor{StoppedBy: predecessorStop, LastOrderAt: maps.Clone(sim.orderStoredAt), LeasesEndAt: sim.leasesEndAt})
+	sim.owners[sim.ownerID] = sim.owner
 	sim.leasesEndAt = nil
 	sim.owner.SetTargets(sim.targetList())
 	sim.owner.SetWaves(sim.wave)
 	sim.tick(sim.ownerID)
 }
 
+// acts reports whether an owner sends orders and handles responses.
+func (sim *simulation) acts(id int) bool { return id == sim.ownerID || sim.now < sim.actsUntil[id] }
+
 func (sim *simulation) targetList() []TargetInfo {
 	var list []TargetInfo
 	for _, id := range slices.Sorted(maps.Keys(sim.targets)) {
@@ -198,24 +213,25 @@
 }
 
 func (sim *simulation) tick(id int) {
-	if id != sim.ownerID || sim.owner == nil {
+	if !sim.acts(id) || sim.owner == nil {
 		return
 	}
-	sim.owner.Advance(sim.clock())
-	sim.owner.SetLag(max(sim.busyUntil-sim.now, 0))
-	sim.owner.SetTargets(sim.targetList())
+	owner := sim.owners[id]
+	owner.Advance(sim.clock())
+	owner.SetLag(max(sim.busyUntil-sim.now, 0))
+	owner.SetTargets(sim.targetList())
 	if !sim.platformDown {
-		sim.owner.SetInstances(sim.instanceList(), sim.now)
+		owner.SetInstances(sim.instanceList(), sim.now)
 	}
-	sim.owner.Tick()
-	sim.storeAndPerform(sim.owner, id)
+	owner.Tick()
+	sim.storeAndPerform(owner, id)
 	sim.schedule(25*time.Millisecond, func() { sim.tick(id) })
 }
 
 // storeAndPerform stores the next batch and performs the pending effects.
 func (sim *simulation) storeAndPerform(s *Scheduler, id int) {
 	if records, any := s.NextBatch(); any {
-		epoch := sim.epoch
+		epoch := s.token
 		sim.schedule(6*time.Millisecond, func() {
 			if epoch != sim.epoch {
 				return
@@ -236,7 +252,7 @@
 		})
 	}
 	if s.SilentTargetsChanged() {
-		silent, epoch := s.NextSilentTargets(), sim.epoch
+		silent, epoch := s.NextSilentTargets(), s.token
 		sim.schedule(cmp.Or(sim.publishDelay, 40*time.Millisecond), func() { sim.publishSilentTargets(s, id, epoch, silent) })
 	}
 	for _, e := range s.Effects() {
