cransched: simulate an owner that is suspended

It may, but only once the leases have ended: deadlines are times on the target's clock, which are recorded when they are sent, and a reading that is handled late makes the bound of that clock lower.

--- a/internal/cransched/world_call_test.go
+++ b/internal/cransched/world_call_test.go
@@ -16,12 +16,14 @@
 func (sim *simulation) call(s *Scheduler, id int, to TargetRef, order bool, perform func() Response, onResponse func(Response)) {
 	sent := sim.now
 	handle := func(resp Response) {
-		if sim.acts(id) {
-			resp.SentAt = sent
-			s.Advance(sim.clock())
-			onResponse(resp)
-			sim.storeAndPerform(s, id)
-		}
+		sim.whenRunning(func() {
+			if sim.acts(id) {
+				resp.SentAt = sent
+				s.Advance(sim.clock())
+				onResponse(resp)
+				sim.storeAndPerform(s, id)
+			}
+		})
 	}
 	reply := func(resp Response) {
 		sim.afterQueue(func() {
@@ -34,6 +36,8 @@
 	timeout := func() { sim.schedule(callTimeout, func() { reply(Response{}) }) }
 	p := sim.random.Float64()
 	switch {
+	case sim.now < sim.mayOrderFrom:
+		sim.schedule(time.Millisecond, func() { reply(Response{}) })
 	case sim.now < sim.cutOffUntil[id][to.ID]:
 		timeout()
 	case p < sim.lossRate:
--- a/internal/cransched/world_target_test.go
+++ b/internal/cransched/world_target_test.go
@@ -73,12 +73,14 @@
 		})
 		return
 	}
-	if sim.acts(id) {
-		response.SentAt = sent
-		s.Advance(sim.clock())
-		s.HandleHeartbeatResponse(e.Target, response)
-		sim.storeAndPerform(s, id)
-	}
+	sim.whenRunning(func() {
+		if sim.acts(id) {
+			response.SentAt = sent
+			s.Advance(sim.clock())
+			s.HandleHeartbeatResponse(e.Target, response)
+			sim.storeAndPerform(s, id)
+		}
+	})
 }
 
 // reportOf returns a target's report outside of a heartbeat.
--- a/internal/cransched/world_test.go
+++ b/internal/cransched/world_test.go
@@ -40,6 +40,9 @@
 	formerOwnersAct bool
 	owners          map[int]*Scheduler
 	actsUntil       map[int]time.Duration
+	// suspendedUntil is when the owner's process, which is suspended, runs again. What arrives meanwhile waits.
+	// Its orders are withheld until mayOrderFrom.
+	suspendedUntil, mayOrderFrom time.Duration
 	// cutOffUntil holds until when an owner can't reach a target, by owner and target.
 	cutOffUntil map[int]map[string]time.Duration
 
@@ -216,6 +219,10 @@
 	if !sim.acts(id) || sim.owner == nil {
 		return
 	}
+	if sim.now < sim.suspendedUntil {
+		sim.whenRunning(func() { sim.tick(id) })
+		return
+	}
 	owner := sim.owners[id]
 	owner.Advance(sim.clock())
 	owner.SetLag(max(sim.busyUntil-sim.now, 0))
@@ -244,11 +251,13 @@
 				}
 				sim.offset++
 			}
-			if id == sim.ownerID {
-				s.Advance(sim.clock())
-				s.ConfirmBatch()
-				sim.storeAndPerform(s, id)
-			}
+			sim.whenRunning(func() {
+				if id == sim.ownerID {
+					s.Advance(sim.clock())
+					s.ConfirmBatch()
+					sim.storeAndPerform(s, id)
+				}
+			})
 		})
 	}
 	if s.SilentTargetsChanged() {
@@ -269,10 +278,12 @@
 	for _, t := range silent {
 		sim.leasesEndAt[t.ID] = sim.now + t.EndsIn
 	}
-	if id == sim.ownerID {
-		s.Advance(sim.clock())
-		s.ConfirmSilentTargets()
-	}
+	sim.whenRunning(func() {
+		if id == sim.ownerID {
+			s.Advance(sim.clock())
+			s.ConfirmSilentTargets()
+		}
+	})
 }
 
 func (sim *simulation) perform(s *Scheduler, id int, e Effect) {
