crannode: let an owner that has stored its last decisions release its claim

What callers saw: nothing, so far.

Cause: an owner that lags too much stores its last decisions, then nothing any more, and releases its claim with the next append to the digest. If the lag ends before that append can be sent, it no longer counts as to be released, keeps its claim, and starts nothing. If the append is under way, it ticks again and grants leases until the answer.

Change: an owner that has stored its last decisions goes through with the release.

Evidence: TestOwnerThatHasFlushedDoesNotKeepTheShard failed before, for appends of 0.6 s: 5 s after the lag has ended the owner still has the shard and stores nothing.

--- a/internal/crannode/owner.go
+++ b/internal/crannode/owner.go
@@ -43,9 +43,9 @@
 }
 
 // shouldRelease reports whether the owner must hand the shard over, because the process stops,
-// has too little processor time, or can't load the shard.
+// has too little processor time, or can't load the shard. It goes through with it once its last decisions are stored.
 func (o *ownership) shouldRelease(now time.Duration) bool {
-	return o.shard.node.stopping.Load() || o.lateTicks >= maxLateTicks || o.lateIntervals >= maxLateIntervals || o.scheduler == nil && now-o.beganAt > loadTimeout
+	return o.flushed || o.shard.node.stopping.Load() || o.lateTicks >= maxLateTicks || o.lateIntervals >= maxLateIntervals || o.scheduler == nil && now-o.beganAt > loadTimeout
 }
 
 // appendProgress stores the scheduler's decisions.
