cranstore: don't shrink reads that take as long whatever their size

What callers saw: nothing that the record ties to this. A reader that receives each response over 0.3 s or longer for want of processor time falls behind for good, though its link would carry all: an owner then knows no new job and no cancellation. It hasn't been seen in a run with real processes.

Cause: a slow read halves the next one, which is right for a slow link. If the time doesn't depend on the size, the throughput halves too, down to 16 KiB for each response.

Change: if two slow reads of different sizes show that most of the time doesn't depend on the size, the next read grows. At the smallest size a read that leaves records unread grows as a probe.

Evidence, in virtual time: TestReaderWithLittleProcessorTimeKeepsUp, with 50 to 400 records of 500 bytes a second and 0.31 to 0.6 s a response; on the code before 11 of 16 cases fail (28.9 to 29.5 s behind after 30 s), now none is over 4 s behind. The tests of slow links, outages and storms pass unchanged.

--- a/internal/cranstore/follow.go
+++ b/internal/cranstore/follow.go
@@ -74,6 +74,8 @@
 	liveBytes int
 
 	window *cranwindow.Window
+	// slow is the newest read that took over maxReceiveTime to receive; zero if the one after it didn't.
+	slow slowRead
 	// loading is the load in progress; nil once the topic has been loaded. pages is true if
 	// its pages are delivered one by one.
 	loading *loader
@@ -258,14 +260,43 @@
 // adaptWindow sets the size of the next read according to how the present one went.
 func (f *Follower) adaptWindow(batch Batch, transfer Transfer, err error) {
 	receiving := transfer.Elapsed - transfer.FirstByte
+	before := f.slow
+	f.slow = slowRead{}
 	switch {
-	case err != nil, receiving > maxReceiveTime:
+	case err != nil:
 		f.window.Shrink()
+	case receiving > maxReceiveTime:
+		f.slow = slowRead{transfer.Bytes, receiving}
+		// At the smallest size, only a larger read shows whether the size matters.
+		isProbe := f.window.Size() == minReadBytes && batch.Next < batch.End
+		if isProbe || f.slow.isDelayed(before) {
+			f.window.Grow()
+		} else {
+			f.window.Shrink()
+		}
 	case batch.Next < batch.End && 2*receiving <= maxReceiveTime && transfer.Bytes <= f.window.Size():
 		f.window.Grow()
 	}
 }
 
+// slowRead is the size of a response and how long it took to receive.
+type slowRead struct {
+	bytes int
+	took  time.Duration
+}
+
+// isDelayed reports whether most of the time doesn't depend on the size, judged by an earlier read of
+// another size: the process waits for the processor rather than for the link. Smaller reads would only
+// make it fall behind.
+func (r slowRead) isDelayed(earlier slowRead) bool {
+	difference := r.bytes - earlier.bytes
+	if earlier.bytes == 0 || 4*max(difference, -difference) < r.bytes {
+		return false
+	}
+	perByte := float64(r.took-earlier.took) / float64(difference)
+	return 2*perByte*float64(r.bytes) < float64(r.took)
+}
+
 // recordSizes keeps track of the size of the newest records.
 func (f *Follower) recordSizes(u Update) {
 	if u.Reset {
