crannode: move no shard for a read and an append that get no answer together

What callers would see: while answers of the store are lost, shards pass from process to process, each time with some tenths of a second without starts.

Cause: an owner has stalled if the ages of its copy of the submissions and of its append to the progress add up to 2 s. They run at the same time. A read without an answer, of 1.7 s, and an append without one, of 1.5 s, are over soon, and yet add up to more.

Change: the larger age counts. That a store is slow for the owner alone shows in the latencies: one and a half reads and an append, as slow as the newest answered ones (the append's for 2 s).

Evidence: TestLostReadMovesNoShard with an append lost beside the read failed before in all 11 phases, and passes. TestShardOfOwnerThatDoesNotGetOnIsTakenOver waits 2.5 to 2.7 s (2.5 to 2.75 s before).

--- a/internal/crannode/ownership.go
+++ b/internal/crannode/ownership.go
@@ -74,7 +74,9 @@
 	// the time that the store has waited for the records of the newest complete read counts, too.
 	through                                  uint64
 	submissionsReadAt, submissionsAnsweredAt time.Duration
-	startWatch                               startWatch
+	// submissionsLatency is how much longer that read took.
+	submissionsLatency time.Duration
+	startWatch         startWatch
 	// states holds the changed states of jobs, and waveRecords the progress with waves, that
 	// are to be appended to the digest. stateIndex maps a job to its position in states.
 	states      []crandigest.JobState
@@ -213,7 +215,8 @@
 	o.through = u.Next
 	if at, current := u.CurrentAt(); current {
 		o.submissionsReadAt = at
-		o.submissionsAnsweredAt = u.Sent + min(o.shard.node.submissionsReadWait(), u.Transfer.Elapsed)
+		waited := min(o.shard.node.submissionsReadWait(), u.Transfer.Elapsed)
+		o.submissionsAnsweredAt, o.submissionsLatency = u.Sent+waited, u.Transfer.Elapsed-waited
 	}
 	o.submissionsLoaded = true
 }
--- a/internal/crannode/stall.go
+++ b/internal/crannode/stall.go
@@ -11,9 +11,8 @@
 )
 
 const (
-	// stallBound is the age of an owner's copy of the submissions and of its append to the progress together, for
-	// which a new task waits at least, above which the owner has stalled: a job may have nothing running for 3 s, and a
-	// takeover takes one. A read without an answer takes 1.7 s.
+	// stallBound is the time above which the owner has stalled if a new task waits that long: a job may have nothing
+	// running for 3 s, and a takeover takes one. A read without an answer takes 1.7 s, which alone moves no shard.
 	stallBound = 2 * time.Second
 	// stallMemory is how long an owner counts as stalled after it was.
 	stallMemory = time.Second
@@ -62,9 +61,12 @@
 	return stalled
 }
 
-// waitAge returns how long a task waits at least that is submitted now, as far as this owner can tell.
+// waitAge returns how long a new task waits, as far as this owner can tell: as long as the read or the append under way
+// takes already, which run at the same time, or for half of a read, the next read and an append, as slow as the newest.
 func (o *ownership) waitAge(now time.Duration) time.Duration {
-	return now - max(o.submissionsAnsweredAt, o.scheduledAt) + o.progress.age(now)
+	appendAge := o.progress.age(now)
+	readAge := now - max(o.submissionsAnsweredAt, o.scheduledAt)
+	return max(readAge, appendAge, o.submissionsLatency*3/2+max(o.progress.recentLatency(now), appendAge))
 }
 
 // logStall logs that this owner has stalled, or that it gets on again.
--- a/internal/crannode/writer.go
+++ b/internal/crannode/writer.go
@@ -16,6 +16,8 @@
 	// maxAppendBytes bounds the records of one append. On a link of 10 Mbit/s they take
 	// 0.2 s; the store's own limit for a call is several times as high.
 	maxAppendBytes = 256 << 10
+	// latencyMemory is how long the latency of an append says something about the next.
+	latencyMemory = 2 * time.Second
 	// appendRetryPause is the pause after a failed attempt.
 	appendRetryPause = 80 * time.Millisecond
 )
@@ -47,6 +49,14 @@
 	return max(now-w.begunAt, 0)
 }
 
+// recentLatency returns how long the newest append took; 0 if it ended longer than latencyMemory ago.
+func (w *fencedWriter) recentLatency(now time.Duration) time.Duration {
+	if now-w.nextAt > latencyMemory {
+		return 0
+	}
+	return w.latency
+}
+
 // splitBatch divides records into parts of at most maxBytes, or of one record if that is
 // larger.
 func splitBatch(records []cranstore.Record, maxBytes int) [][]cranstore.Record {
