--- a/internal/cransched/scheduler.go
+++ b/internal/cransched/scheduler.go
@@ -52,6 +52,8 @@
 	crashHistory crashHistory
 	verdicts     []verdict
 	startsPaced  startPacer
+	// startsLimited is set if the last round ended for want of starts.
+	startsLimited bool
 	// startsUntil is the time up to which what is known suffices to start tasks.
 	startsUntil time.Duration
 	// lag is how late the owner's process handles what has arrived.
@@ -296,6 +298,11 @@
 		return
 	}
 	s.inFlight = nil
+	for _, e := range b.effects {
+		if start, isStart := e.(StartRun); isStart {
+			s.dropStart(start)
+		}
+	}
 	for _, e := range b.effects {
 		if start, isStart := e.(StartRun); isStart {
 			s.startsPaced.planned--
