--- a/internal/crannode/stall.go
+++ b/internal/crannode/stall.go
@@ -95,7 +95,7 @@
 }
 
 // relieves reports whether this process is to take the shard over from an owner that has stalled or is undersized: the
-// store has answered it for as long as claimDelay, and for settleTime if it was away for this process, too.
+// store has answered it for as long as claimDelay, and for settleTime longer if it was away for this process, too.
 func (s *shard) relieves(claim cranjob.Claim, now time.Duration) bool {
 	n, r := s.node, &s.relief
 	if !s.mayRelieve(claim, now) {
@@ -110,8 +110,9 @@
 			n.post(n.control.runCtx, func() { s.probeCompleted(err) })
 		})
 	}
-	settled := now-max(r.failedAt, n.control.awayUntil) >= settleTime
-	return !r.probing && r.possibleSince != 0 && now-r.possibleSince >= s.claimDelay() && settled
+	// The delays spread the shards over the processes only if they begin together.
+	since := max(r.possibleSince, max(r.failedAt, n.control.awayUntil)+settleTime)
+	return !r.probing && r.possibleSince != 0 && now-since >= s.claimDelay()
 }
 
 // probe reads the submissions from an offset on, and appends nothing to the progress, which takes its turn like any append.
