crannode: let another process take over from an owner that can't read the targets

What callers would see (LOST): jobs stand still for as long as the owner of their shard alone gets no answers to its reads of the targets.

Change: the owner counts as stalled once the list is older than one lost read makes it, 2.5 s with the default bound. The probe of another process reads the targets, too, so nothing moves while none can read them.

--- a/internal/crannode/relief_test.go
+++ b/internal/crannode/relief_test.go
@@ -1,6 +1,7 @@
 package crannode
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -75,3 +76,40 @@
 		require.Equal(t, int32(fleetShards), other.node.owned.Load()+loading.node.owned.Load())
 	})
 }
+
+// TestOwnerThatCannotReadTargetsIsRelieved guards against a shard that stays with an owner which alone can't read the
+// targets, and so starts nothing.
+func TestOwnerThatCannotReadTargetsIsRelieved(t *testing.T) {
+	for _, all := range []bool{false, true} {
+		t.Run(fmt.Sprint(all), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newStallFleet(t, 0)
+				defer f.close()
+				lists := map[*fleetNode]*partition{}
+				for i := range 3 {
+					n := &fleetNode{name: fmt.Sprintf("n%d", i), fault: &fault{}}
+					f.nodes = append(f.nodes, n)
+					f.start(n)
+					lists[n] = &partition{Topic: f.directory.Targets}
+					n.node.postAndWait(t.Context(), func() { n.node.directory.Targets = lists[n] })
+				}
+				time.Sleep(5 * time.Second)
+				owner, other := f.owner()
+				before := f.epoch(other)
+				for n, list := range lists {
+					list.set(all || n == owner, 0)
+				}
+				if !all {
+					require.LessOrEqual(t, f.longestWait(other, 8*time.Second), maxStandstill)
+				}
+				time.Sleep(8 * time.Second)
+				successor, _ := f.owner()
+				if all {
+					require.Equal(t, before, f.epoch(other))
+				} else {
+					require.NotEqual(t, owner.name, successor.name)
+				}
+			})
+		})
+	}
+}
--- a/internal/crannode/stall.go
+++ b/internal/crannode/stall.go
@@ -45,7 +45,7 @@
 // observeStall reports whether this owner has stalled: it reads or appends too late, has too little processor time,
 // or can't load the shard. It keeps the shard all the same until another process, which can do better, takes over.
 func (o *ownership) observeStall(now time.Duration) bool {
-	late := o.waitAge(now) > stallBound
+	late := o.waitAge(now) > stallBound || o.shard.node.control.targets.outdated(now)
 	if o.scheduler == nil {
 		// How long a load takes depends on what is stored.
 		late = now-o.beganAt > loadTimeout
@@ -115,15 +115,16 @@
 	return !r.probing && r.possibleSince != 0 && now-since >= s.claimDelay()
 }
 
-// probe reads the submissions from an offset on, and appends nothing to the progress, which takes its turn like any append.
+// probe reads the submissions from an offset on and the targets, and appends nothing to the progress, which takes its turn like any append.
 func (s *shard) probe(ctx context.Context, from uint64) error {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	_, err := s.topics.Submissions.Read(ctx, from, cranstore.ReadOptions{MaxBytes: 1})
-	if errors.Is(err, cranstore.ErrExpired) {
-		err = nil
+	if err != nil && !errors.Is(err, cranstore.ErrExpired) {
+		return err
 	}
-	if err != nil {
+	_, err = s.node.directory.Targets.Read(ctx, 0, cranstore.ReadOptions{MaxBytes: 1})
+	if err != nil && !errors.Is(err, cranstore.ErrExpired) {
 		return err
 	}
 	_, err = s.topics.Progress.Append(ctx, nil, cranstore.AppendOptions{})
--- a/internal/crannode/stall_test.go
+++ b/internal/crannode/stall_test.go
@@ -101,8 +101,10 @@
 		f.nodes = append(f.nodes, &fleetNode{name: fmt.Sprintf("n%d", i), fault: &fault{}})
 		f.start(f.nodes[i])
 	}
-	time.Sleep(5 * time.Second)
-	require.Equal(t, allOwned, f.owners())
+	if nodes > 0 {
+		time.Sleep(5 * time.Second)
+		require.Equal(t, allOwned, f.owners())
+	}
 	return f
 }
 
--- a/internal/crannode/targets.go
+++ b/internal/crannode/targets.go
@@ -14,6 +14,9 @@
 // targetsPause is the pause between two reads of the targets topic.
 const targetsPause = 150 * time.Millisecond
 
+// lostTargetsRead is how much longer a read of the targets takes that gets no answer than one that waits, with the pauses.
+const lostTargetsRead = 1500 * time.Millisecond
+
 // targetList is the list of targets, which a process reads while it owns a shard. Only the
 // control goroutine accesses it.
 type targetList struct {
@@ -59,6 +62,12 @@
 	}
 }
 
+// outdated reports whether the list is older than it gets by one read without an answer after one that has waited. The
+// owner learns neither of new targets nor of those that drain, and soon starts nothing.
+func (l *targetList) outdated(now time.Duration) bool {
+	return l.readAt != 0 && now-l.readAt > 2*l.node.targetsReadWait()+lostTargetsRead
+}
+
 // apply applies a read of the targets topic, and passes the list to the schedulers.
 func (l *targetList) apply(u cranstore.Update) {
 	n := l.node
