--- a/internal/cransched/world_test.go
+++ b/internal/cransched/world_test.go
@@ -188,6 +188,8 @@
 func (sim *simulation) takeOver(predecessorStop time.Duration) {
 	if sim.formerOwnersAct {
 		sim.actsUntil[sim.ownerID] = predecessorStop
+		// Owners before the predecessor may act for longer.
+		predecessorStop = slices.Max(slices.Collect(maps.Values(sim.actsUntil)))
 	}
 	sim.epoch++
 	sim.ownerID++
