cransoak: small machines, surges, and bounds in time

The ledger now records cancellations, starts after them, and jobs without running tasks while half of the slots are free; all times come from its callers. The soak excuses what follows a disruption, and finds the sender of a start in the logs.

--- a/cmd/cransoak/main.go
+++ b/cmd/cransoak/main.go
@@ -24,6 +24,10 @@
 	Entries int           `help:"Number of entry instances, each a separate process." default:"3"`
 	Targets int           `help:"Number of targets." default:"4"`
 	Shards  int           `help:"Number of shards, each with an owner of its own." default:"1"`
+	Small   int           `help:"Number of entry instances on small machines; all machines have limits if it isn't 0." default:"0"`
+	Surges  bool          `help:"Many jobs in surges, and series of faults that overlap."`
+	Cancel  time.Duration `help:"Time within which a cancellation must be in effect." default:"3s"`
+	Keep    bool          `help:"Keep the logs of all seeds."`
 	Length  time.Duration `help:"Time for which each seed submits jobs and injects faults." default:"20s"`
 	Logs    string        `help:"Folder for the logs of the processes. Logs are kept only for seeds that fail." default:"soak"`
 }
@@ -56,11 +60,20 @@
 		fmt.Println(err)
 		return false
 	}
+	trace, err := os.Create(filepath.Join(dir, "trace.txt")) //nolint:gosec // The folder is the caller's.
+	if err != nil {
+		fmt.Println(err)
+		return false
+	}
+	defer func() { _ = trace.Close() }()
 	report, err := cransoak.Run(ctx, cransoak.Options{
 		Program: c.Program, Dir: dir, Seed: seed, Entries: c.Entries, Targets: c.Targets, Shards: c.Shards, Duration: c.Length,
+		Small: c.Small, Surges: c.Surges, CancelBound: c.Cancel, Trace: trace,
 	})
 	fmt.Printf("seed %d: %d faults; jobs: %d accepted, %d refused, %d unknown\n",
 		seed, report.Faults, report.Accepted, report.Refused, report.Unknown)
+	fmt.Printf("  %d cancellations, %d later starts (%d excused), %d jobs stood still (%d more beside faults), %d overloads\n",
+		report.Cancelled, report.LateStarts, report.ExcusedStarts, report.StandStills, report.ExcusedStandStills, report.Overloads)
 	if err != nil {
 		fmt.Printf("  error: %v\n", err)
 	}
@@ -68,7 +81,9 @@
 		fmt.Printf("  violation: %s\n", v)
 	}
 	if err == nil && len(report.Violations) == 0 {
-		_ = os.RemoveAll(dir)
+		if !c.Keep {
+			_ = os.RemoveAll(dir)
+		}
 		return true
 	}
 	return false
--- a/internal/cransoak/config.go
+++ b/internal/cransoak/config.go
@@ -111,7 +111,9 @@
 	s.group.Go(func() {
 		for ctx.Err() == nil {
 			cranpause.Sleep(ctx, time.Duration(random.Int64N(int64(maxBurstInterval))))
-			proxy := s.entries[random.IntN(s.Entries)].proxy
+			e := s.entries[random.IntN(s.Entries)]
+			proxy := e.proxy
+			end := s.disrupt(e.name)
 			proxy.SetRate(narrowRate)
 			for range random.IntN(maxConfigBurst) {
 				s.configs.publish()
@@ -119,6 +121,7 @@
 			}
 			if random.IntN(2) == 0 {
 				proxy.SetRate(0)
+				end()
 			}
 		}
 	})
--- a/internal/cransoak/doc.go
+++ b/internal/cransoak/doc.go
@@ -9,6 +9,8 @@
 //     Processes that were stopped or killed are started again.
 //   - The store is unavailable, loses responses to appends or drops its history.
 //   - New versions of the configuration are published.
+//   - Processes are limited to a share of a processor and their links to a rate, as on
+//     small machines.
 //
 // Afterwards it compares the outcomes that callers received with what the targets
 // ran. All random choices follow from a seed.
--- a/internal/cransoak/process.go
+++ b/internal/cransoak/process.go
@@ -8,6 +8,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -23,14 +24,23 @@
 	program                          string
 	// proxy forwards the connections of the process to the platform's store.
 	proxy *Proxy
-	// command is nil while no process runs.
-	command *exec.Cmd
-	paused  bool
+	// lifecycle is held by the fault that stops and starts the process.
+	lifecycle sync.Mutex
+
+	// mu guards the fields below.
+	mu sync.Mutex
+	// command is nil while no process runs. paused is true while a fault has stopped it.
+	command  *exec.Cmd
+	paused   bool
+	throttle throttle
 }
 
+// bytesPerMegabit is 1 Mbit in bytes.
+const bytesPerMegabit = 125_000
+
 // newEntry starts the proxy of an entry instance and writes the settings file. It does
 // not start the process.
-func newEntry(d *standin.Deployment, program, dir, name string) (*entry, error) {
+func newEntry(d *standin.Deployment, program, dir, name string, options ...standin.SettingsOption) (*entry, error) {
 	proxy, err := NewProxy(d.StoreAddress())
 	if err != nil {
 		return nil, err
@@ -39,13 +49,25 @@
 		name: name, program: program, proxy: proxy,
 		settingsFile: filepath.Join(dir, name+".yaml"), logFile: filepath.Join(dir, name+".log"),
 	}
+	// The checks read the log, so it must not be that of another soak.
+	if err := os.Remove(e.logFile); err != nil && !errors.Is(err, os.ErrNotExist) {
+		return nil, err
+	}
 	if e.frontAddress, err = standin.FreeAddress(); err != nil {
 		return nil, err
 	}
 	if e.readyAddress, err = standin.FreeAddress(); err != nil {
 		return nil, err
 	}
-	return e, os.WriteFile(e.settingsFile, d.Settings(name, e.frontAddress, e.readyAddress, proxy.Address()), 0o600)
+	return e, os.WriteFile(e.settingsFile, d.Settings(name, e.frontAddress, e.readyAddress, proxy.Address(), options...), 0o600)
+}
+
+// limit makes the process and its link as slow as a machine. It must be called before start.
+func (e *entry) limit(m standin.Machine) {
+	e.throttle.quota = time.Duration(m.Cores * float64(throttlePeriod))
+	if m.LinkMbps > 0 {
+		e.proxy.SetLink(m.LinkMbps * bytesPerMegabit)
+	}
 }
 
 // start starts the process and appends its output to the log of its earlier runs.
@@ -55,20 +77,32 @@
 		return err
 	}
 	defer func() { _ = output.Close() }()
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	e.command = exec.Command(e.program, "node")
 	e.command.Env = append(os.Environ(), platform.SettingsVariable+"="+e.settingsFile)
 	e.command.Stdout, e.command.Stderr = output, output
 	e.paused = false
-	return e.command.Start()
+	e.throttle = throttle{quota: e.throttle.quota, periodEnd: time.Now()}
+	if err := e.command.Start(); err != nil {
+		e.command = nil
+		return err
+	}
+	return nil
 }
 
 // signal sends a signal to the process, if there is one, and records whether the
 // process is paused.
 func (e *entry) signal(s syscall.Signal) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	if e.command == nil {
 		return nil
 	}
 	e.paused = s == syscall.SIGSTOP || e.paused && s != syscall.SIGCONT
+	if s == syscall.SIGCONT {
+		e.throttle.stopped = false
+	}
 	return e.command.Process.Signal(s)
 }
 
@@ -76,17 +110,22 @@
 // paused process is resumed first, so that it can handle the signal. It returns an
 // error if the process had exited by itself or failed to stop gracefully.
 func (e *entry) terminate(s syscall.Signal) error {
-	if e.command == nil {
+	e.mu.Lock()
+	command, paused := e.command, e.paused || e.throttle.stopped
+	e.mu.Unlock()
+	if command == nil {
 		return nil
 	}
-	if e.paused {
+	if paused {
 		if err := e.signal(syscall.SIGCONT); err != nil {
 			return err
 		}
 	}
 	signalErr := e.signal(s)
-	err := e.command.Wait()
+	err := command.Wait()
+	e.mu.Lock()
 	e.command = nil
+	e.mu.Unlock()
 	if errors.Is(signalErr, os.ErrProcessDone) {
 		return fmt.Errorf("%s exited by itself: %w; see %s", e.name, err, e.logFile)
 	}
--- a/internal/cransoak/proxy.go
+++ b/internal/cransoak/proxy.go
@@ -44,8 +44,10 @@
 	// group counts the goroutines that accept and forward connections.
 	group sync.WaitGroup
 
-	// limiter bounds the rate of all responses together.
-	limiter *rate.Limiter
+	// requests and responses bound the rate of all connections together in each direction.
+	requests, responses *rate.Limiter
+	// linkRate is the rate to which SetRate(0) returns.
+	linkRate rate.Limit
 
 	mu   sync.Mutex
 	mode Mode
@@ -59,7 +61,10 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{listener: l, backend: backend, limiter: rate.NewLimiter(rate.Inf, bufferSize), conns: map[net.Conn]bool{}}
+	p := &Proxy{
+		listener: l, backend: backend, linkRate: rate.Inf, conns: map[net.Conn]bool{},
+		requests: rate.NewLimiter(rate.Inf, bufferSize), responses: rate.NewLimiter(rate.Inf, bufferSize),
+	}
 	p.group.Go(p.accept)
 	return p, nil
 }
@@ -77,14 +82,22 @@
 	}
 }
 
+// SetLink bounds the rate of all connections together in each direction, in bytes per second.
+// It must not be called once there are connections.
+func (p *Proxy) SetLink(bytesPerSecond float64) {
+	p.linkRate = rate.Limit(bytesPerSecond)
+	p.requests.SetLimit(p.linkRate)
+	p.responses.SetLimit(p.linkRate)
+}
+
 // SetRate bounds the rate of the responses on all connections together, in bytes per second;
-// 0 means no bound.
+// 0 means no bound but that of the link.
 func (p *Proxy) SetRate(bytesPerSecond int) {
-	limit := rate.Limit(bytesPerSecond)
+	limit := min(rate.Limit(bytesPerSecond), p.linkRate)
 	if bytesPerSecond == 0 {
-		limit = rate.Inf
+		limit = p.linkRate
 	}
-	p.limiter.SetLimit(limit)
+	p.responses.SetLimit(limit)
 }
 
 // Close stops the proxy, closes its connections and waits for its goroutines.
@@ -162,10 +175,12 @@
 				continue
 			}
 		}
+		limiter := p.requests
 		if responses {
-			// The burst of the limiter is the size of the buffer, so the wait can't fail.
-			_ = p.limiter.WaitN(context.Background(), n)
+			limiter = p.responses
 		}
+		// The burst of the limiter is the size of the buffer, so the wait can't fail.
+		_ = limiter.WaitN(context.Background(), n)
 		if _, err := to.Write(buffer[:n]); err != nil {
 			return
 		}
--- a/internal/cransoak/soak.go
+++ b/internal/cransoak/soak.go
@@ -4,12 +4,13 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"sync"
 	"syscall"
 	"time"
 
-	"github.com/cranberrypick/cranberrypick/internal/cranpause"
+	"github.com/cranberrypick/cranberrypick/internal/cranledger"
 	"github.com/cranberrypick/cranberrypick/platform/standin"
 )
 
@@ -35,6 +36,8 @@
 	targetsPerCore = 400
 	// longRunningTasks is the number of tasks of the job that runs during the whole soak.
 	longRunningTasks = 4
+	// taskCPU is what a task takes, in thousandths of a core.
+	taskCPU = 500
 )
 
 // Options configures a soak.
@@ -48,6 +51,18 @@
 	Entries, Targets int
 	// Shards is the number of shards into which the targets are divided; 0 means one.
 	Shards int
+	// Small is the number of entry instances on small machines. If it isn't 0, all machines
+	// have limits.
+	Small int
+	// Surges selects the load and the faults of a large deployment: many jobs in surges, and
+	// series of faults that overlap.
+	Surges bool
+	// CancelBound is the time within which a cancellation must be in effect; 0 means the
+	// default of the stand-in.
+	CancelBound time.Duration
+	// Trace receives a line for each disruption and for each job that stands still; nil for
+	// none.
+	Trace io.Writer
 	// Duration is the time for which jobs are submitted and faults are injected.
 	Duration time.Duration
 }
@@ -57,6 +72,14 @@
 	// Accepted, Refused and Unknown count the outcomes of submissions, Faults the faults
 	// that were injected.
 	Accepted, Refused, Unknown, Faults int
+	// Cancelled counts the cancellations that were acknowledged, and LateStarts the starts that
+	// they should have prevented. ExcusedStarts counts those of them that a disruption excuses.
+	Cancelled, LateStarts, ExcusedStarts int
+	// StandStills counts the jobs that stood still, ExcusedStandStills those that did so only
+	// shortly after a disruption.
+	StandStills, ExcusedStandStills int
+	// Overloads counts how often the machine on which the soak runs was overloaded.
+	Overloads int
 	// Violations holds a message for each violated guarantee.
 	Violations []string
 }
@@ -74,6 +97,9 @@
 	// group counts the submissions and the faults that are in progress.
 	group   sync.WaitGroup
 	configs *configs
+	// disruptions holds the faults that excuse a violation of a bound in time.
+	disruptions cranledger.Disruptions
+	startedAt   time.Time
 
 	mu     sync.Mutex
 	report Report
@@ -81,6 +107,12 @@
 	// which a cancellation was sent.
 	outcomes  map[string]standin.Outcome
 	cancelled map[string]bool
+	// longRunning maps each long-running job to the number of its tasks.
+	longRunning map[string]int
+	// standing holds the jobs that stood still, and whether a disruption excuses that.
+	standing map[string]bool
+	// errs holds the errors of faults that run beside others.
+	errs []error
 }
 
 // Run runs a soak: it starts the processes, submits jobs and injects faults for the
@@ -88,9 +120,13 @@
 func Run(ctx context.Context, o Options) (report Report, err error) {
 	s := &soak{
 		Options: o, random: rand.New(rand.NewPCG(o.Seed, 0)),
-		outcomes: map[string]standin.Outcome{}, cancelled: map[string]bool{},
+		outcomes: map[string]standin.Outcome{}, cancelled: map[string]bool{}, longRunning: map[string]int{}, standing: map[string]bool{}, startedAt: time.Now(),
 	}
-	s.deployment, err = standin.NewDeployment(o.Targets, taskDuration, func(address string) (string, error) {
+	duration, cpu := taskDuration, taskCPU
+	if o.Surges {
+		duration, cpu = surgeTaskDuration, surgeTaskCPU
+	}
+	s.deployment, err = standin.NewDeployment(o.Targets, duration, func(address string) (string, error) {
 		p, err := NewProxy(address)
 		if err != nil {
 			return "", err
@@ -102,19 +138,41 @@
 		return Report{}, err
 	}
 	defer func() { err = errors.Join(err, s.close()) }()
-	if o.Shards > 1 {
-		s.deployment.LimitEntries(float64(o.Targets) / float64(o.Shards) / targetsPerCore)
-	}
+	s.deployment.Ledger().AddSlots(o.Targets * standin.TargetCPU / cpu)
 	s.configs = &configs{deployment: s.deployment, version: 1}
 	s.caller = s.deployment.NewCaller(callerTimeout)
 	if err := s.startEntries(ctx); err != nil {
 		return s.report, err
 	}
+	watchCtx, stopWatch := context.WithCancel(ctx)
+	var watches sync.WaitGroup
+	watches.Go(func() { s.watch(watchCtx) })
+	if s.Small > 0 {
+		watches.Go(func() { s.enforceLimits(watchCtx) })
+	}
+	defer func() { stopWatch(); watches.Wait() }()
 	if err := s.runWorkload(ctx); err != nil {
 		return s.report, err
 	}
 	s.clearFaults()
-	return s.checkResults(ctx), nil
+	s.checkResults(ctx)
+	stopWatch()
+	watches.Wait()
+	return s.finishReport(), nil
+}
+
+// machine returns the machine of the entry instance with a number; its limits are 0 if the
+// soak has none.
+func (s *soak) machine(number int) standin.Machine {
+	switch {
+	case s.Small > 0 && number >= s.Entries-s.Small:
+		return smallMachine
+	case s.Small > 0:
+		return largeMachine
+	case s.Shards > 1:
+		return standin.Machine{Cores: float64(s.Targets) / float64(s.Shards) / targetsPerCore}
+	}
+	return standin.Machine{}
 }
 
 // startEntries starts the entry instances and waits until they are ready.
@@ -122,10 +180,14 @@
 	boundedCtx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
 	for i := range s.Entries {
-		e, err := newEntry(s.deployment, s.Program, s.Dir, fmt.Sprintf("entry%d", i))
+		m := s.machine(i)
+		e, err := newEntry(s.deployment, s.Program, s.Dir, fmt.Sprintf("entry%d", i), standin.WithMachine(m), standin.WithCancelBound(s.cancelBound()))
 		if err != nil {
 			return err
 		}
+		if s.Small > 0 {
+			e.limit(m)
+		}
 		s.entries = append(s.entries, e)
 		if err := e.start(); err != nil {
 			return err
@@ -139,142 +201,6 @@
 	return nil
 }
 
-// jobID returns the ID of the job with number n, in 16 hexadecimal digits. Job 0 is
-// the long-running one.
-func jobID(n int) string { return fmt.Sprintf("%016x", n) }
-
-// runWorkload submits jobs and injects faults for the duration of the soak.
-func (s *soak) runWorkload(ctx context.Context) error {
-	boundedCtx, cancel := context.WithTimeout(ctx, s.Duration)
-	defer cancel()
-	// Callers have a separate random source, so that the faults of a seed don't depend
-	// on how fast responses arrive.
-	callerRandom := rand.New(rand.NewPCG(s.Seed, 1))
-	s.group.Go(func() {
-		s.submit(ctx, 0, s.entries[0].frontAddress, longRunningTasks, true)
-		for n := 1; boundedCtx.Err() == nil; n++ {
-			address, tasks, shouldCancel := s.entries[callerRandom.IntN(s.Entries)].frontAddress, 1+callerRandom.IntN(4), callerRandom.IntN(8) == 0
-			s.group.Go(func() {
-				s.submit(ctx, n, address, tasks, false)
-				if shouldCancel {
-					s.cancel(ctx, n, address)
-				}
-			})
-			cranpause.Sleep(boundedCtx, time.Duration(callerRandom.Int64N(int64(maxSubmitInterval))))
-		}
-	})
-	s.runConfigs(boundedCtx)
-	for boundedCtx.Err() == nil {
-		cranpause.Sleep(boundedCtx, time.Duration(s.random.Int64N(int64(maxFaultInterval))))
-		if err := s.injectFault(boundedCtx); err != nil {
-			return err
-		}
-	}
-	s.group.Wait()
-	return nil
-}
-
-// submit submits a job and records the outcome. Until the job is accepted, it retries
-// up to three times, at the entry instances in turn.
-func (s *soak) submit(ctx context.Context, n int, address string, tasks int, longRunning bool) {
-	outcome := standin.OutcomeRefused
-	for attempt := range 4 {
-		response := s.caller.Submit(ctx, address, jobID(n), tasks, longRunning)
-		// If any attempt may have had an effect, a later refusal does not make the outcome
-		// certain.
-		if response != standin.OutcomeRefused && outcome != standin.OutcomeAccepted {
-			outcome = response
-		}
-		if response == standin.OutcomeAccepted {
-			break
-		}
-		address = s.entries[(n+attempt)%s.Entries].frontAddress
-		cranpause.Sleep(ctx, maxSubmitInterval)
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.outcomes[jobID(n)] = outcome
-	switch outcome {
-	case standin.OutcomeAccepted:
-		s.report.Accepted++
-	case standin.OutcomeRefused:
-		s.report.Refused++
-	default:
-		s.report.Unknown++
-	}
-}
-
-// cancel records that a job is being cancelled and cancels it.
-func (s *soak) cancel(ctx context.Context, n int, address string) {
-	s.mu.Lock()
-	s.cancelled[jobID(n)] = true
-	s.mu.Unlock()
-	s.caller.Cancel(ctx, address, jobID(n))
-}
-
-// injectFault injects one random fault. Faults of connections and of the store last
-// beyond its return.
-func (s *soak) injectFault(ctx context.Context) error {
-	s.report.Faults++
-	e := s.entries[s.random.IntN(s.Entries)]
-	proxy := e.proxy
-	if s.random.IntN(2) == 0 {
-		proxy = s.targetProxies[s.random.IntN(s.Targets)]
-	}
-	duration := time.Duration(s.random.Int64N(int64(maxFaultDuration)))
-	mode := Mode(1 + s.random.IntN(int(modeCount)-1))
-	switch s.random.IntN(10) {
-	case 0, 1, 2, 3:
-		proxy.SetMode(mode)
-		s.group.Go(func() {
-			cranpause.Sleep(ctx, duration)
-			proxy.SetMode(Pass)
-		})
-	case 4:
-		return errors.Join(e.terminate(syscall.SIGKILL), e.start())
-	case 5:
-		return errors.Join(e.terminate(syscall.SIGTERM), e.start())
-	case 6:
-		if err := e.signal(syscall.SIGSTOP); err != nil {
-			return err
-		}
-		cranpause.Sleep(ctx, duration)
-		return e.signal(syscall.SIGCONT)
-	case 7:
-		s.configs.publish()
-		return e.signal(syscall.SIGHUP)
-	case 8:
-		s.injectStoreFault(ctx, duration)
-	case 9:
-		for _, e := range s.entries {
-			if err := e.terminate(syscall.SIGKILL); err != nil {
-				return err
-			}
-		}
-		for _, e := range s.entries {
-			if err := e.start(); err != nil {
-				return err
-			}
-		}
-	}
-	return nil
-}
-
-// injectStoreFault injects one random fault into the platform's store.
-func (s *soak) injectStoreFault(ctx context.Context, duration time.Duration) {
-	store := s.deployment.Store()
-	switch s.random.IntN(3) {
-	case 0:
-		store.DropHistory()
-	case 1:
-		store.DropAppendResponses(2 + s.random.IntN(4))
-		s.group.Go(func() { cranpause.Sleep(ctx, duration); store.DropAppendResponses(0) })
-	case 2:
-		store.SetUnavailable(true)
-		s.group.Go(func() { cranpause.Sleep(ctx, duration); store.SetUnavailable(false) })
-	}
-}
-
 // clearFaults ends the faults of the store and of all proxies.
 func (s *soak) clearFaults() {
 	s.deployment.Store().SetUnavailable(false)
@@ -286,14 +212,17 @@
 		e.proxy.SetMode(Pass)
 		e.proxy.SetRate(0)
 	}
+	s.disruptions.EndAll(time.Now())
 }
 
 // close stops the processes, the proxies and the deployment.
 func (s *soak) close() error {
-	var errs []error
+	var stops sync.WaitGroup
 	for _, e := range s.entries {
-		errs = append(errs, e.terminate(syscall.SIGTERM), e.proxy.Close())
+		stops.Go(func() { s.fail(errors.Join(e.terminate(syscall.SIGTERM), e.proxy.Close())) })
 	}
+	stops.Wait()
+	errs := []error{s.err()}
 	for _, p := range s.targetProxies {
 		errs = append(errs, p.Close())
 	}
--- a/internal/cransoak/soak_test.go
+++ b/internal/cransoak/soak_test.go
@@ -1,6 +1,7 @@
 package cransoak
 
 import (
+	"cmp"
 	"os/exec"
 	"path/filepath"
 	"testing"
@@ -23,15 +24,19 @@
 // shardedSeeds are played with several shards.
 var shardedSeeds = []uint64{1, 12}
 
-// TestSoak builds the program and runs a soak of 8 seconds with each regression seed, and with
-// several owners.
+// surgeSeeds are played with surges and small machines. Both lose all large machines, and later
+// a part of the store.
+var surgeSeeds = []uint64{4, 7}
+
+// TestSoak builds the program and runs a soak of 8 seconds with each regression seed, one with
+// several owners, and one of 12 seconds with surges.
 func TestSoak(t *testing.T) {
 	dir := t.TempDir()
 	program := filepath.Join(dir, "cranberrypick")
 	out, err := exec.CommandContext(t.Context(), "go", "build", "-o", program, "../../cmd/cranberrypick").CombinedOutput()
 	require.NoError(t, err, string(out))
 	play := func(o Options) {
-		o.Program, o.Dir, o.Duration = program, dir, 8*time.Second
+		o.Program, o.Dir, o.Duration = program, dir, cmp.Or(o.Duration, 8*time.Second)
 		report, err := Run(t.Context(), o)
 		require.NoError(t, err)
 		require.Empty(t, report.Violations, "seed %d with %d shards", o.Seed, o.Shards)
@@ -43,4 +48,7 @@
 	for _, seed := range shardedSeeds {
 		play(Options{Seed: seed, Entries: 5, Targets: 8, Shards: 4})
 	}
+	for _, seed := range surgeSeeds {
+		play(Options{Seed: seed, Entries: 6, Small: 4, Targets: 40, Surges: true, CancelBound: 4 * time.Second, Duration: 12 * time.Second})
+	}
 }
