--- a/internal/crannode/stall.go
+++ b/internal/crannode/stall.go
@@ -115,7 +115,8 @@
 	return !r.probing && r.possibleSince != 0 && now-since >= s.claimDelay()
 }
 
-// probe reads the submissions from an offset on and the targets, and appends nothing to the progress, which takes its turn like any append.
+// probe reads the submissions from an offset on and the targets, and appends nothing to the progress, which takes its
+// turn like any append.
 func (s *shard) probe(ctx context.Context, from uint64) error {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
