--- a/internal/cranevent/event.go
+++ b/internal/cranevent/event.go
@@ -94,8 +94,8 @@
 	SchedulerLags Event = 1109
 	// OwnerProgress says regularly how far an owner has got with its shard.
 	OwnerProgress Event = 1110
-	// OwnerStalled means that an owner doesn't get on with its shard, OwnerRecovered that it does again, and
-	// OwnerRelieved that this entry instance claims the shard of an owner that has stalled.
+	// OwnerStalled means that an owner makes no progress with its shard, OwnerRecovered that it does again, and
+	// OwnerRelieved that this entry instance claims the shard of an owner that has stalled or is undersized.
 	OwnerStalled   Event = 1111
 	OwnerRecovered Event = 1112
 	OwnerRelieved  Event = 1113
@@ -116,8 +116,8 @@
 	TaskGivenUp     Event = 1211
 	// CancellationRead means that the owner has read a cancellation.
 	CancellationRead Event = 1212
-	// StartsWithheld means that an owner may know too little to start tasks, StartsResumed that it
-	// knows enough again.
+	// StartsWithheld means that an owner starts no tasks, since its copy of the submissions or of the
+	// targets is too old, StartsResumed that it does again.
 	StartsWithheld Event = 1213
 	StartsResumed  Event = 1214
 )
--- a/internal/cranjob/progress.go
+++ b/internal/cranjob/progress.go
@@ -122,7 +122,7 @@
 	// Released is set if the scheduler has stopped and another process may take over
 	// at once.
 	Released bool `cbor:"5,keyasint,omitempty"`
-	// Stalled is set while the scheduler doesn't get on with the shard. Any other process that
+	// Stalled is set while the scheduler makes no progress with the shard. Any other process that
 	// can do better may take over.
 	Stalled bool `cbor:"7,keyasint,omitempty"`
 	// Undersized is set if the scheduler's instance has less capacity than its shards take. A
--- a/internal/crannode/stall.go
+++ b/internal/crannode/stall.go
@@ -23,8 +23,8 @@
 	// settleTime is how long an owner may count as stalled after the store was away for all: a read without an answer
 	// takes 1.7 s, the pause after it 0.4 s, and the record that says that it gets on 0.3 s until others read it.
 	settleTime = stallMemory + 2500*time.Millisecond
-	// maxQuietGap is the longest time from one read of the digest to the next in which the store counts as answering.
-	// It is digestPause otherwise.
+	// maxQuietGap is the gap between two reads of the digest above which the store counts as having been away.
+	// Without trouble the gap is digestPause.
 	maxQuietGap = 500 * time.Millisecond
 	// reliefPause is how long a process from which another has taken over, since it had stalled, doesn't do the same.
 	reliefPause = 10 * time.Second
@@ -32,7 +32,7 @@
 
 // relief is what a process knows about taking a shard over from an owner that has stalled.
 type relief struct {
-	// possibleSince is the time since which the store has answered the probes; 0 if it hasn't answered the last.
+	// possibleSince is the time since which the store has answered all probes; 0 after one that failed.
 	possibleSince time.Duration
 	probing       bool
 	nextProbeAt   time.Duration
@@ -61,8 +61,7 @@
 	return stalled
 }
 
-// waitAge returns how long a new task waits, as far as this owner can tell: as long as the read or the append under way
-// takes already, which run at the same time, or for half of a read, the next read and an append, as slow as the newest.
+// waitAge estimates how long a new task waits: as long as the read or the append under way takes already, which run at the same time, or for half of a read, the next read and an append, as slow as the newest.
 func (o *ownership) waitAge(now time.Duration) time.Duration {
 	appendAge := o.progress.age(now)
 	readAge := now - max(o.submissionsAnsweredAt, o.scheduledAt)
@@ -115,8 +114,8 @@
 	return !r.probing && r.possibleSince != 0 && now-since >= s.claimDelay()
 }
 
-// probe reads the submissions from an offset on and the targets, and appends nothing to the progress, which takes its
-// turn like any append.
+// probe reads the submissions from an offset on and the targets, and appends nothing to the progress, which queues
+// like any append.
 func (s *shard) probe(ctx context.Context, from uint64) error {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
--- a/internal/cransched/event.go
+++ b/internal/cransched/event.go
@@ -91,7 +91,7 @@
 	StatusOtherTarget
 	// StatusNotSent means that the call was not sent, as no connection could be opened.
 	StatusNotSent
-	// StatusWithheld means that the call was not sent, since the owner may know too little to send it.
+	// StatusWithheld means that the call was not sent, since the owner's copy of the submissions or targets is too old.
 	StatusWithheld
 	// StatusInstanceBusy means that the instance is not up and takes no order.
 	StatusInstanceBusy
--- a/internal/cransched/overdue.go
+++ b/internal/cransched/overdue.go
@@ -19,8 +19,8 @@
 // idle reports whether no task of the job is placed.
 func (j *job) idle() bool { return j.waiting+j.done == len(j.tasks) }
 
-// placeOverdue starts one task of each overdue job, the one that has waited longest first. Only jobs that begin late
-// for want of starts need it: where room is scarce, the order of candidates says who gets it.
+// placeOverdue starts one task of each overdue job, the one that has waited longest first. Only jobs that wait because
+// of the limit on starts under way need it: where room is scarce, the order of candidates says who gets it.
 func (s *Scheduler) placeOverdue(list []candidate, byPool map[string][]*target, starts int) {
 	if !s.startsLimited {
 		return
--- a/internal/cransched/scheduler.go
+++ b/internal/cransched/scheduler.go
@@ -52,9 +52,9 @@
 	crashHistory crashHistory
 	verdicts     []verdict
 	startsPaced  startPacer
-	// startsLimited is set if the last round ended for want of starts.
+	// startsLimited is set if the limit on starts under way ended the last round.
 	startsLimited bool
-	// startsUntil is the time up to which what is known suffices to start tasks.
+	// startsUntil is the deadline for starts, set by SetStartsUntil.
 	startsUntil time.Duration
 	// lag is how late the owner's process handles what has arrived.
 	lag time.Duration
--- a/internal/cransched/targets.go
+++ b/internal/cransched/targets.go
@@ -310,8 +310,8 @@
 	s.emit(Heartbeat{Target: t.address(), DeadlineMs: deadline, Token: s.token, AcknowledgedEnd: acknowledged, Wait: wait})
 }
 
-// hasUnansweredStart reports whether a start may have reached a later process than the known one without
-// a sign of it.
+// hasUnansweredStart reports whether a start is neither answered nor listed in a report, so that the target may have
+// restarted unnoticed.
 func (t *target) hasUnansweredStart() bool {
 	for _, r := range t.runs {
 		switch r.phase {
