cranstore: send the first request of a page without a timer

Under the race detector the tests of crannode ended in 4 of 6 full runs, and in one of 4 repeats of a part, with internal errors of the detector (CHECK failed in tsan_rtl.cpp:282 or :346, once SIGSEGV in runtime.(*timer).maybeRunChan) and never with a data race. The stack of the SIGSEGV is the select in requestPage, whose timer has expired in virtual time as it is reached, since it was set to 0. The first request is now sent before the loop, and a ticker repeats it. That the timer was the cause of the CHECK failures isn't shown.

--- a/internal/cranstore/load.go
+++ b/internal/cranstore/load.go
@@ -92,21 +92,23 @@
 	var group sync.WaitGroup
 	defer group.Wait()
 	defer cancelExcept(-1)
-	repeat := time.NewTimer(0)
+	send := func() {
+		request := len(cancels)
+		requestCtx, cancel := context.WithCancel(ctx)
+		cancels = append(cancels, cancel)
+		group.Go(func() {
+			responses <- l.sendRequest(requestCtx, clock, request, func() { begun <- request })
+		})
+	}
+	send()
+	repeat := time.NewTicker(pageRepeatInterval)
 	defer repeat.Stop()
 	for chosen := -1; ; {
 		select {
 		case <-repeat.C:
-			if chosen >= 0 || len(cancels) == maxRequests {
-				continue
+			if chosen < 0 && len(cancels) < maxRequests {
+				send()
 			}
-			request := len(cancels)
-			requestCtx, cancel := context.WithCancel(ctx)
-			cancels = append(cancels, cancel)
-			group.Go(func() {
-				responses <- l.sendRequest(requestCtx, clock, request, func() { begun <- request })
-			})
-			repeat.Reset(pageRepeatInterval)
 		case request := <-begun:
 			if chosen < 0 {
 				chosen = request
