--- a/internal/crannode/stall.go
+++ b/internal/crannode/stall.go
@@ -21,7 +21,7 @@
 	probeTimeout  = 400 * time.Millisecond
 	probeInterval = 300 * time.Millisecond
 	// settleTime is how long an owner may count as stalled after the store was away for all: a read without an answer
-	// takes 1.7 s, the pause after it 0.4 s, and the record that says that it gets on 0.3 s until others read it.
+	// takes 1.7 s, the pause after it 0.4 s, and the record that says that it is over 0.3 s until others read it.
 	settleTime = stallMemory + 2500*time.Millisecond
 	// maxQuietGap is the gap between two reads of the digest above which the store counts as having been away.
 	// Without trouble the gap is digestPause.
@@ -68,7 +68,7 @@
 	return max(readAge, appendAge, o.submissionsLatency*3/2+max(o.progress.recentLatency(now), appendAge))
 }
 
-// logStall logs that this owner has stalled, or that it gets on again.
+// logStall logs that this owner has stalled, or that it makes progress again.
 func (o *ownership) logStall(now time.Duration) {
 	n, event := o.shard.node, cranevent.OwnerRecovered
 	if o.stalled {
