--- a/internal/crannode/targets_test.go
+++ b/internal/crannode/targets_test.go
@@ -76,6 +76,8 @@
 	cancelledAt map[string]time.Duration
 	// drainingAt is when each target's entry was stored as draining.
 	drainingAt map[string]time.Duration
+	// cutOff is the process from which targets receive no order; empty if there is none.
+	cutOff string
 	// confirmedAt is when the newest append of each process to the digest was stored.
 	confirmedAt map[string]time.Duration
 }
@@ -103,7 +105,7 @@
 	}
 	t.endRuns(now.Steady)
 	switch {
-	case t.silent:
+	case t.silent, c.process == f.cutOff:
 		return t, cransched.Response{SentAt: now.Steady}
 	case token < t.token:
 		response.Status = cransched.StatusFenced
