--- a/internal/crannode/ownership.go
+++ b/internal/crannode/ownership.go
@@ -91,8 +91,8 @@
 	reportedAt time.Duration
 	// lateIntervals is how many more intervals this process lagged too much than not.
 	lateIntervals int
-	// stalledAt is when this owner was last seen to make no progress with the shard; 0 if it never was. stalled says whether
-	// it counts as stalled, and stallStored whether the digest was told so.
+	// stalledAt is when this owner last made no progress with the shard; 0 if it always has. stalled says whether it
+	// counts as stalled, and stallStored whether the digest was told so.
 	stalledAt            time.Duration
 	stalled, stallStored bool
 	// flushed is set once the last decisions before a release were stored.
--- a/internal/crannode/shard.go
+++ b/internal/crannode/shard.go
@@ -41,7 +41,7 @@
 	// fencedEpoch is the highest epoch that the store has reported when it refused an append
 	// as outdated. The next claim uses a higher one.
 	fencedEpoch uint64
-	// relief is what this process knows about taking the shard over from a stalled owner.
+	// relief is what this process knows about taking the shard over from a stalled or undersized owner.
 	relief relief
 	// renewedAt is when a renewal or segment was last read soon after it was stored. The node's
 	// lock guards it.
--- a/internal/crannode/stall.go
+++ b/internal/crannode/stall.go
@@ -21,7 +21,7 @@
 	probeTimeout  = 400 * time.Millisecond
 	probeInterval = 300 * time.Millisecond
 	// settleTime is how long an owner may count as stalled after the store was away for all: a read without an answer
-	// takes 1.7 s, the pause after it 0.4 s, and the record that says that it is over 0.3 s until others read it.
+	// takes 1.7 s, the pause after it 0.4 s, and the record that the stall is over 0.3 s until others read it.
 	settleTime = stallMemory + 2500*time.Millisecond
 	// maxQuietGap is the gap between two reads of the digest above which the store counts as having been away.
 	// Without trouble the gap is digestPause.
@@ -30,7 +30,7 @@
 	reliefPause = 10 * time.Second
 )
 
-// relief is what a process knows about taking a shard over from an owner that has stalled.
+// relief is what a process knows about taking a shard over from an owner that has stalled or is undersized.
 type relief struct {
 	// possibleSince is the time since which the store has answered all probes; 0 after one that failed.
 	possibleSince time.Duration
@@ -61,7 +61,8 @@
 	return stalled
 }
 
-// waitAge estimates how long a new task waits: as long as the read or the append under way takes already, which run at the same time, or for half of a read, the next read and an append, as slow as the newest.
+// waitAge estimates how long a new task waits: as long as the read or the append under way takes already, which run at
+// the same time, or for half of a read, the next read and an append that are as slow as the newest.
 func (o *ownership) waitAge(now time.Duration) time.Duration {
 	appendAge := o.progress.age(now)
 	readAge := now - max(o.submissionsAnsweredAt, o.scheduledAt)
