cransched: don't spread the starts of an overloaded owner over its whole backlog

Half of the starts of a round go to jobs that have waited for 1 s, one task each. With 1,900 jobs waiting, that begins a little of everything; the owner, at its limit, can't use the room that its targets have.

TestBacklogIsNotSpreadOverItsJobs failed before, with all 400 jobs begun; TestLateJobBeginsWhilePunctualOnesTakeAllStarts passes as before.

--- a/internal/cransched/overdue.go
+++ b/internal/cransched/overdue.go
@@ -14,6 +14,9 @@
 	overdueAfter = time.Second
 	// overdueShare is the part of the starts of a round, as a divisor, that overdue jobs may take.
 	overdueShare = 2
+	// maxOverdue is the number of overdue jobs above which the order of candidates stays as it is: the owner can't
+	// begin so many in time, and would only spread its starts over them.
+	maxOverdue = maxStartsUnderWay
 )
 
 // idle reports whether no task of the job is placed.
@@ -28,24 +31,32 @@
 	overdue := slices.DeleteFunc(slices.Clone(list), func(c candidate) bool {
 		return c.stage.step.Gang || s.clock.Steady-c.job.waitsSince < overdueAfter
 	})
+	if len(overdue) > maxOverdue {
+		return
+	}
 	slices.SortStableFunc(overdue, func(a, b candidate) int { return cmp.Compare(a.job.waitsSince, b.job.waitsSince) })
+	full := map[string]bool{}
 	for _, c := range overdue {
 		targets := byPool[c.job.Pool]
 		if starts <= 0 {
 			return
 		}
-		if !c.job.idle() || len(targets) == 0 || !s.ensureTicket(c, targets) {
+		// One failure per pool and round suffices: a backlog has thousands of jobs.
+		if full[c.job.Pool] || !c.job.idle() || len(targets) == 0 || !s.ensureTicket(c, targets) {
 			continue
 		}
 		i := slices.IndexFunc(c.stage.tasks, func(t *task) bool { return s.mayPlace(t) })
 		if i < 0 {
 			continue
 		}
-		if chosen := s.chooseTarget(c.stage, targets); chosen != nil {
-			t := c.stage.tasks[i]
-			s.startTask(t, chosen, t.Run+1)
-			starts--
+		chosen := s.chooseTarget(c.stage, targets)
+		if chosen == nil {
+			full[c.job.Pool] = true
+			continue
 		}
+		t := c.stage.tasks[i]
+		s.startTask(t, chosen, t.Run+1)
+		starts--
 	}
 }
 
--- a/internal/cransched/overdue_test.go
+++ b/internal/cransched/overdue_test.go
@@ -50,3 +50,26 @@
 		require.LessOrEqual(t, at, maxStandstill, i)
 	}
 }
+
+// TestBacklogIsNotSpreadOverItsJobs guards against an overloaded owner that begins a task of each of hundreds of jobs
+// and so completes hardly any, until the room that its targets have is left unused (LOST).
+func TestBacklogIsNotSpreadOverItsJobs(t *testing.T) {
+	const jobs, width = 400, 6
+	sim := newSimulation(t, 1, 40)
+	sim.failureRate, sim.longPolls, sim.handlingTime = 0, true, 4*time.Millisecond
+	for i := range jobs {
+		j := newBatchJob(fmt.Sprintf("late%d", i), width)
+		j.Steps = j.Steps[:1]
+		j.Steps[0].Demand = cranjob.Resources{CPU: 20, Memory: 20}
+		sim.submit(j)
+	}
+	sim.now += time.Minute
+	sim.takeOver(sim.now - time.Hour)
+	sim.runFor(4 * time.Second)
+	begun := map[string]bool{}
+	for _, s := range sim.starts {
+		begun[s.Task.Job] = true
+	}
+	require.Greater(t, len(sim.starts), 2*maxStartsUnderWay)
+	require.LessOrEqual(t, len(begun), 2*len(sim.starts)/width)
+}
