--- a/internal/cranevent/catalogue.go
+++ b/internal/cranevent/catalogue.go
@@ -126,7 +126,7 @@
 	rateLimited(define(JobUnknown, "jobUnknown", LevelInfo, "a caller asks for a job that does not exist",
 		KeyJob, KeyOffset)),
 	define(JobEnded, "jobEnded", LevelInfo, "a job has ended",
-		KeyAgeMs, KeyCause, KeyJob),
+		KeyAgeMs, KeyCause, KeyElapsedMs, KeyFirstStart, KeyJob, KeyObjectiveMs, KeySlackMs),
 	rateLimited(define(RequestNotRouted, "requestNotRouted", LevelInfo, "a request is routed to no queue",
 		KeyAgeMs, KeyError, KeyReason, KeyRevision)),
 	define(JobEntryStarting, "jobEntryStarting", LevelInfo, "the entry instance of the job service starts",
@@ -209,6 +209,8 @@
 		KeyCause, KeyNumber),
 	define(MoveOrdered, "moveOrdered", LevelInfo, "the move of an instance is ordered",
 		KeyCause, KeyNumber, KeyTarget),
+	define(PoolReported, "poolReported", LevelInfo, "what a pool has and needs, and what waits in it",
+		KeyArriving, KeyCount, KeyEmpty, KeyLimited, KeyNeeded, KeyPool, KeyPunctual, KeyShard, KeyWaiting, KeyWaitingLate),
 }
 
 // byEvent maps each event to its definition.
--- a/internal/cranevent/event.go
+++ b/internal/cranevent/event.go
@@ -136,6 +136,8 @@
 	MaintenanceOrdered Event = 1311
 	WaveChanged        Event = 1312
 	MoveOrdered        Event = 1313
+	// PoolReported says regularly what a pool has and needs, and what waits in it.
+	PoolReported Event = 1314
 )
 
 // Events of moves between pools.
--- a/internal/cranevent/event_test.go
+++ b/internal/cranevent/event_test.go
@@ -24,12 +24,12 @@
 
 // sampleFields holds one field for each key.
 var sampleFields = []Field{
-	Action("a-1"), Address(netip.MustParseAddrPort("10.0.0.7:8081")), Age(25 * time.Millisecond), AppendAge(30 * time.Millisecond),
+	Action("a-1"), Address(netip.MustParseAddrPort("10.0.0.7:8081")), Age(25 * time.Millisecond), AppendAge(30 * time.Millisecond), Arriving(2),
 	Behind(9), Bytes(512), Cause("probe"), Count(3), DataCentre("perth-1"), Digest(0xabc), Domain("rack-3"),
-	Elapsed(1500 * time.Millisecond), Epoch(5), Err(errors.New("a \"quoted\"\nerror")), File("entry.toml"), FirstByte(70 * time.Millisecond), FromPhase("stopping"),
-	Instance("office-1"), Job("5c0e7a21d94b36f8"), Member("entry-1-7f"), Number(2), Offset(18446744073709551615), Peer("entry-2"),
-	Pool("office"), Queue("matching"), ReadAge(35 * time.Millisecond), Reason(cranfault.BudgetSpent), Remaining(-40 * time.Millisecond), Revision(7), Service("placement"),
-	Shard("office"), Stream("control"), suppressed(4), Target("i-7f3a91c2"), Task("5c0e7a21d94b36f8.0.1.17"), ToPhase("returning"), ToPool("vets"), UnderWay(8), Waiting(6), Wave(12),
+	Elapsed(1500 * time.Millisecond), Empty(1), Epoch(5), Err(errors.New("a \"quoted\"\nerror")), File("entry.toml"), FirstByte(70 * time.Millisecond), FirstStart(200 * time.Millisecond), FromPhase("stopping"),
+	Instance("office-1"), Job("5c0e7a21d94b36f8"), LimitedRounds(10), Member("entry-1-7f"), Needed(9), Number(2), Objective(1700 * time.Millisecond), Offset(18446744073709551615), Peer("entry-2"),
+	Pool("office"), Punctual(7), Queue("matching"), ReadAge(35 * time.Millisecond), Reason(cranfault.BudgetSpent), Remaining(-40 * time.Millisecond), Revision(7), Service("placement"),
+	Shard("office"), Slack(-15 * time.Millisecond), Stream("control"), suppressed(4), Target("i-7f3a91c2"), Task("5c0e7a21d94b36f8.0.1.17"), ToPhase("returning"), ToPool("vets"), UnderWay(8), Waiting(6), WaitingLate(11), Wave(12),
 }
 
 func sampleFieldsOf(d Definition) []Field {
--- a/internal/cranevent/field.go
+++ b/internal/cranevent/field.go
@@ -18,6 +18,7 @@
 	KeyAddress     Key = "address"
 	KeyAgeMs       Key = "ageMs"
 	KeyAppendAgeMs Key = "appendAgeMs"
+	KeyArriving    Key = "arriving"
 	KeyBehind      Key = "behind"
 	KeyBytes       Key = "bytes"
 	KeyCause       Key = "cause"
@@ -26,18 +27,24 @@
 	KeyDigest      Key = "digest"
 	KeyDomain      Key = "domain"
 	KeyElapsedMs   Key = "elapsedMs"
+	KeyEmpty       Key = "empty"
 	KeyEpoch       Key = "epoch"
 	KeyError       Key = "error"
 	KeyFile        Key = "file"
 	KeyFirstByte   Key = "firstByteMs"
+	KeyFirstStart  Key = "firstStartMs"
 	KeyFromPhase   Key = "fromPhase"
 	KeyInstance    Key = "instance"
 	KeyJob         Key = "job"
+	KeyLimited     Key = "limitedRounds"
 	KeyMember      Key = "member"
+	KeyNeeded      Key = "needed"
 	KeyNumber      Key = "number"
+	KeyObjectiveMs Key = "objectiveMs"
 	KeyOffset      Key = "offset"
 	KeyPeer        Key = "peer"
 	KeyPool        Key = "pool"
+	KeyPunctual    Key = "punctual"
 	KeyQueue       Key = "queue"
 	KeyReadAgeMs   Key = "readAgeMs"
 	KeyReason      Key = "reason"
@@ -45,6 +52,7 @@
 	KeyRevision    Key = "revision"
 	KeyService     Key = "service"
 	KeyShard       Key = "shard"
+	KeySlackMs     Key = "slackMs"
 	KeyStream      Key = "stream"
 	KeySuppressed  Key = "suppressed"
 	KeyTarget      Key = "target"
@@ -53,6 +61,7 @@
 	KeyToPool      Key = "toPool"
 	KeyUnderWay    Key = "underWay"
 	KeyWaiting     Key = "waiting"
+	KeyWaitingLate Key = "waitingLate"
 	KeyWave        Key = "wave"
 )
 
@@ -194,6 +203,34 @@
 // UnderWay returns a field with the number of starts that wait for a response.
 func UnderWay(n int) Field { return integerField(KeyUnderWay, int64(n)) }
 
+// Arriving returns a field with the number of instances on their way to a pool.
+func Arriving(n int) Field { return integerField(KeyArriving, int64(n)) }
+
+// Empty returns a field with the number of a pool's instances on which nothing runs.
+func Empty(n int) Field { return integerField(KeyEmpty, int64(n)) }
+
+// Needed returns a field with the number of instances that all work of a pool needs.
+func Needed(n int) Field { return integerField(KeyNeeded, int64(n)) }
+
+// Punctual returns a field with the number of instances that the work of a pool needs that can still
+// complete in time.
+func Punctual(n int) Field { return integerField(KeyPunctual, int64(n)) }
+
+// WaitingLate returns a field with the number of waiting tasks whose job can't complete in time any more.
+func WaitingLate(n int) Field { return integerField(KeyWaitingLate, int64(n)) }
+
+// LimitedRounds returns a field with the number of rounds of placement that ended at the limit on starts.
+func LimitedRounds(n int) Field { return integerField(KeyLimited, int64(n)) }
+
+// Objective returns a field with the time from the receipt of a job to its soft deadline.
+func Objective(d time.Duration) Field { return integerField(KeyObjectiveMs, d.Milliseconds()) }
+
+// FirstStart returns a field with the time from the receipt of a job to its first placement.
+func FirstStart(d time.Duration) Field { return integerField(KeyFirstStart, d.Milliseconds()) }
+
+// Slack returns a field with the time to a soft deadline beyond the expected duration of the remaining work.
+func Slack(d time.Duration) Field { return integerField(KeySlackMs, d.Milliseconds()) }
+
 // Waiting returns a field with the number of tasks that could run and wait for a target.
 func Waiting(n int) Field { return integerField(KeyWaiting, int64(n)) }
 
--- a/internal/cranmetric/jobs.go
+++ b/internal/cranmetric/jobs.go
@@ -20,7 +20,7 @@
 // concurrent use.
 type Jobs struct {
 	registry *prometheus.Registry
-	refusals, retries, ended, runEnds,
+	refusals, retries, ended, objectives, runEnds,
 	orders *prometheus.CounterVec
 	accepted, cancelled, takeovers prometheus.Counter
 	targetCrashes, givenUp         prometheus.Counter
@@ -62,6 +62,7 @@
 		refusals:      vector("job_refusals_total", "Requests of callers that were refused, by reason.", "reason"),
 		retries:       vector("store_retries_total", "Appends that were sent again, by reason.", "reason"),
 		ended:         vector("jobs_ended_total", "Jobs that have ended, by state.", "state"),
+		objectives:    vector("job_objectives_total", "Completed jobs without times, by whether they met their objective.", "objective"),
 		runEnds:       vector("run_ends_total", "Runs that have ended, by how.", "how"),
 		orders:        vector("orders_total", "Orders to targets and about instances, by kind and outcome.", "order", "outcome"),
 		accepted:      counter("jobs_accepted_total", "Jobs that were accepted and stored."),
@@ -102,7 +103,7 @@
 	for _, reason := range []string{"refused", "unanswered"} {
 		m.retries.WithLabelValues(reason)
 	}
-	m.registry.MustRegister(m.refusals, m.retries, m.ended, m.runEnds, m.orders, m.accepted, m.cancelled,
+	m.registry.MustRegister(m.refusals, m.retries, m.ended, m.objectives, m.runEnds, m.orders, m.accepted, m.cancelled,
 		m.takeovers, m.targetCrashes, m.givenUp, m.acceptance, m.orderTime, m.firstStart, m.reads, m.readBytes, m.behind, m.firstByte, m.configApply, m.configRevision, m.configConfirmed, m.ownedShards, m.lag, m.digestJobs, malformed, collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
@@ -184,6 +185,15 @@
 	m.orderTime.WithLabelValues(order).Observe(after.Seconds())
 }
 
+// ObjectiveJudged counts a completed job by whether it met its soft deadline.
+func (m *Jobs) ObjectiveJudged(met bool) {
+	objective := "missed"
+	if met {
+		objective = "met"
+	}
+	m.objectives.WithLabelValues(objective).Inc()
+}
+
 // FirstStart observes the time from a job's arrival until its first task is placed.
 func (m *Jobs) FirstStart(after time.Duration) { m.firstStart.Observe(after.Seconds()) }
 
--- a/internal/crannode/note.go
+++ b/internal/crannode/note.go
@@ -5,6 +5,7 @@
 
 	"github.com/cranberrypick/cranberrypick/internal/cranevent"
 	"github.com/cranberrypick/cranberrypick/internal/cranfault"
+	"github.com/cranberrypick/cranberrypick/internal/cranjob"
 	"github.com/cranberrypick/cranberrypick/internal/cransched"
 )
 
@@ -57,7 +58,7 @@
 			"find out which process writes to the topic", "the target %q contradicts the entry under its id", e.Target)))
 		return
 	}
-	fields := make([]cranevent.Field, 0, 6)
+	fields := make([]cranevent.Field, 0, 8)
 	if e.Kind == cransched.LogRunPlaced {
 		fields = append(fields, cranevent.ReadAge(readAge))
 	}
@@ -79,5 +80,21 @@
 	if e.AgeMs != 0 {
 		fields = append(fields, cranevent.Age(time.Duration(e.AgeMs)*time.Millisecond))
 	}
+	if e.Timing != nil {
+		if e.State == cranjob.Completed {
+			n.metrics.ObjectiveJudged(e.Timing.EndMs <= e.Timing.ObjectiveMs)
+		}
+		fields = append(fields, cranevent.Elapsed(milliseconds(e.Timing.EndMs)), cranevent.Objective(milliseconds(e.Timing.ObjectiveMs)),
+			cranevent.FirstStart(milliseconds(e.Timing.FirstStartMs)), cranevent.Slack(milliseconds(e.Timing.SlackMs)))
+	}
 	n.log.Emit(entryEvents[e.Kind], fields...)
 }
+
+func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// logPoolStatus logs what a pool has and needs on the instances of a shard.
+func (n *Node) logPoolStatus(shard string, p cransched.PoolStatus) {
+	n.log.Emit(cranevent.PoolReported, cranevent.Shard(shard), cranevent.Pool(p.Pool), cranevent.Count(p.Members),
+		cranevent.Empty(p.Empty), cranevent.Arriving(p.Arriving), cranevent.Punctual(p.Punctual), cranevent.Needed(p.Needed),
+		cranevent.Waiting(p.Waiting), cranevent.WaitingLate(p.WaitingLate), cranevent.LimitedRounds(p.LimitedRounds))
+}
--- a/internal/crannode/owner.go
+++ b/internal/crannode/owner.go
@@ -182,6 +182,8 @@
 			o.publish(crandigest.JobState{ID: e.Job, Queue: e.Queue, State: e.State})
 		case cransched.WaveStatus:
 			o.waveRecords = append(o.waveRecords, crandigest.WaveProgress{Begun: e.Begun, Done: e.Done}.Record(e.Wave, o.shard.number))
+		case cransched.PoolStatus:
+			o.shard.node.logPoolStatus(o.shard.name, e)
 		case cransched.LogEntry:
 			o.shard.node.logDecision(e, o.readAge())
 		default:
--- a/internal/cransched/effect.go
+++ b/internal/cransched/effect.go
@@ -127,6 +127,32 @@
 	State cranjob.State
 	// AgeMs is the age of the information on which the decision is based.
 	AgeMs int64
+	// Timing is set for LogJobEnded if the job was placed by this owner and has no times.
+	Timing *JobTiming
+}
+
+// JobTiming is the timing of a job whose tasks come once, in milliseconds from its receipt.
+type JobTiming struct {
+	// FirstStartMs is when the first task was placed, and SlackMs the slack of its stage then.
+	FirstStartMs, SlackMs int64
+	// EndMs is when the job has ended, and ObjectiveMs its soft deadline.
+	EndMs, ObjectiveMs int64
+}
+
+// PoolStatus reports what a pool has, what it needs and what waits in it.
+type PoolStatus struct {
+	Pool string
+	// Members counts the instances whose target takes tasks or soon will, Empty those of them on which
+	// nothing runs, and Arriving those on their way to the pool.
+	Members, Empty, Arriving int
+	// Punctual is how many instances the work needs that can still complete in time, Needed how many all
+	// work needs.
+	Punctual, Needed int
+	// Waiting and WaitingLate count the tasks that could run, Waiting those that can complete in time.
+	Waiting, WaitingLate int
+	// LimitedRounds counts the rounds of placement since the last report that ended at the bound on the
+	// starts under way.
+	LimitedRounds int
 }
 
 // TrimSubmission replaces the submission of a finished job with a copy without the
@@ -187,5 +213,6 @@
 func (MoveInstance) effect()   {}
 func (WaveStatus) effect()     {}
 func (JobChanged) effect()     {}
+func (PoolStatus) effect()     {}
 func (TrimSubmission) effect() {}
 func (LogEntry) effect()       {}
--- a/internal/cransched/job.go
+++ b/internal/cransched/job.go
@@ -47,6 +47,8 @@
 	cancelled bool
 	// placedBefore is set once a task of the job has been placed.
 	placedBefore bool
+	// timing is set once this owner has placed a task of the job, if the job has no times.
+	timing *JobTiming
 	// dirty is set while the job has progress to be stored with the next batch.
 	dirty bool
 	// hasCrashes is set once a target has crashed under a task of the job, and crashesDirty while
@@ -186,6 +188,18 @@
 	return p
 }
 
+// recordFirstStart records the placement of the job's first task.
+func (j *job) recordFirstStart(st *stage, unixMs int64) {
+	if j.timing == nil && j.Times == 0 && !st.step.LongRunning {
+		j.timing = &JobTiming{FirstStartMs: unixMs - j.ReceivedMs, SlackMs: j.slackMs(st, unixMs)}
+	}
+}
+
+// slackMs returns the time to the soft deadline minus the remaining critical path of a stage.
+func (j *job) slackMs(st *stage, unixMs int64) int64 {
+	return j.softDeadlineMs(st.name.Occurrence) - unixMs - int64(j.criticalPathMs[st.name.Step])
+}
+
 // softDeadlineMs returns the time by which an occurrence should be complete, in Unix
 // milliseconds.
 func (j *job) softDeadlineMs(occurrence int) int64 {
--- a/internal/cransched/place.go
+++ b/internal/cransched/place.go
@@ -38,6 +38,7 @@
 	mostPlanned := s.startsPaced.planned + s.startsPaced.left(s.clock.Steady, s.lag)
 	rooms := idleRooms{}
 	list := s.candidates()
+	s.recordBacklog(list)
 	s.placeSuspects(list, byPool)
 	s.placeOverdue(list, byPool, (mostPlanned-s.startsPaced.planned+overdueShare-1)/overdueShare)
 	s.startsLimited = false
@@ -52,6 +53,7 @@
 		}
 		if s.startsPaced.planned >= mostPlanned {
 			s.startsLimited = true
+			s.limitedRounds++
 			maps.Copy(s.starved, starvedBefore)
 			return
 		}
@@ -142,7 +144,7 @@
 				continue
 			}
 			j.updateEstimates(s.predictors[j.Queue], s.clock.Steady)
-			slack := j.softDeadlineMs(st.name.Occurrence) - s.clock.UnixMs - int64(j.criticalPathMs[st.name.Step])
+			slack := j.slackMs(st, s.clock.UnixMs)
 			list = append(list, candidate{
 				job: j, stage: st, slackMs: slack, late: slack < 0 && !st.step.LongRunning,
 			})
--- a/internal/cransched/pools.go
+++ b/internal/cransched/pools.go
@@ -95,6 +95,7 @@
 	s.fleet.budget.replenish(now, s.timing.OrdersPerSecond)
 	supply := s.supply()
 	balances := s.balances(supply)
+	s.reportPools(balances, supply)
 	s.rebalance(balances, supply)
 	s.vacateForStarved(supply)
 }
--- /dev/null
+++ b/internal/cransched/poolstatus.go
@@ -0,0 +1,41 @@
+package cransched
+
+import "time"
+
+// poolReportInterval is how often the status of the pools is reported.
+const poolReportInterval = time.Second
+
+// backlog counts the waiting tasks of a pool that could run, apart from long-running ones.
+type backlog struct{ punctual, late int }
+
+// recordBacklog counts the waiting tasks of each pool.
+func (s *Scheduler) recordBacklog(list []candidate) {
+	clear(s.backlogs)
+	for _, c := range list {
+		b := s.backlogs[c.job.Pool]
+		switch {
+		case c.stage.step.LongRunning:
+		case c.late:
+			b.late += c.stage.waiting
+		default:
+			b.punctual += c.stage.waiting
+		}
+		s.backlogs[c.job.Pool] = b
+	}
+}
+
+// reportPools reports the status of each pool that isn't a standby pool.
+func (s *Scheduler) reportPools(balances []*poolBalance, supply map[string]*poolSupply) {
+	if s.clock.Steady-s.poolsReportedAt < poolReportInterval {
+		return
+	}
+	s.poolsReportedAt = s.clock.Steady
+	for _, b := range balances {
+		p, waiting := supply[b.pool], s.backlogs[b.pool]
+		s.emit(PoolStatus{
+			Pool: b.pool, Members: p.members, Empty: len(p.empty), Arriving: p.arriving, Punctual: b.punctual, Needed: b.needed,
+			Waiting: waiting.punctual, WaitingLate: waiting.late, LimitedRounds: s.limitedRounds,
+		})
+	}
+	s.limitedRounds = 0
+}
--- a/internal/cransched/scheduler.go
+++ b/internal/cransched/scheduler.go
@@ -54,6 +54,12 @@
 	startsPaced  startPacer
 	// startsLimited is set if the limit on starts under way ended the last round.
 	startsLimited bool
+	// backlogs hold, by pool, the waiting tasks of the last round; limitedRounds counts the rounds since the
+	// last report that ended at the limit on starts under way.
+	backlogs      map[string]backlog
+	limitedRounds int
+	// poolsReportedAt is when the status of the pools was last reported.
+	poolsReportedAt time.Duration
 	// startsUntil is the deadline for starts, set by SetStartsUntil.
 	startsUntil time.Duration
 	// lag is how late the owner's process handles what has arrived.
@@ -96,7 +102,7 @@
 	s := &Scheduler{
 		token: token, timing: timing, config: config, clock: now, stored: stored,
 		jobs: map[string]*job{}, targets: map[string]*target{}, cancelled: map[string]bool{},
-		predictors: map[string]*predictor{}, arrivals: map[string]*arrivalHistory{},
+		predictors: map[string]*predictor{}, arrivals: map[string]*arrivalHistory{}, backlogs: map[string]backlog{},
 		losses: map[string]loss{}, starved: map[string]bool{}, nextTicketRequest: map[StepName]time.Duration{},
 		suspensions: newSuspensions(predecessor.LeasesEndAt),
 		predecessor: predecessor, createdAt: now.Steady, startsUntil: math.MaxInt64,
@@ -218,7 +224,10 @@
 	trimmed := *j.Job
 	trimmed.Spec = ""
 	s.emitOnceStored(TrimSubmission{cranstore.Record{Key: cranjob.SubmissionKey(j.ID), Value: cranjob.Encode(trimmed)}})
-	s.emitOnceStored(LogEntry{Kind: LogJobEnded, Job: j.ID, State: state, Reason: state.String() + ": " + reason})
+	if j.timing != nil {
+		j.timing.EndMs, j.timing.ObjectiveMs = j.endedMs-j.ReceivedMs, j.softDeadlineMs(0)-j.ReceivedMs
+	}
+	s.emitOnceStored(LogEntry{Kind: LogJobEnded, Job: j.ID, State: state, Reason: state.String() + ": " + reason, Timing: j.timing})
 	for _, t := range j.tasks {
 		s.abandonRun(t, reason)
 	}
