--- a/internal/cransched/world_target_test.go
+++ b/internal/cransched/world_target_test.go
@@ -240,6 +240,7 @@
 		r.readyAt = sim.now + sim.startup
 	}
 	tgt.runs[e.Task] = r
+	sim.durations[e.Task] = r.endsAt - sim.now
 	if delay, deadly := sim.deadly[e.Task]; deadly {
 		sim.schedule(delay, func() {
 			if tgt.runs[e.Task] == r {
--- a/internal/cransched/world_test.go
+++ b/internal/cransched/world_test.go
@@ -112,6 +112,8 @@
 	jobs map[string]*cranjob.Job
 	// acknowledged holds the outcomes that the owner has acknowledged, by task.
 	acknowledged map[cranjob.TaskName][]RunOutcome
+	// durations holds how long the newest run of each task takes.
+	durations map[cranjob.TaskName]time.Duration
 	// succeeded holds the tasks with a successful run.
 	succeeded map[cranjob.TaskName]bool
 }
@@ -137,7 +139,7 @@
 		}, Pools: map[string]*Pool{"p": {Name: "p"}, "off": {Name: "off", Standby: true}}},
 		instances: map[string]*simInstance{}, orderStoredAt: map[string]time.Duration{}, lastOrders: map[string]sentOrder{},
 		targets: map[string]*simTarget{}, jobs: map[string]*cranjob.Job{}, acknowledged: map[cranjob.TaskName][]RunOutcome{},
-		succeeded: map[cranjob.TaskName]bool{}, maintenances: map[string]int{}, logged: map[LogKind]int{}, failureRate: 0.08,
+		durations: map[cranjob.TaskName]time.Duration{}, succeeded: map[cranjob.TaskName]bool{}, maintenances: map[string]int{}, logged: map[LogKind]int{}, failureRate: 0.08,
 		deadly: map[cranjob.TaskName]time.Duration{}, crashes: map[cranjob.TaskName]int{}, startsAfterCrashes: map[cranjob.TaskName]int{},
 	}
 	for i := range targets {
