cransched: judge the objective of a job as its caller does

Callers saw SHORT: under overload most jobs of a queue ended late. The owner believed that they were in time.

Cause: the soft deadline was too far away by about half a second. It was taken from learnt durations, which contain the time until the end is reported, times the stretch; and it left out that the caller learns of the end only once the entry instance that it asks has read it in the digest. In calm that costs nothing. In a backlog jobs are started by least slack, so each one waits until its slack is used up, and a constant error makes all of them late.

Change: the objective follows from the work without its report, from measured durations for steps that are complete, and is due earlier by the time that the digest takes (its two intervals). The critical path contains the time until a placement is stored.

--- a/internal/crannode/ownership.go
+++ b/internal/crannode/ownership.go
@@ -256,6 +256,8 @@
 	o.predecessor.SameInstance = known && s.isFromEarlierProcess(predecessor)
 	timing := n.timing
 	timing.OrdersPerSecond /= float64(len(n.shards))
+	// Other entry instances show the end of a job once they have read it in the digest.
+	timing.DeliveryTime = digestInterval + digestPause
 	for _, id := range slices.Sorted(maps.Keys(o.predecessor.LeasesEndAt)) {
 		n.log.Emit(cranevent.LeaseEndInherited, cranevent.Shard(s.name), cranevent.Epoch(o.epoch), cranevent.Target(id),
 			cranevent.Age(now.Steady-o.leasesReadAt), cranevent.Remaining(o.predecessor.LeasesEndAt[id]-now.Steady))
--- a/internal/cransched/estimate.go
+++ b/internal/cransched/estimate.go
@@ -22,6 +22,10 @@
 	// durationsPerRecord is the number of new observations of a queue after which the
 	// model is stored for the next owner.
 	durationsPerRecord = 50
+	// storeTime is how long a placement waits to be stored before its start is sent.
+	storeTime = 40 * time.Millisecond
+	// reportTime is how long after the end of a run its owner learns of it.
+	reportTime = minHeartbeatGap
 	// estimateInterval is how often the critical paths of a job are recomputed.
 	estimateInterval = 500 * time.Millisecond
 )
--- a/internal/cransched/job.go
+++ b/internal/cransched/job.go
@@ -1,6 +1,7 @@
 package cransched
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cranberrypick/cranberrypick/internal/cranjob"
@@ -57,13 +58,18 @@
 	// survivors counts the suspected tasks that have outlived a start apart from others since the
 	// last one that has not.
 	survivors int
-	// criticalPathMs holds for each step the expected length of the longest path of
-	// dependent steps that begins with it; durationMs holds the expected duration of one
+	// criticalPathMs holds for each step the expected time of the longest path of dependent steps that
+	// begins with it, with the time of orders and reports; durationMs holds the expected duration of one
 	// of its tasks.
 	criticalPathMs, durationMs []float64
-	estimatedAt                time.Duration
-	waiting                    int
-	done                       int
+	// workMs is the length of the longest path of the job, as the work alone, from which its soft deadline
+	// follows. For steps that are complete, measuredMs, the longest duration of a task, counts.
+	workMs     float64
+	measuredMs []float64
+	// estimatedAt is when these were computed; 0 if they are out of date.
+	estimatedAt time.Duration
+	waiting     int
+	done        int
 	// waitsSince is the time since which a stage has been ready while no task was placed.
 	waitsSince time.Duration
 	endedMs    int64
@@ -102,27 +108,50 @@
 	return j
 }
 
-// updateEstimates recomputes the expected durations and critical paths of the job with the
-// predictor of its queue.
+// updateEstimates recomputes the expected durations and paths of the job with the predictor of its queue.
 func (j *job) updateEstimates(p *predictor, now time.Duration) {
-	if j.criticalPathMs != nil && now-j.estimatedAt < estimateInterval {
+	if j.estimatedAt != 0 && now-j.estimatedAt < estimateInterval {
 		return
 	}
 	j.estimatedAt = now
-	steps := j.Steps
 	if j.criticalPathMs == nil {
-		j.criticalPathMs, j.durationMs = make([]float64, len(steps)), make([]float64, len(steps))
-	}
-	clear(j.criticalPathMs)
-	for i := len(steps) - 1; i >= 0; i-- {
-		j.durationMs[i] = p.predict(steps[i].EstimateMs)
-		j.criticalPathMs[i] += j.durationMs[i] * longestTaskFactor(steps[i].Count)
-		for _, dependency := range steps[i].After {
-			j.criticalPathMs[dependency] = max(j.criticalPathMs[dependency], j.criticalPathMs[i])
+		j.criticalPathMs, j.durationMs = make([]float64, len(j.Steps)), make([]float64, len(j.Steps))
+		j.measuredMs = make([]float64, len(j.Steps))
+	}
+	workMs := make([]float64, len(j.Steps))
+	for i := range j.Steps {
+		j.durationMs[i] = p.predict(j.Steps[i].EstimateMs)
+		longestMs := j.durationMs[i] * longestTaskFactor(j.Steps[i].Count)
+		j.criticalPathMs[i] = longestMs + float64(storeTime.Milliseconds())
+		if j.Times == 0 && j.measuredMs[i] > 0 && j.stages[i].complete() {
+			longestMs = j.measuredMs[i]
+		}
+		workMs[i] = max(longestMs-float64(reportTime.Milliseconds()), 0)
+	}
+	j.addDependentSteps(j.criticalPathMs)
+	j.addDependentSteps(workMs)
+	j.workMs = slices.Max(workMs)
+}
+
+// addDependentSteps adds to the length of each step that of the longest path of steps that depend on it.
+func (j *job) addDependentSteps(lengthMs []float64) {
+	longestAfter := make([]float64, len(lengthMs))
+	for i := len(lengthMs) - 1; i >= 0; i-- {
+		lengthMs[i] += longestAfter[i]
+		for _, dependency := range j.Steps[i].After {
+			longestAfter[dependency] = max(longestAfter[dependency], lengthMs[i])
 		}
 	}
 }
 
+// recordDuration records how long a task has taken, as the objective of its job follows from it.
+func (j *job) recordDuration(t *task, durationMs float64) {
+	if j.measuredMs != nil {
+		j.measuredMs[t.name.Step] = max(j.measuredMs[t.name.Step], durationMs)
+		j.estimatedAt = 0
+	}
+}
+
 func (j *job) stageOf(t *task) *stage {
 	return j.stages[t.name.Occurrence*len(j.Steps)+t.name.Step]
 }
@@ -189,27 +218,23 @@
 }
 
 // recordFirstStart records the placement of the job's first task.
-func (j *job) recordFirstStart(st *stage, unixMs int64) {
+func (s *Scheduler) recordFirstStart(j *job, st *stage) {
 	if j.timing == nil && j.Times == 0 && !st.step.LongRunning {
-		j.timing = &JobTiming{FirstStartMs: unixMs - j.ReceivedMs, SlackMs: j.slackMs(st, unixMs)}
+		j.timing = &JobTiming{FirstStartMs: s.clock.UnixMs - j.ReceivedMs, SlackMs: s.slackMs(j, st)}
 	}
 }
 
 // slackMs returns the time to the soft deadline minus the remaining critical path of a stage.
-func (j *job) slackMs(st *stage, unixMs int64) int64 {
-	return j.softDeadlineMs(st.name.Occurrence) - unixMs - int64(j.criticalPathMs[st.name.Step])
+func (s *Scheduler) slackMs(j *job, st *stage) int64 {
+	return s.softDeadlineMs(j, st.name.Occurrence) - s.clock.UnixMs - int64(j.criticalPathMs[st.name.Step])
 }
 
-// softDeadlineMs returns the time by which an occurrence should be complete, in Unix
-// milliseconds.
-func (j *job) softDeadlineMs(occurrence int) int64 {
-	longest := 0.0
-	for _, c := range j.criticalPathMs {
-		longest = max(longest, c)
-	}
+// softDeadlineMs returns the time by which an occurrence should be complete for its caller to learn of it in
+// time, in Unix milliseconds.
+func (s *Scheduler) softDeadlineMs(j *job, occurrence int) int64 {
 	startMs := max(j.ReceivedMs, j.DueMs(occurrence))
 	if j.queue == nil {
-		return startMs + int64(longest)
+		return startMs + int64(j.workMs)
 	}
-	return startMs + int64(j.queue.Stretch*longest) + j.queue.LatencyTarget.Milliseconds()
+	return startMs + int64(j.queue.Stretch*j.workMs) + (j.queue.LatencyTarget - s.timing.DeliveryTime).Milliseconds()
 }
--- a/internal/cransched/place.go
+++ b/internal/cransched/place.go
@@ -144,7 +144,7 @@
 				continue
 			}
 			j.updateEstimates(s.predictors[j.Queue], s.clock.Steady)
-			slack := j.slackMs(st, s.clock.UnixMs)
+			slack := s.slackMs(j, st)
 			list = append(list, candidate{
 				job: j, stage: st, slackMs: slack, late: slack < 0 && !st.step.LongRunning,
 			})
--- a/internal/cransched/pools.go
+++ b/internal/cransched/pools.go
@@ -291,7 +291,7 @@
 		return openTasks, false
 	}
 	laterStepsMs := j.criticalPathMs[st.name.Step] - durationMs*longestTaskFactor(st.step.Count)
-	availableMs := float64(j.softDeadlineMs(st.name.Occurrence)-s.clock.UnixMs) - laterStepsMs
+	availableMs := float64(s.softDeadlineMs(j, st.name.Occurrence)-s.clock.UnixMs) - laterStepsMs
 	if availableMs < durationMs {
 		return openTasks * min(durationMs/float64(lateWorkHorizon.Milliseconds()), 1), true
 	}
--- a/internal/cransched/report.go
+++ b/internal/cransched/report.go
@@ -274,7 +274,9 @@
 		p = &predictor{}
 		s.predictors[parent.job.Queue] = p
 	}
-	p.add(parent.step.EstimateMs, (s.clock.Steady - r.startedAt).Milliseconds())
+	durationMs := (s.clock.Steady - r.startedAt).Milliseconds()
+	parent.job.recordDuration(parent, float64(durationMs))
+	p.add(parent.step.EstimateMs, durationMs)
 	if p.N >= p.storedCount+durationsPerRecord {
 		p.storedCount = p.N
 		s.pendingRecords = append(s.pendingRecords, cranstore.Record{Key: cranjob.DurationsKey(parent.job.Queue), Value: cranjob.Encode(p.Durations)})
--- a/internal/cransched/start.go
+++ b/internal/cransched/start.go
@@ -13,7 +13,7 @@
 		j.placedBefore = true
 		s.emitOnceStored(LogEntry{Kind: LogFirstStart, AgeMs: s.clock.UnixMs - j.ReceivedMs})
 	}
-	t.job.recordFirstStart(t.job.stageOf(t), s.clock.UnixMs)
+	s.recordFirstStart(t.job, t.job.stageOf(t))
 	t.Run = number
 	t.job.setStatus(t, cranjob.Placed)
 	t.Target = dest.info.ID
--- a/internal/cransched/world_test.go
+++ b/internal/cransched/world_test.go
@@ -183,7 +183,7 @@
 	}
 }
 
-var simTiming = Timing{MaxLease: 6 * time.Second, StopTime: 900 * time.Millisecond, OrderLease: 3 * time.Second}
+var simTiming = Timing{MaxLease: 6 * time.Second, StopTime: 900 * time.Millisecond, OrderLease: 3 * time.Second, DeliveryTime: callerDelay}
 
 // takeOver replaces the owner, once the predecessor has stopped or released its claim. The
 // predecessor may send orders until predecessorStop.
