cransched: leave a reserve for the error of a job's expected duration

Callers saw SHORT: what an overloaded pool can do went to jobs that ended just after their objective.

Cause: the domino effect of earliest deadline first. A job with any slack at all counted as able to complete in time, and the one with the least came first. In a backlog each job was started at a slack of nearly 0, so that half of them missed their objective by the error of the estimate, and those behind had waited for nothing.

Change: a stage counts as late once its slack is below the part of the expected error that the objective doesn't make up for. The objective is a multiple (stretch) of the work, so the slack changes by stretch - 1 times the error.

TestOverloadedPoolServesJobsInTime fails before and passes now: 85 to 90 of 150 in time, 39 to 46 before.

--- a/internal/cransched/job.go
+++ b/internal/cransched/job.go
@@ -1,6 +1,7 @@
 package cransched
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -229,6 +230,15 @@
 	return s.softDeadlineMs(j, st.name.Occurrence) - s.clock.UnixMs - int64(j.criticalPathMs[st.name.Step])
 }
 
+// slackReserveMs returns the slack that a stage needs to complete in time although its expected duration may be
+// wrong. The soft deadline moves with the duration, so only the difference between the two counts.
+func (j *job) slackReserveMs(st *stage) int64 {
+	if j.queue == nil {
+		return 0
+	}
+	return int64(math.Abs(j.queue.Stretch-1) * durationSpread * j.criticalPathMs[st.name.Step])
+}
+
 // softDeadlineMs returns the time by which an occurrence should be complete for its caller to learn of it in
 // time, in Unix milliseconds.
 func (s *Scheduler) softDeadlineMs(j *job, occurrence int) int64 {
--- a/internal/cransched/place.go
+++ b/internal/cransched/place.go
@@ -13,7 +13,7 @@
 type candidate struct {
 	job   *job
 	stage *stage
-	// late is set for stages that can't complete in time any more; they come last.
+	// late is set for stages that can't be expected to complete in time any more; they come last.
 	late bool
 	// slackMs is the time to the soft deadline minus the remaining critical path.
 	slackMs int64
@@ -146,7 +146,7 @@
 			j.updateEstimates(s.predictors[j.Queue], s.clock.Steady)
 			slack := s.slackMs(j, st)
 			list = append(list, candidate{
-				job: j, stage: st, slackMs: slack, late: slack < 0 && !st.step.LongRunning,
+				job: j, stage: st, slackMs: slack, late: !st.step.LongRunning && slack < j.slackReserveMs(st),
 			})
 		}
 		if len(list) == ready {
