--- a/internal/crannode/ownership.go
+++ b/internal/crannode/ownership.go
@@ -254,16 +254,12 @@
 	o.predecessor.LastOrderAt = o.lastOrders(now)
 	predecessor, known := s.predecessorOf(s.claim())
 	o.predecessor.SameInstance = known && s.isFromEarlierProcess(predecessor)
-	timing := n.timing
-	timing.OrdersPerSecond /= float64(len(n.shards))
-	// Other entry instances show the end of a job once they have read it in the digest.
-	timing.DeliveryTime = digestInterval + digestPause
 	for _, id := range slices.Sorted(maps.Keys(o.predecessor.LeasesEndAt)) {
 		n.log.Emit(cranevent.LeaseEndInherited, cranevent.Shard(s.name), cranevent.Epoch(o.epoch), cranevent.Target(id),
 			cranevent.Age(now.Steady-o.leasesReadAt), cranevent.Remaining(o.predecessor.LeasesEndAt[id]-now.Steady))
 	}
 	o.scheduledAt = now.Steady
-	o.scheduler = cransched.New(o.epoch, timing, c.config, o.replica, now, o.predecessor)
+	o.scheduler = cransched.New(o.epoch, n.schedulerTiming(), c.config, o.replica, now, o.predecessor)
 	for id, e := range o.replica.Jobs() {
 		if e.Job() != nil {
 			o.publish(crandigest.JobState{ID: id, Queue: e.Job().Queue, State: e.State()})
@@ -277,6 +273,15 @@
 		cranevent.Count(o.scheduler.JobCount()), cranevent.Elapsed(now.Steady-o.beganAt))
 }
 
+// schedulerTiming returns the time limits of the scheduler of one shard.
+func (n *Node) schedulerTiming() cransched.Timing {
+	timing := n.timing
+	timing.OrdersPerSecond /= float64(len(n.shards))
+	// Other entry instances show the end of a job once they have read it in the digest.
+	timing.DeliveryTime = digestInterval + digestPause
+	return timing
+}
+
 // lastOrders returns the times, on this process's clock, after which no earlier owner has
 // decided on an order for an instance.
 func (o *ownership) lastOrders(now cransched.Clock) map[string]time.Duration {
