cransched: log the objective of a job from all that its steps have measured

The estimates of a job that ends are up to half a second old, so the objective in jobEnded left out the last step's durations. The longest path of a job without steps is 0 instead of a panic; such jobs are refused before.

--- a/internal/cransched/config.go
+++ b/internal/cransched/config.go
@@ -47,7 +47,7 @@
 	// OrdersPerSecond is how many orders about instances the platform accepts per second.
 	// 0 means that it is not known.
 	OrdersPerSecond float64
-	// DeliveryTime is how long after the end of a job its caller learns of it.
+	// DeliveryTime is how long after the end of a job its caller learns of it at the latest.
 	DeliveryTime time.Duration
 }
 
--- a/internal/cransched/effect.go
+++ b/internal/cransched/effect.go
@@ -150,7 +150,7 @@
 	Punctual, Needed int
 	// Waiting and WaitingLate count the tasks that could run, Waiting those that can complete in time.
 	Waiting, WaitingLate int
-	// LimitedRounds counts the rounds of placement since the last report that ended at the bound on the
+	// LimitedRounds counts the rounds of placement since the last report that ended at the limit on the
 	// starts under way.
 	LimitedRounds int
 }
--- a/internal/cransched/job.go
+++ b/internal/cransched/job.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"github.com/cranberrypick/cranberrypick/internal/cranjob"
@@ -131,7 +130,10 @@
 	}
 	j.addDependentSteps(j.criticalPathMs)
 	j.addDependentSteps(workMs)
-	j.workMs = slices.Max(workMs)
+	j.workMs = 0
+	for _, pathMs := range workMs {
+		j.workMs = max(j.workMs, pathMs)
+	}
 }
 
 // addDependentSteps adds to the length of each step that of the longest path of steps that depend on it.
--- a/internal/cransched/scheduler.go
+++ b/internal/cransched/scheduler.go
@@ -225,6 +225,7 @@
 	trimmed.Spec = ""
 	s.emitOnceStored(TrimSubmission{cranstore.Record{Key: cranjob.SubmissionKey(j.ID), Value: cranjob.Encode(trimmed)}})
 	if j.timing != nil {
+		j.updateEstimates(s.predictors[j.Queue], s.clock.Steady)
 		j.timing.EndMs, j.timing.ObjectiveMs = j.endedMs-j.ReceivedMs, s.softDeadlineMs(j, 0)-j.ReceivedMs
 	}
 	s.emitOnceStored(LogEntry{Kind: LogJobEnded, Job: j.ID, State: state, Reason: state.String() + ": " + reason, Timing: j.timing})
