--- a/review/_stand2/main.go
+++ b/review/_stand2/main.go
@@ -23,7 +23,7 @@
 		os.Exit(failed)
 	}
 	cases := map[string]func(dir, program string) (int, error){
-		"unlisted-ends": unlistedEnds, "advice": busyAdvice, "sick-runner": sickRunner, "removed-route": removedRoute, "gang": gangCheckpoints,
+		"unlisted-ends": unlistedEnds, "advice": busyAdvice, "sick-runner": sickRunner, "gang": gangCheckpoints,
 	}
 	run := cases[os.Args[1]]
 	if run == nil {
