--- a/review/_stand2/cases.go
+++ b/review/_stand2/cases.go
@@ -34,7 +34,7 @@
 		return failed, err
 	}
 	defer d.close()
-	d.configure(route{"r-quick", "/quick/", service, 3, nil})
+	d.configure(route{name: "r-quick", prefix: "/quick/", service: service, attempts: 3})
 	if err := d.startNodes(); err != nil {
 		return failed, err
 	}
@@ -94,7 +94,7 @@
 		return failed, err
 	}
 	defer d.close()
-	d.configure(route{"r-build", "/build/", service, 4, nil})
+	d.configure(route{name: "r-build", prefix: "/build/", service: service, attempts: 4})
 	if err := d.startNodes(); err != nil {
 		return failed, err
 	}
@@ -219,7 +219,7 @@
 	}
 	a.record = d.record
 	defer d.close()
-	d.configure(route{"r-quick", "/quick/", service, 3, map[string]any{"decide_ms": 100, "each_ms": 3, "valid_ms": 3000}})
+	d.configure(route{name: "r-quick", prefix: "/quick/", service: service, attempts: 3, advice: map[string]any{"decide_ms": 100, "each_ms": 3, "valid_ms": 3000}})
 	if err := d.startNodes(); err != nil {
 		return failed, err
 	}
@@ -263,11 +263,11 @@
 	return held, nil
 }
 
-// unlistedEnds: the node that gives the orders loses power while 900 small subtasks work on one runner; that comes
+// unlistedEnds: the node that gives the orders loses power while 1,100 small subtasks work on one runner; that comes
 // five times, each time on another runner. Runners list 500 ends at a time. A subtask that has ended as done must
 // not start again.
 func unlistedEnds(dir, program string) (int, error) {
-	const rounds, jobsPerRound, width = 5, 9, 100
+	const rounds, jobsPerRound, width = 5, 11, 100
 	runners := newRunners(6)
 	for i, r := range runners {
 		r.rack = fmt.Sprintf("r1-%d", i)
@@ -277,7 +277,8 @@
 		return failed, err
 	}
 	defer d.close()
-	d.configure(route{"r-quick", "/quick/", service, 3, nil})
+	d.configure(route{name: "r-quick", prefix: "/quick/", service: service, attempts: 3},
+		route{name: "r-print", prefix: "/print/", service: service, attempts: 3, priority: 1})
 	if err := d.startNodes(); err != nil {
 		return failed, err
 	}
@@ -332,7 +333,12 @@
 func (d *deployment) powerLoss(round, jobs, width int) error {
 	prefix := fmt.Sprintf("0000000000000a%d", round)
 	for i := range jobs {
-		if !d.submit(fmt.Sprintf("/quick/%s%d", prefix, i), behaviour{Ms: 1900},
+		// The first two thirds come to a queue of lower priority.
+		queue := "print"
+		if 3*i >= 2*jobs-1 {
+			queue = "quick"
+		}
+		if !d.submit(fmt.Sprintf("/%s/%s%x", queue, prefix, i), behaviour{Ms: 1900},
 			step{"count": width, "cpu": 14, "mem_mb": 50, "estimate_ms": 1900, "data_rack": fmt.Sprintf("r1-%d", round)}) {
 			return fmt.Errorf("a job was not accepted")
 		}
--- a/review/_stand2/deployment.go
+++ b/review/_stand2/deployment.go
@@ -37,6 +37,7 @@
 	name, prefix, service string
 	attempts              int
 	advice                map[string]any
+	priority              int
 }
 
 // newDeployment starts the stand-ins and prepares three nodes.
@@ -114,7 +115,7 @@
 	for _, r := range routes {
 		m := map[string]any{
 			"name": r.name, "host": host, "path_prefix": r.prefix, "kind": "unsafe", "timeout_ms": 3000, "target_latency_ms": 600,
-			"priority": 0, "service": r.service, "attempts": r.attempts, "stretch": 1.6,
+			"priority": r.priority, "service": r.service, "attempts": r.attempts, "stretch": 1.6,
 		}
 		if r.advice != nil {
 			m["advice"] = r.advice
