--- a/internal/cranevent/catalogue.go
+++ b/internal/cranevent/catalogue.go
@@ -185,6 +185,8 @@
 		KeyAgeMs, KeyEpoch, KeyShard, KeyStream),
 	define(StartsResumed, "startsResumed", LevelInfo, "the owner of a shard starts tasks again",
 		KeyElapsedMs, KeyEpoch, KeyShard),
+	define(EndsUnlisted, "endsUnlisted", LevelInfo, "a target has more ended runs to report than one report lists",
+		KeyNumber, KeyTarget),
 	define(TargetUnresponsive, "targetLost", LevelWarn, "a target does not respond",
 		KeyAgeMs, KeyTarget),
 	define(TargetRecovered, "targetBack", LevelInfo, "a target responds again",
--- a/internal/cranevent/event.go
+++ b/internal/cranevent/event.go
@@ -120,6 +120,7 @@
 	// targets is too old, StartsResumed that it does again.
 	StartsWithheld Event = 1213
 	StartsResumed  Event = 1214
+	EndsUnlisted   Event = 1215
 )
 
 // Events of targets that run tasks, and of planned work on their instances.
--- a/internal/crannode/note.go
+++ b/internal/crannode/note.go
@@ -19,6 +19,7 @@
 	cransched.LogUnknownRun:         cranevent.RunUnknown,
 	cransched.LogRunReleased:        cranevent.RunReleased,
 	cransched.LogEndWithheld:        cranevent.EndWithheld,
+	cransched.LogEndsUnlisted:       cranevent.EndsUnlisted,
 	cransched.LogTaskSuspected:      cranevent.TaskSuspected,
 	cransched.LogTaskGivenUp:        cranevent.TaskGivenUp,
 	cransched.LogTargetCrashed:      cranevent.TargetCrashed,
--- a/internal/crannode/orders.go
+++ b/internal/crannode/orders.go
@@ -6,6 +6,7 @@
 
 	"github.com/cranberrypick/cranberrypick/internal/cranevent"
 	"github.com/cranberrypick/cranberrypick/internal/cransched"
+	"github.com/cranberrypick/cranberrypick/internal/cranstore"
 )
 
 const (
@@ -100,6 +101,7 @@
 	o.callAsync(ticketsTimeout, func(ctx context.Context) func() {
 		sent := n.now().Steady
 		tickets, validFor, err := n.orders.RequestTickets(ctx, e)
+		n.metrics.Ordered("tickets", ticketOutcome(err).String(), n.now().Steady-sent)
 		return func() {
 			if err != nil {
 				n.log.Emit(cranevent.LogUnavailable, cranevent.Stream("advice"), cranevent.Err(err))
@@ -111,6 +113,17 @@
 	})
 }
 
+// ticketOutcome returns the status of a request for tickets that ended with an error, or nil.
+func ticketOutcome(err error) cransched.CallStatus {
+	switch {
+	case err == nil:
+		return cransched.StatusOK
+	case cranstore.IsRefused(err):
+		return cransched.StatusRefused
+	}
+	return cransched.StatusUnanswered
+}
+
 // sendOrder sends an order unless the newest confirmed append was sent longer ago than
 // bound, because another process may own the shard by then. It checks this right before the
 // call, because the process may have been suspended. An order that is not sent counts as
--- a/internal/cransched/effect.go
+++ b/internal/cransched/effect.go
@@ -191,6 +191,9 @@
 	// LogEndWithheld means that the success of a run is not acknowledged, because a newer
 	// run of the task exists.
 	LogEndWithheld
+	// LogEndsUnlisted means that a target has more ends to report than one report lists. Run is the number of
+	// its runs of which the report says nothing.
+	LogEndsUnlisted
 	// LogTargetCrashed means that a target has ended and wasn't expected to. Run is the number of
 	// runs that were lost.
 	LogTargetCrashed
--- a/internal/cransched/event.go
+++ b/internal/cransched/event.go
@@ -114,6 +114,9 @@
 	Response
 	Running  []RunReport
 	Finished []EndReport
+	// MoreEnds is set if the target may have more ends to report than Finished lists. They follow once
+	// the listed ones are acknowledged.
+	MoreEnds bool
 }
 
 // InstanceInfo is an entry of the platform's list of instances.
--- a/internal/cransched/report.go
+++ b/internal/cransched/report.go
@@ -110,11 +110,17 @@
 		reported[runName{r.Task, r.Run}] = true
 		s.applyRunningRun(t, r, resp.SentAt)
 	}
+	missing := 0
 	for _, r := range t.sortedRuns() {
 		if !reported[runName{r.name, r.number}] {
+			missing++
 			s.handleMissingRun(t, r, resp.SentAt)
 		}
 	}
+	if resp.MoreEnds && !t.hasUnlistedEnds {
+		s.emit(LogEntry{Kind: LogEndsUnlisted, Target: t.info.ID, Run: missing})
+	}
+	t.hasUnlistedEnds = resp.MoreEnds
 	s.adjustShares(t)
 	switch {
 	case s.suspensions.active(t.info.ID):
--- a/internal/cransched/target.go
+++ b/internal/cransched/target.go
@@ -125,6 +125,8 @@
 	endsSeen, endsStored int64
 	// firstListedEnd is the lowest number of an end in the last report; 0 if it lists none.
 	firstListedEnd int64
+	// hasUnlistedEnds is set if the last report may not have listed all ends.
+	hasUnlistedEnds bool
 	// restarts counts the restarts of the target under its id.
 	restarts int
 	// withheldEnd is the lowest number of an end that must not be acknowledged; 0 if there
