cransched: conclude nothing from a report that may leave ends out

Cause: a target lists 500 ends at a time. A successor took each run that the first report didn't name for one that never began and started its task again; an owner stopped its own runs for the same reason. Stops were released in the same way. No lease had lapsed. Change: the adapter says when a report may leave ends out, and the owner then concludes nothing from a run's absence. The next 500 follow once the first are acknowledged. Starts under way hold up acknowledgements, so such a target gets none meanwhile; a stop that the same process has answered doesn't hold them up any more. The stand-in lists 500 ends, too.

--- a/internal/cransched/report.go
+++ b/internal/cransched/report.go
@@ -112,8 +112,12 @@
 	}
 	missing := 0
 	for _, r := range t.sortedRuns() {
-		if !reported[runName{r.name, r.number}] {
+		switch {
+		case reported[runName{r.name, r.number}]:
+		case resp.MoreEnds:
 			missing++
+			s.handleUnlistedRun(t, r, resp.SentAt)
+		default:
 			s.handleMissingRun(t, r, resp.SentAt)
 		}
 	}
@@ -197,7 +201,20 @@
 	return r
 }
 
-// handleMissingRun handles a run that a report doesn't list.
+// handleUnlistedRun handles a run that a report doesn't list which may leave ends out. Its end may follow, so this
+// proves nothing. A start without an answer must be settled all the same: until then the target gets no
+// acknowledgement and lists no further ends.
+func (s *Scheduler) handleUnlistedRun(t *target, r *run, sentAt time.Duration) {
+	switch {
+	case r.answeredAt == 0 || sentAt <= r.answeredAt:
+	case r.phase == startUnanswered:
+		s.stopRun(t, r, "the start was not answered")
+	case r.phase == stopping:
+		r.stopSettled = true
+	}
+}
+
+// handleMissingRun handles a run that a report with all ends doesn't list.
 func (s *Scheduler) handleMissingRun(t *target, r *run, sentAt time.Duration) {
 	switch r.phase {
 	case unverified:
--- a/internal/cransched/target.go
+++ b/internal/cransched/target.go
@@ -63,8 +63,11 @@
 	// nextStopAt is when the stop is sent next.
 	nextStopAt time.Duration
 	stopReason string
-	progress   int
-	gauge      int
+	// stopSettled is set once the target has answered the stop and a later report has shown that it is still the
+	// same process. At most the end of the run is to be reported then.
+	stopSettled bool
+	progress    int
+	gauge       int
 	// share is the share of its CPU demand, in percent, that a best-effort task may use. It
 	// stays below shareCeiling until ceilingUntil.
 	share        int
@@ -125,7 +128,8 @@
 	endsSeen, endsStored int64
 	// firstListedEnd is the lowest number of an end in the last report; 0 if it lists none.
 	firstListedEnd int64
-	// hasUnlistedEnds is set if the last report may not have listed all ends.
+	// hasUnlistedEnds is set if the last report may not have listed all ends. Nothing starts on the target then, so that
+	// no start under way delays the acknowledgement after which the others are listed.
 	hasUnlistedEnds bool
 	// restarts counts the restarts of the target under its id.
 	restarts int
@@ -275,7 +279,7 @@
 
 // schedulable reports whether new tasks may be placed on the target.
 func (t *target) schedulable(now time.Duration) bool {
-	return t.listed && t.fenced && !t.superseded && !t.cordoned && !t.info.Draining && !t.unresponsive && !t.suspended &&
+	return t.listed && t.fenced && !t.hasUnlistedEnds && !t.superseded && !t.cordoned && !t.info.Draining && !t.unresponsive && !t.suspended &&
 		!t.mayHaveRestarted() && t.describesProcess() && !t.overdue(now) && now >= t.noStartsBefore && !t.health.suspended(now)
 }
 
--- a/internal/cransched/targets.go
+++ b/internal/cransched/targets.go
@@ -129,6 +129,7 @@
 	// A heartbeat to the previous process may still make the new one forget ends. It gets no start until then.
 	t.noStartsBefore = max(t.noStartsBefore, t.acknowledgementArrivesBy)
 	t.endsSeen, t.endsStored, t.firstListedEnd, t.withheldEnd = 0, 0, 0, 0
+	t.hasUnlistedEnds = false
 	t.fenced = false
 	t.answeredAddress = ""
 	t.awaitsStore = false
@@ -153,7 +154,7 @@
 		r.awaitsReport = true
 	default:
 		r.phase = stopping
-		r.answeredAt = 0
+		r.answeredAt, r.stopSettled = 0, false
 		r.nextStopAt = s.clock.Steady
 		r.stopReason = "the target has restarted"
 	}
@@ -316,7 +317,7 @@
 	for _, r := range t.runs {
 		switch r.phase {
 		case startSent, startUnanswered, stopping:
-			if !r.startConfirmed {
+			if !r.startConfirmed && !r.stopSettled {
 				return true
 			}
 		}
--- a/internal/cransched/world_target_test.go
+++ b/internal/cransched/world_target_test.go
@@ -90,11 +90,15 @@
 		return HeartbeatResponse{}
 	}
 	sim.endDueRuns(tgt)
-	return tgt.report(sim.now)
+	return sim.report(tgt)
 }
 
-func (tgt *simTarget) report(now time.Duration) HeartbeatResponse {
+func (sim *simulation) report(tgt *simTarget) HeartbeatResponse {
+	now := sim.now
 	response := HeartbeatResponse{Response: tgt.response(now, StatusOK), Finished: slices.Clone(tgt.ends)}
+	if most := sim.maxListedEnds; most > 0 && len(tgt.ends) >= most {
+		response.Finished, response.MoreEnds = response.Finished[:most], true
+	}
 	for _, name := range slices.SortedFunc(maps.Keys(tgt.runs), func(a, b cranjob.TaskName) int { return a.Index - b.Index }) {
 		percent := 100
 		if now < tgt.runs[name].readyAt {
@@ -194,7 +198,7 @@
 		}
 	}
 	tgt.ends = slices.DeleteFunc(tgt.ends, func(end EndReport) bool { return end.Number <= e.AcknowledgedEnd })
-	return tgt.report(sim.now)
+	return sim.report(tgt)
 }
 
 func (sim *simulation) stopRun(e StopRun) Response {
--- a/internal/cransched/world_test.go
+++ b/internal/cransched/world_test.go
@@ -71,6 +71,8 @@
 	longPolls bool
 	// briefResponses lets responses to orders name no process. Only reports do then.
 	briefResponses bool
+	// maxListedEnds is how many ended runs a target lists in one report; 0 means all.
+	maxListedEnds int
 	// startup is how long a long-running task takes until it is at work.
 	startup time.Duration
 	// checkUnavailable enables the check that evictions respect MaxUnavailable.
