cransched: acknowledge an end whose run was replaced after its lease

Cause: the end of a run that had succeeded, but whose task was started elsewhere after the lease had expired, was never acknowledged, nor was any later one. A target lists 500 ends at a time, so after 500 more no end was seen. Change: such ends are acknowledged. Event 1209 is retired; 1216 names these ends.

--- a/internal/cranevent/event.go
+++ b/internal/cranevent/event.go
@@ -111,7 +111,6 @@
 	RunUnknown      Event = 1206
 	RunReleased     Event = 1207
 	ThrottleChanged Event = 1208
-	EndWithheld     Event = 1209
 	TaskSuspected   Event = 1210
 	TaskGivenUp     Event = 1211
 	// CancellationRead means that the owner has read a cancellation.
@@ -121,6 +120,7 @@
 	StartsWithheld Event = 1213
 	StartsResumed  Event = 1214
 	EndsUnlisted   Event = 1215
+	EndSuperseded  Event = 1216
 )
 
 // Events of targets that run tasks, and of planned work on their instances.
--- a/internal/crannode/note.go
+++ b/internal/crannode/note.go
@@ -18,7 +18,7 @@
 	cransched.LogRunStopped:         cranevent.RunStopped,
 	cransched.LogUnknownRun:         cranevent.RunUnknown,
 	cransched.LogRunReleased:        cranevent.RunReleased,
-	cransched.LogEndWithheld:        cranevent.EndWithheld,
+	cransched.LogEndSuperseded:      cranevent.EndSuperseded,
 	cransched.LogEndsUnlisted:       cranevent.EndsUnlisted,
 	cransched.LogTaskSuspected:      cranevent.TaskSuspected,
 	cransched.LogTaskGivenUp:        cranevent.TaskGivenUp,
--- a/internal/cransched/effect.go
+++ b/internal/cransched/effect.go
@@ -188,9 +188,8 @@
 	// LogRunReleased means that the resources of a run were freed without a report of its
 	// end, because it has ended with certainty or will never start.
 	LogRunReleased
-	// LogEndWithheld means that the success of a run is not acknowledged, because a newer
-	// run of the task exists.
-	LogEndWithheld
+	// LogEndSuperseded means that a run has succeeded whose task was started again when its lease had expired.
+	LogEndSuperseded
 	// LogEndsUnlisted means that a target has more ends to report than one report lists. Run is the number of
 	// its runs of which the report says nothing.
 	LogEndsUnlisted
--- a/internal/cransched/report.go
+++ b/internal/cransched/report.go
@@ -134,14 +134,12 @@
 	case t.clockAt > 0 && t.leaseEndMs == 0:
 		// No lease could be granted until this report, the first with the target's clock.
 		t.nextHeartbeatAt = s.clock.Steady
-	case t.withheldEnd > 0, len(t.runs) == 0 && t.endsSeen == t.endsStored && !t.listsStoredEnd():
-		// A target with a withheld end reports it each time and therefore responds at
-		// once, without waiting.
+	case len(t.runs) == 0 && t.endsSeen == t.endsStored && !t.listsStoredEnd():
 		t.nextHeartbeatAt = s.clock.Steady + heartbeatInterval
 	default:
 		t.nextHeartbeatAt = s.clock.Steady + s.heartbeatGap()
 	}
-	t.awaitsStore = t.acknowledgeableEnd() > t.endsStored
+	t.awaitsStore = t.endsSeen > t.endsStored
 }
 
 // fromCurrentProcess reports whether a response is from the current process of a target.
@@ -254,7 +252,9 @@
 	}
 	parent := s.findTask(e.Task)
 	if r == nil && e.Outcome == OutcomeDone && s.hasNewerRun(parent, e) {
-		s.withholdEnd(t, e)
+		// The task was started again because the lease of this run had expired, so the end was never taken note of under
+		// that lease, and may be acknowledged. Otherwise the target would list it for good, and few later ones.
+		s.emit(LogEntry{Kind: LogEndSuperseded, Job: e.Task.Job, Task: e.Task.String(), Run: e.Run, Target: t.info.ID})
 	}
 	s.emitOnceStored(LogEntry{Kind: LogRunEnded, Job: e.Task.Job, Task: e.Task.String(), Run: e.Run, Target: t.info.ID, Reason: string(e.Outcome)})
 	if parent == nil || parent.Status == cranjob.Done {
@@ -321,16 +321,6 @@
 	return position < len(runs) && runs[position] > e.Run
 }
 
-// withholdEnd prevents the acknowledgement of an end and of all later ends on the target.
-// The acknowledgement would confirm the success of a run that was replaced after its lease
-// had expired.
-func (s *Scheduler) withholdEnd(t *target, e EndReport) {
-	if t.withheldEnd == 0 {
-		t.withheldEnd = e.Number
-	}
-	s.emit(LogEntry{Kind: LogEndWithheld, Job: e.Task.Job, Task: e.Task.String(), Run: e.Run, Target: t.info.ID})
-}
-
 // findTask returns a task of a job that has not ended, or nil.
 func (s *Scheduler) findTask(name cranjob.TaskName) *task {
 	j := s.jobs[name.Job]
--- a/internal/cransched/scheduler.go
+++ b/internal/cransched/scheduler.go
@@ -283,7 +283,7 @@
 	}
 	acknowledged := map[*target]acknowledgement{}
 	for _, t := range s.targets {
-		if n := t.acknowledgeableEnd(); n > t.endsStored {
+		if n := t.endsSeen; n > t.endsStored {
 			acknowledged[t] = acknowledgement{n, t.restarts}
 		}
 	}
--- a/internal/cransched/target.go
+++ b/internal/cransched/target.go
@@ -133,11 +133,8 @@
 	hasUnlistedEnds bool
 	// restarts counts the restarts of the target under its id.
 	restarts int
-	// withheldEnd is the lowest number of an end that must not be acknowledged; 0 if there
-	// is none.
-	withheldEnd int64
-	runs        map[runName]*run
-	used        cranjob.Resources
+	runs     map[runName]*run
+	used     cranjob.Resources
 	// heartbeatInFlight is set while a heartbeat that was sent at heartbeatSentAt is
 	// unanswered. The next one is due at nextHeartbeatAt.
 	heartbeatInFlight                bool
@@ -206,14 +203,6 @@
 	}
 }
 
-// acknowledgeableEnd returns the highest number of an end that may be acknowledged.
-func (t *target) acknowledgeableEnd() int64 {
-	if t.withheldEnd > 0 {
-		return min(t.endsSeen, t.withheldEnd-1)
-	}
-	return t.endsSeen
-}
-
 // listsStoredEnd reports whether the last report lists an end that is stored. Otherwise the target has nothing
 // to forget.
 func (t *target) listsStoredEnd() bool {
--- a/internal/cransched/targets.go
+++ b/internal/cransched/targets.go
@@ -128,7 +128,7 @@
 	t.restarts++
 	// A heartbeat to the previous process may still make the new one forget ends. It gets no start until then.
 	t.noStartsBefore = max(t.noStartsBefore, t.acknowledgementArrivesBy)
-	t.endsSeen, t.endsStored, t.firstListedEnd, t.withheldEnd = 0, 0, 0, 0
+	t.endsSeen, t.endsStored, t.firstListedEnd = 0, 0, 0
 	t.hasUnlistedEnds = false
 	t.fenced = false
 	t.answeredAddress = ""
@@ -338,7 +338,7 @@
 // heartbeatDue reports whether the next heartbeat to the target is due.
 func (t *target) heartbeatDue(now time.Duration) bool {
 	return !t.heartbeatInFlight && t.info.Address != "" && !t.superseded && now >= t.nextHeartbeatAt &&
-		(!t.awaitsStore || t.endsStored >= t.acknowledgeableEnd() || now-t.heartbeatSentAt >= heartbeatInterval)
+		(!t.awaitsStore || t.endsStored >= t.endsSeen || now-t.heartbeatSentAt >= heartbeatInterval)
 }
 
 // advanceHeartbeat schedules the next heartbeat no later than the given time.
--- a/internal/cransched/unlisted_test.go
+++ b/internal/cransched/unlisted_test.go
@@ -74,3 +74,56 @@
 	}
 	require.Zero(t, sim.logged[LogRunStopped])
 }
+
+// TestEndAfterLeaseExpiryBlocksNoLaterEnds guards against a target of which no ends are seen any more, so that its tasks
+// run again and again, because one end is never acknowledged: that of a run whose task was started elsewhere
+// after the lease had expired (TWICE, LOST).
+func TestEndAfterLeaseExpiryBlocksNoLaterEnds(t *testing.T) {
+	for _, takesOver := range []bool{false, true} {
+		t.Run(fmt.Sprint(takesOver), func(t *testing.T) {
+			sim := newSimulation(t, 1, 2)
+			sim.failureRate, sim.maxListedEnds, sim.longPolls, sim.platformDown = 0, 5, true, true
+			sim.takeOver(sim.now - time.Hour)
+			sim.submit(newWideJob("before", 6, 800))
+			sim.runFor(200 * time.Millisecond)
+			isolated := sim.targets[sim.starts[0].Target.ID]
+			isolated.unreachable = true
+			sim.runFor(9 * time.Second)
+			require.Greater(t, len(sim.starts), 6)
+			if takesOver {
+				sim.takeOver(sim.now)
+			}
+			isolated.unreachable = false
+			for i := range 20 {
+				sim.submit(newWideJob(fmt.Sprintf("after%d", i), 4, 400))
+				sim.runFor(200 * time.Millisecond)
+			}
+			sim.runFor(3 * time.Second)
+			for id, state := range sim.states() {
+				require.Equal(t, cranjob.Completed, state, id)
+				for name, n := range sim.countStarts(id) {
+					require.True(t, n == 1 || id == "before", "%d starts of %v", n, name)
+				}
+			}
+			for id, tgt := range sim.targets {
+				require.Empty(t, tgt.ends, id)
+			}
+		})
+	}
+}
+
+// TestInvariantsWhenReportsLeaveEndsOut is like TestInvariantsUnderFaults for targets that list few ends at a time.
+func TestInvariantsWhenReportsLeaveEndsOut(t *testing.T) {
+	seeds := uint64(60)
+	if testing.Short() {
+		seeds = 12
+	}
+	for seed := range seeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			sim := newSimulation(t, seed, 6)
+			sim.maxListedEnds = 1 + int(seed%5)
+			sim.longPolls, sim.briefResponses = seed%2 == 1, seed%3 == 1
+			sim.runWithFaults()
+		})
+	}
+}
