cransched, crannode: bound the requests for tickets under way

Cause: an owner asked for the tickets of each waiting step at once, waited 3 s for each answer, and asked again 0.5 s later. The service handles the calls of a process one after the other; 32 of them take 3.8 s, so each was given up before its turn, and its successors kept the queue full. Change: a process has requests under way for 0.25 s of the service's time by decide_ms and each_ms of the queue, two at least, in the order in which steps are placed; one if the tickets would expire while the second waits. The owner waits as long as the service needs for all of them, and 3 s more. Single steps that fail again and again give way to others; when all fail, the owner pauses. All shards of a process share the bound, as the service counts by process. Not tried: a longer timeout alone, as all waiting steps would still be asked about at once.

--- a/internal/crannode/fleet_test.go
+++ b/internal/crannode/fleet_test.go
@@ -46,6 +46,10 @@
 	// options are those of all processes.
 	options   []Option
 	processes int
+	// queue is the configuration of the only queue.
+	queue *cransched.Queue
+	// connect, if set, returns the connection of a process to the targets and the platform.
+	connect func(connection) OrderSender
 	// wrap, if set, returns the connection of an entry instance to the topics of a shard.
 	wrap  func(n *fleetNode, number int, topics ShardTopics) ShardTopics
 	group sync.WaitGroup
@@ -85,6 +89,7 @@
 		Version: 1, Pools: map[string]*cransched.Pool{"p": {Name: "p"}},
 		Queues: map[string]*cransched.Queue{"q": {Name: "q", Pool: "p", Attempts: 3, Stretch: 2, LatencyTarget: time.Second}},
 	}
+	f.queue = config.Queues["q"]
 	f.directory = Directory{
 		Operator: operator, Targets: targets,
 		DecodeOperatorRecord: func(string, []byte) (any, error) { return &Config{Config: config}, nil },
@@ -139,7 +144,11 @@
 		WithCancelBound(fleetCancelBound), WithDrainBound(fleetDrainBound),
 		WithTiming(cransched.Timing{MaxLease: maxLease, StopTime: 900 * time.Millisecond, OrderLease: 3 * time.Second}),
 	}
-	n.node = New(n.name, incarnation, topics, directory, connection{targets: f.targets, process: incarnation}, append(options, f.options...)...)
+	var orders OrderSender = connection{targets: f.targets, process: incarnation}
+	if f.connect != nil {
+		orders = f.connect(connection{targets: f.targets, process: incarnation})
+	}
+	n.node = New(n.name, incarnation, topics, directory, orders, append(options, f.options...)...)
 	ctx, cancel := context.WithCancel(context.Background())
 	n.stop = cancel
 	node := n.node
--- a/internal/crannode/node.go
+++ b/internal/crannode/node.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sync/semaphore"
 	"golang.org/x/sys/unix"
 
 	"github.com/cranberrypick/cranberrypick/internal/crandigest"
@@ -66,6 +67,8 @@
 	// sent; 0 before the first.
 	digestFollower  *cranstore.Follower
 	digestContactAt atomic.Int64
+	// ticketSlots bounds the requests to the advice service that are under way.
+	ticketSlots *semaphore.Weighted
 	// owned is the number of shards that this process schedules, and stopping is true once
 	// its shutdown has begun.
 	owned    atomic.Int32
@@ -123,6 +126,7 @@
 		name: name, incarnation: incarnation, topics: topics, directory: directory, orders: orders,
 		log: cranevent.Discard(), metrics: cranmetric.NewJobs(), now: Now, events: make(chan func(), eventQueueSize),
 		configBound: defaultConfigBound, cancelBound: defaultCancelBound, drainBound: defaultDrainBound, digest: crandigest.New(), stored: map[string]localJob{}, advanced: make(chan struct{}),
+		ticketSlots: semaphore.NewWeighted(cransched.TicketSlots),
 	}
 	for _, set := range opts {
 		set(n)
--- a/internal/crannode/orders.go
+++ b/internal/crannode/orders.go
@@ -6,7 +6,6 @@
 
 	"github.com/cranberrypick/cranberrypick/internal/cranevent"
 	"github.com/cranberrypick/cranberrypick/internal/cransched"
-	"github.com/cranberrypick/cranberrypick/internal/cranstore"
 )
 
 const (
@@ -15,6 +14,8 @@
 	// trimTimeout bounds the append that replaces the submission of an ended job by a
 	// smaller record. It queues behind the appends of callers.
 	trimTimeout = 5 * time.Second
+	// noTimeout is for calls that bound their time themselves.
+	noTimeout time.Duration = 0
 )
 
 // sendEffect sends the call that an effect asks for.
@@ -92,38 +93,6 @@
 	})
 }
 
-// ticketsTimeout bounds a request for tickets. It is longer than callTimeout because the
-// request takes longer the more targets it names.
-const ticketsTimeout = 3 * time.Second
-
-func (o *ownership) requestTickets(e cransched.RequestTickets) {
-	n := o.shard.node
-	o.callAsync(ticketsTimeout, func(ctx context.Context) func() {
-		sent := n.now().Steady
-		tickets, validFor, err := n.orders.RequestTickets(ctx, e)
-		n.metrics.Ordered("tickets", ticketOutcome(err).String(), n.now().Steady-sent)
-		return func() {
-			if err != nil {
-				n.log.Emit(cranevent.LogUnavailable, cranevent.Stream("advice"), cranevent.Err(err))
-				o.scheduler.HandleTicketsUnavailable(e)
-				return
-			}
-			o.scheduler.HandleTickets(e, tickets, validFor, sent)
-		}
-	})
-}
-
-// ticketOutcome returns the status of a request for tickets that ended with an error, or nil.
-func ticketOutcome(err error) cransched.CallStatus {
-	switch {
-	case err == nil:
-		return cransched.StatusOK
-	case cranstore.IsRefused(err):
-		return cransched.StatusRefused
-	}
-	return cransched.StatusUnanswered
-}
-
 // sendOrder sends an order unless the newest confirmed append was sent longer ago than
 // bound, because another process may own the shard by then. It checks this right before the
 // call, because the process may have been suspended. An order that is not sent counts as
@@ -144,8 +113,12 @@
 // then runs in the control goroutine, unless the ownership has ended by that time.
 func (o *ownership) callAsync(timeout time.Duration, request func(context.Context) func()) {
 	o.shard.node.control.group.Go(func() {
-		ctx, cancel := context.WithTimeout(o.ctx, timeout)
-		defer cancel()
+		ctx := o.ctx
+		if timeout != noTimeout {
+			limited, cancel := context.WithTimeout(ctx, timeout)
+			defer cancel()
+			ctx = limited
+		}
 		deliver := request(ctx)
 		n := o.shard.node
 		n.post(n.control.runCtx, func() {
--- a/internal/cransched/advice.go
+++ b/internal/cransched/advice.go
@@ -9,9 +9,6 @@
 	// maxTicketTargets is the maximum number of targets in one ticket request. The advice
 	// service answers more slowly the more targets a request names.
 	maxTicketTargets = 30
-	// ticketRetryInterval is the time between the response to a ticket request and the
-	// next request for the same stage.
-	ticketRetryInterval = 500 * time.Millisecond
 	// ticketMargin is subtracted from a ticket's validity to allow for the time that a
 	// start takes to reach the target.
 	ticketMargin = 300 * time.Millisecond
@@ -20,9 +17,9 @@
 // Ticket permits the tasks of one step to start on one target until it expires.
 type Ticket struct{ Target, Text string }
 
-// ensureTicket requests tickets for a stage, unless a target with a valid ticket has room or a request is
-// in flight. It reports whether the stage can be placed: either its queue requires no tickets or a valid
-// one exists.
+// ensureTicket requests tickets for a stage, unless a target with a valid ticket has room or as many requests are under
+// way as the advice service can handle in time. It reports whether the stage can be placed: either its queue
+// requires no tickets or a valid one exists.
 func (s *Scheduler) ensureTicket(c candidate, targets []*target) bool {
 	if c.job.queue == nil || !c.job.queue.RequiresTicket {
 		return true
@@ -35,7 +32,7 @@
 			hasRoom = hasRoom || s.canHold(c.stage, t)
 		}
 	}
-	if hasRoom || now < s.nextTicketRequest[c.stage.name] {
+	if hasRoom || !s.tickets.mayRequest(c.stage.name, now) {
 		return hasTicket
 	}
 	var ids []string
@@ -47,9 +44,9 @@
 	if len(ids) == 0 {
 		return hasTicket
 	}
-	// Block further requests for the stage until the response or the timeout.
-	s.nextTicketRequest[c.stage.name] = now + ticketRequestTimeout
-	s.emit(RequestTickets{Queue: c.job.Queue, Step: c.stage.name, Targets: ids})
+	if e, mayBegin := s.tickets.begin(c.job.queue, c.stage.name, ids); mayBegin {
+		s.emit(e)
+	}
 	return hasTicket
 }
 
@@ -58,26 +55,23 @@
 	return t.free().Fits(st.step.Reservation()) && s.meetsPlacementRules(st, t)
 }
 
-// ticketRequestTimeout is the time after a ticket request without a response after which
-// tickets for the same stage may be requested again.
-const ticketRequestTimeout = 3 * time.Second
-
 // HandleTickets records the tickets that the advice service granted for a step. They are
 // valid for the given time from the sending of the request; 0 means the TicketValidity of
 // the queue. The policy doesn't change, so a target without a ticket isn't asked about again.
 func (s *Scheduler) HandleTickets(e RequestTickets, tickets []Ticket, valid time.Duration, sentAt time.Duration) {
-	s.nextTicketRequest[e.Step] = s.clock.Steady + ticketRetryInterval
+	s.tickets.answered(e.Step, s.clock.Steady)
 	if valid == 0 {
 		if q := s.queueConfig(e.Queue); q != nil {
 			valid = q.TicketValidity
 		}
 	}
 	if s.jobs[e.Step.Job] == nil {
+		s.tickets.forget(e.Step)
 		return
 	}
 	if len(tickets) == 0 {
 		// The next request names other targets.
-		s.nextTicketRequest[e.Step] = s.clock.Steady
+		s.tickets.stage(e.Step).notBefore = s.clock.Steady
 	}
 	for _, id := range e.Targets {
 		if t := s.targets[id]; t != nil && !slices.ContainsFunc(tickets, func(granted Ticket) bool { return granted.Target == id }) {
@@ -101,13 +95,16 @@
 
 // HandleTicketsUnavailable handles a ticket request without an answer.
 func (s *Scheduler) HandleTicketsUnavailable(e RequestTickets) {
-	s.nextTicketRequest[e.Step] = s.clock.Steady + ticketRetryInterval
+	s.tickets.failed(e.Step, s.clock.Steady)
+	if s.jobs[e.Step.Job] == nil {
+		s.tickets.forget(e.Step)
+	}
 }
 
 // forgetAdvice drops what is known of the steps of a job that has ended.
 func (s *Scheduler) forgetAdvice(j *job) {
 	for _, st := range j.stages {
-		delete(s.nextTicketRequest, st.name)
+		s.tickets.forget(st.name)
 	}
 	if j.queue == nil || !j.queue.RequiresTicket {
 		return
--- a/internal/cransched/config.go
+++ b/internal/cransched/config.go
@@ -19,6 +19,9 @@
 	RequiresTicket bool
 	// TicketValidity is the default time for which a ticket is valid.
 	TicketValidity time.Duration
+	// TicketTime is how long the advice service takes for a request, and TicketTimePerTarget how much longer for
+	// each target that the request names.
+	TicketTime, TicketTimePerTarget time.Duration
 }
 
 // Pool is the configuration of a pool of targets.
--- a/internal/cransched/effect.go
+++ b/internal/cransched/effect.go
@@ -73,6 +73,10 @@
 	Queue   string
 	Step    StepName
 	Targets []string
+	// Timeout is how long to wait for the answer.
+	Timeout time.Duration
+	// Slots is how many of the TicketSlots of the process the request takes while it is under way.
+	Slots int
 }
 
 // StepName identifies a step of one occurrence of a job.
--- a/internal/cransched/place.go
+++ b/internal/cransched/place.go
@@ -38,6 +38,7 @@
 	mostPlanned := s.startsPaced.planned + s.startsPaced.left(s.clock.Steady, s.lag)
 	rooms := idleRooms{}
 	list := s.candidates()
+	s.tickets.waiting = false
 	s.recordBacklog(list)
 	s.placeSuspects(list, byPool)
 	s.placeOverdue(list, byPool, (mostPlanned-s.startsPaced.planned+overdueShare-1)/overdueShare)
--- a/internal/cransched/scheduler.go
+++ b/internal/cransched/scheduler.go
@@ -32,8 +32,8 @@
 	// starved marks the pools with a waiting long-running task that fits on none of their
 	// targets, or with any other task that fits on none even when that is idle.
 	starved map[string]bool
-	// nextTicketRequest is the earliest time of the next ticket request for a stage.
-	nextTicketRequest map[StepName]time.Duration
+	// tickets bounds the requests to the advice service.
+	tickets ticketPacer
 	// arrivals are keyed by pool.
 	arrivals map[string]*arrivalHistory
 	effects  []Effect
@@ -103,7 +103,7 @@
 		token: token, timing: timing, config: config, clock: now, stored: stored,
 		jobs: map[string]*job{}, targets: map[string]*target{}, cancelled: map[string]bool{},
 		predictors: map[string]*predictor{}, arrivals: map[string]*arrivalHistory{}, backlogs: map[string]backlog{},
-		losses: map[string]loss{}, starved: map[string]bool{}, nextTicketRequest: map[StepName]time.Duration{},
+		losses: map[string]loss{}, starved: map[string]bool{}, tickets: newTicketPacer(),
 		suspensions: newSuspensions(predecessor.LeasesEndAt),
 		predecessor: predecessor, createdAt: now.Steady, startsUntil: math.MaxInt64,
 	}
--- a/internal/cransched/world_target_test.go
+++ b/internal/cransched/world_target_test.go
@@ -271,6 +271,8 @@
 		return sim.orderResponse(tgt, StatusDeadlinePassed)
 	case e.Run <= tgt.closedRuns[e.Task]:
 		return sim.orderResponse(tgt, StatusStaleRun)
+	case sim.adviser != nil && !sim.adviser.isValid(e, sim.now):
+		return sim.orderResponse(tgt, StatusInvalidTicket)
 	}
 	sim.checkStart(tgt, e)
 	sim.starts = append(sim.starts, receivedStart{e, sim.now})
--- a/internal/cransched/world_test.go
+++ b/internal/cransched/world_test.go
@@ -92,7 +92,9 @@
 
 	// ticketRequests and starts hold the requests and the starts that were received.
 	ticketRequests []RequestTickets
-	starts         []receivedStart
+	// adviser, if set, answers the requests.
+	adviser *simAdviser
+	starts  []receivedStart
 
 	// publishDelay is how long it takes to store the list of silent targets, if not 40 ms.
 	publishDelay time.Duration
@@ -308,6 +310,9 @@
 		})
 	case RequestTickets:
 		sim.ticketRequests = append(sim.ticketRequests, e)
+		if sim.adviser != nil {
+			sim.askAdviser(s, id, e)
+		}
 	case Maintain:
 		sim.order(s, id, func() CallStatus { return sim.orderMaintenance(e) }, func(status CallStatus) { s.HandleMaintenanceResponse(e, status) })
 	case MoveInstance:
