--- a/internal/cransched/report.go
+++ b/internal/cransched/report.go
@@ -199,9 +199,9 @@
 	return r
 }
 
-// handleUnlistedRun handles a run that a report doesn't list which may leave ends out. Its end may follow, so this
-// proves nothing. A start without an answer must be settled all the same: until then the target gets no
-// acknowledgement and lists no further ends.
+// handleUnlistedRun handles a run that is absent from a report that may leave ends out. A later report may list its end,
+// so the absence proves nothing. A start without an answer is settled all the same: until then the target gets no
+// acknowledgement, without which it lists no further ends.
 func (s *Scheduler) handleUnlistedRun(t *target, r *run, sentAt time.Duration) {
 	switch {
 	case r.answeredAt == 0 || sentAt <= r.answeredAt:
@@ -212,7 +212,7 @@
 	}
 }
 
-// handleMissingRun handles a run that a report with all ends doesn't list.
+// handleMissingRun handles a run that is absent from a report that lists all ends.
 func (s *Scheduler) handleMissingRun(t *target, r *run, sentAt time.Duration) {
 	switch r.phase {
 	case unverified:
