platform, crannode: authenticate callers by the keys of their tenants

Callers saw requests answered that carried a key which no configuration ever had, or which had been removed: nothing in the code knew of tenants.

The configuration's tenants are decoded into crantenant.Directory, which keeps hashes of the keys only. A request to a queue that isn't public needs exactly one key of a tenant, for POST, GET and DELETE alike; otherwise it is answered 401 before its body is read. The answer relies on a configuration that was the newest one less than keyBound ago, so a process that the store doesn't answer refuses keys in time (503), and serves public queues until its routes may be outdated. A job keeps the name of its tenant in its submission record. A list of tenants that is invalid leaves the last configuration in force.

With the check disabled, all tests of keys fail; with the bound disabled, TestRemovedKeyIsRefusedInTime does.

--- a/internal/cranevent/event.go
+++ b/internal/cranevent/event.go
@@ -75,6 +75,8 @@
 	// RequestNotRouted reports a request for which the configuration in force has no
 	// queue, or that arrived while the configuration might be outdated.
 	RequestNotRouted Event = 1006
+	// RequestUnauthenticated reports a request without a valid key.
+	RequestUnauthenticated Event = 1007
 	// JobEntryStarting reports the start of an entry instance of the job service.
 	JobEntryStarting Event = 1010
 )
--- a/internal/cranevent/field.go
+++ b/internal/cranevent/field.go
@@ -57,6 +57,7 @@
 	KeySuppressed  Key = "suppressed"
 	KeyTarget      Key = "target"
 	KeyTask        Key = "task"
+	KeyTenant      Key = "tenant"
 	KeyToPhase     Key = "toPhase"
 	KeyToPool      Key = "toPool"
 	KeyUnderWay    Key = "underWay"
@@ -254,3 +255,6 @@
 // Task returns a field with the name of a task, which consists of job, occurrence,
 // step and index.
 func Task(name string) Field { return textField(KeyTask, name) }
+
+// Tenant returns a field with the name of a tenant, which is empty for a job without one.
+func Tenant(name string) Field { return textField(KeyTenant, name) }
--- a/internal/cranfault/fault.go
+++ b/internal/cranfault/fault.go
@@ -35,6 +35,7 @@
 	UnknownPeer      Kind = "stranger"
 	Conflict         Kind = "conflict"
 	Cancelled        Kind = "cancelled"
+	Unauthenticated  Kind = "unauthenticated"
 	Timeout          Kind = "timeout"
 )
 
--- a/internal/cranfault/kinds.go
+++ b/internal/cranfault/kinds.go
@@ -7,7 +7,7 @@
 	Invalid, StaleRevision, UnknownInstance, UnknownPool, UnknownService, UnknownMember,
 	BudgetSpent, Busy, LeaseHeld, LeaseLost, WaveHalted, LogUnavailable, RecordsExpired,
 	Isolated, NotReady, QueueFull, DeadlineTooShort, NoTarget, AlreadyClaimed, Malformed,
-	TooLarge, UnknownPeer, Conflict, Cancelled, Timeout,
+	TooLarge, UnknownPeer, Conflict, Cancelled, Unauthenticated, Timeout,
 }
 
 // Kinds returns all kinds, for example to initialise counters.
--- a/internal/cranjob/job.go
+++ b/internal/cranjob/job.go
@@ -132,6 +132,9 @@
 	// ReceivedMs is the time at which the first entry instance received the job, in
 	// Unix milliseconds.
 	ReceivedMs int64 `cbor:"9,keyasint"`
+	// Tenant is the tenant whose key the submission carried; empty for a job of a public queue
+	// and for one that was stored before there were tenants.
+	Tenant string `cbor:"10,keyasint,omitempty"`
 }
 
 // Occurrences returns the number of times that the steps run.
--- a/internal/crannode/node.go
+++ b/internal/crannode/node.go
@@ -60,6 +60,10 @@
 	configReadAt atomic.Int64
 	// configBound is the time within which a stored configuration must be in effect.
 	configBound time.Duration
+	// revokeBound is the bound of the settings for the removal of a key; 0 if there is none.
+	revokeBound time.Duration
+	// keyBound is the time within which the removal of a key must be in effect, at most configBound.
+	keyBound time.Duration
 	// cancelBound is the time within which an acknowledged cancellation must be in effect, drainBound
 	// that within which a stored entry of a target that drains must be.
 	cancelBound, drainBound time.Duration
@@ -131,6 +135,10 @@
 	for _, set := range opts {
 		set(n)
 	}
+	n.keyBound = n.configBound
+	if n.revokeBound > 0 {
+		n.keyBound = min(n.keyBound, n.revokeBound)
+	}
 	n.digestFollower = n.newFollower(readOptions{
 		topic: topics.Digest, wait: replicaReadWait, pause: digestPause, options: []cranstore.FollowerOption{cranstore.WithPages()},
 	})
--- a/internal/crannode/service.go
+++ b/internal/crannode/service.go
@@ -51,14 +51,14 @@
 	n.remember(j.ID, localJob{queue: j.Queue})
 	latency := n.now().Steady - start
 	n.metrics.Accepted(latency)
-	n.log.Emit(cranevent.JobAccepted, cranevent.Job(j.ID), cranevent.Queue(j.Queue), cranevent.Offset(offset), cranevent.Elapsed(latency))
+	n.log.Emit(cranevent.JobAccepted, cranevent.Job(j.ID), cranevent.Queue(j.Queue), cranevent.Tenant(j.Tenant), cranevent.Offset(offset), cranevent.Elapsed(latency))
 	return nil
 }
 
 // refuse logs and counts a job that is not accepted, and returns err.
 func (n *Node) refuse(j *cranjob.Job, err error) error {
 	n.metrics.Refused(cranfault.KindOf(err))
-	n.log.Emit(cranevent.JobRefused, cranevent.Job(j.ID), cranevent.Queue(j.Queue),
+	n.log.Emit(cranevent.JobRefused, cranevent.Job(j.ID), cranevent.Queue(j.Queue), cranevent.Tenant(j.Tenant),
 		cranevent.Reason(cranfault.KindOf(err)), cranevent.Err(err))
 	return err
 }
--- a/internal/cransched/config.go
+++ b/internal/cransched/config.go
@@ -1,6 +1,10 @@
 package cransched
 
-import "time"
+import (
+	"time"
+
+	"github.com/cranberrypick/cranberrypick/internal/crantenant"
+)
 
 // Queue is the configuration of a queue of jobs.
 type Queue struct {
@@ -22,6 +26,8 @@
 	// TicketTime is how long the advice service takes for a request, and TicketTimePerTarget how much longer for
 	// each target that the request names.
 	TicketTime, TicketTimePerTarget time.Duration
+	// Public is set if requests to the queue need no key.
+	Public bool
 }
 
 // Pool is the configuration of a pool of targets.
@@ -36,6 +42,9 @@
 	Version int64
 	Queues  map[string]*Queue
 	Pools   map[string]*Pool
+	// Tenants holds the tenants and their keys; nil if the deployment has none, and then no
+	// request needs a key.
+	Tenants *crantenant.Directory
 }
 
 // Timing holds the time limits that depend on the deployment.
