cransoak: tenants whose keys come and go, caps that change, and a tenant with bursts

The soak knew nothing of tenants, so no run with real processes could show a removed key that still works, or a start beyond a cap. The ledger counts what each tenant has running against the highest cap that may be in effect.

--- a/internal/cranledger/ledger.go
+++ b/internal/cranledger/ledger.go
@@ -24,6 +24,12 @@
 	// were free.
 	slots, running int
 	unavailableAt  time.Time
+	// caps holds the caps of each tenant that has one.
+	caps map[string][]tenantCap
+	// used is what each tenant has running, in thousandths of a core, and cappedAt the newest time at which
+	// that was half of its cap or more.
+	used     map[string]int
+	cappedAt map[string]time.Time
 }
 
 // job is a submitted job. Times are zero until what they stand for has happened.
@@ -44,6 +50,10 @@
 	cancelling bool
 	// idleSince is when the job was accepted, or its last running task ended.
 	idleSince time.Time
+	// tenant is the tenant of the job, empty if it has none, and cpu what one of its tasks takes, in
+	// thousandths of a core.
+	tenant string
+	cpu    int
 }
 
 // task is a task that has started.
@@ -66,7 +76,9 @@
 }
 
 // New returns an empty ledger.
-func New() *Ledger { return &Ledger{jobs: map[string]*job{}} }
+func New() *Ledger {
+	return &Ledger{jobs: map[string]*job{}, caps: map[string][]tenantCap{}, used: map[string]int{}, cappedAt: map[string]time.Time{}}
+}
 
 // jobOf returns the name of the job of a task.
 func jobOf(task string) string {
@@ -152,6 +164,9 @@
 	if t.target == "" {
 		j.running++
 		l.running++
+		l.used[j.tenant] += j.cpu
+		l.checkCap(s.Task, j, s.At)
+		l.checkRoom(j.tenant, s.At)
 	}
 	t.target = s.Target
 	l.checkSlots(s.At)
@@ -171,6 +186,8 @@
 		l.checkSlots(at)
 		t.target, t.idleSince = "", at
 		l.running--
+		l.checkRoom(j.tenant, at)
+		l.used[j.tenant] -= j.cpu
 		if j.running--; j.running == 0 {
 			j.idleSince = at
 		}
--- a/internal/cranledger/standstill.go
+++ b/internal/cranledger/standstill.go
@@ -43,8 +43,8 @@
 }
 
 // StandStills returns the accepted jobs that have had nothing running for StandStillTime
-// before a time, although they are neither done nor being cancelled and half of the slots
-// were free throughout. Of a long-running job it returns each task that isn't running for
+// before a time, although they are neither done nor being cancelled, half of the slots
+// were free throughout, and their tenant had less than half of its cap running. Of a long-running job it returns each task that isn't running for
 // longer after its last run.
 func (l *Ledger) StandStills(at time.Time) []StandStill {
 	l.mu.Lock()
@@ -59,6 +59,10 @@
 		if j.acceptedAt.IsZero() || j.cancelling || j.done >= j.count {
 			continue
 		}
+		l.checkRoom(j.tenant, at)
+		if !l.cappedAt[j.tenant].Before(from) {
+			continue
+		}
 		if j.running == 0 && !j.idleSince.After(from) {
 			found = append(found, StandStill{Job: name, Since: j.idleSince})
 			continue
--- a/internal/cransoak/check.go
+++ b/internal/cransoak/check.go
@@ -83,7 +83,7 @@
 	longRunning := s.longRunning[id] > 0
 	state, outcome := "", standin.OutcomeUnknown
 	for ctx.Err() == nil {
-		state, outcome = s.caller.State(ctx, e.frontAddress, id)
+		state, outcome = s.callerOf(0).State(ctx, e.frontAddress, id)
 		if outcome == standin.OutcomeNotFound || state == "completed" || state == "failed" || state == "cancelled" || longRunning && state == "running" {
 			break
 		}
--- a/internal/cransoak/config.go
+++ b/internal/cransoak/config.go
@@ -135,7 +135,7 @@
 			}
 			s.group.Go(func() {
 				sent := time.Now()
-				status, _ := s.caller.Call(ctx, http.MethodGet, e.frontAddress, r.prefix, nil)
+				status, _ := s.callerOf(0).Call(ctx, http.MethodGet, e.frontAddress, r.prefix, nil)
 				s.configs.check(r, e.name, sent, status)
 			})
 		}
--- a/internal/cransoak/soak.go
+++ b/internal/cransoak/soak.go
@@ -57,6 +57,9 @@
 	// Surges selects the load and the faults of a large deployment: many jobs in surges, and
 	// series of faults that overlap.
 	Surges bool
+	// Tenants lets callers send keys of tenants, which come and go, with caps that change and bursts of
+	// one tenant. It has no effect with Surges.
+	Tenants bool
 	// CancelBound is the time within which a cancellation must be in effect; 0 means the
 	// default of the stand-in.
 	CancelBound time.Duration
@@ -97,6 +100,8 @@
 	// group counts the submissions and the faults that are in progress.
 	group   sync.WaitGroup
 	configs *configs
+	// tenants is nil if callers need no keys.
+	tenants *tenants
 	// disruptions holds the faults that excuse a violation of a bound in time.
 	disruptions cranledger.Disruptions
 	startedAt   time.Time
@@ -141,6 +146,10 @@
 	s.deployment.Ledger().AddSlots(o.Targets * standin.TargetCPU / cpu)
 	s.configs = &configs{deployment: s.deployment, version: 1}
 	s.caller = s.deployment.NewCaller(callerTimeout)
+	if o.Tenants && !o.Surges {
+		s.tenants = &tenants{soak: s, random: rand.New(rand.NewPCG(o.Seed, 4))}
+		s.tenants.start()
+	}
 	if err := s.startEntries(ctx); err != nil {
 		return s.report, err
 	}
--- a/internal/cransoak/workload.go
+++ b/internal/cransoak/workload.go
@@ -32,7 +32,7 @@
 		for n := 1; boundedCtx.Err() == nil; n++ {
 			address, tasks, shouldCancel := s.entries[callerRandom.IntN(s.Entries)].frontAddress, 1+callerRandom.IntN(4), callerRandom.IntN(8) == 0
 			s.group.Go(func() {
-				s.submit(ctx, n, address, smallJob(tasks, false))
+				s.submit(ctx, n, address, s.tenantJob(n%tenantCount, tasks))
 				if shouldCancel {
 					s.cancel(ctx, n, address)
 				}
@@ -41,6 +41,9 @@
 		}
 	})
 	s.runConfigs(boundedCtx)
+	if s.tenants != nil {
+		s.tenants.run(boundedCtx, ctx)
+	}
 	for boundedCtx.Err() == nil {
 		cranpause.Sleep(boundedCtx, time.Duration(s.random.Int64N(int64(maxFaultInterval))))
 		if err := s.injectFault(boundedCtx); err != nil {
@@ -62,7 +65,11 @@
 	outcome := standin.OutcomeRefused
 	j.ID = jobID(n)
 	for attempt := range 4 {
-		response := s.caller.SubmitJob(ctx, address, j)
+		response := s.callerOf(n).SubmitJob(ctx, address, j)
+		if response == standin.OutcomeUnauthenticated {
+			s.addViolation("%s: %s refused a permanent key", j.ID, address)
+			response = standin.OutcomeRefused
+		}
 		// If any attempt may have had an effect, a later refusal does not make the outcome
 		// certain.
 		if response != standin.OutcomeRefused && outcome != standin.OutcomeAccepted {
@@ -99,7 +106,7 @@
 	s.mu.Lock()
 	s.cancelled[jobID(n)] = true
 	s.mu.Unlock()
-	outcome := s.caller.Cancel(ctx, address, jobID(n))
+	outcome := s.callerOf(n).Cancel(ctx, address, jobID(n))
 	if outcome != standin.OutcomeAccepted && outcome != standin.OutcomeNotFound {
 		return false
 	}
