cransched: let more starts wait for a slow store

The limit is there since responses take processor time, but it counted the starts that wait for the store, too, so each append of half a second brought 128 of them.

Up to four times as many may now wait for an append that takes 0.4 s or more. Stored starts queue up and are sent as earlier ones are answered, so that what is under way to targets stays bounded as before. With a store that takes less than 0.2 s nothing changes.

--- a/internal/crannode/owner.go
+++ b/internal/crannode/owner.go
@@ -18,6 +18,7 @@
 	} else {
 		o.scheduler.Advance(now)
 		o.boundStarts(now.Steady)
+		o.scheduler.SetStoreLatency(max(o.progress.recentLatency(now.Steady), o.progress.age(now.Steady)))
 		wait = o.tick(now)
 		o.appendProgress(now.Steady)
 		o.performEffects()
--- a/internal/cransched/outcome.go
+++ b/internal/cransched/outcome.go
@@ -20,6 +20,7 @@
 // HandleStartResponse handles the response to a StartRun.
 func (s *Scheduler) HandleStartResponse(e StartRun, resp Response) {
 	s.startsPaced.answered(runName{e.Task, e.Run})
+	defer s.sendQueuedStarts()
 	t := s.targets[e.Target.ID]
 	if t == nil {
 		return
--- a/internal/cransched/pacer.go
+++ b/internal/cransched/pacer.go
@@ -19,13 +19,22 @@
 	// startResponseTime is how long a start counts as under way without a response. Targets that leave
 	// orders unanswered must not hold up the others.
 	startResponseTime = 400 * time.Millisecond
+	// quickStoreTime is the time of an append up to which the starts that wait for it count like those under
+	// way to targets.
+	quickStoreTime = 100 * time.Millisecond
+	// maxStoreFactor bounds how many times as many starts may wait for a slow store.
+	maxStoreFactor = 4
 )
 
 // startPacer bounds the starts under way, so that new ones go out as the responses to earlier ones are
 // handled.
 type startPacer struct {
-	// planned counts the starts that wait for the store.
+	// planned counts the starts that wait for the store or in queue.
 	planned int
+	// queue holds the starts that are stored and wait until earlier ones are answered.
+	queue []StartRun
+	// storeLatency is how long the newest append took, or takes.
+	storeLatency time.Duration
 	// sentAt holds the times of the starts that were sent and not answered.
 	sentAt map[runName]time.Duration
 }
@@ -44,7 +53,41 @@
 // left returns how many starts may still be planned at a lag of the owner.
 func (p *startPacer) left(now, lag time.Duration) int {
 	maps.DeleteFunc(p.sentAt, func(_ runName, at time.Duration) bool { return now-at > startResponseTime+lag })
-	return maxStartsAt(lag) - p.planned - len(p.sentAt)
+	return p.storeFactor(maxStartsAt(lag)) - p.planned - len(p.sentAt)
+}
+
+// storeFactor returns n times how much longer than quickStoreTime an append takes. The owner is idle while
+// starts wait for the store: with no more of them than it may have under way, a store that takes half a
+// second lets it start a few hundred tasks a second, however many targets are free.
+func (p *startPacer) storeFactor(n int) int {
+	return n * int(min(max(p.storeLatency/quickStoreTime, 1), maxStoreFactor))
+}
+
+// SetStoreLatency sets how long an append of the owner takes at present.
+func (s *Scheduler) SetStoreLatency(latency time.Duration) { s.startsPaced.storeLatency = latency }
+
+// sendQueuedStarts sends the stored starts, as many as may be under way. The members of a gang are sent
+// together.
+func (s *Scheduler) sendQueuedStarts() {
+	p := &s.startsPaced
+	var gang StepName
+	for len(p.queue) > 0 {
+		e := p.queue[0]
+		step := StepName{e.Task.Job, e.Task.Occurrence, e.Task.Step}
+		if len(p.sentAt) >= maxStartsAt(s.lag) && step != gang {
+			return
+		}
+		gang = StepName{}
+		if j := s.jobs[e.Task.Job]; j != nil && j.Steps[e.Task.Step].Gang {
+			gang = step
+		}
+		p.queue = p.queue[1:]
+		p.planned--
+		// The target may have changed since the start was stored.
+		s.dropStart(e)
+		s.sendStart(e)
+	}
+	p.queue = nil
 }
 
 // maxStartsAt returns the number of starts that may be under way at a lag of the owner.
--- a/internal/cransched/scheduler.go
+++ b/internal/cransched/scheduler.go
@@ -315,12 +315,12 @@
 	}
 	for _, e := range b.effects {
 		if start, isStart := e.(StartRun); isStart {
-			s.startsPaced.planned--
-			s.sendStart(start)
+			s.startsPaced.queue = append(s.startsPaced.queue, start)
 			continue
 		}
 		s.emit(e)
 	}
+	s.sendQueuedStarts()
 	for t, a := range b.acknowledged {
 		// The numbers of a new process begin anew.
 		if t.restarts == a.restarts {
--- a/internal/cransched/targets.go
+++ b/internal/cransched/targets.go
@@ -201,6 +201,7 @@
 	s.reachVerdicts()
 	s.planWaves()
 	s.planPools()
+	s.sendQueuedStarts()
 	s.place()
 }
 
--- a/internal/cransched/world_test.go
+++ b/internal/cransched/world_test.go
@@ -98,6 +98,8 @@
 	// newestStarts holds the last start of each task.
 	newestStarts map[cranjob.TaskName]receivedStart
 
+	// storeTime is how long it takes to store a batch, if not 6 ms.
+	storeTime time.Duration
 	// publishDelay is how long it takes to store the list of silent targets, if not 40 ms.
 	publishDelay time.Duration
 	// leasesEndAt holds the silent targets that the owner has published, and when their leases
@@ -241,6 +243,7 @@
 		owner.SetInstances(sim.instanceList(), sim.now)
 	}
 	owner.Tick()
+	owner.SetStoreLatency(sim.storeTime)
 	sim.storeAndPerform(owner, id)
 	sim.schedule(25*time.Millisecond, func() { sim.tick(id) })
 }
@@ -249,7 +252,7 @@
 func (sim *simulation) storeAndPerform(s *Scheduler, id int) {
 	if records, any := s.NextBatch(); any {
 		epoch := s.token
-		sim.schedule(6*time.Millisecond, func() {
+		sim.schedule(cmp.Or(sim.storeTime, 6*time.Millisecond), func() {
 			if epoch != sim.epoch {
 				return
 			}
