cransched: empty instances of a pool whose peak is over while another lacks some

An instance could only be moved once it was empty, and each of them always got one more task.

Instances that a pool has beyond its need now retire while another pool lacks some: their targets complete their tasks and take no others, those first that become empty soonest, and none with long-running tasks. No task is stopped.

--- a/internal/cranevent/catalogue.go
+++ b/internal/cranevent/catalogue.go
@@ -215,6 +215,8 @@
 		KeyCause, KeyNumber, KeyTarget),
 	define(PoolReported, "poolReported", LevelInfo, "what a pool has and needs, and what waits in it",
 		KeyArriving, KeyCount, KeyEmpty, KeyLimited, KeyNeeded, KeyPool, KeyPunctual, KeyShard, KeyWaiting, KeyWaitingLate),
+	define(TargetRetiring, "targetRetiring", LevelInfo, "a target takes no further tasks, since another pool lacks its instance",
+		KeyPool, KeyTarget),
 }
 
 // byEvent maps each event to its definition.
--- a/internal/cranevent/event.go
+++ b/internal/cranevent/event.go
@@ -141,6 +141,8 @@
 	MoveOrdered        Event = 1313
 	// PoolReported says regularly what a pool has and needs, and what waits in it.
 	PoolReported Event = 1314
+	// TargetRetiring reports a target that takes no further tasks, because another pool lacks its instance.
+	TargetRetiring Event = 1315
 )
 
 // Events of moves between pools.
--- a/internal/crannode/note.go
+++ b/internal/crannode/note.go
@@ -59,6 +59,10 @@
 			"find out which process writes to the topic", "the target %q contradicts the entry under its id", e.Target)))
 		return
 	}
+	if e.Kind == cransched.LogTargetRetiring {
+		n.log.Emit(cranevent.TargetRetiring, cranevent.Pool(e.Reason), cranevent.Target(e.Target))
+		return
+	}
 	fields := make([]cranevent.Field, 0, 8)
 	if e.Kind == cransched.LogRunPlaced {
 		fields = append(fields, cranevent.ReadAge(readAge))
--- a/internal/cransched/effect.go
+++ b/internal/cransched/effect.go
@@ -185,6 +185,9 @@
 	LogTargetSuperseded
 	LogJobEnded
 	LogTargetCordoned
+	// LogTargetRetiring means that a target takes no further tasks, as another pool lacks its instance.
+	// Reason is the pool to which it belongs.
+	LogTargetRetiring
 	LogMaintenanceOrdered
 	LogWaveChanged
 	LogMoveOrdered
--- a/internal/cransched/moves.go
+++ b/internal/cransched/moves.go
@@ -60,7 +60,7 @@
 // used first, since an instance that goes to a standby pool while another one comes from there
 // takes two moves, and a peak that is over keeps no instance from a pool that lacks it.
 func (s *Scheduler) rebalance(balances []*poolBalance, supply map[string]*poolSupply) {
-	var surplus []string
+	surplus := s.retiredInstances(supply)
 	unneeded := map[string]bool{}
 	for _, b := range balances {
 		empty := b.surplus(supply[b.pool])
--- a/internal/cransched/pools.go
+++ b/internal/cransched/pools.go
@@ -97,6 +97,7 @@
 	balances := s.balances(supply)
 	s.reportPools(balances, supply)
 	s.rebalance(balances, supply)
+	s.retireSurplus(balances, supply)
 	s.vacateForStarved(supply)
 }
 
@@ -141,6 +142,10 @@
 	empty []string
 	// arriving counts the moves in progress to the pool.
 	arriving int
+	// retiring counts the instances whose target takes no further tasks since another pool lacks them,
+	// and retired lists those of them on which nothing runs any more. They are no members.
+	retiring int
+	retired  []string
 	capacity cranjob.Resources
 }
 
@@ -180,6 +185,13 @@
 		if t == nil || t.info.Draining || t.cordoned || t.info.Pool != i.Pool {
 			continue
 		}
+		if t.retiring {
+			p.retiring++
+			if t.fenced && len(t.runs) == 0 && !t.superseded && t.listed && !t.overdue(s.clock.Steady) {
+				p.retired = append(p.retired, id)
+			}
+			continue
+		}
 		p.members++
 		if t.fenced && len(t.runs) == 0 && !t.superseded && t.listed && !t.overdue(s.clock.Steady) {
 			p.empty = append(p.empty, id)
--- a/internal/cransched/target.go
+++ b/internal/cransched/target.go
@@ -157,6 +157,9 @@
 	cordoned bool
 	// reserved is set while the target takes no other new tasks than a suspected one.
 	reserved bool
+	// retiring is set while the target takes no new tasks, because another pool lacks instances and its
+	// own has more than it needs.
+	retiring bool
 	// leaving is set while the instance is due for maintenance. Long-running tasks are placed
 	// elsewhere as far as possible, since they would have to be stopped again.
 	leaving bool
@@ -268,7 +271,7 @@
 
 // schedulable reports whether new tasks may be placed on the target.
 func (t *target) schedulable(now time.Duration) bool {
-	return t.listed && t.fenced && !t.hasUnlistedEnds && !t.superseded && !t.cordoned && !t.info.Draining && !t.unresponsive && !t.suspended &&
+	return t.listed && t.fenced && !t.hasUnlistedEnds && !t.superseded && !t.cordoned && !t.retiring && !t.info.Draining && !t.unresponsive && !t.suspended &&
 		!t.mayHaveRestarted() && t.describesProcess() && !t.overdue(now) && now >= t.noStartsBefore && !t.health.suspended(now)
 }
 
