crannode, cranshard: divide the submissions of a shard into partitions

The store processes the appends to a partition one after the other, about 12 a second then, and 36 entry instances appended to the one partition of a shard; callers who arrived meanwhile waited for it until their deadlines.

Where a layout has several shards, it now divides the submissions of each into up to 8 partitions by the hash of the job's id. Entry instances append to and search that partition; the owner follows all of them and counts what it has read as old as the one read the longest ago; a renewal of its claim comes with a record of how far it has read each. Deployments with one shard, and those whose layout is stored already, keep one partition.

--- a/internal/crandigest/digest.go
+++ b/internal/crandigest/digest.go
@@ -33,6 +33,7 @@
 type shard struct {
 	claim   cranjob.Claim
 	renewal Renewal
+	stripes Stripes
 	leases  Leases
 	// leasesReadAt is when leases was read, on the steady clock of the process.
 	leasesReadAt time.Duration
@@ -70,10 +71,16 @@
 	return c
 }
 
-// Through returns the offset in the submissions of a shard up to which all jobs are in the
-// digest.
-func (d *Digest) Through(number int) uint64 {
-	if s := d.shards[number]; s != nil {
+// Through returns the offset in a partition of the submissions of a shard up to which all jobs are
+// in the digest.
+func (d *Digest) Through(number, stripe int) uint64 {
+	s := d.shards[number]
+	switch {
+	case s == nil:
+		return 0
+	case stripe < len(s.stripes.Through):
+		return s.stripes.Through[stripe]
+	case stripe == 0:
 		return s.renewal.Through
 	}
 	return 0
@@ -164,6 +171,8 @@
 		newer := r.Epoch > s.renewal.Epoch || r.Number > s.renewal.Number
 		s.renewal = *r
 		return Change{Kind: Renewed, Shard: number, Newer: newer}, nil
+	case keyStripes:
+		return d.applyStripes(key, number, value)
 	case keyLeases:
 		l, err := decode[Leases](key, value)
 		if err != nil {
@@ -180,6 +189,24 @@
 	return Change{}, malformed(key, "the kind of the record is unknown")
 }
 
+// maxStripes bounds the partitions that a record names.
+const maxStripes = 64
+
+func (d *Digest) applyStripes(key string, number int, value []byte) (Change, error) {
+	t, err := decode[Stripes](key, value)
+	if err != nil {
+		return Change{}, err
+	}
+	if len(t.Through) > maxStripes {
+		return Change{}, malformed(key, fmt.Sprintf("it names %d partitions", len(t.Through)))
+	}
+	s := d.shard(number)
+	if t.Epoch > s.stripes.Epoch || t.Epoch == s.stripes.Epoch && t.Number >= s.stripes.Number {
+		s.stripes = *t
+	}
+	return Change{Kind: Renewed, Shard: number, Newer: false}, nil
+}
+
 // applyLayout applies the first layout and ignores any other.
 func (d *Digest) applyLayout(value []byte) (Change, error) {
 	if d.layout != nil {
--- a/internal/crandigest/digest_test.go
+++ b/internal/crandigest/digest_test.go
@@ -117,13 +117,13 @@
 		Renewal{Epoch: 1, Number: 5, Through: 12}.Record(0),
 	})
 	require.Equal(t, cranjob.Claim{Epoch: 2, Node: "b"}, d.Claim(0))
-	require.EqualValues(t, 12, d.Through(0))
+	require.EqualValues(t, 12, d.Through(0, 0))
 	apply(t, d, []cranstore.Record{
 		Renewal{Epoch: 2, Number: 2, Through: 20, AppendMs: 7}.Record(0), Renewal{Epoch: 1, Number: 9, Through: 15}.Record(0),
 		Renewal{Epoch: 2, Number: 1, Through: 18}.Record(0),
 	})
 	require.Equal(t, cranjob.Claim{Epoch: 2, Node: "b", Renewal: 2, AppendMs: 7}, d.Claim(0))
-	require.EqualValues(t, 20, d.Through(0))
+	require.EqualValues(t, 20, d.Through(0, 0))
 	apply(t, d, []cranstore.Record{claim(2, "b", true), claim(2, "b", false)})
 	require.True(t, d.Claim(0).Released)
 	require.Equal(t, cranjob.Claim{}, d.Claim(1))
--- a/internal/crandigest/record.go
+++ b/internal/crandigest/record.go
@@ -19,6 +19,7 @@
 	keyLeases  = 'l'
 	keyRenewal = 'r'
 	keySegment = 's'
+	keyStripes = 'o'
 	keyWave    = 'w'
 	// KeyLayout is the whole key of the layout.
 	KeyLayout = "layout"
@@ -50,6 +51,22 @@
 	return cranstore.Record{Key: string(keyRenewal) + strconv.Itoa(shard), Value: cranjob.Encode(r)}
 }
 
+// Stripes is the record of how far an owner has read the submissions of a shard that are divided into
+// several partitions. It takes the place of [Renewal.Through], which is 0 then.
+type Stripes struct {
+	_     struct{} `cbor:",toarray"`
+	Epoch uint64
+	// Number is that of the renewal with which the record is stored.
+	Number uint64
+	// Through holds for each partition the offset before which all jobs are in the digest.
+	Through []uint64
+}
+
+// Record returns the record for a shard.
+func (t Stripes) Record(shard int) cranstore.Record {
+	return cranstore.Record{Key: string(keyStripes) + strconv.Itoa(shard), Value: cranjob.Encode(t)}
+}
+
 // Leases is the record of the targets to which an owner has granted no lease since it was
 // stored. Each record replaces the one before.
 type Leases struct {
--- a/internal/crannode/digest.go
+++ b/internal/crannode/digest.go
@@ -52,7 +52,9 @@
 		c.updateWaves()
 	}
 	for _, s := range n.shards {
-		s.batcher.Settle(n.isInDigest)
+		for _, p := range s.stripes {
+			p.batcher.Settle(n.isInDigest)
+		}
 	}
 	n.metrics.DigestJobs(n.digest.Len())
 }
--- a/internal/crannode/layout.go
+++ b/internal/crannode/layout.go
@@ -92,11 +92,20 @@
 	}
 	limited, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
-	record := cranstore.Record{Key: crandigest.KeyLayout, Value: cranshard.New(count, targets, pools).Encode()}
+	record := cranstore.Record{Key: crandigest.KeyLayout, Value: cranshard.New(count, targets, pools, cranshard.WithStripes(n.stripes(count))).Encode()}
 	_, err = n.topics.Digest.Append(limited, []cranstore.Record{record}, cranstore.AppendOptions{Producer: layoutProducer, Epoch: 1})
 	return err
 }
 
+// stripes returns the number of partitions for the submissions of each shard. Where one shard suffices there
+// are few entry instances, whose appends one partition takes also from a slow store.
+func (n *Node) stripes(shards int) int {
+	if shards == 1 || n.topics.MaxStripes == nil {
+		return 1
+	}
+	return n.topics.MaxStripes(shards)
+}
+
 // checkEarlierVersion reports whether the topics of the first shard have the data of a version
 // without shards. It returns an error if a process of that version schedules: the old version
 // must be stopped first, since it doesn't know of the digest.
--- a/internal/crannode/lookup.go
+++ b/internal/crannode/lookup.go
@@ -111,7 +111,7 @@
 // It returns the offset up to which it has searched.
 func (n *Node) searchTail(ctx context.Context, s *shard, id string) (found bool, through uint64, err error) {
 	key := cranjob.SubmissionKey(id)
-	through, err = n.scanTail(ctx, s, func(r cranstore.Record) bool {
+	through, err = n.scanTail(ctx, s, s.stripeOf(id), func(r cranstore.Record) bool {
 		found = r.Key == key && len(r.Value) > 0
 		return !found
 	})
@@ -121,25 +121,30 @@
 // tailJobs returns the jobs of a shard that were submitted after those in the digest.
 func (n *Node) tailJobs(ctx context.Context, s *shard) ([]*cranjob.Job, error) {
 	var jobs []*cranjob.Job
-	_, err := n.scanTail(ctx, s, func(r cranstore.Record) bool {
-		if _, cancellation, ok := cranjob.ParseSubmissionKey(r.Key); ok && !cancellation && len(r.Value) > 0 {
-			if j, err := cranjob.DecodeSubmission(r.Key, r.Value); err == nil {
-				jobs = append(jobs, j)
+	for _, p := range s.stripes {
+		_, err := n.scanTail(ctx, s, p, func(r cranstore.Record) bool {
+			if _, cancellation, ok := cranjob.ParseSubmissionKey(r.Key); ok && !cancellation && len(r.Value) > 0 {
+				if j, err := cranjob.DecodeSubmission(r.Key, r.Value); err == nil {
+					jobs = append(jobs, j)
+				}
 			}
+			return true
+		})
+		if err != nil {
+			return nil, err
 		}
-		return true
-	})
-	return jobs, err
+	}
+	return jobs, nil
 }
 
-// scanTail passes the submissions of a shard that the digest may not have to visit, until that
+// scanTail passes the submissions in a stripe of a shard that the digest may not have to visit, until that
 // returns false or no submission is left. It returns the offset of the first unread one.
-func (n *Node) scanTail(ctx context.Context, s *shard, visit func(cranstore.Record) bool) (uint64, error) {
+func (n *Node) scanTail(ctx context.Context, s *shard, p *stripe, visit func(cranstore.Record) bool) (uint64, error) {
 	n.mu.RLock()
-	from := n.digest.Through(s.number)
+	from := n.digest.Through(s.number, p.number)
 	n.mu.RUnlock()
 	for {
-		batch, err := n.readTail(ctx, s, from)
+		batch, err := n.readTail(ctx, p, from)
 		if err != nil {
 			return from, cranfault.New(cranfault.LogUnavailable, "ask another entry instance",
 				"the store didn't return the newest submissions: %v", err)
@@ -156,26 +161,26 @@
 	}
 }
 
-// readTail reads submissions of a shard from an offset on. If those are no longer retained, it
+// readTail reads submissions in a stripe from an offset on. If those are no longer retained, it
 // returns the newest record of each key.
-func (n *Node) readTail(ctx context.Context, s *shard, from uint64) (cranstore.Batch, error) {
+func (n *Node) readTail(ctx context.Context, p *stripe, from uint64) (cranstore.Batch, error) {
 	limited, cancel := context.WithTimeout(ctx, tailTimeout)
 	defer cancel()
-	batch, err := s.topics.Submissions.Read(limited, from, cranstore.ReadOptions{MaxBytes: tailReadBytes})
+	batch, err := p.topic.Read(limited, from, cranstore.ReadOptions{MaxBytes: tailReadBytes})
 	if !errors.Is(err, cranstore.ErrExpired) {
 		return batch, err
 	}
-	records, end, err := cranstore.Load(ctx, s.topics.Submissions)
+	records, end, err := cranstore.Load(ctx, p.topic)
 	return cranstore.Batch{Records: records, Next: end, End: end}, err
 }
 
-// readBack returns the newest submissions of a shard, among which are those that are stored
+// readBack returns the newest submissions in a stripe of a shard, among which are those that are stored
 // although the store's response was lost.
-func (n *Node) readBack(ctx context.Context, s *shard) []cranstore.Record {
+func (n *Node) readBack(ctx context.Context, s *shard, p *stripe) []cranstore.Record {
 	n.mu.RLock()
-	from := n.digest.Through(s.number)
+	from := n.digest.Through(s.number, p.number)
 	n.mu.RUnlock()
-	batch, err := n.readTail(ctx, s, from)
+	batch, err := n.readTail(ctx, p, from)
 	if err != nil {
 		return nil
 	}
--- a/internal/crannode/node.go
+++ b/internal/crannode/node.go
@@ -182,7 +182,9 @@
 	group.Wait()
 	n.control.group.Wait()
 	for _, s := range n.shards {
-		s.batcher.Close()
+		for _, p := range s.stripes {
+			p.batcher.Close()
+		}
 	}
 	return nil
 }
--- a/internal/crannode/orders.go
+++ b/internal/crannode/orders.go
@@ -60,7 +60,7 @@
 			func(v cransched.CallStatus) { s.HandleMoveResponse(e, v) })
 	case cransched.TrimSubmission:
 		o.callAsync(trimTimeout, func(ctx context.Context) func() {
-			if _, err := o.trims.Append(ctx, e.Record); err != nil {
+			if _, err := o.trims[o.shard.stripeOf(e.Job).number].Append(ctx, e.Record); err != nil {
 				n.log.Emit(cranevent.LogUnavailable, cranevent.Stream("submissions"), cranevent.Err(err))
 			}
 			return func() {}
--- a/internal/crannode/owner.go
+++ b/internal/crannode/owner.go
@@ -114,7 +114,9 @@
 	}
 	if renewing || releasing {
 		records = append(records, s.node.digest.Merge(s.number, o.epoch, o.digest.sequence+1)...)
-		records = append(records, o.renewal(now).Record(s.number))
+		renewal := o.renewal(now)
+		records = append(records, renewal.Record(s.number))
+		records = append(records, o.stripesRecord(renewal)...)
 	}
 	if releasing || stallChanged {
 		claim := s.claim()
@@ -155,7 +157,7 @@
 	}
 	if o.scheduler == nil {
 		// The jobs that this owner has loaded are not in the digest yet.
-		r.Through = o.shard.node.digest.Through(o.shard.number)
+		r.Through = o.shard.node.digest.Through(o.shard.number, 0)
 	}
 	return r
 }
--- a/internal/crannode/ownership.go
+++ b/internal/crannode/ownership.go
@@ -53,8 +53,8 @@
 	// goroutines that send orders read it.
 	confirmedAt      atomic.Int64
 	progress, digest *fencedWriter
-	// trims appends the smaller records that replace the submissions of ended jobs.
-	trims *cranstore.Batcher
+	// trims append the smaller records that replace the submissions of ended jobs, one for each stripe.
+	trims []*cranstore.Batcher
 
 	// replica holds the jobs of the shard. It is loaded from the topics of the shard, of
 	// which progressLoaded and submissionsLoaded say whether they were read.
@@ -69,7 +69,9 @@
 	// scheduler is nil until the shard is loaded.
 	scheduler *cransched.Scheduler
 
-	// through is the offset up to which the submissions were passed to the scheduler, and
+	// stripeReaders holds how far each stripe of the submissions was read. The fields below follow from them.
+	stripeReaders []stripeReader
+	// through is the offset up to which the first stripe was passed to the scheduler, and
 	// submissionsReadAt the time up to which all stored ones were for certain. In submissionsAnsweredAt
 	// the time that the store has waited for the records of the newest complete read counts, too.
 	through                                  uint64
@@ -107,10 +109,13 @@
 	n := s.node
 	o := &ownership{
 		shard: s, epoch: claim.Epoch, renewedAt: s.claimSentAt, beganAt: now.Steady, replica: cranjob.NewReplica(), stateIndex: map[string]int{},
-		progress:    &fencedWriter{topic: s.topics.Progress, producer: producer, epoch: claim.Epoch, interval: progressInterval},
-		digest:      &fencedWriter{topic: n.topics.Digest, producer: s.digestProducer(), epoch: claim.Epoch, interval: digestInterval},
-		trims:       cranstore.NewBatcher(s.topics.Submissions, n.metrics.Retried),
-		predecessor: cransched.Predecessor{StoppedBy: s.ownersStopBy(claim, now.Steady), LeasesEndAt: s.leasesEndAt(claim.Epoch - 1)},
+		progress:      &fencedWriter{topic: s.topics.Progress, producer: producer, epoch: claim.Epoch, interval: progressInterval},
+		digest:        &fencedWriter{topic: n.topics.Digest, producer: s.digestProducer(), epoch: claim.Epoch, interval: digestInterval},
+		stripeReaders: make([]stripeReader, len(s.stripes)),
+		predecessor:   cransched.Predecessor{StoppedBy: s.ownersStopBy(claim, now.Steady), LeasesEndAt: s.leasesEndAt(claim.Epoch - 1)},
+	}
+	for _, p := range s.stripes {
+		o.trims = append(o.trims, cranstore.NewBatcher(p.topic, n.metrics.Retried))
 	}
 	_, o.leasesReadAt = n.digest.Leases(s.number)
 	o.confirmedAt.Store(int64(s.claimSentAt))
@@ -132,9 +137,9 @@
 		n.post(n.control.runCtx, func() { o.loadFailed(err) })
 		return
 	}
-	n.control.group.Go(func() {
-		n.followSubmissions(o)
-	})
+	for _, p := range s.stripes {
+		n.control.group.Go(func() { n.followSubmissions(o, p) })
+	}
 	for o.ctx.Err() == nil {
 		records, _, err := cranstore.Load(o.ctx, s.topics.Progress)
 		if err == nil {
@@ -187,22 +192,22 @@
 	return changes
 }
 
-// followSubmissions passes the submissions of a shard to its owner until the ownership ends.
+// followSubmissions passes the submissions in a stripe to the shard's owner until the ownership ends.
 // The control goroutine applies each update before the next read.
-func (n *Node) followSubmissions(o *ownership) {
-	f := n.newFollower(readOptions{topic: o.shard.topics.Submissions, wait: n.submissionsReadWait(), pause: submissionsPause})
+func (n *Node) followSubmissions(o *ownership, p *stripe) {
+	f := n.newFollower(readOptions{topic: p.topic, wait: n.submissionsReadWait(), pause: submissionsPause})
 	n.follow(o.ctx, "submissions", f, func(u cranstore.Update) {
-		n.postAndWait(o.ctx, func() { o.applySubmissions(u) })
+		n.postAndWait(o.ctx, func() { o.applySubmissions(p, u) })
 	})
 }
 
-// applySubmissions applies a read of the submissions, and passes the changes to the
+// applySubmissions applies a read of a stripe of the submissions, and passes the changes to the
 // scheduler.
-func (o *ownership) applySubmissions(u cranstore.Update) {
+func (o *ownership) applySubmissions(p *stripe, u cranstore.Update) {
 	if o.shard.owner != o {
 		return
 	}
-	o.shard.batcher.Observe(u.Records)
+	p.batcher.Observe(u.Records)
 	o.logCancellations(u)
 	if o.scheduler != nil {
 		o.scheduler.Advance(o.shard.node.now())
@@ -212,13 +217,7 @@
 			o.forwardChange(change)
 		}
 	}
-	o.through = u.Next
-	if at, current := u.CurrentAt(); current {
-		o.submissionsReadAt = at
-		waited := min(o.shard.node.submissionsReadWait(), u.Transfer.Elapsed)
-		o.submissionsAnsweredAt, o.submissionsLatency = u.Sent+waited, u.Transfer.Elapsed-waited
-	}
-	o.submissionsLoaded = true
+	o.observeRead(p.number, u)
 }
 
 // forwardChange tells the scheduler about a job that was submitted or cancelled.
@@ -314,7 +313,9 @@
 		return
 	}
 	o.cancel()
-	n.control.group.Go(o.trims.Close)
+	for _, b := range o.trims {
+		n.control.group.Go(b.Close)
+	}
 	n.log.Emit(cranevent.SchedulerLost, cranevent.Shard(s.name), cranevent.Epoch(o.epoch), cranevent.Cause(reason))
 	s.owner = nil
 	n.metrics.OwnerEnded(s.name)
--- a/internal/crannode/ports.go
+++ b/internal/crannode/ports.go
@@ -17,6 +17,11 @@
 	Digest cranstore.Topic
 	// Shard returns the topics of a shard.
 	Shard func(number int) ShardTopics
+	// Stripe returns a further partition for the submissions of a shard, numbered from 1, in a layout with a
+	// number of shards. MaxStripes returns how many partitions a shard's submissions may have then. If it is nil,
+	// they have one.
+	Stripe     func(number, stripe, shards int) cranstore.Topic
+	MaxStripes func(shards int) int
 	// MaxShards is the number of shards for which there are topics.
 	MaxShards int
 }
@@ -26,7 +31,7 @@
 	// Progress holds the owner's records. An owner reads it when it takes over.
 	Progress cranstore.Topic
 	// Submissions holds the accepted jobs and the cancellations. Every entry instance appends
-	// to it, and the owner reads it.
+	// to it, and the owner reads it. It is the first of the partitions if there are several.
 	Submissions cranstore.Topic
 }
 
--- a/internal/crannode/service.go
+++ b/internal/crannode/service.go
@@ -44,7 +44,7 @@
 	start := n.now().Steady
 	j.ReceivedMs = n.now().UnixMs
 	record := cranstore.Record{Key: cranjob.SubmissionKey(j.ID), Value: cranjob.Encode(*j)}
-	offset, err := s.storeRecord(ctx, record)
+	offset, err := s.storeRecord(ctx, j.ID, record)
 	if err != nil {
 		return n.refuse(j, err)
 	}
@@ -63,9 +63,9 @@
 	return err
 }
 
-// storeRecord appends a record that may be stored twice without harm.
-func (s *shard) storeRecord(ctx context.Context, record cranstore.Record) (uint64, error) {
-	offset, err := s.batcher.Append(ctx, record)
+// storeRecord appends a record of a job that may be stored twice without harm.
+func (s *shard) storeRecord(ctx context.Context, id string, record cranstore.Record) (uint64, error) {
+	offset, err := s.stripeOf(id).batcher.Append(ctx, record)
 	switch {
 	case err == nil:
 		return offset, nil
@@ -93,7 +93,7 @@
 		return false, cranfault.New(cranfault.LogUnavailable, "cancel the job at another entry instance",
 			"the store doesn't answer this entry instance")
 	}
-	offset, err := s.storeRecord(ctx, cranstore.Record{Key: cranjob.CancellationKey(id), Value: cranjob.CancellationMark})
+	offset, err := s.storeRecord(ctx, id, cranstore.Record{Key: cranjob.CancellationKey(id), Value: cranjob.CancellationMark})
 	if err != nil {
 		return false, err
 	}
--- a/internal/crannode/shard.go
+++ b/internal/crannode/shard.go
@@ -1,17 +1,15 @@
 package crannode
 
 import (
-	"context"
 	"strconv"
 	"time"
 
 	"github.com/cranberrypick/cranberrypick/internal/cranjob"
 	"github.com/cranberrypick/cranberrypick/internal/cransched"
-	"github.com/cranberrypick/cranberrypick/internal/cranstore"
 )
 
 // shard is what this process knows about a shard and does for it. Only the control goroutine
-// accesses the fields, apart from renewedAt and from number, topics and batcher, which never
+// accesses the fields, apart from renewedAt and from number, topics and stripes, which never
 // change.
 type shard struct {
 	node   *Node
@@ -19,8 +17,8 @@
 	// name is the number as text.
 	name   string
 	topics ShardTopics
-	// batcher appends the records of callers.
-	batcher *cranstore.Batcher
+	// stripes are the partitions of the submissions, at least one.
+	stripes []*stripe
 	// claimReadAt is when a record was last read that shows the owner to be alive, and
 	// ownerRecordAt when a record of the owner was last read.
 	claimReadAt, ownerRecordAt time.Duration
@@ -53,8 +51,7 @@
 // newShard returns a shard whose claims have been read up to now.
 func (n *Node) newShard(number int, now time.Duration) *shard {
 	s := &shard{node: n, number: number, name: strconv.Itoa(number), topics: n.topics.Shard(number), claimReadAt: now, ownerRecordAt: now}
-	s.batcher = cranstore.NewBatcher(s.topics.Submissions, n.metrics.Retried,
-		cranstore.WithReadBack(func(ctx context.Context) []cranstore.Record { return n.readBack(ctx, s) }))
+	s.stripes = n.newStripes(s)
 	return s
 }
 
--- a/internal/crannode/stall.go
+++ b/internal/crannode/stall.go
@@ -104,7 +104,7 @@
 	}
 	if !r.probing && now >= r.nextProbeAt {
 		r.probing = true
-		from := n.digest.Through(s.number)
+		from := s.through()
 		n.control.group.Go(func() {
 			err := s.probe(n.control.runCtx, from)
 			n.post(n.control.runCtx, func() { s.probeCompleted(err) })
@@ -115,16 +115,15 @@
 	return !r.probing && r.possibleSince != 0 && now-since >= s.claimDelay()
 }
 
-// probe reads the submissions from an offset on and the targets, and appends nothing to the progress, which queues
+// probe reads the submissions from offsets on and the targets, and appends nothing to the progress, which queues
 // like any append.
-func (s *shard) probe(ctx context.Context, from uint64) error {
+func (s *shard) probe(ctx context.Context, from []uint64) error {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	_, err := s.topics.Submissions.Read(ctx, from, cranstore.ReadOptions{MaxBytes: 1})
-	if err != nil && !errors.Is(err, cranstore.ErrExpired) {
+	if err := s.probeStripes(ctx, from); err != nil {
 		return err
 	}
-	_, err = s.node.directory.Targets.Read(ctx, 0, cranstore.ReadOptions{MaxBytes: 1})
+	_, err := s.node.directory.Targets.Read(ctx, 0, cranstore.ReadOptions{MaxBytes: 1})
 	if err != nil && !errors.Is(err, cranstore.ErrExpired) {
 		return err
 	}
--- a/internal/cransched/effect.go
+++ b/internal/cransched/effect.go
@@ -161,7 +161,10 @@
 
 // TrimSubmission replaces the submission of a finished job with a copy without the
 // specification. It is stored apart from the batches and may be lost.
-type TrimSubmission struct{ Record cranstore.Record }
+type TrimSubmission struct {
+	Job    string
+	Record cranstore.Record
+}
 
 // LogKind is the kind of a log entry.
 type LogKind uint8
--- a/internal/cransched/scheduler.go
+++ b/internal/cransched/scheduler.go
@@ -223,7 +223,7 @@
 	// processes that start later and read every job.
 	trimmed := *j.Job
 	trimmed.Spec = ""
-	s.emitOnceStored(TrimSubmission{cranstore.Record{Key: cranjob.SubmissionKey(j.ID), Value: cranjob.Encode(trimmed)}})
+	s.emitOnceStored(TrimSubmission{Job: j.ID, Record: cranstore.Record{Key: cranjob.SubmissionKey(j.ID), Value: cranjob.Encode(trimmed)}})
 	if j.timing != nil {
 		j.updateEstimates(s.predictors[j.Queue], s.clock.Steady)
 		j.timing.EndMs, j.timing.ObjectiveMs = j.endedMs-j.ReceivedMs, s.softDeadlineMs(j, 0)-j.ReceivedMs
