cranorder, cransched: select the jobs that are to be in time in an overload

While a pool is too small for all of its jobs, callers saw nearly all of them late: with the order of least slack each job begins when it is about to be late.

Every 100 ms cranorder.Select walks through the jobs of a pool by least slack and gives up the one with the most work among those not started whenever the room, with the instances on their way, doesn't suffice (Moore and Hodgson). Jobs that are given up are ordered like late ones: they get the room that the others leave, and none is dropped. Nothing changes while all can be in time.

--- a/internal/cransched/job.go
+++ b/internal/cransched/job.go
@@ -71,7 +71,10 @@
 	done        int
 	// waitsSince is the time since which a stage has been ready while no task was placed.
 	waitsSince time.Duration
-	endedMs    int64
+	// givenUp is set while the pool is too small for all jobs to be in time and this one gets room after those
+	// that are to be.
+	givenUp bool
+	endedMs int64
 }
 
 // newJob creates the tasks of a submission and restores their progress, if any.
--- a/internal/cransched/place.go
+++ b/internal/cransched/place.go
@@ -147,7 +147,7 @@
 			j.updateEstimates(s.predictors[j.Queue], s.clock.Steady)
 			slack := s.slackMs(j, st)
 			list = append(list, candidate{
-				job: j, stage: st, slackMs: slack, late: !st.step.LongRunning && slack < j.slackReserveMs(st),
+				job: j, stage: st, slackMs: slack, late: !st.step.LongRunning && (j.givenUp || slack < j.slackReserveMs(st)),
 			})
 		}
 		if len(list) == ready {
--- a/internal/cransched/scheduler.go
+++ b/internal/cransched/scheduler.go
@@ -58,6 +58,8 @@
 	// last report that ended at the limit on starts under way.
 	backlogs      map[string]backlog
 	limitedRounds int
+	// nextOrderAt is when the jobs that are to be served in time are selected next.
+	nextOrderAt time.Duration
 	// poolsReportedAt is when the status of the pools was last reported.
 	poolsReportedAt time.Duration
 	// startsUntil is the deadline for starts, set by SetStartsUntil.
--- a/internal/cransched/targets.go
+++ b/internal/cransched/targets.go
@@ -202,6 +202,7 @@
 	s.planWaves()
 	s.planPools()
 	s.sendQueuedStarts()
+	s.selectJobs()
 	s.place()
 }
 
