crannode, cranstore: refuse at once when the store doesn't answer

Records that wait behind an append which has been unanswered for 1.2 s are withdrawn and refused (503), and so are later ones until it ends; none of them was ever sent. The bound is the longest time of an append after which another one of the same length still ends before the callers' deadline. The record in flight still has an unknown outcome. A submission is refused before it is queued once the newest reads and appends have all failed, at least two of them, and the store has answered nothing for 1.2 s. An owner's trims still wait.

TestSlowAppendsWithdrawNothing holds that appends of 1.1 s refuse nobody.

--- a/internal/crannode/node.go
+++ b/internal/crannode/node.go
@@ -71,6 +71,8 @@
 	// sent; 0 before the first.
 	digestFollower  *cranstore.Follower
 	digestContactAt atomic.Int64
+	// contact tells whether the store answers the reads and appends of this process.
+	contact storeContact
 	// ticketSlots bounds the requests to the advice service that are under way.
 	ticketSlots *semaphore.Weighted
 	// owned is the number of shards that this process schedules, and stopping is true once
@@ -253,6 +255,7 @@
 	f.Run(ctx, func(u cranstore.Update) {
 		n.metrics.ReadTopic(name, u.Err != nil, u.Transfer.Bytes, u.Transfer.FirstByte, u.End-u.Next)
 		now := n.now().Steady
+		n.contact.observe(u.Err, now)
 		switch {
 		case u.Err != nil && !unavailable:
 			unavailable, lostAt = true, now
--- a/internal/crannode/service.go
+++ b/internal/crannode/service.go
@@ -33,7 +33,7 @@
 	if _, known := n.lookup(j.ID); known {
 		return nil
 	}
-	if !n.storeReachable() {
+	if !n.storeAnswers() {
 		return n.refuse(j, cranfault.New(cranfault.LogUnavailable, "submit the job again to another entry instance",
 			"the store doesn't answer this entry instance"))
 	}
@@ -89,7 +89,7 @@
 		return true, nil
 	}
 	s := n.shardOf(id)
-	if s == nil || !n.storeReachable() {
+	if s == nil || !n.storeAnswers() {
 		return false, cranfault.New(cranfault.LogUnavailable, "cancel the job at another entry instance",
 			"the store doesn't answer this entry instance")
 	}
--- a/internal/crannode/shard.go
+++ b/internal/crannode/shard.go
@@ -53,7 +53,7 @@
 // newShard returns a shard whose claims have been read up to now.
 func (n *Node) newShard(number int, now time.Duration) *shard {
 	s := &shard{node: n, number: number, name: strconv.Itoa(number), topics: n.topics.Shard(number), claimReadAt: now, ownerRecordAt: now}
-	s.batcher = cranstore.NewBatcher(s.topics.Submissions, n.metrics.Retried,
+	s.batcher = cranstore.NewBatcher(observedTopic{s.topics.Submissions, n}, n.metrics.Retried, cranstore.WithWithdrawal(maxUnanswered),
 		cranstore.WithReadBack(func(ctx context.Context) []cranstore.Record { return n.readBack(ctx, s) }))
 	return s
 }
--- a/internal/cranstore/batcher.go
+++ b/internal/cranstore/batcher.go
@@ -29,6 +29,10 @@
 // that they are not.
 var ErrUnanswered = errors.New("the store has not answered in time")
 
+// ErrWithdrawn is the refusal of a record that was never sent, because the append before it has
+// been unanswered for too long.
+var ErrWithdrawn = errors.New("the store has not answered an earlier append")
+
 // ErrClosed is the refusal of an append to a batcher that was closed.
 var ErrClosed = errors.New("the batcher is closed")
 
@@ -46,7 +50,10 @@
 	onRetry func(refused bool)
 	// readBack, if set, returns the newest records of the topic.
 	readBack func(ctx context.Context) []Record
-	writers  sync.WaitGroup
+	// withdrawAfter is how long an append may be unanswered until the records that wait behind it
+	// are refused; 0 if they always wait.
+	withdrawAfter time.Duration
+	writers       sync.WaitGroup
 
 	mu sync.Mutex
 	// waiting holds the records for later appends, inFlight those of the current
@@ -54,6 +61,8 @@
 	// closed is true.
 	waiting, inFlight     []*pendingRecord
 	writerRunning, closed bool
+	// overdue is true while the current append has been unanswered for withdrawAfter.
+	overdue bool
 	// cancelAttempt cancels the current attempt. Observe calls it once all records
 	// of the batch were read back from the topic.
 	cancelAttempt context.CancelFunc
@@ -94,6 +103,12 @@
 	return func(b *Batcher) { b.readBack = read }
 }
 
+// WithWithdrawal sets how long an append may be unanswered until the records that wait behind it are
+// refused, and so are later ones until it ends. None of these was sent, so the refusal is certain.
+func WithWithdrawal(after time.Duration) BatcherOption {
+	return func(b *Batcher) { b.withdrawAfter = after }
+}
+
 // Append stores a record and returns its offset. If it returns an error for which
 // IsRefused is false, the record may or may not be stored.
 func (b *Batcher) Append(ctx context.Context, r Record) (uint64, error) {
@@ -103,6 +118,10 @@
 		b.mu.Unlock()
 		return 0, Refused(ErrClosed)
 	}
+	if b.overdue {
+		b.mu.Unlock()
+		return 0, Refused(ErrWithdrawn)
+	}
 	b.waiting = append(b.waiting, p)
 	if !b.writerRunning {
 		b.writerRunning = true
@@ -200,7 +219,36 @@
 // left.
 func (b *Batcher) writeBatches() {
 	for b.nextBatch() {
+		stop := b.withdrawWhileUnanswered()
 		b.appendBatch()
+		stop()
+	}
+}
+
+// withdrawWhileUnanswered refuses the waiting records once the current append has been unanswered
+// for withdrawAfter, its repeats included, until the returned function is called.
+func (b *Batcher) withdrawWhileUnanswered() (stop func()) {
+	if b.withdrawAfter <= 0 {
+		return func() {}
+	}
+	ended := false
+	timer := time.AfterFunc(b.withdrawAfter, func() {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		if ended {
+			return
+		}
+		b.overdue = true
+		for _, p := range b.waiting {
+			p.answer(0, Refused(ErrWithdrawn))
+		}
+		b.waiting = nil
+	})
+	return func() {
+		timer.Stop()
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		ended, b.overdue = true, false
 	}
 }
 
--- a/internal/cranstore/batcher_test.go
+++ b/internal/cranstore/batcher_test.go
@@ -182,3 +182,69 @@
 	require.True(t, IsRefused(err))
 	require.Len(t, topic.all(), stored)
 }
+
+// TestWaitingRecordsAreWithdrawn guards against callers who wait until their deadline behind an append that
+// the store doesn't answer. The records that wait behind it, and those that come later, are refused and never
+// stored, while the record in flight is never refused. Once the store answers, records are stored again.
+func TestWaitingRecordsAreWithdrawn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const bound = time.Second
+		topic := &queueTopic{lose: true}
+		b := NewBatcher(topic, func(bool) {}, WithWithdrawal(bound))
+		defer b.Close()
+		ctx, cancel := context.WithTimeout(t.Context(), 2850*time.Millisecond)
+		defer cancel()
+		start := time.Now()
+		first := make(chan error, 1)
+		go func() {
+			_, err := b.Append(ctx, keyed(1))
+			first <- err
+		}()
+		synctest.Wait()
+		var waiting sync.WaitGroup
+		for i := range 5 {
+			waiting.Go(func() {
+				_, err := b.Append(ctx, keyed(2+i))
+				require.True(t, IsRefused(err), "%v", err)
+				require.ErrorIs(t, err, ErrWithdrawn)
+				require.Equal(t, bound, time.Since(start))
+			})
+		}
+		waiting.Wait()
+		_, err := b.Append(ctx, keyed(7))
+		require.True(t, IsRefused(err))
+		require.Equal(t, bound, time.Since(start))
+		err = <-first
+		require.Error(t, err)
+		require.False(t, IsRefused(err))
+		topic.mu.Lock()
+		topic.lose = false
+		topic.mu.Unlock()
+		time.Sleep(attemptTimeout)
+		_, err = b.Append(t.Context(), keyed(8))
+		require.NoError(t, err)
+		for _, r := range topic.all() {
+			require.Contains(t, []string{"j1", "j8"}, r.Key)
+		}
+	})
+}
+
+// TestSlowAppendsWithdrawNothing guards against the refusal of records that a slow store would still store in
+// time: each append takes less than the bound.
+func TestSlowAppendsWithdrawNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := NewBatcher(&queueTopic{appendTime: 1100 * time.Millisecond}, func(bool) {}, WithWithdrawal(1200*time.Millisecond))
+		defer b.Close()
+		var callers sync.WaitGroup
+		for i := range 20 {
+			time.Sleep(100 * time.Millisecond)
+			callers.Go(func() {
+				start := time.Now()
+				_, err := b.Append(t.Context(), keyed(i))
+				require.NoError(t, err)
+				require.Less(t, time.Since(start), 2850*time.Millisecond)
+			})
+		}
+		callers.Wait()
+	})
+}
