cranadmit, crandigest: decide on admission from published figures

Under a surge of one tenant every job was accepted, whatever its chances. The pure package decides from what the owners publish under the prefix "b": work beyond its tenant's entitlement is refused first, by a hash of the job's id so that all entry instances and repeats agree; work within it only if it can't end before it is worthless. Retry-After follows the wait and is spread by the hash.

A choice from the wait alone made admission swing (42% of the accepted jobs late in virtual time, at a surge of five times the capacity), since the figures are up to a second old and no entry instance knows what the others let in. So the owner's Controller chooses the admitted share from what was let in before.

Each test was seen to fail once: without the age (TestOldFiguresRefuseNothing), with a share that is ignored, always or never applied (TestEntriesAgree, TestSurgeLeavesGoodput), without the count of admitted jobs (TestAdmittedJobsCount), without the spread (TestRetryAfterIsSpread), with all work counted for work within (TestWorkWithinIsRefusedOnlyIfWorthless).

--- a/internal/crandigest/digest.go
+++ b/internal/crandigest/digest.go
@@ -27,6 +27,8 @@
 	// pending counts the queued jobs by the hash of their queue.
 	pending map[uint32]int
 	waves   map[waveKey]WaveProgress
+	// admissions holds the newest figures for admission of each shard.
+	admissions map[int]*Admission
 }
 
 // shard holds the claim of a shard and its segments.
@@ -50,7 +52,7 @@
 
 // New returns an empty digest.
 func New() *Digest {
-	return &Digest{shards: map[int]*shard{}, jobs: map[string]jobState{}, pending: map[uint32]int{}, waves: map[waveKey]WaveProgress{}}
+	return &Digest{shards: map[int]*shard{}, jobs: map[string]jobState{}, pending: map[uint32]int{}, waves: map[waveKey]WaveProgress{}, admissions: map[int]*Admission{}}
 }
 
 // Layout returns the layout of the shards, or nil if none is stored yet.
@@ -115,6 +117,8 @@
 	// Renewed is the kind of every other record that an owner has written.
 	Renewed
 	WaveChanged
+	// LoadPublished is the kind of figures for admission.
+	LoadPublished
 )
 
 // Change describes the effect of one record.
@@ -172,6 +176,8 @@
 		s := d.shard(number)
 		s.leases, s.leasesReadAt = *l, readAt
 		return Change{Kind: Renewed, Shard: number}, nil
+	case keyAdmission:
+		return d.applyAdmission(key, number, value)
 	case keySegment:
 		return d.applySegment(key, number, value)
 	case keyWave:
