cransched: compute the load of queues for admission

The owner of a shard knows what waits, and how fast its pools serve it. Idle instances of other pools count as capacity on its way, since no move is ordered yet when a peak begins.

--- a/internal/cranadmit/control.go
+++ b/internal/cranadmit/control.go
@@ -31,6 +31,9 @@
 // NewController returns a controller that admits all work.
 func NewController() *Controller { return &Controller{share: 1, exposed: memory.Seconds()} }
 
+// Share returns the admitted share.
+func (c *Controller) Share() float64 { return c.share }
+
 // Update returns the share of the work beyond entitlements to be admitted from now on. The objective is that of the
 // queue's jobs.
 func (c *Controller) Update(q *QueueLoad, objective, now time.Duration) float64 {
--- a/internal/cranadmit/decide.go
+++ b/internal/cranadmit/decide.go
@@ -103,7 +103,7 @@
 	objective := time.Duration(r.Stretch*float64(q.Path)) + r.LatencyTarget
 	share, surging := within[r.Tenant]
 	if r.Tenant == "" || !surging || h.fraction(0) < share {
-		wait := q.after(max(q.Within+scale(added, q.Within, q.Drain), 0))
+		wait := q.After(max(q.Within+scale(added, q.Within, q.Drain), 0))
 		limit := worthlessFactor*objective - q.Path
 		if wait <= limit {
 			return Decision{Admitted: true}
@@ -111,7 +111,7 @@
 		return refuse(Overload, wait, limit, objective, h)
 	}
 	ahead := max(q.Ahead+scale(added, q.Ahead, q.Drain), 0)
-	wait := q.after(time.Duration(float64(ahead) / q.shareBeyond()))
+	wait := q.After(time.Duration(float64(ahead) / q.shareBeyond()))
 	limit := max(objective-q.Path, 0)
 	if wait <= maxWait*limit && h.fraction(1) < q.Share {
 		return Decision{Admitted: true}
--- a/internal/cranadmit/decide_test.go
+++ b/internal/cranadmit/decide_test.go
@@ -54,7 +54,7 @@
 		b.Publish(0, f, 0)
 		r := request(rapid.Int().Draw(t, "id"), rapid.SampledFrom([]string{"", "calm"}).Draw(t, "tenant"))
 		d := b.Decide(r, 0)
-		worthless := q.after(within)+q.Path > worthlessFactor*2200*time.Millisecond
+		worthless := q.After(within)+q.Path > worthlessFactor*2200*time.Millisecond
 		require.Equal(t, !worthless, d.Admitted)
 		if worthless {
 			require.Equal(t, Overload, d.Cause)
--- a/internal/cranadmit/figures.go
+++ b/internal/cranadmit/figures.go
@@ -31,7 +31,7 @@
 	Arrivals, ArrivalsWithin float64
 	// Share is the share of the work beyond entitlements that is admitted, from 0 to 1; see Controller.
 	Share float64
-	// Arriving is the capacity that is on its way, as a fraction of the rate of service.
+	// Arriving is the capacity that is on its way or idle in other pools, as a fraction of the rate of service.
 	Arriving float64
 }
 
@@ -47,9 +47,9 @@
 // arrivalTime is the time from the order of a move to the first task on the instance in its new pool.
 const arrivalTime = 2 * time.Second
 
-// after returns how long work takes that takes drain at the present rate, if the capacity that is on its
+// After returns how long work takes that takes drain at the present rate, if the capacity that is on its
 // way helps once it has arrived.
-func (q *QueueLoad) after(drain time.Duration) time.Duration {
+func (q *QueueLoad) After(drain time.Duration) time.Duration {
 	if drain <= arrivalTime {
 		return drain
 	}
--- a/internal/cransched/scheduler.go
+++ b/internal/cransched/scheduler.go
@@ -63,7 +63,8 @@
 	// startsUntil is the deadline for starts, set by SetStartsUntil.
 	startsUntil time.Duration
 	// lag is how late the owner's process handles what has arrived.
-	lag time.Duration
+	lag       time.Duration
+	admission admission
 	// createdAt is when this owner took over.
 	createdAt time.Duration
 }
