crannode, platform: refuse jobs by the load that owners publish

Nothing limited what was accepted, so the work beyond one tenant's entitlement delayed that of all others. Owners now append the load of their queues to the digest with the renewal of their claim, where the configuration has tenants and something waits. An entry instance decides from it before it stores a job, and answers 429 with the Retry-After that the fault carries. A job that it knows is answered as before. Figures that a load returns, or that are read while the digest isn't up to date, aren't used.

TestOverloadRefusesAtOnce fails without the call in Submit, and with figures of any age; TestDeploymentWithoutTenantsAdmitsAll if owners publish without tenants; TestRetryAfterIsThatOfTheFault with a fixed header.

--- a/internal/cranevent/catalogue.go
+++ b/internal/cranevent/catalogue.go
@@ -215,6 +215,10 @@
 		KeyCause, KeyNumber, KeyTarget),
 	define(PoolReported, "poolReported", LevelInfo, "what a pool has and needs, and what waits in it",
 		KeyArriving, KeyCount, KeyEmpty, KeyLimited, KeyNeeded, KeyPool, KeyPunctual, KeyShard, KeyWaiting, KeyWaitingLate),
+	rateLimited(define(JobNotAdmitted, "jobNotAdmitted", LevelInfo, "a job is refused because of the load",
+		KeyAgeMs, KeyCause, KeyJob, KeyNumber, KeyObjectiveMs, KeyQueue, KeyRemainingMs, KeyShard, KeyTenant)),
+	define(QueueOverloaded, "queueOverloaded", LevelInfo, "work beyond entitlements is refused in part",
+		KeyNumber, KeyObjectiveMs, KeyQueue, KeyRemainingMs, KeyShard, KeyWaiting),
 }
 
 // byEvent maps each event to its definition.
--- a/internal/cranevent/event.go
+++ b/internal/cranevent/event.go
@@ -143,6 +143,14 @@
 	PoolReported Event = 1314
 )
 
+// Events of admission.
+const (
+	// JobNotAdmitted says by which load a job was refused.
+	JobNotAdmitted Event = 1421
+	// QueueOverloaded says that the owner of a shard has part of the work beyond entitlements refused.
+	QueueOverloaded Event = 1422
+)
+
 // Events of moves between pools.
 const (
 	MoveDone Event = 603
--- a/internal/cranfault/fault.go
+++ b/internal/cranfault/fault.go
@@ -44,6 +44,8 @@
 	kind    Kind
 	message string
 	remedy  string
+	// retryAfter is the number of seconds after which a request may be repeated; 0 if the fault doesn't say.
+	retryAfter int
 }
 
 // New returns a fault. The message, formatted from format and args, states what went
@@ -53,6 +55,23 @@
 	return &Fault{kind: kind, message: fmt.Sprintf(format, args...), remedy: remedy}
 }
 
+// WithRetryAfter returns a copy of the fault that says after how many seconds the request may be repeated.
+func (f *Fault) WithRetryAfter(seconds int) *Fault {
+	g := *f
+	g.retryAfter = seconds
+	return &g
+}
+
+// RetryAfterOf returns the number of seconds after which a request that has failed with err may be repeated; 0 if err
+// doesn't say.
+func RetryAfterOf(err error) int {
+	var f *Fault
+	if errors.As(err, &f) {
+		return f.retryAfter
+	}
+	return 0
+}
+
 // Kind returns the kind of the fault.
 func (f *Fault) Kind() Kind { return f.kind }
 
--- a/internal/cranmetric/jobs.go
+++ b/internal/cranmetric/jobs.go
@@ -20,7 +20,7 @@
 // concurrent use.
 type Jobs struct {
 	registry *prometheus.Registry
-	refusals, retries, ended, objectives, runEnds,
+	refusals, notAdmitted, retries, ended, objectives, runEnds,
 	orders *prometheus.CounterVec
 	accepted, cancelled, takeovers prometheus.Counter
 	targetCrashes, givenUp         prometheus.Counter
@@ -60,6 +60,7 @@
 	m := &Jobs{
 		registry:      prometheus.NewRegistry(),
 		refusals:      vector("job_refusals_total", "Requests of callers that were refused, by reason.", "reason"),
+		notAdmitted:   vector("admission_refusals_total", "Jobs that were refused because of load, by tenant and cause.", "tenant", "cause"),
 		retries:       vector("store_retries_total", "Appends that were sent again, by reason.", "reason"),
 		ended:         vector("jobs_ended_total", "Jobs that have ended, by state.", "state"),
 		objectives:    vector("job_objectives_total", "Completed jobs without times, by whether they met their objective.", "objective"),
@@ -103,7 +104,7 @@
 	for _, reason := range []string{"refused", "unanswered"} {
 		m.retries.WithLabelValues(reason)
 	}
-	m.registry.MustRegister(m.refusals, m.retries, m.ended, m.objectives, m.runEnds, m.orders, m.accepted, m.cancelled,
+	m.registry.MustRegister(m.refusals, m.notAdmitted, m.retries, m.ended, m.objectives, m.runEnds, m.orders, m.accepted, m.cancelled,
 		m.takeovers, m.targetCrashes, m.givenUp, m.acceptance, m.orderTime, m.firstStart, m.reads, m.readBytes, m.behind, m.firstByte, m.configApply, m.configRevision, m.configConfirmed, m.ownedShards, m.lag, m.digestJobs, malformed, collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
@@ -123,6 +124,10 @@
 // Refused counts a refused request of a caller.
 func (m *Jobs) Refused(reason cranfault.Kind) { m.refusals.WithLabelValues(string(reason)).Inc() }
 
+// NotAdmitted counts a job of a tenant that was refused because of load. The tenant must be one of the configuration,
+// or empty.
+func (m *Jobs) NotAdmitted(tenant, cause string) { m.notAdmitted.WithLabelValues(tenant, cause).Inc() }
+
 // Cancelled counts a stored cancellation.
 func (m *Jobs) Cancelled() { m.cancelled.Inc() }
 
--- a/internal/crannode/digest.go
+++ b/internal/crannode/digest.go
@@ -86,6 +86,11 @@
 		if change.Shard < len(n.shards) {
 			n.shards[change.Shard].observeRenewal(change, now.Steady)
 		}
+	case crandigest.LoadPublished:
+		if change.Shard < len(n.shards) {
+			n.shards[change.Shard].observeRenewal(change, now.Steady)
+			n.shards[change.Shard].readFigures(now.Steady)
+		}
 	case crandigest.WaveChanged:
 		if change.Shard < len(n.shards) {
 			// An append that holds nothing else confirms the ownership too.
--- a/internal/crannode/node.go
+++ b/internal/crannode/node.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/semaphore"
 	"golang.org/x/sys/unix"
 
+	"github.com/cranberrypick/cranberrypick/internal/cranadmit"
 	"github.com/cranberrypick/cranberrypick/internal/crandigest"
 	"github.com/cranberrypick/cranberrypick/internal/cranevent"
 	"github.com/cranberrypick/cranberrypick/internal/cranmetric"
@@ -71,6 +72,8 @@
 	// sent; 0 before the first.
 	digestFollower  *cranstore.Follower
 	digestContactAt atomic.Int64
+	// admission holds the load by which jobs are refused.
+	admission admission
 	// contact tells whether the store answers the reads and appends of this process.
 	contact storeContact
 	// ticketSlots bounds the requests to the advice service that are under way.
@@ -134,6 +137,7 @@
 		configBound: defaultConfigBound, cancelBound: defaultCancelBound, drainBound: defaultDrainBound, digest: crandigest.New(), stored: map[string]localJob{}, advanced: make(chan struct{}),
 		ticketSlots: semaphore.NewWeighted(cransched.TicketSlots),
 	}
+	n.admission.board = cranadmit.NewBoard()
 	for _, set := range opts {
 		set(n)
 	}
--- a/internal/crannode/owner.go
+++ b/internal/crannode/owner.go
@@ -114,6 +114,7 @@
 	if renewing || releasing {
 		records = append(records, s.node.digest.Merge(s.number, o.epoch, o.digest.sequence+1)...)
 		records = append(records, o.renewal(now).Record(s.number))
+		records = append(records, o.figures(now)...)
 	}
 	if releasing || stallChanged {
 		claim := s.claim()
--- a/internal/crannode/ownership.go
+++ b/internal/crannode/ownership.go
@@ -95,6 +95,8 @@
 	// counts as stalled, and stallStored whether the digest was told so.
 	stalledAt            time.Duration
 	stalled, stallStored bool
+	// figuresWriter publishes the load of the shard.
+	figuresWriter figuresWriter
 	// flushed is set once the last decisions before a release were stored.
 	flushed bool
 	ctx     context.Context
--- a/internal/crannode/service.go
+++ b/internal/crannode/service.go
@@ -41,6 +41,9 @@
 	if s == nil {
 		return n.refuse(j, cranfault.New(cranfault.NotReady, "submit the job again to another entry instance", "the shards are not known here yet"))
 	}
+	if err := n.admit(j, s); err != nil {
+		return n.refuse(j, err)
+	}
 	start := n.now().Steady
 	j.ReceivedMs = n.now().UnixMs
 	record := cranstore.Record{Key: cranjob.SubmissionKey(j.ID), Value: cranjob.Encode(*j)}
