crannode: test the units of published figures

Owner and entry instance convert the figures in different functions. The test fails if one field is read as another (arrivals within as all arrivals).

--- a/internal/crannode/admission_test.go
+++ b/internal/crannode/admission_test.go
@@ -9,10 +9,12 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/cranberrypick/cranberrypick/internal/cranadmit"
 	"github.com/cranberrypick/cranberrypick/internal/crandigest"
 	"github.com/cranberrypick/cranberrypick/internal/cranfault"
 	"github.com/cranberrypick/cranberrypick/internal/cranjob"
 	"github.com/cranberrypick/cranberrypick/internal/cranmemory"
+	"github.com/cranberrypick/cranberrypick/internal/cransched"
 	"github.com/cranberrypick/cranberrypick/internal/cranstore"
 	"github.com/cranberrypick/cranberrypick/internal/crantenant"
 )
@@ -112,3 +114,22 @@
 		}
 	})
 }
+
+// TestFiguresSurviveRecord guards against units that differ between the owner that publishes figures and the entry
+// instance that reads them.
+func TestFiguresSurviveRecord(t *testing.T) {
+	q := cranadmit.QueueLoad{
+		Waiting: 7, Drain: 9 * time.Second, Ahead: 8 * time.Second, Within: 3 * time.Second, Path: 1500 * time.Millisecond,
+		JobTime: 40 * time.Millisecond, Arrivals: 12, ArrivalsWithin: 4.5, Share: 1, Arriving: 0.25,
+	}
+	f := cranadmit.Figures{Queues: map[string]cranadmit.QueueLoad{"q": q, "removed": q}, Within: map[string]float64{"x": 0.125, "a": 0}}
+	config := &cransched.Config{Queues: map[string]*cransched.Queue{"q": {Name: "q", Stretch: 1.6}}}
+	record := (&figuresWriter{}).record(f, config, 5, time.Hour).Record(2)
+	d := crandigest.New()
+	_, err := d.Apply(record.Key, record.Value, 0)
+	require.NoError(t, err)
+	read, found := d.Admission(2).Queue("q")
+	require.True(t, found)
+	require.Equal(t, q, queueLoad(read))
+	require.Equal(t, []crandigest.TenantShare{{Name: "a"}, {Name: "x", Within: 125}}, d.Admission(2).Tenants)
+}
