--- a/internal/cranevent/catalogue.go
+++ b/internal/cranevent/catalogue.go
@@ -217,6 +217,10 @@
 		KeyArriving, KeyCount, KeyEmpty, KeyLimited, KeyNeeded, KeyPool, KeyPunctual, KeyShard, KeyWaiting, KeyWaitingLate),
 	define(TargetRetiring, "targetRetiring", LevelInfo, "a target takes no further tasks, since another pool lacks its instance",
 		KeyPool, KeyTarget),
+	rateLimited(define(JobNotAdmitted, "jobNotAdmitted", LevelInfo, "a job is refused because of the load",
+		KeyAgeMs, KeyCause, KeyJob, KeyNumber, KeyObjectiveMs, KeyQueue, KeyRemainingMs, KeyShard, KeyTenant)),
+	define(QueueOverloaded, "queueOverloaded", LevelInfo, "work beyond entitlements is refused in part",
+		KeyNumber, KeyObjectiveMs, KeyQueue, KeyRemainingMs, KeyShard, KeyWaiting),
 }
 
 // byEvent maps each event to its definition.
--- a/internal/cranevent/event.go
+++ b/internal/cranevent/event.go
@@ -145,6 +145,14 @@
 	TargetRetiring Event = 1315
 )
 
+// Events of admission.
+const (
+	// JobNotAdmitted says by which load a job was refused.
+	JobNotAdmitted Event = 1421
+	// QueueOverloaded says that the owner of a shard has part of the work beyond entitlements refused.
+	QueueOverloaded Event = 1422
+)
+
 // Events of moves between pools.
 const (
 	MoveDone Event = 603
--- a/internal/crannode/node.go
+++ b/internal/crannode/node.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/semaphore"
 	"golang.org/x/sys/unix"
 
+	"github.com/cranberrypick/cranberrypick/internal/cranadmit"
 	"github.com/cranberrypick/cranberrypick/internal/crandigest"
 	"github.com/cranberrypick/cranberrypick/internal/cranevent"
 	"github.com/cranberrypick/cranberrypick/internal/cranmetric"
@@ -71,6 +72,10 @@
 	// sent; 0 before the first.
 	digestFollower  *cranstore.Follower
 	digestContactAt atomic.Int64
+	// admission holds the load by which jobs are refused.
+	admission admission
+	// contact tells whether the store answers the reads and appends of this process.
+	contact storeContact
 	// ticketSlots bounds the requests to the advice service that are under way.
 	ticketSlots *semaphore.Weighted
 	// owned is the number of shards that this process schedules, and stopping is true once
@@ -132,6 +137,7 @@
 		configBound: defaultConfigBound, cancelBound: defaultCancelBound, drainBound: defaultDrainBound, digest: crandigest.New(), stored: map[string]localJob{}, advanced: make(chan struct{}),
 		ticketSlots: semaphore.NewWeighted(cransched.TicketSlots),
 	}
+	n.admission.board = cranadmit.NewBoard()
 	for _, set := range opts {
 		set(n)
 	}
@@ -255,6 +261,7 @@
 	f.Run(ctx, func(u cranstore.Update) {
 		n.metrics.ReadTopic(name, u.Err != nil, u.Transfer.Bytes, u.Transfer.FirstByte, u.End-u.Next)
 		now := n.now().Steady
+		n.contact.observe(u.Err, now)
 		switch {
 		case u.Err != nil && !unavailable:
 			unavailable, lostAt = true, now
--- a/internal/crannode/owner.go
+++ b/internal/crannode/owner.go
@@ -117,6 +117,7 @@
 		renewal := o.renewal(now)
 		records = append(records, renewal.Record(s.number))
 		records = append(records, o.stripesRecord(renewal)...)
+		records = append(records, o.figures(now)...)
 	}
 	if releasing || stallChanged {
 		claim := s.claim()
--- a/internal/crannode/service.go
+++ b/internal/crannode/service.go
@@ -33,7 +33,7 @@
 	if _, known := n.lookup(j.ID); known {
 		return nil
 	}
-	if !n.storeReachable() {
+	if !n.storeAnswers() {
 		return n.refuse(j, cranfault.New(cranfault.LogUnavailable, "submit the job again to another entry instance",
 			"the store doesn't answer this entry instance"))
 	}
@@ -41,6 +41,9 @@
 	if s == nil {
 		return n.refuse(j, cranfault.New(cranfault.NotReady, "submit the job again to another entry instance", "the shards are not known here yet"))
 	}
+	if err := n.admit(j, s); err != nil {
+		return n.refuse(j, err)
+	}
 	start := n.now().Steady
 	j.ReceivedMs = n.now().UnixMs
 	record := cranstore.Record{Key: cranjob.SubmissionKey(j.ID), Value: cranjob.Encode(*j)}
@@ -89,7 +92,7 @@
 		return true, nil
 	}
 	s := n.shardOf(id)
-	if s == nil || !n.storeReachable() {
+	if s == nil || !n.storeAnswers() {
 		return false, cranfault.New(cranfault.LogUnavailable, "cancel the job at another entry instance",
 			"the store doesn't answer this entry instance")
 	}
--- a/internal/crannode/stripe.go
+++ b/internal/crannode/stripe.go
@@ -32,7 +32,7 @@
 		if i > 0 {
 			p.topic = n.topics.Stripe(s.number, i, layout.Count())
 		}
-		p.batcher = cranstore.NewBatcher(p.topic, n.metrics.Retried,
+		p.batcher = cranstore.NewBatcher(observedTopic{p.topic, n}, n.metrics.Retried, cranstore.WithWithdrawal(maxUnanswered),
 			cranstore.WithReadBack(func(ctx context.Context) []cranstore.Record { return n.readBack(ctx, s, p) }))
 		stripes[i] = p
 	}
--- a/internal/crannode/stripe_test.go
+++ b/internal/crannode/stripe_test.go
@@ -57,7 +57,10 @@
 		synctest.Test(t, func(t *testing.T) {
 			start := time.Now()
 			partitions := map[string]*serialTopic{}
+			var partitionsMu sync.Mutex
 			partition := func(name string) cranstore.Topic {
+				partitionsMu.Lock()
+				defer partitionsMu.Unlock()
 				if partitions[name] == nil {
 					partitions[name] = &serialTopic{Topic: cranmemory.New()}
 				}
