cransched: place work beyond the entitlement of its tenant last

Change: each job is classified once, when it is added or restored; the class is a sort key after that of long-running tasks. Beyond the entitlement, tenants come by their weighted share of the work started, and the work of one tenant keeps its order. Such work counts as late work for the size of pools, and not for the forecast. Without tenants every job is within, so the order is as before.

--- a/internal/crannode/ownership.go
+++ b/internal/crannode/ownership.go
@@ -10,6 +10,7 @@
 
 	"github.com/cranberrypick/cranberrypick/internal/crandigest"
 	"github.com/cranberrypick/cranberrypick/internal/cranevent"
+	"github.com/cranberrypick/cranberrypick/internal/cranfair"
 	"github.com/cranberrypick/cranberrypick/internal/cranjob"
 	"github.com/cranberrypick/cranberrypick/internal/cranpause"
 	"github.com/cranberrypick/cranberrypick/internal/cransched"
@@ -259,7 +260,8 @@
 			cranevent.Age(now.Steady-o.leasesReadAt), cranevent.Remaining(o.predecessor.LeasesEndAt[id]-now.Steady))
 	}
 	o.scheduledAt = now.Steady
-	o.scheduler = cransched.New(o.epoch, n.schedulerTiming(), c.config, o.replica, now, o.predecessor)
+	o.scheduler = cransched.New(o.epoch, n.schedulerTiming(), c.config, o.replica, now, o.predecessor,
+		cransched.WithFairness(cranfair.NewLedger(s.number, len(n.shards))))
 	for id, e := range o.replica.Jobs() {
 		if e.Job() != nil {
 			o.publish(crandigest.JobState{ID: id, Queue: e.Job().Queue, State: e.State()})
--- a/internal/cransched/job.go
+++ b/internal/cransched/job.go
@@ -45,6 +45,8 @@
 	stages    []*stage
 	tasks     []*task
 	cancelled bool
+	// beyond is set if the job is beyond the entitlement of its tenant. It never changes.
+	beyond bool
 	// placedBefore is set once a task of the job has been placed.
 	placedBefore bool
 	// timing is set once this owner has placed a task of the job, if the job has no times.
--- a/internal/cransched/place.go
+++ b/internal/cransched/place.go
@@ -15,13 +15,18 @@
 	stage *stage
 	// late is set for stages that can't be expected to complete in time any more; they come last.
 	late bool
+	// beyond is set for stages of jobs beyond the entitlement of their tenant, apart from
+	// long-running ones. They come after all others, and rank orders their tenants.
+	beyond bool
+	rank   float64
 	// slackMs is the time to the soft deadline minus the remaining critical path.
 	slackMs int64
 }
 
 // place assigns waiting tasks to targets. In case the load exceeds the capacity of a pool,
-// it places long-running tasks first, then stages that can still complete in time by
-// priority and least slack, then the rest.
+// it places long-running tasks first, then the work within the entitlement of its tenant, then
+// that beyond it. Within each, stages that can still complete in time come first, by priority
+// and least slack, then the rest. Beyond the entitlement, the tenants' shares come before slack.
 func (s *Scheduler) place() {
 	if !s.mayStart() {
 		return
@@ -37,6 +42,7 @@
 	// Pools that aren't reached before the starts of this round are planned keep their mark.
 	mostPlanned := s.startsPaced.planned + s.startsPaced.left(s.clock.Steady, s.lag)
 	rooms := idleRooms{}
+	s.observeCapacities(byPool)
 	list := s.candidates()
 	s.tickets.waiting = false
 	s.recordBacklog(list)
@@ -148,6 +154,7 @@
 			slack := s.slackMs(j, st)
 			list = append(list, candidate{
 				job: j, stage: st, slackMs: slack, late: !st.step.LongRunning && slack < j.slackReserveMs(st),
+				beyond: j.beyond && !st.step.LongRunning,
 			})
 		}
 		if len(list) == ready {
@@ -155,14 +162,17 @@
 		}
 	}
 	slices.SortFunc(list, compareCandidates)
+	s.rankBeyond(list)
 	return list
 }
 
 func compareCandidates(a, b candidate) int {
 	return cmp.Or(
 		compareBools(!a.stage.step.LongRunning, !b.stage.step.LongRunning),
+		compareBools(a.beyond, b.beyond),
 		compareBools(a.late, b.late),
 		cmp.Compare(a.priority(), b.priority()),
+		cmp.Compare(a.rank, b.rank),
 		cmp.Compare(a.slackMs, b.slackMs),
 		cmp.Compare(a.job.ID, b.job.ID),
 		cmp.Compare(a.stage.name.Occurrence, b.stage.name.Occurrence),
--- a/internal/cransched/pools.go
+++ b/internal/cransched/pools.go
@@ -283,16 +283,17 @@
 
 // requiredParallelism returns how many tasks of a stage have to run at the same time for
 // the job to complete in time. If it can't any more, late is true and the work is spread over
-// lateWorkHorizon.
+// lateWorkHorizon. Work beyond the entitlement of its tenant counts like late work, so that no pool
+// grows faster for it, and none at the expense of work that is owed.
 func (s *Scheduler) requiredParallelism(j *job, st *stage) (parallelism float64, late bool) {
 	openTasks := float64(len(st.tasks) - st.done)
 	durationMs := j.durationMs[st.name.Step]
 	if st.step.LongRunning || st.step.Gang || durationMs <= 0 {
-		return openTasks, false
+		return openTasks, j.beyond
 	}
 	laterStepsMs := j.criticalPathMs[st.name.Step] - durationMs*longestTaskFactor(st.step.Count)
 	availableMs := float64(s.softDeadlineMs(j, st.name.Occurrence)-s.clock.UnixMs) - laterStepsMs
-	if availableMs < durationMs {
+	if availableMs < durationMs || j.beyond {
 		return openTasks * min(durationMs/float64(lateWorkHorizon.Milliseconds()), 1), true
 	}
 	return openTasks * durationMs / availableMs, false
--- a/internal/cransched/scheduler.go
+++ b/internal/cransched/scheduler.go
@@ -66,6 +66,10 @@
 	lag time.Duration
 	// createdAt is when this owner took over.
 	createdAt time.Duration
+	// fairness is nil if all jobs are within the entitlement of their tenants.
+	fairness Fairness
+	// instanceCapacity holds the capacity of an instance of each pool.
+	instanceCapacity map[string]cranjob.Resources
 }
 
 // Predecessor is what a new owner knows about the previous owner.
@@ -98,15 +102,20 @@
 
 // New returns the scheduler of a new owner. The token is the epoch of the owner's claim.
 // The stored state must include every record that precedes the claim.
-func New(token uint64, timing Timing, config *Config, stored *cranjob.Replica, now Clock, predecessor Predecessor) *Scheduler {
+func New(token uint64, timing Timing, config *Config, stored *cranjob.Replica, now Clock, predecessor Predecessor, opts ...Option) *Scheduler {
 	s := &Scheduler{
 		token: token, timing: timing, config: config, clock: now, stored: stored,
 		jobs: map[string]*job{}, targets: map[string]*target{}, cancelled: map[string]bool{},
 		predictors: map[string]*predictor{}, arrivals: map[string]*arrivalHistory{}, backlogs: map[string]backlog{},
 		losses: map[string]loss{}, starved: map[string]bool{}, tickets: newTicketPacer(),
 		suspensions: newSuspensions(predecessor.LeasesEndAt),
-		predecessor: predecessor, createdAt: now.Steady, startsUntil: math.MaxInt64,
+		predecessor: predecessor, createdAt: now.Steady, startsUntil: math.MaxInt64, instanceCapacity: map[string]cranjob.Resources{},
 	}
+	for _, o := range opts {
+		o(s)
+	}
+	s.setTenants()
+	beyond := s.classifyStored()
 	s.fleet = s.newFleet(stored.Orders())
 	for queue, d := range stored.Durations() {
 		s.predictors[queue] = &predictor{Durations: d, storedCount: d.N}
@@ -117,18 +126,21 @@
 			s.cancelled[id] = e.Cancelled()
 			continue
 		}
-		s.recordRecentArrival(e.Job())
+		if !beyond[id] {
+			s.recordRecentArrival(e.Job())
+		}
 		if p := e.Progress(); p != nil && p.State.Final() {
 			continue
 		}
-		s.restoreJob(e)
+		s.restoreJob(e, beyond[id])
 	}
 	return s
 }
 
 // restoreJob restores a job and its runs that may exist on targets.
-func (s *Scheduler) restoreJob(e *cranjob.TrackedJob) {
+func (s *Scheduler) restoreJob(e *cranjob.TrackedJob, beyond bool) {
 	j := newJob(e.Job(), e.Progress())
+	j.beyond = beyond
 	j.queue = s.queueConfig(j.Queue)
 	j.restoreCrashes(e.Crashes())
 	s.jobs[j.ID] = j
@@ -173,6 +185,7 @@
 		return
 	}
 	s.config = c
+	s.setTenants()
 	for _, j := range s.jobs {
 		if q := s.queueConfig(j.Queue); q != nil {
 			j.queue = q
@@ -187,13 +200,16 @@
 	}
 	j := newJob(submission, nil)
 	j.queue = s.queueConfig(j.Queue)
+	j.beyond = s.isBeyond(submission)
 	s.jobs[j.ID] = j
 	if s.cancelled[j.ID] {
 		s.cancelJob(j)
 		return
 	}
 	s.publish(j)
-	s.recordArrival(j, 0)
+	if !j.beyond {
+		s.recordArrival(j, 0)
+	}
 }
 
 // CancelJob cancels a job, also one that has not been added yet.
--- a/internal/cransched/start.go
+++ b/internal/cransched/start.go
@@ -24,6 +24,7 @@
 		s.rememberHost(t, dest)
 	}
 	s.markDirty(t.job)
+	s.chargeStart(t)
 	s.startsPaced.planned++
 	s.emitOnceStored(LogEntry{Kind: LogRunPlaced, Job: t.job.ID, Task: t.name.String(), Run: number, Target: dest.info.ID, AgeMs: (s.clock.Steady - dest.lastResponseAt).Milliseconds()})
 	s.emitOnceStored(StartRun{
--- a/internal/cransched/world_test.go
+++ b/internal/cransched/world_test.go
@@ -31,6 +31,8 @@
 	targets map[string]*simTarget
 	// logged counts the log entries by kind.
 	logged map[LogKind]int
+	// fairness, if set, returns who decides on entitlements for a new owner.
+	fairness func() Fairness
 	// entries, if set, changes the list of targets that the owner reads.
 	entries func([]TargetInfo) []TargetInfo
 	owner   *Scheduler
@@ -201,7 +203,11 @@
 	}
 	sim.epoch++
 	sim.ownerID++
-	sim.owner = New(sim.epoch, simTiming, sim.config, sim.stored, sim.clock(), Predecessor{StoppedBy: predecessorStop, LastOrderAt: maps.Clone(sim.orderStoredAt), LeasesEndAt: sim.leasesEndAt})
+	var options []Option
+	if sim.fairness != nil {
+		options = append(options, WithFairness(sim.fairness()))
+	}
+	sim.owner = New(sim.epoch, simTiming, sim.config, sim.stored, sim.clock(), Predecessor{StoppedBy: predecessorStop, LastOrderAt: maps.Clone(sim.orderStoredAt), LeasesEndAt: sim.leasesEndAt}, options...)
 	sim.owners[sim.ownerID] = sim.owner
 	sim.leasesEndAt = nil
 	sim.owner.SetTargets(sim.targetList())
