crannode: share the entitlements of tenants between the owners of shards

Cause: an owner counted its part of each weight alone, so a tenant whose jobs reach one shard more than the others was beyond its entitlement too early.

Change: an owner publishes in the digest, under t and its shard, how many jobs of each tenant were within the entitlement; at most every 400 ms, and only if one was added. Each owner models the buckets of the others from that and takes its part of what they can't hold. While the digest isn't read, it has its own part alone. Totals never fall, also with a new owner. Without tenants nothing is published. A record with impossible names, totals or sizes is refused.

Evidence: TestOwnersExchangeEntitlements fails without the exchange and without the totals of the predecessor, TestShardsShareEntitlement if the totals are ignored, nothing is shared, or a token is given twice, TestUsageNeverFalls if totals fall or the size is not bounded, TestClocksOfEntryInstances without the bounds on the time of receipt.

--- a/internal/crandigest/digest.go
+++ b/internal/crandigest/digest.go
@@ -27,6 +27,8 @@
 	// pending counts the queued jobs by the hash of their queue.
 	pending map[uint32]int
 	waves   map[waveKey]WaveProgress
+	// usage holds the entitlements that each shard has used.
+	usage map[int]map[string]uint64
 }
 
 // shard holds the claim of a shard and its segments.
@@ -50,7 +52,7 @@
 
 // New returns an empty digest.
 func New() *Digest {
-	return &Digest{shards: map[int]*shard{}, jobs: map[string]jobState{}, pending: map[uint32]int{}, waves: map[waveKey]WaveProgress{}}
+	return &Digest{shards: map[int]*shard{}, jobs: map[string]jobState{}, pending: map[uint32]int{}, waves: map[waveKey]WaveProgress{}, usage: map[int]map[string]uint64{}}
 }
 
 // Layout returns the layout of the shards, or nil if none is stored yet.
@@ -176,6 +178,8 @@
 		return d.applySegment(key, number, value)
 	case keyWave:
 		return d.applyWave(key, number, rest, value)
+	case keyUsage:
+		return d.applyUsage(key, number, value)
 	}
 	return Change{}, malformed(key, "the kind of the record is unknown")
 }
--- a/internal/crandigest/digest_test.go
+++ b/internal/crandigest/digest_test.go
@@ -2,16 +2,19 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"github.com/cranberrypick/cranberrypick/internal/cranfault"
 	"github.com/cranberrypick/cranberrypick/internal/cranjob"
 	"github.com/cranberrypick/cranberrypick/internal/cranmemory"
 	"github.com/cranberrypick/cranberrypick/internal/cranshard"
 	"github.com/cranberrypick/cranberrypick/internal/cranstore"
+	"github.com/cranberrypick/cranberrypick/internal/crantenant"
 )
 
 // apply applies records, which must be well-formed.
@@ -234,3 +237,43 @@
 	require.True(t, d.Claim(0).Released)
 	require.False(t, d.Claim(0).Stalled)
 }
+
+// TestUsageNeverFalls guards against totals of a shard that fall, which the other owners would count twice, and
+// against records that name tenants which can't exist.
+func TestUsageNeverFalls(t *testing.T) {
+	d := New()
+	apply := func(r cranstore.Record) {
+		change, err := d.Apply(r.Key, r.Value, 0)
+		require.NoError(t, err)
+		require.Equal(t, Change{Kind: Renewed, Shard: 1}, change)
+	}
+	apply(UsageRecord(1, map[string]uint64{"a": 5, "b": 7}))
+	apply(UsageRecord(1, map[string]uint64{"a": 4, "c": 1}))
+	want := map[string]uint64{"a": 5, "c": 1}
+	require.Equal(t, want, d.Usage(1))
+	require.Empty(t, d.Usage(0))
+	tooMany := usage{Tenants: make([]tenantUsage, crantenant.MaxTenants+1)}
+	for _, value := range [][]byte{
+		nil,
+		{0x80},
+		{0x81},
+		{0x81, 0x81, 0x82, 0x61, 'a', 0x20},
+		UsageRecord(1, map[string]uint64{"": 1}).Value,
+		UsageRecord(1, map[string]uint64{"a": maxUsage + 1}).Value,
+		UsageRecord(1, map[string]uint64{strings.Repeat("a", 1000): 1}).Value,
+		cranjob.Encode(usage{Tenants: []tenantUsage{{Tenant: "a", Used: 8}, {Tenant: "a", Used: 9}}}),
+		cranjob.Encode(tooMany),
+	} {
+		_, err := d.Apply("t1", value, 0)
+		require.Equal(t, cranfault.Malformed, cranfault.KindOf(err))
+		require.Equal(t, want, d.Usage(1))
+	}
+	many := map[string]uint64{}
+	for i := range crantenant.MaxTenants {
+		many[fmt.Sprintf("%0200d", i)] = uint64(i) + 1
+	}
+	r := UsageRecord(1, many)
+	require.Less(t, len(r.Value), 2*maxUsageBytes)
+	apply(r)
+	require.NotEmpty(t, d.Usage(1))
+}
--- a/internal/cranfair/account.go
+++ b/internal/cranfair/account.go
@@ -1,8 +1,6 @@
 package cranfair
 
-import (
-	"math"
-)
+import "math"
 
 const (
 	// depthSeconds is the depth of a bucket in seconds of its rate. A peak of a queue lasts 4 s, in
@@ -74,16 +72,12 @@
 	a.filledMs = atMs
 }
 
-// epsilon is above the rounding errors of a bucket, so that a tenant that sends exactly its
-// weight is within its entitlement.
-const epsilon = 1e-6
-
 // take takes a token for a job that was received at atMs, and reports whether there was one.
 func (a *account) take(atMs int64) bool {
 	a.fill(atMs)
-	within := a.tokens >= 1-epsilon
+	within := a.tokens >= 1
 	if within {
-		a.tokens = max(a.tokens-1, 0)
+		a.tokens--
 		a.used++
 	} else {
 		a.beyondMs = atMs
@@ -119,16 +113,30 @@
 	}
 }
 
-// share adds the tokens that the bucket of another shard has got within a time and can't hold,
-// divided among the rest of the shards. What that shard has used since was observed before.
-func (a *account) share(shard int, elapsedMs int64, shards int) {
-	if a.others[shard] == nil {
-		a.observe(shard, 0)
-	}
-	e := a.others[shard]
-	e.tokens = max(e.tokens+a.rate*float64(elapsedMs), 0)
-	if excess := e.tokens - a.depth; excess > 0 {
+// share adds the tokens that the buckets of the other shards have got within a time and can't
+// hold. They are divided equally among the shards whose bucket isn't full, this one included. What
+// the others have used in that time was observed before.
+func (a *account) share(number, shards int, elapsedMs int64) {
+	excess, open := 0.0, 1
+	for shard := range shards {
+		if shard == number {
+			continue
+		}
+		if a.others[shard] == nil {
+			a.observe(shard, 0)
+		}
+		e := a.others[shard]
+		e.tokens += a.rate * float64(elapsedMs)
+		if e.tokens < a.depth {
+			open++
+			continue
+		}
+		excess += e.tokens - a.depth
 		e.tokens = a.depth
-		a.tokens = min(a.tokens+excess/float64(shards-1), a.depth)
+	}
+	part := excess / float64(open)
+	a.tokens = min(a.tokens+part, a.depth)
+	for _, e := range a.others {
+		e.tokens = min(max(e.tokens+part, 0), a.depth)
 	}
 }
--- a/internal/cranfair/exchange.go
+++ b/internal/cranfair/exchange.go
@@ -12,6 +12,10 @@
 	return totals
 }
 
+// Classified returns how many jobs this ledger has found within an entitlement. It changes
+// whenever a total does.
+func (l *Ledger) Classified() uint64 { return l.classified }
+
 // Resume raises the totals to those that the predecessor has published.
 func (l *Ledger) Resume(totals map[string]uint64) {
 	for name, used := range totals {
@@ -49,12 +53,7 @@
 		return
 	}
 	for name := range l.weights {
-		a := l.account(name)
-		for shard := range l.shards {
-			if shard != l.number {
-				a.share(shard, elapsedMs, l.shards)
-			}
-		}
+		l.account(name).share(l.number, l.shards, elapsedMs)
 	}
 }
 
--- a/internal/cranfair/ledger.go
+++ b/internal/cranfair/ledger.go
@@ -19,6 +19,8 @@
 	weights map[string]float64
 	// confirmedMs is the time up to which the totals of the other shards are known; 0 before.
 	confirmedMs int64
+	// classified counts the jobs within an entitlement since the ledger was made.
+	classified uint64
 }
 
 // NewLedger returns the ledger of a shard.
@@ -54,7 +56,11 @@
 		return true
 	}
 	// The clock of the entry instance may be ahead. Time that has not passed gives no tokens.
-	return l.account(tenant).take(min(receivedMs, nowMs))
+	within := l.account(tenant).take(min(receivedMs, nowMs))
+	if within {
+		l.classified++
+	}
+	return within
 }
 
 // account returns the account of a tenant. A tenant that was never configured has no weight.
--- a/internal/cranfair/ledger_test.go
+++ b/internal/cranfair/ledger_test.go
@@ -73,6 +73,22 @@
 	}
 }
 
+// TestClocksOfEntryInstances guards against a tenant that loses its entitlement because the clock of
+// an entry instance is wrong.
+func TestClocksOfEntryInstances(t *testing.T) {
+	l := NewLedger(0, 1)
+	l.SetTenants(directory(t, map[string]float64{"a": 1}), 0)
+	const hourMs = 3_600_000
+	nowMs := int64(10 * hourMs)
+	require.True(t, l.Classify("a", nowMs, nowMs))
+	require.True(t, l.Classify("a", nowMs-hourMs, nowMs))
+	for range 10 {
+		l.Classify("a", nowMs+hourMs, nowMs)
+	}
+	require.False(t, l.Classify("a", nowMs, nowMs))
+	require.True(t, l.Classify("a", nowMs+2000, nowMs+2000))
+}
+
 // TestShardsShareEntitlement guards against an entitlement that is lost where the jobs of a tenant
 // reach one shard more than the others, and against one that counts more than once. Totals are
 // published every 400 ms and read with a delay, or not at all for a while.
--- a/internal/cranfair/order.go
+++ b/internal/cranfair/order.go
@@ -31,9 +31,10 @@
 
 func (o *Order) share(tenant string) float64 { return max(o.weights[tenant], minShare) }
 
-// Begin begins a round, in which all waiting work is ranked. A tenant whose work has ended keeps
-// its virtual time for as long as it is ahead of those that still wait, so that pausing for a
-// round doesn't make it first.
+// Begin begins a round, in which all waiting work is ranked. A tenant without waiting work keeps its
+// virtual time while that is ahead of those that wait, so that a pause doesn't make it first. Later
+// it begins with the least virtual time of those, so that it has no credit for the time in which it
+// was idle.
 func (o *Order) Begin() {
 	floor := math.Inf(1)
 	for _, s := range o.served {
@@ -58,10 +59,6 @@
 func (o *Order) Rank(tenant string, work float64) float64 {
 	s := o.service(tenant)
 	if s.round != o.round {
-		if s.round+1 != o.round {
-			// A tenant that was idle gets no credit for that time.
-			s.virtual = max(s.virtual, o.floor)
-		}
 		s.round, s.waiting = o.round, 0
 	}
 	rank := s.virtual + s.waiting/o.share(tenant)
--- a/internal/crannode/digest.go
+++ b/internal/crannode/digest.go
@@ -54,6 +54,11 @@
 	for _, s := range n.shards {
 		s.batcher.Settle(n.isInDigest)
 	}
+	for _, s := range n.shards {
+		if s.scheduling() {
+			s.owner.entitlements.observe(n, now)
+		}
+	}
 	n.metrics.DigestJobs(n.digest.Len())
 }
 
--- a/internal/crannode/owner.go
+++ b/internal/crannode/owner.go
@@ -99,7 +99,7 @@
 	switch {
 	case o.digest.busy || releasing && (o.progress.busy || o.scheduler != nil && !o.flushed):
 		return
-	case !releasing && (now < o.digest.nextAt || !renewing && !stallChanged && len(o.states) == 0 && len(o.waveRecords) == 0 && !o.silentTargetsChanged()):
+	case !releasing && (now < o.digest.nextAt || !renewing && !stallChanged && len(o.states) == 0 && len(o.waveRecords) == 0 && !o.silentTargetsChanged() && !o.entitlements.due(now)):
 		return
 	}
 	s := o.shard
@@ -111,6 +111,9 @@
 	if leases {
 		records = append(records, o.leases().Record(s.number))
 	}
+	if o.entitlements.due(now) {
+		records = append(records, o.entitlements.record(s.number, now))
+	}
 	if renewing || releasing {
 		records = append(records, s.node.digest.Merge(s.number, o.epoch, o.digest.sequence+1)...)
 		records = append(records, o.renewal(now).Record(s.number))
--- a/internal/crannode/ownership.go
+++ b/internal/crannode/ownership.go
@@ -10,7 +10,6 @@
 
 	"github.com/cranberrypick/cranberrypick/internal/crandigest"
 	"github.com/cranberrypick/cranberrypick/internal/cranevent"
-	"github.com/cranberrypick/cranberrypick/internal/cranfair"
 	"github.com/cranberrypick/cranberrypick/internal/cranjob"
 	"github.com/cranberrypick/cranberrypick/internal/cranpause"
 	"github.com/cranberrypick/cranberrypick/internal/cransched"
@@ -69,6 +68,8 @@
 	leasesReadAt time.Duration
 	// scheduler is nil until the shard is loaded.
 	scheduler *cransched.Scheduler
+	// entitlements is nil until then, too.
+	entitlements *entitlements
 
 	// through is the offset up to which the submissions were passed to the scheduler, and
 	// submissionsReadAt the time up to which all stored ones were for certain. In submissionsAnsweredAt
@@ -260,8 +261,11 @@
 			cranevent.Age(now.Steady-o.leasesReadAt), cranevent.Remaining(o.predecessor.LeasesEndAt[id]-now.Steady))
 	}
 	o.scheduledAt = now.Steady
+	o.entitlements = s.newEntitlements()
 	o.scheduler = cransched.New(o.epoch, n.schedulerTiming(), c.config, o.replica, now, o.predecessor,
-		cransched.WithFairness(cranfair.NewLedger(s.number, len(n.shards))))
+		cransched.WithFairness(o.entitlements.ledger))
+	o.entitlements.ledger.Resume(n.digest.Usage(s.number))
+	o.entitlements.observe(n, now)
 	for id, e := range o.replica.Jobs() {
 		if e.Job() != nil {
 			o.publish(crandigest.JobState{ID: id, Queue: e.Job().Queue, State: e.State()})
--- a/internal/cransched/fairness_test.go
+++ b/internal/cransched/fairness_test.go
@@ -164,6 +164,8 @@
 	require.Zero(t, d.expected)
 	require.Positive(t, d.late.cpu)
 	owed := d.late
+	sim.takeOver(sim.now)
+	require.Zero(t, sim.owner.demands()["p"].expected)
 	sim.submit(newBatchJob("owed", 4))
 	d = sim.owner.demands()["p"]
 	require.Equal(t, owed, d.late)
--- a/internal/crantenant/tenant.go
+++ b/internal/crantenant/tenant.go
@@ -26,10 +26,13 @@
 	Cap cranjob.Resources
 }
 
+// ValidName reports whether a tenant may have a name.
+func ValidName(name string) bool { return name != "" && len(name) <= maxName }
+
 // validate returns a fault of kind Invalid if a value is out of range.
 func (t *Tenant) validate() error {
 	switch {
-	case t.Name == "" || len(t.Name) > maxName:
+	case !ValidName(t.Name):
 		return refuse("the name of a tenant has %d bytes, 1 to %d are allowed", len(t.Name), maxName)
 	case math.IsNaN(t.Weight) || t.Weight < 0 || t.Weight > maxWeight:
 		return refuse("the weight of the tenant %q is %v, 0 to %v are allowed", t.Name, t.Weight, maxWeight)
