crannode: report the tenants that are beyond their entitlement

Cause: operators could not see whose work waits because it is not owed.

Change: events 1411 and 1412 when a tenant goes beyond its entitlement and is within it again; a counter of jobs by class; the share within the entitlement for the tenants that are beyond it, at most 50 of a shard.

Evidence: TestTenantsBeyondEntitlementAreReported fails if the share isn't removed, if a tenant is reported again, and if the counts aren't taken off. TestScrape in cranmetric fails, as it does before this change: the kind unauthenticated isn't in its golden file.

--- a/internal/cranevent/catalogue.go
+++ b/internal/cranevent/catalogue.go
@@ -215,6 +215,10 @@
 		KeyCause, KeyNumber, KeyTarget),
 	define(PoolReported, "poolReported", LevelInfo, "what a pool has and needs, and what waits in it",
 		KeyArriving, KeyCount, KeyEmpty, KeyLimited, KeyNeeded, KeyPool, KeyPunctual, KeyShard, KeyWaiting, KeyWaitingLate),
+	define(TenantBeyond, "tenantBeyond", LevelInfo, "a tenant sends more than it is entitled to",
+		KeyShard, KeyTenant, KeyWithinPercent),
+	define(TenantWithin, "tenantWithin", LevelInfo, "a tenant is within its entitlement again",
+		KeyElapsedMs, KeyShard, KeyTenant),
 }
 
 // byEvent maps each event to its definition.
--- a/internal/cranevent/event.go
+++ b/internal/cranevent/event.go
@@ -143,6 +143,12 @@
 	PoolReported Event = 1314
 )
 
+// Events of the entitlements of tenants.
+const (
+	TenantBeyond Event = 1411
+	TenantWithin Event = 1412
+)
+
 // Events of moves between pools.
 const (
 	MoveDone Event = 603
--- a/internal/cranfair/exchange.go
+++ b/internal/cranfair/exchange.go
@@ -12,9 +12,9 @@
 	return totals
 }
 
-// Classified returns how many jobs this ledger has found within an entitlement. It changes
-// whenever a total does.
-func (l *Ledger) Classified() uint64 { return l.classified }
+// Classified returns how many jobs of tenants this ledger has found within and beyond their
+// entitlement. The first number changes whenever a total does.
+func (l *Ledger) Classified() (within, beyond uint64) { return l.within, l.beyond }
 
 // Resume raises the totals to those that the predecessor has published.
 func (l *Ledger) Resume(totals map[string]uint64) {
--- a/internal/cranfair/ledger.go
+++ b/internal/cranfair/ledger.go
@@ -19,8 +19,8 @@
 	weights map[string]float64
 	// confirmedMs is the time up to which the totals of the other shards are known; 0 before.
 	confirmedMs int64
-	// classified counts the jobs within an entitlement since the ledger was made.
-	classified uint64
+	// within and beyond count the jobs of tenants that were classified.
+	within, beyond uint64
 }
 
 // NewLedger returns the ledger of a shard.
@@ -58,7 +58,9 @@
 	// The clock of the entry instance may be ahead. Time that has not passed gives no tokens.
 	within := l.account(tenant).take(min(receivedMs, nowMs))
 	if within {
-		l.classified++
+		l.within++
+	} else {
+		l.beyond++
 	}
 	return within
 }
--- a/internal/cranmetric/jobs.go
+++ b/internal/cranmetric/jobs.go
@@ -40,6 +40,7 @@
 	// The owner metrics are by shard.
 	waitingTasks, startsUnderWay, submissionsAge, appendAge *prometheus.GaugeVec
 	malformed                                               closedCounters[string]
+	entitlements                                            entitlementMetrics
 }
 
 // streams are the values of the label stream.
@@ -106,6 +107,7 @@
 	m.registry.MustRegister(m.refusals, m.retries, m.ended, m.objectives, m.runEnds, m.orders, m.accepted, m.cancelled,
 		m.takeovers, m.targetCrashes, m.givenUp, m.acceptance, m.orderTime, m.firstStart, m.reads, m.readBytes, m.behind, m.firstByte, m.configApply, m.configRevision, m.configConfirmed, m.ownedShards, m.lag, m.digestJobs, malformed, collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	m.entitlements = newEntitlementMetrics(m.registry)
 	return m
 }
 
--- a/internal/crannode/fairness.go
+++ b/internal/crannode/fairness.go
@@ -27,6 +27,7 @@
 	published   uint64
 	publishedAt time.Duration
 	tenants     int
+	report      entitlementReport
 }
 
 // newEntitlements returns the entitlements of a new owner, without any jobs.
@@ -48,13 +49,17 @@
 
 // due reports whether the totals have changed and may be published.
 func (e *entitlements) due(now time.Duration) bool {
-	return e != nil && e.ledger.Classified() != e.published &&
-		now-e.publishedAt >= usageInterval*time.Duration(1+e.tenants/usagePerInterval)
+	if e == nil || now-e.publishedAt < usageInterval*time.Duration(1+e.tenants/usagePerInterval) {
+		return false
+	}
+	within, _ := e.ledger.Classified()
+	return within != e.published
 }
 
 // record returns the record of the totals.
 func (e *entitlements) record(shard int, now time.Duration) cranstore.Record {
 	totals := e.ledger.Totals()
-	e.published, e.publishedAt, e.tenants = e.ledger.Classified(), now, len(totals)
+	e.published, _ = e.ledger.Classified()
+	e.publishedAt, e.tenants = now, len(totals)
 	return crandigest.UsageRecord(shard, totals)
 }
--- a/internal/crannode/ownership.go
+++ b/internal/crannode/ownership.go
@@ -266,6 +266,7 @@
 		cransched.WithFairness(o.entitlements.ledger))
 	o.entitlements.ledger.Resume(n.digest.Usage(s.number))
 	o.entitlements.observe(n, now)
+	o.entitlements.report.begin(o.entitlements.ledger)
 	for id, e := range o.replica.Jobs() {
 		if e.Job() != nil {
 			o.publish(crandigest.JobState{ID: id, Queue: e.Job().Queue, State: e.State()})
@@ -324,6 +325,7 @@
 	n.log.Emit(cranevent.SchedulerLost, cranevent.Shard(s.name), cranevent.Epoch(o.epoch), cranevent.Cause(reason))
 	s.owner = nil
 	n.metrics.OwnerEnded(s.name)
+	o.endEntitlements()
 	s.nextClaimAt = n.now().Steady + claimRetryPause
 	n.control.ownershipChanged()
 }
--- a/internal/crannode/report.go
+++ b/internal/crannode/report.go
@@ -26,6 +26,7 @@
 	n.metrics.OwnerProgressed(o.shard.name, waiting, underWay, readAge, appendAge)
 	n.log.Emit(cranevent.OwnerProgress, cranevent.Shard(o.shard.name), cranevent.Epoch(o.epoch), cranevent.Count(o.scheduler.JobCount()),
 		cranevent.Waiting(waiting), cranevent.UnderWay(underWay), cranevent.ReadAge(readAge), cranevent.AppendAge(appendAge))
+	o.reportEntitlements(now)
 }
 
 // logCancellations logs the cancellations in a read of the submissions. Those in a load are old.
