cranfair, cransched: tests of idle room and of shares against hindsight

Cause: nothing guarded against room that stays idle while work beyond an entitlement waits, nor against an order far from the weighted shares.

Evidence: TestNoRoomIsIdleWhileTaskWaits fails if late work beyond the entitlement is passed over, TestOrderComesCloseToFairShares if the order or the charge ignores the weights.

--- a/internal/cranfair/ledger_test.go
+++ b/internal/cranfair/ledger_test.go
@@ -1,8 +1,10 @@
 package cranfair
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -220,3 +222,70 @@
 		}
 	})
 }
+
+// TestOrderComesCloseToFairShares guards against an order that serves a tenant much worse than the weighted max-min
+// shares, which are computed with hindsight from all that the tenants send.
+func TestOrderComesCloseToFairShares(t *testing.T) {
+	for seed := range uint64(4) {
+		random := rand.New(rand.NewPCG(seed, 7))
+		const tenants, servers, steps = 20, 40, 600
+		weights, demand := map[string]float64{}, map[string]float64{}
+		sent, served := map[string]float64{}, map[string]float64{}
+		for i := range tenants {
+			name := fmt.Sprint(i)
+			weights[name] = 0.2 + 3*random.Float64()
+			// A job has 7 steps of work on average, so 1.75 times the capacity is asked for.
+			demand[name] = random.Float64()
+		}
+		// waiting holds, by tenant, the lengths of its waiting jobs in steps, and busy those of the running ones.
+		waiting := map[string][]int{}
+		var busy []int
+		o := newOrder(weights)
+		for range steps {
+			running := busy[:0]
+			for _, left := range busy {
+				if left > 1 {
+					running = append(running, left-1)
+				}
+			}
+			busy = running
+			type entry struct {
+				tenant string
+				work   int
+				rank   float64
+			}
+			var list []entry
+			o.Begin()
+			for i := range tenants {
+				name := fmt.Sprint(i)
+				if random.Float64() < demand[name] {
+					work := 1 + random.IntN(13)
+					waiting[name] = append(waiting[name], work)
+					sent[name] += float64(work)
+				}
+				for _, work := range waiting[name] {
+					list = append(list, entry{name, work, o.Rank(name, float64(work))})
+				}
+			}
+			slices.SortStableFunc(list, func(a, b entry) int { return cmp.Compare(a.rank, b.rank) })
+			for _, e := range list[:min(len(list), servers-len(busy))] {
+				busy = append(busy, e.work)
+				waiting[e.tenant] = waiting[e.tenant][1:]
+				served[e.tenant] += float64(e.work)
+				o.Charge(e.tenant, float64(e.work))
+			}
+		}
+		// Raises the level until the shares, which no demand exceeds, use the capacity.
+		level, total := 0.0, 0.0
+		for total < 0.999*servers*steps && level < servers*steps {
+			level += steps / 1000.0
+			total = 0
+			for name := range weights {
+				total += min(sent[name], level*weights[name])
+			}
+		}
+		for name := range weights {
+			require.GreaterOrEqual(t, served[name], 0.95*min(sent[name], level*weights[name])-50, "seed %d, tenant %s", seed, name)
+		}
+	}
+}
--- a/internal/cransched/fairness_test.go
+++ b/internal/cransched/fairness_test.go
@@ -171,3 +171,57 @@
 	require.Equal(t, owed, d.late)
 	require.Greater(t, d.urgent.cpu, owed.cpu)
 }
+
+// waitsForRoom returns a task that waits although it fits on a target; empty if there is none.
+func (s *Scheduler) waitsForRoom() string {
+	byPool := map[string][]*target{}
+	for _, t := range s.sorted {
+		if t.schedulable(s.clock.Steady) && !s.hasPendingOrder(t) {
+			byPool[t.info.Pool] = append(byPool[t.info.Pool], t)
+		}
+	}
+	for _, c := range s.candidates() {
+		for _, t := range c.stage.tasks {
+			if s.mayPlace(t) && s.chooseTarget(c.stage, byPool[c.job.Pool]) != nil {
+				return t.name.String()
+			}
+		}
+	}
+	return ""
+}
+
+// TestNoRoomIsIdleWhileTaskWaits guards against an order or an entitlement that leaves room idle, by random jobs of
+// tenants with random entitlements. The limit on starts under way, which needs no room, is left out.
+func TestNoRoomIsIdleWhileTaskWaits(t *testing.T) {
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			sim := newSimulation(t, seed, 6)
+			sim.failureRate, sim.longPolls, sim.dropMoves = 0, true, true
+			sim.withTenants(4, 2*sim.random.Float64())
+			sim.takeOver(sim.now - time.Hour)
+			checked, short := 0, 0
+			for i := range 400 {
+				if i < 200 && sim.random.IntN(3) == 0 {
+					j := newBatchJob(fmt.Sprintf("j%d", i), 1+sim.random.IntN(6))
+					for k := range j.Steps {
+						j.Steps[k].Demand = cranjob.Resources{CPU: 200 + sim.random.IntN(2000), Memory: 200 + sim.random.IntN(4000)}
+					}
+					sim.submitFor(fmt.Sprintf("t%d", sim.random.IntN(4)), j)
+				}
+				sim.runFor(50 * time.Millisecond)
+				sim.owner.Advance(sim.clock())
+				sim.owner.Tick()
+				if sim.owner.startsLimited {
+					continue
+				}
+				checked++
+				require.Empty(t, sim.owner.waitsForRoom())
+				if sim.owner.WaitingTasks() > 0 {
+					short++
+				}
+			}
+			require.Greater(t, checked, 100)
+			require.Greater(t, short, 20)
+		})
+	}
+}
