--- a/internal/crandigest/digest.go
+++ b/internal/crandigest/digest.go
@@ -29,6 +29,8 @@
 	waves   map[waveKey]WaveProgress
 	// admissions holds the newest figures for admission of each shard.
 	admissions map[int]*Admission
+	// usage holds the entitlements that each shard has used.
+	usage map[int]map[string]uint64
 }
 
 // shard holds the claim of a shard and its segments.
@@ -53,7 +55,10 @@
 
 // New returns an empty digest.
 func New() *Digest {
-	return &Digest{shards: map[int]*shard{}, jobs: map[string]jobState{}, pending: map[uint32]int{}, waves: map[waveKey]WaveProgress{}, admissions: map[int]*Admission{}}
+	return &Digest{
+		shards: map[int]*shard{}, jobs: map[string]jobState{}, pending: map[uint32]int{}, waves: map[waveKey]WaveProgress{},
+		admissions: map[int]*Admission{}, usage: map[int]map[string]uint64{},
+	}
 }
 
 // Layout returns the layout of the shards, or nil if none is stored yet.
@@ -191,6 +196,8 @@
 		return d.applySegment(key, number, value)
 	case keyWave:
 		return d.applyWave(key, number, rest, value)
+	case keyUsage:
+		return d.applyUsage(key, number, value)
 	}
 	return Change{}, malformed(key, "the kind of the record is unknown")
 }
--- a/internal/cranevent/event.go
+++ b/internal/cranevent/event.go
@@ -153,6 +153,12 @@
 	QueueOverloaded Event = 1422
 )
 
+// Events of the entitlements of tenants.
+const (
+	TenantBeyond Event = 1411
+	TenantWithin Event = 1412
+)
+
 // Events of moves between pools.
 const (
 	MoveDone Event = 603
--- a/internal/crannode/ownership.go
+++ b/internal/crannode/ownership.go
@@ -68,6 +68,8 @@
 	leasesReadAt time.Duration
 	// scheduler is nil until the shard is loaded.
 	scheduler *cransched.Scheduler
+	// entitlements is nil until then, too.
+	entitlements *entitlements
 
 	// stripeReaders holds how far each stripe of the submissions was read. The fields below follow from them.
 	stripeReaders []stripeReader
@@ -260,7 +262,12 @@
 			cranevent.Age(now.Steady-o.leasesReadAt), cranevent.Remaining(o.predecessor.LeasesEndAt[id]-now.Steady))
 	}
 	o.scheduledAt = now.Steady
-	o.scheduler = cransched.New(o.epoch, n.schedulerTiming(), c.config, o.replica, now, o.predecessor)
+	o.entitlements = s.newEntitlements()
+	o.scheduler = cransched.New(o.epoch, n.schedulerTiming(), c.config, o.replica, now, o.predecessor,
+		cransched.WithFairness(o.entitlements.ledger))
+	o.entitlements.ledger.Resume(n.digest.Usage(s.number))
+	o.entitlements.observe(n, now)
+	o.entitlements.report.begin(o.entitlements.ledger)
 	for id, e := range o.replica.Jobs() {
 		if e.Job() != nil {
 			o.publish(crandigest.JobState{ID: id, Queue: e.Job().Queue, State: e.State()})
@@ -321,6 +328,7 @@
 	n.log.Emit(cranevent.SchedulerLost, cranevent.Shard(s.name), cranevent.Epoch(o.epoch), cranevent.Cause(reason))
 	s.owner = nil
 	n.metrics.OwnerEnded(s.name)
+	o.endEntitlements()
 	s.nextClaimAt = n.now().Steady + claimRetryPause
 	n.control.ownershipChanged()
 }
--- a/internal/cransched/admission.go
+++ b/internal/cransched/admission.go
@@ -34,22 +34,37 @@
 	WithinShares() map[string]float64
 }
 
-// unlimited is used while no entitlements are set: nobody is beyond.
-type unlimited struct{}
+// jobEntitlements are the entitlements as the scheduler has classified its jobs by them.
+type jobEntitlements struct{ scheduler *Scheduler }
 
-func (unlimited) Beyond(string) bool { return false }
+// Beyond reports whether a job is beyond its tenant's entitlement.
+func (e jobEntitlements) Beyond(job string) bool {
+	j := e.scheduler.jobs[job]
+	return j != nil && j.beyond
+}
 
-func (unlimited) WithinShares() map[string]float64 { return nil }
+// WithinShares returns the tenants that are beyond their entitlement now.
+func (e jobEntitlements) WithinShares() map[string]float64 {
+	var shares map[string]float64
+	for _, standing := range e.scheduler.BeyondEntitlement() {
+		if shares == nil {
+			shares = map[string]float64{}
+		}
+		shares[standing.Tenant] = standing.Within
+	}
+	return shares
+}
 
 // admission is the state from which the figures for admission are computed. Its zero value is ready for use.
 type admission struct {
+	// entitlements replaces the classification of the jobs; nil if it isn't replaced.
 	entitlements Entitlements
 	// shares holds, by pool, the part of its capacity that tasks which end have used while others waited.
 	shares     map[string]load
 	measuredAt time.Duration
 }
 
-// SetEntitlements sets what tells which work is beyond the entitlement of its tenant.
+// SetEntitlements replaces what tells which work is beyond the entitlement of its tenant.
 func (s *Scheduler) SetEntitlements(e Entitlements) { s.admission.entitlements = e }
 
 // queueWork sums up the jobs of a queue.
@@ -76,7 +91,7 @@
 	}
 	entitlements := s.admission.entitlements
 	if entitlements == nil {
-		entitlements = unlimited{}
+		entitlements = jobEntitlements{s}
 	}
 	queues, pools := s.admissionWork(entitlements)
 	rates := s.measureRates(pools)
