--- a/internal/cranevent/catalogue.go
+++ b/internal/cranevent/catalogue.go
@@ -216,7 +216,7 @@
 	define(PoolReported, "poolReported", LevelInfo, "what a pool has and needs, and what waits in it",
 		KeyArriving, KeyCount, KeyEmpty, KeyLimited, KeyNeeded, KeyPool, KeyPunctual, KeyShard, KeyWaiting, KeyWaitingLate),
 	define(TenantBeyond, "tenantBeyond", LevelInfo, "a tenant sends more than it is entitled to",
-		KeyShard, KeyTenant, KeyWithinPercent),
+		KeyShard, KeyTenant, KeyWithin),
 	define(TenantWithin, "tenantWithin", LevelInfo, "a tenant is within its entitlement again",
 		KeyElapsedMs, KeyShard, KeyTenant),
 }
