--- a/internal/cranfair/ledger_test.go
+++ b/internal/cranfair/ledger_test.go
@@ -120,12 +120,12 @@
 				}
 			}
 			if nowMs%200 == 0 && (nowMs-startMs < 20_000 || nowMs-startMs >= 20_000+outageMs) {
-				for _, l := range ledgers {
-					for _, p := range published {
-						if p.atMs <= nowMs-delayMs {
-							l.Observe(p.shard, p.totals)
-						}
+				for ; len(published) > 0 && published[0].atMs <= nowMs-delayMs; published = published[1:] {
+					for _, l := range ledgers {
+						l.Observe(published[0].shard, published[0].totals)
 					}
+				}
+				for _, l := range ledgers {
 					l.Confirm(nowMs - delayMs)
 				}
 			}
