--- a/internal/cranevent/catalogue.go
+++ b/internal/cranevent/catalogue.go
@@ -218,7 +218,7 @@
 	define(TargetRetiring, "targetRetiring", LevelInfo, "a target takes no further tasks, since another pool lacks its instance",
 		KeyPool, KeyTarget),
 	define(TenantBeyond, "tenantBeyond", LevelInfo, "a tenant sends more than it is entitled to",
-		KeyShard, KeyTenant, KeyWithinPercent),
+		KeyShard, KeyTenant, KeyWithin),
 	define(TenantWithin, "tenantWithin", LevelInfo, "a tenant is within its entitlement again",
 		KeyElapsedMs, KeyShard, KeyTenant),
 	rateLimited(define(JobNotAdmitted, "jobNotAdmitted", LevelInfo, "a job is refused because of the load",
