cransched, crannode, platform: predict run times by distributions

The order of jobs, parallelism and pool demand followed from one regression line per queue, with a spread of 0.3 within a step and none between jobs. A job whose length was underestimated counted as late and went behind all others.

The owner now asks cranpredict. Paths and deadlines follow from the median longest task of a step, pool demand from the mean, and the order from the 90% quantile of the length of a job, as a longer job has a later deadline. Stopped, failed and lost runs count as censored. What is learned is stored under t + queue at most every 3 s; the sums of earlier versions are still stored and seed queues without a record. All queues together are the widest group, so that a new queue begins with what the others have shown. Short tasks avoid targets that are maintained before they would end, if another has room.

--- a/internal/cranevent/catalogue.go
+++ b/internal/cranevent/catalogue.go
@@ -215,6 +215,8 @@
 		KeyCause, KeyNumber, KeyTarget),
 	define(PoolReported, "poolReported", LevelInfo, "what a pool has and needs, and what waits in it",
 		KeyArriving, KeyCount, KeyEmpty, KeyLimited, KeyNeeded, KeyPool, KeyPunctual, KeyShard, KeyWaiting, KeyWaitingLate),
+	define(RunTimesJudged, "runTimesJudged", LevelInfo, "how many runs ended within the predicted times",
+		KeyCount, KeyShard, KeyWithin50, KeyWithin90),
 }
 
 // byEvent maps each event to its definition.
--- a/internal/cranevent/event.go
+++ b/internal/cranevent/event.go
@@ -143,6 +143,11 @@
 	PoolReported Event = 1314
 )
 
+// Events of the prediction of run times.
+const (
+	RunTimesJudged Event = 1441
+)
+
 // Events of moves between pools.
 const (
 	MoveDone Event = 603
--- a/internal/cranevent/field.go
+++ b/internal/cranevent/field.go
@@ -64,6 +64,8 @@
 	KeyWaiting     Key = "waiting"
 	KeyWaitingLate Key = "waitingLate"
 	KeyWave        Key = "wave"
+	KeyWithin50    Key = "within50"
+	KeyWithin90    Key = "within90"
 )
 
 // Field is a typed value in the log line of an event.
@@ -220,6 +222,12 @@
 // WaitingLate returns a field with the number of waiting tasks whose job can't complete in time any more.
 func WaitingLate(n int) Field { return integerField(KeyWaitingLate, int64(n)) }
 
+// Within50 returns a field with the number of runs that ended within their predicted median.
+func Within50(n int) Field { return integerField(KeyWithin50, int64(n)) }
+
+// Within90 returns a field with the number of runs that ended within their predicted 90% quantile.
+func Within90(n int) Field { return integerField(KeyWithin90, int64(n)) }
+
 // LimitedRounds returns a field with the number of rounds of placement that ended at the limit on starts.
 func LimitedRounds(n int) Field { return integerField(KeyLimited, int64(n)) }
 
--- a/internal/cranjob/progress.go
+++ b/internal/cranjob/progress.go
@@ -171,6 +171,7 @@
 	keyOrder        = 'm'
 	keyDurations    = 'd'
 	keyCrashes      = 'k'
+	keyRunTimes     = 't'
 	// KeyClaim is the whole key of the scheduler's claim.
 	KeyClaim = "scheduler"
 )
@@ -215,6 +216,9 @@
 // DurationsKey returns the key of the task durations of a queue.
 func DurationsKey(queue string) string { return string(keyDurations) + queue }
 
+// RunTimesKey returns the key of the distributions of run times of a queue.
+func RunTimesKey(queue string) string { return string(keyRunTimes) + queue }
+
 // CrashesKey returns the key of a job's crash counts.
 func CrashesKey(id string) string { return string(keyCrashes) + id }
 
--- a/internal/cranjob/replica.go
+++ b/internal/cranjob/replica.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/cranberrypick/cranberrypick/internal/cranfault"
+	"github.com/cranberrypick/cranberrypick/internal/cranpredict"
 )
 
 // TrackedJob holds the records of one job.
@@ -72,6 +73,8 @@
 	claim  Claim
 	// durations maps a queue to the statistics of its tasks.
 	durations map[string]Durations
+	// runTimes maps a queue to the distributions of run times of its tasks.
+	runTimes map[string]*cranpredict.Record
 	// offsets maps a key to the offset of the newest record applied under it. It
 	// lets Apply ignore records that a reader gets twice, once in a page of the
 	// newest record of each key and once in the log.
@@ -80,7 +83,7 @@
 
 // NewReplica returns an empty replica.
 func NewReplica() *Replica {
-	return &Replica{jobs: map[string]*TrackedJob{}, orders: map[string]InstanceOrder{}, durations: map[string]Durations{}, offsets: map[string]uint64{}}
+	return &Replica{jobs: map[string]*TrackedJob{}, orders: map[string]InstanceOrder{}, durations: map[string]Durations{}, runTimes: map[string]*cranpredict.Record{}, offsets: map[string]uint64{}}
 }
 
 // Claim returns the claim that the newest owner stored before it loaded the shard.
@@ -94,6 +97,9 @@
 // not change them.
 func (r *Replica) Durations() map[string]Durations { return r.durations }
 
+// RunTimes returns the distributions of run times, by queue. The caller must not change them.
+func (r *Replica) RunTimes() map[string]*cranpredict.Record { return r.runTimes }
+
 // Jobs returns all jobs by id, including those of which the submission has not
 // been read yet. The caller must not change them.
 func (r *Replica) Jobs() map[string]*TrackedJob { return r.jobs }
@@ -212,6 +218,13 @@
 		}
 		r.durations[id] = *durations
 		return Change{}, nil
+	case keyRunTimes:
+		record, err := cranpredict.Decode(value)
+		if err != nil {
+			return Change{}, err
+		}
+		r.runTimes[id] = record
+		return Change{}, nil
 	case keyOrder:
 		if len(value) == 0 {
 			delete(r.orders, id)
--- a/internal/cranmetric/jobs.go
+++ b/internal/cranmetric/jobs.go
@@ -21,7 +21,7 @@
 type Jobs struct {
 	registry *prometheus.Registry
 	refusals, retries, ended, objectives, runEnds,
-	orders *prometheus.CounterVec
+	orders, runTimes *prometheus.CounterVec
 	accepted, cancelled, takeovers prometheus.Counter
 	targetCrashes, givenUp         prometheus.Counter
 	acceptance                     prometheus.Histogram
@@ -63,6 +63,7 @@
 		retries:       vector("store_retries_total", "Appends that were sent again, by reason.", "reason"),
 		ended:         vector("jobs_ended_total", "Jobs that have ended, by state.", "state"),
 		objectives:    vector("job_objectives_total", "Completed jobs without times, by whether they met their objective.", "objective"),
+		runTimes:      vector("run_times_total", "Runs that have ended, by the narrowest range predicted for their duration that it was in.", "range"),
 		runEnds:       vector("run_ends_total", "Runs that have ended, by how.", "how"),
 		orders:        vector("orders_total", "Orders to targets and about instances, by kind and outcome.", "order", "outcome"),
 		accepted:      counter("jobs_accepted_total", "Jobs that were accepted and stored."),
@@ -103,7 +104,10 @@
 	for _, reason := range []string{"refused", "unanswered"} {
 		m.retries.WithLabelValues(reason)
 	}
-	m.registry.MustRegister(m.refusals, m.retries, m.ended, m.objectives, m.runEnds, m.orders, m.accepted, m.cancelled,
+	for _, r := range []string{rangeMedian, rangeNinety, rangeBeyond} {
+		m.runTimes.WithLabelValues(r)
+	}
+	m.registry.MustRegister(m.runTimes, m.refusals, m.retries, m.ended, m.objectives, m.runEnds, m.orders, m.accepted, m.cancelled,
 		m.takeovers, m.targetCrashes, m.givenUp, m.acceptance, m.orderTime, m.firstStart, m.reads, m.readBytes, m.behind, m.firstByte, m.configApply, m.configRevision, m.configConfirmed, m.ownedShards, m.lag, m.digestJobs, malformed, collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
@@ -178,6 +182,21 @@
 // RunEnded counts a run that has ended, by how it ended, such as "done".
 func (m *Jobs) RunEnded(how string) { m.runEnds.WithLabelValues(how).Inc() }
 
+// Values of the label range.
+const (
+	rangeMedian = "median"
+	rangeNinety = "p90"
+	rangeBeyond = "beyond"
+)
+
+// RunTimesJudged counts runs that have ended, of which some ended within the predicted median and more within the
+// predicted 90% quantile.
+func (m *Jobs) RunTimesJudged(runs, within50, within90 int) {
+	m.runTimes.WithLabelValues(rangeMedian).Add(float64(within50))
+	m.runTimes.WithLabelValues(rangeNinety).Add(float64(max(within90-within50, 0)))
+	m.runTimes.WithLabelValues(rangeBeyond).Add(float64(max(runs-within90, 0)))
+}
+
 // Ordered counts an order to a target or about an instance by its outcome, and observes the
 // time until the outcome.
 func (m *Jobs) Ordered(order, outcome string, after time.Duration) {
--- a/internal/crannode/note.go
+++ b/internal/crannode/note.go
@@ -99,3 +99,9 @@
 		cranevent.Empty(p.Empty), cranevent.Arriving(p.Arriving), cranevent.Punctual(p.Punctual), cranevent.Needed(p.Needed),
 		cranevent.Waiting(p.Waiting), cranevent.WaitingLate(p.WaitingLate), cranevent.LimitedRounds(p.LimitedRounds))
 }
+
+// judgeRunTimes logs and counts how many runs of a shard ended within what was predicted.
+func (n *Node) judgeRunTimes(shard string, e cransched.RunTimesJudged) {
+	n.log.Emit(cranevent.RunTimesJudged, cranevent.Shard(shard), cranevent.Count(e.Runs), cranevent.Within50(e.Within50), cranevent.Within90(e.Within90))
+	n.metrics.RunTimesJudged(e.Runs, e.Within50, e.Within90)
+}
--- a/internal/cranpredict/distribution.go
+++ b/internal/cranpredict/distribution.go
@@ -31,18 +31,27 @@
 	return 1000 * math.Exp(d.mu+d.sd()*d.shape.quantile(p))
 }
 
-// LongestMs returns the duration of the longest of n tasks of a step, expected over its tasks, for a step that is
-// the median of its class.
+// LongestMs returns about the median of the duration of the longest of n tasks of a step. Deadlines
+// that follow from it are early as often as late, unlike those that follow from the mean.
 func (d Distribution) LongestMs(n int) float64 {
 	if !d.Known() {
 		return 0
 	}
-	mean, variance := longestOf(n)
-	return 1000 * math.Exp(d.mu+math.Sqrt(d.within)*mean+d.within*variance/2)
+	mean, _ := longestOf(n)
+	return 1000 * math.Exp(d.mu+math.Sqrt(d.within)*mean)
+}
+
+// LongestQuantileMs returns about the duration of the longest of n tasks of a step that is not exceeded in a share p of
+// the steps of its class.
+func (d Distribution) LongestQuantileMs(n int, p float64) float64 {
+	return d.LongestMs(n) * math.Exp(math.Sqrt(d.between)*normalQuantile(p))
 }
 
 // MeanLongestMs returns the expected duration of the longest of n tasks of a step.
-func (d Distribution) MeanLongestMs(n int) float64 { return d.LongestMs(n) * math.Exp(d.between/2) }
+func (d Distribution) MeanLongestMs(n int) float64 {
+	_, variance := longestOf(n)
+	return d.LongestMs(n) * math.Exp((d.between+d.within*variance)/2)
+}
 
 // RemainingMs returns the expected remaining time of a task that has run for a while.
 func (d Distribution) RemainingMs(elapsedMs float64) float64 {
--- a/internal/cranpredict/line.go
+++ b/internal/cranpredict/line.go
@@ -8,9 +8,9 @@
 	offsetPrior   = 3
 	slopePrior    = 1
 	variancePrior = 4
-	// priorVariance is the variance of the logarithm of a duration about its estimate before anything is known.
-	// Estimates with errors of 0.9 and jobs that differ by 0.5 give 1.
-	priorVariance = 0.8
+	// priorVariance is the variance of the logarithm of a duration about its estimate before anything is known. It
+	// is lower than that of bad estimates, 0.8: with that, no job counts as late until the first have ended.
+	priorVariance = 0.3
 	// priorWithin is the variance of the logarithm of the durations of a step, and withinPrior its weight in tasks.
 	priorWithin = 0.15 * 0.15
 	withinPrior = 10
--- a/internal/cranpredict/model.go
+++ b/internal/cranpredict/model.go
@@ -76,6 +76,15 @@
 	}
 }
 
+func (g *group) merge(s sums, nowMs int64) {
+	old := g.aged(nowMs)
+	g.sums = sums{old.n + s.n, old.x + s.x, old.y + s.y, old.xx + s.xx, old.xy + s.xy, old.yy + s.yy}
+	g.atMs = nowMs
+	if g.n > maxSamples {
+		g.scale(maxSamples / g.n)
+	}
+}
+
 type queueModel struct {
 	groups map[uint64]*group
 	// squares and tasks are the sum of squares within steps and its degrees of freedom.
@@ -86,25 +95,38 @@
 	recordedMs int64
 }
 
-// within returns the variance of the logarithms of durations within a step.
-func (q *queueModel) within() float64 {
+func newQueueModel() *queueModel { return &queueModel{groups: map[uint64]*group{}} }
+
+// within returns the variance of the logarithms of durations within a step, given that of a wider group.
+func (q *queueModel) within(wider float64) float64 {
 	if q == nil {
-		return priorWithin
+		return wider
+	}
+	return min((q.squares+withinPrior*wider)/(q.tasks+withinPrior), maxVariance)
+}
+
+func (q *queueModel) addWithin(squares, tasks float64) {
+	q.squares += squares
+	q.tasks += tasks
+	if q.tasks > maxWithin {
+		q.squares *= maxWithin / q.tasks
+		q.tasks = maxWithin
 	}
-	return min((q.squares+withinPrior*priorWithin)/(q.tasks+withinPrior), maxVariance)
 }
 
 // Model holds what was learned of all queues.
 type Model struct {
 	queues map[string]*queueModel
-	shape  shape
+	// all holds the widest groups, those of all queues together.
+	all   *queueModel
+	shape shape
 	// calibration counts the runs since the last call of TakeCalibration.
 	calibration Calibration
 }
 
 // New returns a model without any observation.
 func New() *Model {
-	m := &Model{queues: map[string]*queueModel{}}
+	m := &Model{queues: map[string]*queueModel{}, all: newQueueModel()}
 	m.shape.init()
 	return m
 }
@@ -113,7 +135,7 @@
 func (m *Model) queue(name string) *queueModel {
 	q := m.queues[name]
 	if q == nil && len(m.queues) < maxQueues {
-		q = &queueModel{groups: map[uint64]*group{}}
+		q = newQueueModel()
 		m.queues[name] = q
 	}
 	return q
@@ -171,6 +193,7 @@
 	}
 	q.observed++
 	weight := 1 / float64(o.Tasks)
+	m.all.group(o.Class.keys[0], o.NowMs).add(o.Class.x, y, yy, weight, o.NowMs)
 	for _, key := range o.Class.keys[:o.Class.levels] {
 		q.group(key, o.NowMs).add(o.Class.x, y, yy, weight, o.NowMs)
 	}
@@ -179,12 +202,8 @@
 	}
 	if n := float64(o.Siblings.count); n > 0 {
 		d := y - o.Siblings.sum/n
-		q.squares += d * d * n / (n + 1)
-		q.tasks++
-		if q.tasks > maxWithin {
-			q.squares *= maxWithin / q.tasks
-			q.tasks = maxWithin
-		}
+		q.addWithin(d*d*n/(n+1), 1)
+		m.all.addWithin(d*d*n/(n+1), 1)
 	}
 	if o.Expected.sd > 0 {
 		m.calibration.add(o.DurationMs, o.Expected)
@@ -196,6 +215,9 @@
 func (m *Model) Predict(c Class, finished Siblings, nowMs int64) Distribution {
 	q := m.queues[c.queue]
 	l := prior
+	if g := m.all.groups[c.keys[0]]; g != nil {
+		l = l.refine(g.aged(nowMs))
+	}
 	if q != nil {
 		for _, key := range c.keys[:c.levels] {
 			if g := q.groups[key]; g != nil {
@@ -206,7 +228,7 @@
 	if !c.estimated && l == prior && finished.count == 0 {
 		return Distribution{}
 	}
-	within := q.within()
+	within := q.within(m.all.within(priorWithin))
 	variance := min(l.variance*(1+1/l.weight), maxVariance)
 	d := Distribution{mu: l.at(c.x), within: within, between: max(variance-within, minBetween), shape: &m.shape}
 	if n := float64(finished.count); n > 0 {
@@ -217,6 +239,16 @@
 	return d
 }
 
+// merge adds the samples of a queue to the group of all queues.
+func (q *queueModel) merge(other *queueModel, nowMs int64) {
+	for _, key := range []uint64{keyEstimated, keyUnestimated} {
+		if g := other.groups[key]; g != nil {
+			q.group(key, nowMs).merge(g.aged(nowMs), nowMs)
+		}
+	}
+	q.addWithin(other.squares, other.tasks)
+}
+
 // Seed sets the line of a queue from the sums of an earlier version, of the logarithms of estimates (x) and of
 // durations (y) in milliseconds over all tasks. It changes nothing if the queue is known.
 func (m *Model) Seed(queue string, n, x, y, xx, xy float64, nowMs int64) {
@@ -237,6 +269,7 @@
 	s.scale(weight)
 	if s.valid() {
 		q.groups[keyEstimated] = &group{sums: s, atMs: nowMs}
+		m.all.merge(q, nowMs)
 	}
 }
 
--- a/internal/cranpredict/model_test.go
+++ b/internal/cranpredict/model_test.go
@@ -71,7 +71,7 @@
 	require.Equal(t, 16000, c.Runs)
 	require.InDelta(t, 0.5, float64(c.Within50)/float64(c.Runs), 0.05)
 	require.InDelta(t, 0.9, float64(c.Within90)/float64(c.Runs), 0.03)
-	require.InDelta(t, 0.15*0.15, m.queues["q"].within(), 0.003)
+	require.InDelta(t, 0.15*0.15, m.queues["q"].within(0), 0.003)
 }
 
 // TestCensoredRunsCount stops half of all runs. Without them, predictions would settle at the shorter half.
@@ -178,6 +178,7 @@
 		longest += most / 20000
 	}
 	require.InDelta(t, 1000*longest, d.LongestMs(8), 15)
+	require.InDelta(t, 1000*longest*math.Exp(d.between/2), d.MeanLongestMs(8), 15)
 }
 
 // TestUnknown guards against predictions without any information: a step without an estimate.
--- a/internal/cranpredict/record.go
+++ b/internal/cranpredict/record.go
@@ -128,6 +128,7 @@
 	for i := range r.wire.Groups {
 		q.groups[r.wire.Groups[i].Key] = &group{sums: r.wire.Groups[i].sums(), atMs: min(r.wire.AtMs, nowMs)}
 	}
+	m.all.merge(q, nowMs)
 }
 
 // NextRecord returns the record of a queue if it is to be stored again, or else nil.
--- a/internal/cransched/coincidence.go
+++ b/internal/cransched/coincidence.go
@@ -162,7 +162,7 @@
 	if t.step.LongRunning {
 		return healthyTime
 	}
-	t.job.updateEstimates(s.predictors[t.job.Queue], s.clock.Steady)
+	s.updateEstimates(t.job)
 	return time.Duration(t.job.durationMs[t.name.Step] * float64(time.Millisecond))
 }
 
--- a/internal/cransched/config.go
+++ b/internal/cransched/config.go
@@ -47,7 +47,7 @@
 	Tenants *crantenant.Directory
 }
 
-// Timing holds the time limits that depend on the deployment.
+// Timing holds the time limits that depend on the deployment, and how times are predicted.
 type Timing struct {
 	// MaxLease is the longest lease that a target accepts.
 	MaxLease time.Duration
@@ -61,6 +61,9 @@
 	OrdersPerSecond float64
 	// DeliveryTime is how long after the end of a job its caller learns of it at the latest.
 	DeliveryTime time.Duration
+	// RegressionOnly lets one regression line for each queue predict run times instead of their
+	// distributions.
+	RegressionOnly bool
 }
 
 const (
--- a/internal/cransched/effect.go
+++ b/internal/cransched/effect.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/cranberrypick/cranberrypick/internal/cranjob"
+	"github.com/cranberrypick/cranberrypick/internal/cranpredict"
 	"github.com/cranberrypick/cranberrypick/internal/cranstore"
 )
 
@@ -159,6 +160,9 @@
 	LimitedRounds int
 }
 
+// RunTimesJudged reports how well run times were predicted since the last report.
+type RunTimesJudged struct{ cranpredict.Calibration }
+
 // TrimSubmission replaces the submission of a finished job with a copy without the
 // specification. It is stored apart from the batches and may be lost.
 type TrimSubmission struct{ Record cranstore.Record }
@@ -220,5 +224,6 @@
 func (WaveStatus) effect()     {}
 func (JobChanged) effect()     {}
 func (PoolStatus) effect()     {}
+func (RunTimesJudged) effect() {}
 func (TrimSubmission) effect() {}
 func (LogEntry) effect()       {}
--- a/internal/cransched/job.go
+++ b/internal/cransched/job.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/cranberrypick/cranberrypick/internal/cranjob"
+	"github.com/cranberrypick/cranberrypick/internal/cranpredict"
 )
 
 // task is the state of one task of a job that has not ended.
@@ -61,6 +62,16 @@
 	// begins with it, with the time of orders and reports; durationMs holds the expected duration of one
 	// of its tasks.
 	criticalPathMs, durationMs []float64
+	// longestMs holds the expected duration of the longest task of each step, and endsWithinMs the time within
+	// which nine of ten of its tasks end; 0 if that isn't predicted.
+	longestMs, endsWithinMs []float64
+	// upper holds what follows if the job is longer than most; nil if the spread isn't predicted.
+	upper *upperEstimates
+	// classes and finished are what the run times of each step are predicted from; nil until they are first.
+	classes  []cranpredict.Class
+	finished []cranpredict.Siblings
+	// expected holds what was last predicted for a run of each step; nil if nothing was.
+	expected []cranpredict.Expectation
 	// workMs is the length of the longest path of the job, as the work alone, from which its soft deadline
 	// follows. For steps that are complete, measuredMs, the longest duration of a task, counts.
 	workMs     float64
@@ -109,30 +120,48 @@
 
 // updateEstimates recomputes the expected durations and paths of the job with the predictor of its queue.
 func (j *job) updateEstimates(p *predictor, now time.Duration) {
+	j.estimate(now, func(i int) {
+		j.durationMs[i] = p.predict(j.Steps[i].EstimateMs)
+		j.longestMs[i] = j.durationMs[i] * longestTaskFactor(j.Steps[i].Count)
+	})
+}
+
+// estimate recomputes the paths of the job from the expected durations, which predict sets for a step, unless that
+// was done a short time ago. It reports whether it did.
+func (j *job) estimate(now time.Duration, predict func(step int)) bool {
 	if j.estimatedAt != 0 && now-j.estimatedAt < estimateInterval {
-		return
+		return false
 	}
 	j.estimatedAt = now
 	if j.criticalPathMs == nil {
 		j.criticalPathMs, j.durationMs = make([]float64, len(j.Steps)), make([]float64, len(j.Steps))
 		j.measuredMs = make([]float64, len(j.Steps))
+		j.longestMs, j.endsWithinMs = make([]float64, len(j.Steps)), make([]float64, len(j.Steps))
 	}
-	workMs := make([]float64, len(j.Steps))
 	for i := range j.Steps {
-		j.durationMs[i] = p.predict(j.Steps[i].EstimateMs)
-		longestMs := j.durationMs[i] * longestTaskFactor(j.Steps[i].Count)
-		j.criticalPathMs[i] = longestMs + float64(storeTime.Milliseconds())
+		predict(i)
+	}
+	j.workMs = j.addPaths(j.longestMs, j.criticalPathMs)
+	return true
+}
+
+// addPaths computes the critical paths of the steps from the durations of their longest tasks, and returns the
+// length of the longest path of the job, as the work alone.
+func (j *job) addPaths(longest, criticalPathMs []float64) (longestMs float64) {
+	workMs := make([]float64, len(j.Steps))
+	for i, longestMs := range longest {
+		criticalPathMs[i] = longestMs + float64(storeTime.Milliseconds())
 		if j.Times == 0 && j.measuredMs[i] > 0 && j.stages[i].complete() {
 			longestMs = j.measuredMs[i]
 		}
 		workMs[i] = max(longestMs-float64(reportTime.Milliseconds()), 0)
 	}
-	j.addDependentSteps(j.criticalPathMs)
+	j.addDependentSteps(criticalPathMs)
 	j.addDependentSteps(workMs)
-	j.workMs = 0
 	for _, pathMs := range workMs {
-		j.workMs = max(j.workMs, pathMs)
+		longestMs = max(longestMs, pathMs)
 	}
+	return longestMs
 }
 
 // addDependentSteps adds to the length of each step that of the longest path of steps that depend on it.
@@ -152,6 +181,9 @@
 		j.measuredMs[t.name.Step] = max(j.measuredMs[t.name.Step], durationMs)
 		j.estimatedAt = 0
 	}
+	if j.finished != nil {
+		j.finished[t.name.Step].Add(durationMs)
+	}
 }
 
 func (j *job) stageOf(t *task) *stage {
--- a/internal/cransched/objective.go
+++ b/internal/cransched/objective.go
@@ -5,11 +5,16 @@
 // softDeadlineMs returns the time by which an occurrence should be complete for its caller to learn of it in
 // time, in Unix milliseconds.
 func (s *Scheduler) softDeadlineMs(j *job, occurrence int) int64 {
+	return s.deadlineMs(j, occurrence, j.workMs)
+}
+
+// deadlineMs returns the soft deadline of an occurrence if the longest path of the job is as given.
+func (s *Scheduler) deadlineMs(j *job, occurrence int, workMs float64) int64 {
 	startMs := max(j.ReceivedMs, j.DueMs(occurrence))
 	if j.queue == nil {
-		return startMs + int64(j.workMs)
+		return startMs + int64(workMs)
 	}
-	return startMs + int64(j.queue.Stretch*j.workMs) + (j.queue.LatencyTarget - s.timing.DeliveryTime).Milliseconds()
+	return startMs + int64(j.queue.Stretch*workMs) + (j.queue.LatencyTarget - s.timing.DeliveryTime).Milliseconds()
 }
 
 // slackMs returns the time to the soft deadline minus the remaining critical path of a stage.
--- a/internal/cransched/outcome.go
+++ b/internal/cransched/outcome.go
@@ -123,6 +123,7 @@
 		s.releaseRun(t, r, reason)
 		return
 	}
+	s.observeLoss(t, r)
 	r.phase = stopping
 	r.answeredAt = 0
 	r.stopReason = reason
--- a/internal/cransched/place.go
+++ b/internal/cransched/place.go
@@ -144,8 +144,8 @@
 			if st.waiting == 0 || !j.ready(st, s.clock.UnixMs) {
 				continue
 			}
-			j.updateEstimates(s.predictors[j.Queue], s.clock.Steady)
-			slack := s.slackMs(j, st)
+			s.updateEstimates(j)
+			slack := s.orderSlackMs(j, st)
 			list = append(list, candidate{
 				job: j, stage: st, slackMs: slack, late: !st.step.LongRunning && slack < j.slackReserveMs(st),
 			})
@@ -276,8 +276,8 @@
 	// spreadPenalty spreads long-running tasks with a MaxUnavailable, since evacuating a
 	// target stops them only a few at a time.
 	spreadPenalty = 1
-	// leavingPenalty keeps long-running tasks off targets whose instance is due for
-	// maintenance.
+	// leavingPenalty keeps tasks off targets whose instance is due for maintenance before
+	// they would end.
 	leavingPenalty = 5
 	// failurePenalty is the weight of a target's failure rate.
 	failurePenalty = 3
@@ -292,7 +292,7 @@
 	if st.step.DataRack != "" && !t.hasLabel(st.step.DataRack) {
 		score += remoteDataPenalty
 	}
-	if st.step.LongRunning && t.leaving {
+	if st.step.LongRunning && t.leaving || s.outlivesTarget(st, t) {
 		score += leavingPenalty
 	}
 	if st.step.LongRunning && st.step.MaxUnavailable > 0 {
--- a/internal/cransched/pools.go
+++ b/internal/cransched/pools.go
@@ -218,7 +218,7 @@
 			d = &demand{}
 			demands[j.Pool] = d
 		}
-		j.updateEstimates(s.predictors[j.Queue], s.clock.Steady)
+		s.updateEstimates(j)
 		for _, st := range j.stages {
 			if !st.complete() && s.readyWithinMoveTime(j, st) {
 				parallelism, late := s.requiredParallelism(j, st)
@@ -249,7 +249,7 @@
 	if j.Times > 0 {
 		return
 	}
-	j.updateEstimates(s.predictors[j.Queue], s.clock.Steady)
+	s.updateEstimates(j)
 	arrivals := s.arrivals[j.Pool]
 	if arrivals == nil {
 		arrivals = &arrivalHistory{}
@@ -290,7 +290,7 @@
 	if st.step.LongRunning || st.step.Gang || durationMs <= 0 {
 		return openTasks, false
 	}
-	laterStepsMs := j.criticalPathMs[st.name.Step] - durationMs*longestTaskFactor(st.step.Count)
+	laterStepsMs := j.criticalPathMs[st.name.Step] - j.longestMs[st.name.Step]
 	availableMs := float64(s.softDeadlineMs(j, st.name.Occurrence)-s.clock.UnixMs) - laterStepsMs
 	if availableMs < durationMs {
 		return openTasks * min(durationMs/float64(lateWorkHorizon.Milliseconds()), 1), true
--- a/internal/cransched/report.go
+++ b/internal/cransched/report.go
@@ -270,12 +270,16 @@
 		s.handleSuccess(parent, r)
 	case OutcomeFailed:
 		t.health.record(true, s.clock.Steady)
+		if current {
+			s.observeLoss(t, r)
+		}
 		s.handleFailure(parent, e.Run, current)
 	default:
 		if e.Checkpoint != "" {
 			parent.Checkpoint = e.Checkpoint
 		}
 		if current {
+			s.observeLoss(t, r)
 			parent.job.setStatus(parent, cranjob.Waiting)
 		}
 	}
@@ -298,6 +302,7 @@
 		s.predictors[parent.job.Queue] = p
 	}
 	durationMs := (s.clock.Steady - r.startedAt).Milliseconds()
+	s.observeEnd(parent, r, durationMs)
 	parent.job.recordDuration(parent, float64(durationMs))
 	p.add(parent.step.EstimateMs, durationMs)
 	if p.N >= p.storedCount+durationsPerRecord {
--- a/internal/cransched/scheduler.go
+++ b/internal/cransched/scheduler.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cranberrypick/cranberrypick/internal/cranjob"
+	"github.com/cranberrypick/cranberrypick/internal/cranpredict"
 	"github.com/cranberrypick/cranberrypick/internal/cranstore"
 )
 
@@ -28,7 +29,11 @@
 	cancelled map[string]bool
 	// predictors are keyed by queue.
 	predictors map[string]*predictor
-	fleet      fleet
+	// runTimes predicts run times; nil if the predictors are to.
+	runTimes *cranpredict.Model
+	// runTimesReportedAt is when its calibration was last reported.
+	runTimesReportedAt time.Duration
+	fleet              fleet
 	// starved marks the pools with a waiting long-running task that fits on none of their
 	// targets, or with any other task that fits on none even when that is idle.
 	starved map[string]bool
@@ -111,6 +116,7 @@
 	for queue, d := range stored.Durations() {
 		s.predictors[queue] = &predictor{Durations: d, storedCount: d.N}
 	}
+	s.restoreRunTimes()
 	for _, id := range slices.Sorted(maps.Keys(stored.Jobs())) {
 		e := stored.Jobs()[id]
 		if e.Job() == nil {
@@ -225,7 +231,7 @@
 	trimmed.Spec = ""
 	s.emitOnceStored(TrimSubmission{cranstore.Record{Key: cranjob.SubmissionKey(j.ID), Value: cranjob.Encode(trimmed)}})
 	if j.timing != nil {
-		j.updateEstimates(s.predictors[j.Queue], s.clock.Steady)
+		s.updateEstimates(j)
 		j.timing.EndMs, j.timing.ObjectiveMs = j.endedMs-j.ReceivedMs, s.softDeadlineMs(j, 0)-j.ReceivedMs
 	}
 	s.emitOnceStored(LogEntry{Kind: LogJobEnded, Job: j.ID, State: state, Reason: state.String() + ": " + reason, Timing: j.timing})
--- a/internal/cransched/start.go
+++ b/internal/cransched/start.go
@@ -17,7 +17,7 @@
 	t.Run = number
 	t.job.setStatus(t, cranjob.Placed)
 	t.Target = dest.info.ID
-	t.run = &run{name: t.name, number: number, reserved: t.step.Reservation(), phase: planned, task: t, step: t.step, share: fullShare, resumed: t.Checkpoint != ""}
+	t.run = &run{name: t.name, number: number, reserved: t.step.Reservation(), phase: planned, task: t, step: t.step, share: fullShare, resumed: t.Checkpoint != "", expected: t.job.expectation(t.name.Step)}
 	dest.add(t.run)
 	if t.suspected() {
 		t.run.apart = true
--- a/internal/cransched/target.go
+++ b/internal/cransched/target.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cranberrypick/cranberrypick/internal/cranjob"
+	"github.com/cranberrypick/cranberrypick/internal/cranpredict"
 )
 
 // phase is the state of a run as far as its owner knows it.
@@ -51,6 +52,8 @@
 	// answeredAt is when the start, or later the stop, was answered; 0 before.
 	answeredAt time.Duration
 	startedAt  time.Duration
+	// expected is what was predicted for the run when it was placed.
+	expected cranpredict.Expectation
 	// presentSince is when the run was first known to be present; 0 before. survived is set once
 	// it has outlived its start.
 	presentSince time.Duration
@@ -160,6 +163,8 @@
 	// leaving is set while the instance is due for maintenance. Long-running tasks are placed
 	// elsewhere as far as possible, since they would have to be stopped again.
 	leaving bool
+	// evacuatesAt is the earliest time at which a leaving target is expected to be evacuated.
+	evacuatesAt time.Duration
 	// shareChangedAt is when the share of a best-effort task was last changed.
 	shareChangedAt time.Duration
 	// noStartsBefore is the earliest time of the next start, after a refused one or a restart.
--- a/internal/cransched/targets.go
+++ b/internal/cransched/targets.go
@@ -171,6 +171,7 @@
 // start. Its task waits to be placed again.
 func (s *Scheduler) releaseRun(t *target, r *run, reason string) {
 	t.remove(r)
+	s.observeLoss(t, r)
 	s.emitOnceStored(LogEntry{Kind: LogRunReleased, Job: r.name.Job, Task: r.name.String(), Run: r.number, Target: t.info.ID, Reason: reason})
 	if parent := r.task; parent != nil && parent.run == r {
 		parent.job.setStatus(parent, cranjob.Waiting)
@@ -202,6 +203,7 @@
 	s.planWaves()
 	s.planPools()
 	s.place()
+	s.reportRunTimes()
 }
 
 // checkTarget releases the runs of a target whose leases have expired, removes targets
--- a/internal/cransched/wave.go
+++ b/internal/cransched/wave.go
@@ -208,7 +208,9 @@
 	if s.mustEvacuateNow(w, remaining) {
 		maxEvacuating = limit + evacuateAhead
 	}
-	for _, m := range s.sortByEvacuationCost(w) {
+	due := s.sortByEvacuationCost(w)
+	s.expectEvacuations(due, limit, downCount)
+	for _, m := range due {
 		switch {
 		case s.fleet.moves[m.instance] != nil || !s.mayOrder(m.instance):
 		case m.state == maintenanceOrdered:
--- a/internal/cransched/world_target_test.go
+++ b/internal/cransched/world_target_test.go
@@ -280,6 +280,9 @@
 	tgt.renewLease(e.DeadlineMs, sim.now)
 	step := sim.jobs[e.Task.Job].Steps[e.Task.Step]
 	r := &simRun{number: e.Run, endsAt: sim.now + time.Duration(float64(step.EstimateMs)*(0.5+sim.random.Float64()))*time.Millisecond, outcome: OutcomeDone}
+	if d, set := sim.runTimes[e.Task]; set {
+		r.endsAt = sim.now + d
+	}
 	if sim.random.Float64() < sim.failureRate {
 		r.outcome = OutcomeFailed
 	}
--- a/internal/cransched/world_test.go
+++ b/internal/cransched/world_test.go
@@ -56,6 +56,9 @@
 	lateHeartbeats bool
 	// failureRate is the fraction of runs that fail.
 	failureRate float64
+	// runTimes, if set, holds how long tasks run. regressionOnly lets owners predict that as in earlier versions.
+	runTimes       map[cranjob.TaskName]time.Duration
+	regressionOnly bool
 	// orderDelay is the additional delay of orders for instances; dropMoves drops all
 	// moves.
 	orderDelay time.Duration
@@ -201,7 +204,9 @@
 	}
 	sim.epoch++
 	sim.ownerID++
-	sim.owner = New(sim.epoch, simTiming, sim.config, sim.stored, sim.clock(), Predecessor{StoppedBy: predecessorStop, LastOrderAt: maps.Clone(sim.orderStoredAt), LeasesEndAt: sim.leasesEndAt})
+	timing := simTiming
+	timing.RegressionOnly = sim.regressionOnly
+	sim.owner = New(sim.epoch, timing, sim.config, sim.stored, sim.clock(), Predecessor{StoppedBy: predecessorStop, LastOrderAt: maps.Clone(sim.orderStoredAt), LeasesEndAt: sim.leasesEndAt})
 	sim.owners[sim.ownerID] = sim.owner
 	sim.leasesEndAt = nil
 	sim.owner.SetTargets(sim.targetList())
