cranpredict: count stopped runs in the shape of the quantiles

The histogram of deviations had the runs that ended alone. A stopped run now counts as four values of the normal distribution above its time.

--- a/internal/cranpredict/model.go
+++ b/internal/cranpredict/model.go
@@ -198,6 +198,9 @@
 		q.group(key, o.NowMs).add(o.Class.x, y, yy, weight, o.NowMs)
 	}
 	if o.Censored {
+		if e := o.Expected; e.sd > 0 {
+			m.shape.addCensored((logSeconds(o.DurationMs)-float64(e.mu))/float64(e.sd), o.Tasks)
+		}
 		return
 	}
 	if n := float64(o.Siblings.count); n > 0 {
--- a/internal/cranpredict/record_test.go
+++ b/internal/cranpredict/record_test.go
@@ -43,9 +43,7 @@
 
 // TestRecordIsStoredSeldom guards against a record for every run: records cost the users money.
 func TestRecordIsStoredSeldom(t *testing.T) {
-	random := rand.New(rand.NewPCG(1, 1))
-	m := New()
-	stored := 0
+	random, m, stored := rand.New(rand.NewPCG(1, 1)), New(), 0
 	for i := range 1000 {
 		nowMs := int64(1_700_000_000_000 + 20*i)
 		newJob(random, queueFeatures, 1000).observe(m, nowMs, math.Inf(1))
@@ -70,28 +68,24 @@
 	_, err := Decode(with(func(*wireRecord) {}))
 	require.NoError(t, err)
 	nan, inf := float32(math.NaN()), float32(math.Inf(1))
-	for i, text := range [][]byte{
-		nil,
-		{0xff},
-		{0x80},
-		make([]byte, maxRecord+1),
-		append(with(func(*wireRecord) {}), 0),
-		with(func(w *wireRecord) { w.AtMs = -1 }),
-		with(func(w *wireRecord) { w.Squares = nan }),
-		with(func(w *wireRecord) { w.Squares = 1e9 }),
-		with(func(w *wireRecord) { w.Tasks = inf }),
-		with(func(w *wireRecord) { w.Tasks = -1 }),
-		with(func(w *wireRecord) { w.Groups[0].N = nan }),
-		with(func(w *wireRecord) { w.Groups[0].N = 0 }),
-		with(func(w *wireRecord) { w.Groups[0].N = 1e6 }),
-		with(func(w *wireRecord) { w.Groups[0].X = inf }),
-		with(func(w *wireRecord) { w.Groups[0].Y = 1e6 }),
-		with(func(w *wireRecord) { w.Groups[0].XX = 0.1 }),
-		with(func(w *wireRecord) { w.Groups[0].XY = 3 }),
-		with(func(w *wireRecord) { w.Groups[0].YY = -1 }),
-		with(func(w *wireRecord) { w.Groups = append(w.Groups, good) }),
-		with(func(w *wireRecord) { w.Groups = make([]wireGroup, maxStored+1) }),
+	records := [][]byte{nil, {0xff}, {0x80}, make([]byte, maxRecord+1), append(with(func(*wireRecord) {}), 0)}
+	for _, change := range []func(*wireRecord){
+		func(w *wireRecord) { w.AtMs = -1 },
+		func(w *wireRecord) { w.Squares = nan },
+		func(w *wireRecord) { w.Squares = 1e9 },
+		func(w *wireRecord) { w.Tasks = inf },
+		func(w *wireRecord) { w.Tasks = -1 },
+		func(w *wireRecord) { w.Groups = append(w.Groups, good) },
+		func(w *wireRecord) { w.Groups = make([]wireGroup, maxStored+1) },
 	} {
+		records = append(records, with(change))
+	}
+	for _, bad := range []wireGroup{
+		{N: nan}, {N: 0}, {N: 1e6}, {N: 2, X: inf}, {N: 2, Y: 1e6, YY: 1}, {N: 2, X: 1, XX: 0.1}, {N: 2, XX: 1, YY: 1, XY: 3}, {N: 2, YY: -1},
+	} {
+		records = append(records, with(func(w *wireRecord) { w.Groups[0] = bad }))
+	}
+	for i, text := range records {
 		_, err := Decode(text)
 		require.ErrorIs(t, err, cranfault.MatchKind(cranfault.Malformed), "record %d", i)
 	}
@@ -100,7 +94,7 @@
 // FuzzDecode guards against records that are accepted and lead to predictions that are no numbers.
 func FuzzDecode(f *testing.F) {
 	m := New()
-	newJob(rand.New(rand.NewPCG(1, 1)), queueFeatures, 1000).observe(m, 1, math.Inf(1))
+	train(m, queueFeatures, 1, 1000, math.Inf(1))
 	f.Add(m.Encode("q", 1))
 	f.Fuzz(func(t *testing.T, text []byte) {
 		r, err := Decode(text)
--- a/internal/cranpredict/shape.go
+++ b/internal/cranpredict/shape.go
@@ -8,7 +8,7 @@
 
 const (
 	// shapeUnit is the weight of a step in a histogram, which counts in whole numbers.
-	shapeUnit = 240
+	shapeUnit = 9600
 	// shapePrior is the weight of the normal distribution, in steps.
 	shapePrior = 60
 	// shapeSteps is the number of steps after which the older histogram is dropped.
@@ -19,6 +19,8 @@
 	// of deviations.
 	shapeScale   = 1000
 	maxDeviation = 4
+	// censoredParts is the number of values for a run that was stopped.
+	censoredParts = 4
 )
 
 // shapeQuantiles are the probabilities at which the shape is known.
@@ -51,10 +53,28 @@
 
 // add adds the deviation of one of the tasks of a step.
 func (s *shape) add(deviation float64, tasks int) {
-	deviation = min(max(deviation, -maxDeviation), maxDeviation)
-	if s.younger.RecordValues(int64(shapeScale*math.Exp(deviation)), max(int64(shapeUnit/tasks), 1)) != nil {
-		return
+	s.record(deviation, tasks)
+	s.update()
+}
+
+// addCensored adds a deviation of which only a lower limit is known, as a few values of the normal distribution above
+// it. Without these the quantiles would be those of the runs that were not stopped.
+func (s *shape) addCensored(limit float64, tasks int) {
+	tail := upperTail(limit)
+	for i := range censoredParts {
+		s.record(-normalQuantile(tail*(float64(i)+0.5)/censoredParts), tasks*censoredParts)
 	}
+	s.update()
+}
+
+func (s *shape) record(deviation float64, tasks int) {
+	deviation = min(max(deviation, -maxDeviation), maxDeviation)
+	// No value within these bounds is refused.
+	_ = s.younger.RecordValues(int64(shapeScale*math.Exp(deviation)), max(int64(shapeUnit/tasks), 1))
+}
+
+// update computes the quantiles again after some runs.
+func (s *shape) update() {
 	s.runs++
 	if s.runs%shapeInterval != 0 {
 		return
--- a/internal/cransched/runtimes.go
+++ b/internal/cransched/runtimes.go
@@ -138,7 +138,7 @@
 	if r.phase != confirmed || t == nil || t.run != r || r.inherited || r.resumed || r.step.LongRunning || r.step.Gang {
 		return
 	}
-	s.observe(t, r, cranpredict.Observation{DurationMs: float64((host.stateAsOf - r.startedAt).Milliseconds()), Censored: true})
+	s.observe(t, r, cranpredict.Observation{DurationMs: float64((host.stateAsOf - r.startedAt).Milliseconds()), Censored: true, Expected: r.expected})
 }
 
 func (s *Scheduler) observe(t *task, r *run, o cranpredict.Observation) {
--- a/internal/cransched/runtimes_test.go
+++ b/internal/cransched/runtimes_test.go
@@ -75,8 +75,7 @@
 	require.Greater(t, with, without)
 }
 
-// newRunTimesScheduler returns a scheduler with targets of four cores that has learned that tasks of the queue take
-// about 2 s.
+// newRunTimesScheduler returns a scheduler with empty targets of four cores.
 func newRunTimesScheduler(regressionOnly bool, targets ...string) *Scheduler {
 	config := &Config{Version: 1, Queues: map[string]*Queue{"q": {Name: "q", Pool: "p", Attempts: 3, Stretch: 1.6}}, Pools: map[string]*Pool{"p": {Name: "p"}}}
 	timing := simTiming
@@ -147,16 +146,15 @@
 			require.Less(t, s.RemainingWork("0"), 12.0)
 			s.releaseRun(host, r, "test")
 			require.NotEqual(t, before, s.predictStep(j, 0))
-			continue
 		case i%2 == 0:
 			s.stopRun(host, r, "test")
 			stopped := s.predictStep(j, 0)
 			require.NotEqual(t, before, stopped)
 			s.releaseRun(host, r, "test")
 			require.Equal(t, stopped, s.predictStep(j, 0))
-			continue
+		default:
+			s.handleRunEnd(host, EndReport{Task: task.name, Run: 1, Outcome: OutcomeDone})
 		}
-		s.handleRunEnd(host, EndReport{Task: task.name, Run: 1, Outcome: OutcomeDone})
 	}
 	require.Equal(t, n/2, s.runTimes.TakeCalibration().Runs)
 	learned := s.addUncertain("next")
