--- a/internal/cranevent/catalogue.go
+++ b/internal/cranevent/catalogue.go
@@ -225,6 +225,8 @@
 		KeyAgeMs, KeyCause, KeyJob, KeyNumber, KeyObjectiveMs, KeyQueue, KeyRemainingMs, KeyShard, KeyTenant)),
 	define(QueueOverloaded, "queueOverloaded", LevelInfo, "work beyond entitlements is refused in part",
 		KeyNumber, KeyObjectiveMs, KeyQueue, KeyRemainingMs, KeyShard, KeyWaiting),
+	define(RunTimesJudged, "runTimesJudged", LevelInfo, "how many runs ended within the predicted times",
+		KeyCount, KeyShard, KeyWithin50, KeyWithin90),
 }
 
 // byEvent maps each event to its definition.
--- a/internal/cranevent/event.go
+++ b/internal/cranevent/event.go
@@ -159,6 +159,11 @@
 	TenantWithin Event = 1412
 )
 
+// Events of the prediction of run times.
+const (
+	RunTimesJudged Event = 1441
+)
+
 // Events of moves between pools.
 const (
 	MoveDone Event = 603
--- a/internal/cransched/admission.go
+++ b/internal/cransched/admission.go
@@ -136,7 +136,7 @@
 			p = &poolWork{}
 			pools[j.Pool] = p
 		}
-		j.updateEstimates(s.predictors[j.Queue], s.clock.Steady)
+		s.updateEstimates(j)
 		beyond := entitlements.Beyond(j.ID)
 		s.addToQueue(q, j, beyond)
 		s.addToPool(p, j, beyond)
--- a/internal/cransched/fairness.go
+++ b/internal/cransched/fairness.go
@@ -106,7 +106,7 @@
 // taskWork returns the expected work of a task: its duration in seconds, times the larger of the
 // fractions that it takes of the processors and of the memory of an instance of its pool.
 func (s *Scheduler) taskWork(j *job, st *stage) float64 {
-	j.updateEstimates(s.predictors[j.Queue], s.clock.Steady)
+	s.updateEstimates(j)
 	capacity := s.instanceCapacity[j.Pool]
 	reserved := st.step.Reservation()
 	part := max(fraction(reserved.CPU, capacity.CPU), fraction(reserved.Memory, capacity.Memory))
--- a/internal/cransched/order.go
+++ b/internal/cransched/order.go
@@ -37,7 +37,7 @@
 		if o == nil || j.Times > 0 || j.LongRunning() {
 			continue
 		}
-		j.updateEstimates(s.predictors[j.Queue], now)
+		s.updateEstimates(j)
 		running, waiting := s.remainingWork(j, o)
 		slackMs, waits := s.waitingSlackMs(j)
 		if !waits || j.waiting == 0 {
@@ -107,7 +107,7 @@
 func (s *Scheduler) waitingSlackMs(j *job) (float64, bool) {
 	for _, st := range j.stages {
 		if st.waiting > 0 {
-			return float64(s.slackMs(j, st) - j.slackReserveMs(st)), true
+			return float64(s.orderSlackMs(j, st) - j.slackReserveMs(st)), true
 		}
 	}
 	return 0, false
--- a/internal/cransched/outcome.go
+++ b/internal/cransched/outcome.go
@@ -124,6 +124,7 @@
 		s.releaseRun(t, r, reason)
 		return
 	}
+	s.observeLoss(t, r)
 	r.phase = stopping
 	r.answeredAt = 0
 	r.stopReason = reason
--- a/internal/cransched/world_test.go
+++ b/internal/cransched/world_test.go
@@ -58,6 +58,9 @@
 	lateHeartbeats bool
 	// failureRate is the fraction of runs that fail.
 	failureRate float64
+	// runTimes, if set, holds how long tasks run. regressionOnly lets owners predict that as in earlier versions.
+	runTimes       map[cranjob.TaskName]time.Duration
+	regressionOnly bool
 	// orderDelay is the additional delay of orders for instances; dropMoves drops all
 	// moves.
 	orderDelay time.Duration
@@ -209,7 +212,9 @@
 	if sim.fairness != nil {
 		options = append(options, WithFairness(sim.fairness()))
 	}
-	sim.owner = New(sim.epoch, simTiming, sim.config, sim.stored, sim.clock(), Predecessor{StoppedBy: predecessorStop, LastOrderAt: maps.Clone(sim.orderStoredAt), LeasesEndAt: sim.leasesEndAt}, options...)
+	timing := simTiming
+	timing.RegressionOnly = sim.regressionOnly
+	sim.owner = New(sim.epoch, timing, sim.config, sim.stored, sim.clock(), Predecessor{StoppedBy: predecessorStop, LastOrderAt: maps.Clone(sim.orderStoredAt), LeasesEndAt: sim.leasesEndAt}, options...)
 	sim.owners[sim.ownerID] = sim.owner
 	sim.leasesEndAt = nil
 	sim.owner.SetTargets(sim.targetList())
