crandigest, cranquota: the record of a shard's shares

The digest gets the record q + shard. Totals of gifts only rise, also if an older record is read later, and records that no owner can have written are refused and change nothing.

A unit that has waited lost its precedence whenever its shard had drained, as small tasks could start then; it keeps it. The excess of a tenant counts in Exceeded until all shards have agreed on the version.

--- a/internal/crandigest/digest.go
+++ b/internal/crandigest/digest.go
@@ -36,6 +36,7 @@
 	leases  Leases
 	// leasesReadAt is when leases was read, on the steady clock of the process.
 	leasesReadAt time.Duration
+	quota        quota
 	// segments holds the keys of the jobs in each segment that is not merged yet.
 	segments map[string][]string
 }
@@ -172,6 +173,8 @@
 		s := d.shard(number)
 		s.leases, s.leasesReadAt = *l, readAt
 		return Change{Kind: Renewed, Shard: number}, nil
+	case keyQuota:
+		return d.applyQuota(key, number, value)
 	case keySegment:
 		return d.applySegment(key, number, value)
 	case keyWave:
--- a/internal/crandigest/digest_test.go
+++ b/internal/crandigest/digest_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/cranberrypick/cranberrypick/internal/cranjob"
 	"github.com/cranberrypick/cranberrypick/internal/cranmemory"
+	"github.com/cranberrypick/cranberrypick/internal/cranquota"
 	"github.com/cranberrypick/cranberrypick/internal/cranshard"
 	"github.com/cranberrypick/cranberrypick/internal/cranstore"
 )
@@ -164,6 +165,7 @@
 	f.Add("r-1", []byte{0x84})
 	f.Add("w1.x", []byte{0x82, 0xf5, 0xf5})
 	f.Add("layout", []byte{0xa1, 1, 0})
+	f.Add("q0", QuotaRecord(0, cranquota.Record{Gifts: []cranquota.Gift{{Tenant: "t", To: 1, Total: 5}}}).Value)
 	f.Add("", []byte{})
 	f.Fuzz(func(t *testing.T, key string, value []byte) {
 		d := New()
@@ -234,3 +236,35 @@
 	require.True(t, d.Claim(0).Released)
 	require.False(t, d.Claim(0).Stalled)
 }
+
+// TestHostileQuotaIsRefused guards against shares that a record of another writer changes or that overflow, and against
+// gifts that an older record takes back.
+func TestHostileQuotaIsRefused(t *testing.T) {
+	d := New()
+	apply := func(r cranquota.Record) error {
+		record := QuotaRecord(1, r)
+		_, err := d.Apply(record.Key, record.Value, 0)
+		return err
+	}
+	gift := cranquota.Gift{Tenant: "t", To: 0, Total: 9}
+	require.NoError(t, apply(cranquota.Record{Gifts: []cranquota.Gift{gift}}))
+	for _, hostile := range []cranquota.Record{
+		{Gifts: []cranquota.Gift{{Tenant: "t", To: -1}}},
+		{Gifts: []cranquota.Gift{{Tenant: "t", Total: 1 << 51}}},
+		{Gifts: []cranquota.Gift{{Total: 1}}},
+		{Wants: []cranquota.Want{{Tenant: "t", Share: cranquota.Whole + 1}}},
+		{Wants: []cranquota.Want{{Tenant: "t", Need: -1}}},
+		{Over: []cranquota.Amount{{Tenant: "t", Share: -1}}},
+		{Removed: []cranquota.RemovedTenant{{Tenant: "t", Cap: cranjob.Resources{CPU: -1}}}},
+	} {
+		require.Error(t, apply(hostile), "%+v", hostile)
+	}
+	for _, value := range [][]byte{nil, {0xff}, {0x80}, QuotaRecord(1, cranquota.Record{}).Value[1:]} {
+		_, err := d.Apply("q1", value, 0)
+		require.Error(t, err)
+	}
+	require.NoError(t, apply(cranquota.Record{}))
+	r, revision := d.Quota(1)
+	require.Equal(t, []cranquota.Gift{gift}, r.Gifts)
+	require.EqualValues(t, 2, revision)
+}
--- a/internal/crandigest/record.go
+++ b/internal/crandigest/record.go
@@ -17,6 +17,7 @@
 const (
 	keyClaim   = 'c'
 	keyLeases  = 'l'
+	keyQuota   = 'q'
 	keyRenewal = 'r'
 	keySegment = 's'
 	keyWave    = 'w'
--- a/internal/cranquota/decide.go
+++ b/internal/cranquota/decide.go
@@ -12,6 +12,8 @@
 	// publishInterval is the least time between two records. A want is read, answered and the answer read
 	// within 1.2 s then, plus the time of two appends.
 	publishInterval = 400 * time.Millisecond
+	// checkInterval is how often a record is built to see whether it has changed. That takes time for each tenant.
+	checkInterval = 100 * time.Millisecond
 	// precedenceDelay is how long a unit waits, while other work of its tenant runs on the shard, until it
 	// takes precedence.
 	precedenceDelay = time.Second
@@ -23,7 +25,7 @@
 	peakTime = time.Second
 	// wantStep is the granularity of wants, so that records don't change with each start.
 	wantStep = Whole / 20
-	// minGift is the least gift to a unit without precedence.
+	// minGift is the least gift, except where small ones add up.
 	minGift = Whole / 100
 	// maxUnseen is how long a unit counts as waiting if rounds end before it is considered.
 	maxUnseen = time.Second
@@ -91,12 +93,8 @@
 		return
 	}
 	waited := l.now - a.headSince
-	if a.used == (cranjob.Resources{}) {
-		a.urgent = hasPrecedence(waited)
-		return
-	}
-	a.urgent = hasPrecedence(waited - precedenceDelay)
-	a.holds = a.urgent
+	a.holds = hasPrecedence(waited - precedenceDelay)
+	a.urgent = a.holds || a.used == (cranjob.Resources{}) && hasPrecedence(waited)
 }
 
 // hasPrecedence reports whether a unit has precedence that could have had it for some time.
@@ -166,15 +164,26 @@
 		}
 		own := l.Share(l.shard, tenant)
 		if a.first.known {
-			// Both want more: neither keeps more than the equal part.
-			missing = min(missing, own-l.base(l.shard), l.base(shard)-l.Share(shard, tenant))
-			l.settle(tenant, a, shard, missing, false)
+			l.balance(tenant, a, shard, missing, w.Unit)
 			continue
 		}
 		l.give(tenant, a, shard, min(missing, own-max(a.peak, a.shareFor(a.used))-l.base(l.shard)/reserveDivisor), false)
 	}
 }
 
+// balance decides between two shards that both want more. Neither keeps so much above the equal part that the other could
+// start a unit with it. Of two remainders that are too small for a unit, the one of the higher shard is given away.
+func (l *Ledger) balance(tenant string, a *account, to int, missing, unit int64) {
+	own := l.Share(l.shard, tenant)
+	if above := min(missing, own-l.base(l.shard), l.base(to)-l.Share(to, tenant)); above >= max(unit, minGift) {
+		l.settle(tenant, a, to, above, false)
+		return
+	}
+	if l.shard > to {
+		l.give(tenant, a, to, min(missing, own-max(a.peak, a.shareFor(a.used))), true)
+	}
+}
+
 // settle withholds a share from the shard's own starts and gives what is unused of it.
 func (l *Ledger) settle(tenant string, a *account, to int, share int64, precedence bool) {
 	if share <= 0 || !precedence && share < minGift {
@@ -185,23 +194,29 @@
 	a.owed += share - given
 }
 
-// give gives a share to another shard and returns it. Gifts below minGift are made only to a unit with precedence, which
-// may need all that several shards have.
-func (l *Ledger) give(tenant string, a *account, to int, share int64, precedence bool) int64 {
+// give gives a share to another shard and returns it. Gifts below minGift are made only where small parts of several shards
+// may add up to what a unit needs.
+func (l *Ledger) give(tenant string, a *account, to int, share int64, addsUp bool) int64 {
 	_, known := a.given[to]
 	bytes := len(tenant) + entryBytes
-	if share <= 0 || share < minGift && !precedence || !known && l.giftBytes+bytes > maxRecordBytes {
+	if share <= 0 || share < minGift && !addsUp || !known && l.giftBytes+bytes > maxRecordBytes {
 		return 0
 	}
 	if !known {
 		l.giftBytes += bytes
 	}
 	a.give(to, share)
+	for i := range l.transfers {
+		if t := &l.transfers[i]; t.Tenant == tenant && t.To == to {
+			t.Share += share
+			return share
+		}
+	}
 	l.transfers = append(l.transfers, Transfer{tenant, to, share})
 	return share
 }
 
-// Transfers returns the gifts since the last call.
+// Transfers returns the gifts since the last call, one for each tenant and shard.
 func (l *Ledger) Transfers() []Transfer {
 	list := l.transfers
 	l.transfers = nil
@@ -221,6 +236,7 @@
 	}
 	r := l.record()
 	if reflect.DeepEqual(r, l.published) {
+		l.nextAt = now + checkInterval
 		return Record{}, false
 	}
 	l.published, l.nextAt = r, now+publishInterval
@@ -249,7 +265,7 @@
 			r.Over = append(r.Over, Amount{Tenant: name, Share: excess})
 		}
 		if a.first.known {
-			w := Want{Tenant: name, Share: roundUp(a.shareFor(a.used.Add(a.waiting)))}
+			w := Want{Tenant: name, Share: roundUp(a.shareFor(a.used.Add(a.waiting))), Unit: a.shareFor(a.first.demand)}
 			if a.urgent {
 				w.Need, w.SinceMs = a.need(), a.headSinceMs
 			}
--- a/internal/cranquota/ledger.go
+++ b/internal/cranquota/ledger.go
@@ -207,7 +207,7 @@
 }
 
 // Runs calls count for each run.
-type Runs func(count func(tenant string, d cranjob.Resources, longRunning bool))
+type Runs = func(count func(tenant string, d cranjob.Resources, longRunning bool))
 
 // agree reports whether all other shards have published what they use by the caps in force or newer ones.
 func (l *Ledger) agree() bool {
@@ -239,9 +239,13 @@
 	}
 }
 
-// Start counts a unit that starts in the round.
-func (l *Ledger) Start(tenant string, d cranjob.Resources, longRunning bool) {
+// Start counts a unit, or a task of it, that starts in the round. A unit of several tasks waits anew after each start, so
+// that a large step doesn't take precedence while it gets on.
+func (l *Ledger) Start(tenant string, unit Unit, d cranjob.Resources, longRunning bool) {
 	l.count(tenant, d, longRunning)
+	if a := l.accounts[tenant]; a != nil && a.head.unit == unit {
+		a.head = unitDemand{}
+	}
 }
 
 // Release takes back a run that was counted.
@@ -252,10 +256,10 @@
 }
 
 // Exceeded reports whether a tenant uses more than its share of the cap by a run of the given demand, which
-// was counted and hasn't started yet.
+// was counted and hasn't started yet, or may do so.
 func (l *Ledger) Exceeded(tenant string, d cranjob.Resources) bool {
 	a := l.accounts[tenant]
-	return a != nil && a.limited() && !a.fits(a.used.Sub(d).Add(a.clamp(d)), l.usable(tenant))
+	return a != nil && a.limited() && (a.unsettled || !a.fits(a.used.Sub(d).Add(a.clamp(d)), l.usable(tenant)))
 }
 
 // usable returns the share of the cap that the shard may use: not what others use beyond their shares.
--- a/internal/cranquota/ledger_test.go
+++ b/internal/cranquota/ledger_test.go
@@ -102,7 +102,7 @@
 			left = append(left, u)
 			continue
 		}
-		o.Start(tenant, u.demand, u.longRunning)
+		o.Start(tenant, u.unit, u.demand, u.longRunning)
 		u.endsAt += w.now
 		o.runs = append(o.runs, u)
 		w.starts[u.unit]++
--- a/internal/cranquota/record.go
+++ b/internal/cranquota/record.go
@@ -53,6 +53,8 @@
 	// shards; 0 if it has none. Of two shards, the one with the lower SinceMs, in Unix milliseconds, comes first.
 	Need    int64
 	SinceMs int64
+	// Unit is the share that the next task or gang takes.
+	Unit int64
 }
 
 // Amount is a part of a tenant's cap. It exceeds the whole if the cap was lowered.
@@ -81,7 +83,7 @@
 		}
 	}
 	for _, w := range r.Wants {
-		if !validShare(w.Share) || !validShare(w.Need) || !validName(w.Tenant) {
+		if !validShare(w.Share) || !validShare(w.Need) || !validShare(w.Unit) || !validName(w.Tenant) {
 			return malformed("a wanted share is out of range")
 		}
 	}
