cransched: check the caps of tenants before each start

Starts of a tenant with a cap are counted with the whole demand of the step, in every phase, and checked in all places that start tasks, and again before a stored start is sent. A task that waits for the cap costs no search, is no starved task, reserves no target and is no demand for instances. A successor counts the runs of jobs that have ended lately until every target has reported: otherwise it started 8000 beside a cap of 4000 when a cancelled job's target answered neither owner.

Not seen to fail: the check of overdue jobs, arrivals of capped tenants, and the tenant of unknown runs.

--- a/internal/cransched/job.go
+++ b/internal/cransched/job.go
@@ -32,6 +32,8 @@
 	tasks []*task
 	// done and waiting count the tasks with these statuses.
 	done, waiting int
+	// waitsForCap is set while the waiting tasks wait for the cap of their tenant, as of the last round.
+	waitsForCap bool
 }
 
 func (s *stage) complete() bool { return s.done == len(s.tasks) }
--- a/internal/cransched/overdue.go
+++ b/internal/cransched/overdue.go
@@ -29,7 +29,7 @@
 		return
 	}
 	overdue := slices.DeleteFunc(slices.Clone(list), func(c candidate) bool {
-		return c.stage.step.Gang || s.clock.Steady-c.job.waitsSince < overdueAfter
+		return c.stage.step.Gang || c.stage.waitsForCap || s.clock.Steady-c.job.waitsSince < overdueAfter
 	})
 	if len(overdue) > maxOverdue {
 		return
@@ -46,7 +46,7 @@
 			continue
 		}
 		i := slices.IndexFunc(c.stage.tasks, func(t *task) bool { return s.mayPlace(t) })
-		if i < 0 {
+		if i < 0 || !s.allowsUnit(c.stage) {
 			continue
 		}
 		chosen := s.chooseTarget(c.stage, targets)
--- a/internal/cransched/place.go
+++ b/internal/cransched/place.go
@@ -24,8 +24,10 @@
 // priority and least slack, then the rest.
 func (s *Scheduler) place() {
 	if !s.mayStart() {
+		s.recountQuota()
 		return
 	}
+	s.beginQuota()
 	byPool := map[string][]*target{}
 	for _, t := range s.sorted {
 		if t.schedulable(s.clock.Steady) && !s.hasPendingOrder(t) {
@@ -45,6 +47,9 @@
 	s.startsLimited = false
 	for _, c := range list {
 		targets := byPool[c.job.Pool]
+		if s.refusedByQuota(c.stage) {
+			continue
+		}
 		if len(targets) == 0 {
 			s.starved[c.job.Pool] = s.starved[c.job.Pool] || c.stage.step.LongRunning
 			continue
@@ -56,6 +61,7 @@
 			s.startsLimited = true
 			s.limitedRounds++
 			maps.Copy(s.starved, starvedBefore)
+			s.endQuota(false)
 			return
 		}
 		if c.stage.step.Gang {
@@ -66,6 +72,9 @@
 			if !s.mayPlace(t) {
 				continue
 			}
+			if !s.allowsUnit(c.stage) {
+				break
+			}
 			chosen := s.chooseTarget(c.stage, targets)
 			if chosen == nil {
 				switch {
@@ -82,6 +91,7 @@
 			}
 		}
 	}
+	s.endQuota(true)
 }
 
 // reserveTarget selects a target to keep free for a long-running task that fits nowhere at
--- a/internal/cransched/pools.go
+++ b/internal/cransched/pools.go
@@ -222,7 +222,7 @@
 		for _, st := range j.stages {
 			if !st.complete() && s.readyWithinMoveTime(j, st) {
 				parallelism, late := s.requiredParallelism(j, st)
-				d.add(st, parallelism, late)
+				d.add(st, st.limitToCap(parallelism), late)
 			}
 		}
 	}
@@ -246,7 +246,7 @@
 // recordArrival adds the work of a job of the given age to the arrival history of its pool.
 // Jobs with scheduled occurrences are ignored, and so are long-running steps.
 func (s *Scheduler) recordArrival(j *job, age time.Duration) {
-	if j.Times > 0 {
+	if j.Times > 0 || s.capped[j.Tenant] {
 		return
 	}
 	j.updateEstimates(s.predictors[j.Queue], s.clock.Steady)
--- a/internal/cransched/probation.go
+++ b/internal/cransched/probation.go
@@ -149,6 +149,9 @@
 		if places <= 0 || left[j] <= 0 {
 			continue
 		}
+		if !s.allowsUnit(w.stage) {
+			continue
+		}
 		host, fits := s.chooseForSuspect(w.stage, hosts)
 		if host == nil {
 			s.starved[pool] = s.starved[pool] || !fits
--- a/internal/cransched/report.go
+++ b/internal/cransched/report.go
@@ -189,7 +189,7 @@
 	r := &run{name: report.Task, number: report.Run, phase: stopping, stopReason: "unknown run", share: fullShare}
 	if e, found := s.stored.Lookup(report.Task.Job); found && report.Task.Step < len(e.Job().Steps) {
 		r.step = &e.Job().Steps[report.Task.Step]
-		r.reserved = r.step.Reservation()
+		r.reserved, r.tenant = r.step.Reservation(), e.Job().Tenant
 	} else {
 		// A run of unknown size may use all free resources.
 		r.reserved = t.free().NonNegative()
--- a/internal/cransched/scheduler.go
+++ b/internal/cransched/scheduler.go
@@ -66,6 +66,7 @@
 	lag time.Duration
 	// createdAt is when this owner took over.
 	createdAt time.Duration
+	quotaState
 }
 
 // Predecessor is what a new owner knows about the previous owner.
@@ -143,7 +144,7 @@
 			host.unlistedAt = s.clock.Steady
 			s.addTarget(host)
 		}
-		t.run = &run{name: t.name, number: t.Run, reserved: t.step.Reservation(), phase: unverified, task: t, step: t.step, share: fullShare}
+		t.run = &run{name: t.name, number: t.Run, reserved: t.step.Reservation(), phase: unverified, task: t, step: t.step, tenant: j.Tenant, share: fullShare}
 		host.add(t.run)
 	}
 	if e.Cancelled() {
@@ -308,6 +309,7 @@
 		return
 	}
 	s.inFlight = nil
+	s.recountQuota()
 	for _, e := range b.effects {
 		if start, isStart := e.(StartRun); isStart {
 			s.dropStart(start)
--- a/internal/cransched/start.go
+++ b/internal/cransched/start.go
@@ -17,8 +17,9 @@
 	t.Run = number
 	t.job.setStatus(t, cranjob.Placed)
 	t.Target = dest.info.ID
-	t.run = &run{name: t.name, number: number, reserved: t.step.Reservation(), phase: planned, task: t, step: t.step, share: fullShare, resumed: t.Checkpoint != ""}
+	t.run = &run{name: t.name, number: number, reserved: t.step.Reservation(), phase: planned, task: t, step: t.step, tenant: t.job.Tenant, share: fullShare, resumed: t.Checkpoint != ""}
 	dest.add(t.run)
+	s.countStart(t)
 	if t.suspected() {
 		t.run.apart = true
 		s.rememberHost(t, dest)
@@ -51,16 +52,18 @@
 		reason = "the target has shrunk"
 	case t.info.Draining:
 		reason = "the target drains"
+	case s.exceedsCap(r):
+		reason = "the cap of the tenant has been lowered"
 	default:
 		return
 	}
 	if r.task == nil || !r.step.Gang {
-		s.releaseRun(t, r, reason)
+		s.releasePlanned(t, r, reason)
 		return
 	}
 	for _, member := range r.task.job.stageOf(r.task).tasks {
 		if member.run != nil && member.run.phase == planned {
-			s.releaseRun(s.targets[member.Target], member.run, reason)
+			s.releasePlanned(s.targets[member.Target], member.run, reason)
 		}
 	}
 }
--- a/internal/cransched/target.go
+++ b/internal/cransched/target.go
@@ -39,6 +39,8 @@
 	// task is nil for a run that belongs to no task any more or that is unknown.
 	task *task
 	step *cranjob.Step
+	// tenant is that of the job; empty if the job is of none or unknown.
+	tenant string
 	// startConfirmed is set once the start has succeeded or a report has listed the run. Only a report
 	// or a response that names its process shows in which process it runs: inCurrentProcess is set then.
 	startConfirmed, inCurrentProcess bool
--- a/internal/cransched/world_test.go
+++ b/internal/cransched/world_test.go
@@ -115,6 +115,9 @@
 	// background is the number of ordinary jobs that runBackground has submitted.
 	background int
 
+	// newQuota, if set, returns what limits the tenants for a new owner.
+	newQuota func() Quota
+
 	jobs map[string]*cranjob.Job
 	// acknowledged holds the outcomes that the owner has acknowledged, by task.
 	acknowledged map[cranjob.TaskName][]RunOutcome
@@ -203,6 +206,9 @@
 	sim.ownerID++
 	sim.owner = New(sim.epoch, simTiming, sim.config, sim.stored, sim.clock(), Predecessor{StoppedBy: predecessorStop, LastOrderAt: maps.Clone(sim.orderStoredAt), LeasesEndAt: sim.leasesEndAt})
 	sim.owners[sim.ownerID] = sim.owner
+	if sim.newQuota != nil {
+		sim.owner.SetQuota(sim.newQuota())
+	}
 	sim.leasesEndAt = nil
 	sim.owner.SetTargets(sim.targetList())
 	sim.owner.SetWaves(sim.wave)
