crannode: owners exchange their shares of tenants' caps

An owner takes over the shares of its shard when it is loaded: its claim was read back, so all records of its predecessors were. It appends its record with its other records of the digest, and withholds starts while the configuration isn't confirmed, where a tenant has a cap.

--- a/internal/cranevent/catalogue.go
+++ b/internal/cranevent/catalogue.go
@@ -215,6 +215,14 @@
 		KeyCause, KeyNumber, KeyTarget),
 	define(PoolReported, "poolReported", LevelInfo, "what a pool has and needs, and what waits in it",
 		KeyArriving, KeyCount, KeyEmpty, KeyLimited, KeyNeeded, KeyPool, KeyPunctual, KeyShard, KeyWaiting, KeyWaitingLate),
+	define(ShareGiven, "shareGiven", LevelInfo, "the owner of a shard gives a share of a tenant's cap to another shard",
+		KeyCount, KeyNumber, KeyShard, KeyTenant),
+	define(CapReached, "capReached", LevelInfo, "tasks of a tenant wait for its cap",
+		KeyCount, KeyShard, KeyTenant),
+	define(CapRelieved, "capRelieved", LevelInfo, "no task of a tenant waits for its cap any more",
+		KeyElapsedMs, KeyShard, KeyTenant),
+	define(SharesInherited, "sharesInherited", LevelInfo, "a new owner takes over the shares of the tenants' caps",
+		KeyCount, KeyEpoch, KeyShard),
 }
 
 // byEvent maps each event to its definition.
--- a/internal/cranevent/event.go
+++ b/internal/cranevent/event.go
@@ -141,6 +141,15 @@
 	MoveOrdered        Event = 1313
 	// PoolReported says regularly what a pool has and needs, and what waits in it.
 	PoolReported Event = 1314
+
+	// ShareGiven means that the owner of a shard gives a share of a tenant's cap to another one.
+	ShareGiven Event = 1401
+	// CapReached means that tasks of a tenant wait for its cap.
+	CapReached Event = 1402
+	// CapRelieved means that no task of a tenant waits for its cap any more.
+	CapRelieved Event = 1403
+	// SharesInherited means that a new owner has taken over the shares of tenants' caps that its shard has.
+	SharesInherited Event = 1404
 )
 
 // Events of moves between pools.
--- a/internal/cranmetric/jobs.go
+++ b/internal/cranmetric/jobs.go
@@ -38,8 +38,9 @@
 	ownedShards, lag prometheus.Gauge
 	digestJobs       prometheus.Gauge
 	// The owner metrics are by shard.
-	waitingTasks, startsUnderWay, submissionsAge, appendAge *prometheus.GaugeVec
-	malformed                                               closedCounters[string]
+	waitingTasks, startsUnderWay, submissionsAge, appendAge, cappedTenants *prometheus.GaugeVec
+	sharesGiven                                                            prometheus.Counter
+	malformed                                                              closedCounters[string]
 }
 
 // streams are the values of the label stream.
@@ -94,7 +95,9 @@
 	m.startsUnderWay = shardGauge("owner_starts_under_way", "Starts of a shard's owner that wait for the store or for a response.")
 	m.submissionsAge = shardGauge("owner_submissions_age_seconds", "Time since a shard's owner has read every stored submission.")
 	m.appendAge = shardGauge("owner_append_age_seconds", "Time for which the append of a shard's owner to the progress has been unanswered.")
-	m.registry.MustRegister(m.waitingTasks, m.startsUnderWay, m.submissionsAge, m.appendAge)
+	m.cappedTenants = shardGauge("owner_capped_tenants", "Tenants of which tasks of a shard wait for the cap.")
+	m.sharesGiven = counter("quota_gifts_total", "Shares of tenants' caps that this process gave to other shards.")
+	m.registry.MustRegister(m.cappedTenants, m.sharesGiven, m.waitingTasks, m.startsUnderWay, m.submissionsAge, m.appendAge)
 	malformed := vector("malformed_records_total", "Records of a stream that were skipped because they are malformed.", "stream")
 	m.malformed = newClosedCounters(malformed, streams)
 	for _, k := range cranfault.Kinds() {
@@ -152,11 +155,19 @@
 
 // OwnerEnded removes what was recorded of the owner of a shard, which this process no longer is.
 func (m *Jobs) OwnerEnded(shard string) {
-	for _, v := range []*prometheus.GaugeVec{m.waitingTasks, m.startsUnderWay, m.submissionsAge, m.appendAge} {
+	for _, v := range []*prometheus.GaugeVec{m.waitingTasks, m.startsUnderWay, m.submissionsAge, m.appendAge, m.cappedTenants} {
 		v.DeleteLabelValues(shard)
 	}
 }
 
+// ShareGiven counts a share of a tenant's cap that an owner gave to another shard.
+func (m *Jobs) ShareGiven() { m.sharesGiven.Inc() }
+
+// CappedTenants records how many tenants have tasks of a shard that wait for the cap.
+func (m *Jobs) CappedTenants(shard string, n int) {
+	m.cappedTenants.WithLabelValues(shard).Set(float64(n))
+}
+
 // DigestJobs records of how many jobs this process knows the state.
 func (m *Jobs) DigestJobs(n int) { m.digestJobs.Set(float64(n)) }
 
--- a/internal/crannode/config.go
+++ b/internal/crannode/config.go
@@ -97,6 +97,7 @@
 		}
 		if at, current := u.CurrentAt(); current {
 			n.configReadAt.Store(int64(at))
+			n.post(ctx, func() { n.control.configReadAt = at })
 			n.metrics.ConfigConfirmed(n.now().UnixMs - (n.now().Steady - at).Milliseconds())
 		}
 	})
--- a/internal/crannode/control.go
+++ b/internal/crannode/control.go
@@ -43,9 +43,11 @@
 	layout        layoutDecision
 	configWatch   configWatch
 	config        *cransched.Config
-	waves         []*waveState
-	targets       targetList
-	instances     instanceReader
+	// configReadAt is the time up to which all stored configurations were read and are in force.
+	configReadAt time.Duration
+	waves        []*waveState
+	targets      targetList
+	instances    instanceReader
 	// handoverRequested is closed to make the control goroutine hand the shards over,
 	// handoverDone once it has done so. Other goroutines use both.
 	handoverRequested, handoverDone chan struct{}
@@ -176,6 +178,7 @@
 	for _, s := range c.node.shards {
 		if s.scheduling() {
 			s.owner.scheduler.SetConfig(config)
+			s.owner.setCaps(config)
 		}
 	}
 }
--- a/internal/crannode/owner.go
+++ b/internal/crannode/owner.go
@@ -17,10 +17,12 @@
 		o.startIfLoaded(now)
 	} else {
 		o.scheduler.Advance(now)
+		o.readQuota()
 		o.boundStarts(now.Steady)
 		wait = o.tick(now)
 		o.appendProgress(now.Steady)
 		o.performEffects()
+		o.reportQuota(now.Steady)
 		o.reportProgress(now.Steady)
 	}
 	o.appendDigest(now.Steady)
@@ -96,15 +98,17 @@
 	renewing := now-o.renewedAt >= claimInterval
 	stalled := o.observeStall(now)
 	stallChanged := stalled != o.stallStored
-	switch {
-	case o.digest.busy || releasing && (o.progress.busy || o.scheduler != nil && !o.flushed):
+	if o.digest.busy || releasing && (o.progress.busy || o.scheduler != nil && !o.flushed) || !releasing && now < o.digest.nextAt {
 		return
-	case !releasing && (now < o.digest.nextAt || !renewing && !stallChanged && len(o.states) == 0 && len(o.waveRecords) == 0 && !o.silentTargetsChanged()):
+	}
+	// The record says what is given away, so it must be appended.
+	quota := o.quotaRecords(now)
+	if !releasing && !renewing && !stallChanged && len(o.states) == 0 && len(o.waveRecords) == 0 && len(quota) == 0 && !o.silentTargetsChanged() {
 		return
 	}
 	s := o.shard
 	records := crandigest.Segments(s.number, o.epoch, o.digest.sequence+1, o.states)
-	records = append(records, o.waveRecords...)
+	records = append(append(records, o.waveRecords...), quota...)
 	o.states, o.waveRecords = nil, nil
 	clear(o.stateIndex)
 	leases := o.silentTargetsChanged()
--- a/internal/crannode/ownership.go
+++ b/internal/crannode/ownership.go
@@ -77,6 +77,7 @@
 	// submissionsLatency is how much longer that read took.
 	submissionsLatency time.Duration
 	startWatch         startWatch
+	quota              ownerQuota
 	// states holds the changed states of jobs, and waveRecords the progress with waves, that
 	// are to be appended to the digest. stateIndex maps a job to its position in states.
 	states      []crandigest.JobState
@@ -265,6 +266,7 @@
 			o.publish(crandigest.JobState{ID: id, Queue: e.Job().Queue, State: e.State()})
 		}
 	}
+	o.beginQuota(c.config)
 	o.scheduler.SetTargets(c.targets.list(s.number))
 	o.scheduler.SetWaves(c.waveOrders(s.number))
 	n.metrics.TookOver()
--- a/internal/crannode/starts.go
+++ b/internal/crannode/starts.go
@@ -72,11 +72,11 @@
 func (o *ownership) boundStarts(now time.Duration) {
 	n := o.shard.node
 	targetsReadAt, confirmedAt := n.control.targets.readAt, time.Duration(o.confirmedAt.Load())
-	first := slices.MinFunc([]premise{
+	first := slices.MinFunc(append(o.configPremise(), []premise{
 		{"submissions", o.submissionsReadAt, o.submissionsReadAt + n.cancelBound - minStartTime - startMargin},
 		{"targets", targetsReadAt, targetsReadAt + n.drainBound - minStartTime - startMargin},
 		{"digest", confirmedAt, confirmedAt + cransched.OwnershipTimeout},
-	}, func(a, b premise) int { return cmp.Compare(a.holdsTill, b.holdsTill) })
+	}...), func(a, b premise) int { return cmp.Compare(a.holdsTill, b.holdsTill) })
 	o.scheduler.SetStartsUntil(first.holdsTill)
 	w := &o.startWatch
 	if withheld := now > first.holdsTill; withheld != w.withheld {
