cranquota: versions without a change of caps delay nothing

Each version that an owner skipped held back the starts of tenants with caps until all other owners had published by it. Owners skip versions whenever they follow each other quickly, and are never at the same one then, so these tenants would have stood still throughout. The record carries a checksum of the caps; only a lower cap, or other caps by an older version, holds starts back.

--- a/internal/cranquota/account.go
+++ b/internal/cranquota/account.go
@@ -11,9 +11,10 @@
 	cap cranjob.Resources
 	// removed is set while the configuration doesn't have the tenant.
 	removed bool
-	// unsettled is set while the cap may have been lowered and others may still use more of it. Nothing starts until
-	// all have published what they use beyond their shares.
+	// unsettled is set while other shards may use more of the cap than their shares, as it was lowered. Nothing starts until
+	// all have published what they use, by the caps of the version since or of a newer one.
 	unsettled bool
+	since     int64
 	given     map[int]int64
 	// used is what the tenant has on targets of the shard, lasting the part of its long-running tasks.
 	used, lasting cranjob.Resources
--- a/internal/cranquota/decide.go
+++ b/internal/cranquota/decide.go
@@ -244,7 +244,7 @@
 }
 
 func (l *Ledger) record() Record {
-	r := Record{Version: l.version}
+	r := Record{Version: l.version, Caps: l.caps}
 	for _, name := range l.sorted {
 		a := l.accounts[name]
 		for to := range l.shards {
--- a/internal/cranquota/ledger.go
+++ b/internal/cranquota/ledger.go
@@ -1,6 +1,10 @@
 package cranquota
 
 import (
+	"fmt"
+	"hash/fnv"
+	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -25,8 +29,9 @@
 	transfers []Transfer
 	// sorted holds the names of the accounts in order, so that the decisions don't depend on the order of a map.
 	sorted []string
-	// version is that of the configuration in force.
+	// version is that of the configuration in force, caps the checksum of its caps.
 	version int64
+	caps    uint64
 	// counted is set once everything on targets was counted with the caps in force.
 	counted bool
 }
@@ -47,6 +52,7 @@
 	// pins and over are those of the record.
 	pins, over map[string]int64
 	version    int64
+	caps       uint64
 }
 
 // New returns the ledger of a shard whose newest stored record is own.
@@ -76,24 +82,33 @@
 }
 
 // SetCaps applies the caps of all tenants of a version of the configuration. A tenant that it doesn't have keeps its
-// last cap. Nothing of a tenant starts until the other shards have published what they use, if its cap is lower
-// than before, or if a skipped version may have had a higher one.
+// last cap.
 func (l *Ledger) SetCaps(version int64, caps map[string]cranjob.Resources) {
-	skipped := version != l.version+1
 	for name, a := range l.accounts {
 		if _, known := caps[name]; !known && a.limited() {
 			a.removed = true
 		}
 	}
-	for name, limit := range caps {
-		if l.accounts[name] == nil && limit == (cranjob.Resources{}) {
+	sum := fnv.New64a()
+	for _, name := range slices.Sorted(maps.Keys(caps)) {
+		limit := caps[name]
+		if limit != (cranjob.Resources{}) {
+			_, _ = fmt.Fprintf(sum, "%q%d", name, limit)
+		} else if l.accounts[name] == nil {
 			continue
 		}
 		a := l.account(name)
-		a.unsettled = a.unsettled || skipped || isLower(limit.CPU, a.cap.CPU) || isLower(limit.Memory, a.cap.Memory) || isLower(limit.Accelerators, a.cap.Accelerators)
+		if isLower(limit.CPU, a.cap.CPU) || isLower(limit.Memory, a.cap.Memory) || isLower(limit.Accelerators, a.cap.Accelerators) {
+			a.unsettled, a.since = true, version
+		}
 		a.cap, a.removed = limit, false
 	}
-	l.version, l.counted = version, false
+	for _, a := range l.accounts {
+		if a.since == 0 {
+			a.since = version
+		}
+	}
+	l.version, l.caps, l.counted = version, sum.Sum64(), false
 }
 
 // isLower reports whether a quantity of a cap is lower than before; 0 means that there is no limit.
@@ -123,7 +138,7 @@
 	if shard == l.shard {
 		return
 	}
-	v := &view{given: map[string]int64{}, toShard: map[giftKey]int64{}, wants: map[string]Want{}, pins: map[string]int64{}, over: map[string]int64{}, version: r.Version}
+	v := &view{given: map[string]int64{}, toShard: map[giftKey]int64{}, wants: map[string]Want{}, pins: map[string]int64{}, over: map[string]int64{}, version: r.Version, caps: r.Caps}
 	for _, g := range r.Gifts {
 		v.given[g.Tenant] += g.Total
 		v.toShard[giftKey{g.Tenant, g.To}] += g.Total
@@ -137,12 +152,6 @@
 	for _, o := range r.Over {
 		v.over[o.Tenant] = o.Share
 	}
-	if old := l.others[shard]; old != nil && v.version < min(old.version, l.version) {
-		// A successor that knows an older configuration may use more.
-		for _, a := range l.accounts {
-			a.unsettled = true
-		}
-	}
 	l.others[shard] = v
 }
 
@@ -199,26 +208,44 @@
 func (l *Ledger) Begin(now time.Duration, unixMs int64, runs Runs) {
 	l.now, l.unixMs = now, unixMs
 	l.Recount(runs)
-	agreed := l.agree()
+	oldest, agreed := l.oldestVersion(), l.agree()
 	for _, a := range l.accounts {
 		a.waiting, a.first, a.seen = cranjob.Resources{}, unitDemand{}, false
-		a.unsettled = a.unsettled && !agreed
+		a.unsettled = !agreed || oldest < a.since
 	}
 }
 
 // Runs calls count for each run.
 type Runs = func(count func(tenant string, d cranjob.Resources, longRunning bool))
 
-// agree reports whether all other shards have published what they use by the caps in force or newer ones.
+// agree reports whether no other shard has published anything by caps of an older version that differ from those in force.
+// They may have been higher, also if the owner of this shard has not seen that version. Versions that follow each other
+// quickly without a change of the caps cause no pause.
 func (l *Ledger) agree() bool {
-	for shard := range l.shards {
-		if v := l.others[shard]; shard != l.shard && (v == nil || v.version < l.version) {
+	for _, v := range l.others {
+		if v.version < l.version && v.caps != l.caps {
 			return false
 		}
 	}
 	return true
 }
 
+// oldestVersion returns the oldest version by which another shard has published its newest record; 0 if one has published
+// none.
+func (l *Ledger) oldestVersion() int64 {
+	oldest := int64(math.MaxInt64)
+	for shard := range l.shards {
+		switch v := l.others[shard]; {
+		case shard == l.shard:
+		case v == nil:
+			return 0
+		default:
+			oldest = min(oldest, v.version)
+		}
+	}
+	return oldest
+}
+
 // Recount counts the runs anew within a round.
 func (l *Ledger) Recount(runs Runs) {
 	for _, a := range l.accounts {
--- a/internal/cranquota/ledger_test.go
+++ b/internal/cranquota/ledger_test.go
@@ -299,7 +299,7 @@
 	for _, versions := range []struct {
 		first    int
 		ofA, ofB []int
-	}{{first: 100}, {first: 0}, {100, []int{1, 2}, []int{1}}} {
+	}{{first: 100}, {first: 0}, {100, []int{1, 2}, []int{1, 3}}} {
 		w := newWorld(t, 2, cranjob.Resources{CPU: versions.first})
 		w.caps = []cranjob.Resources{{CPU: versions.first}, {CPU: 40}, {CPU: 100}, {CPU: 40}}
 		w.run(time.Second)
@@ -360,3 +360,18 @@
 	successor.Forget(func(string) bool { return false })
 	require.False(t, successor.Active())
 }
+
+// TestVersionsInQuickSuccessionDelayNothing guards against a pause of a tenant's starts with each version of the
+// configuration: owners skip versions, and are never at the same one.
+func TestVersionsInQuickSuccessionDelayNothing(t *testing.T) {
+	w := newWorld(t, 3, cranjob.Resources{CPU: 90})
+	w.caps = slices.Repeat(w.caps, 200)
+	w.run(2 * time.Second)
+	for i := range 100 {
+		o := w.owners[i%3]
+		o.apply(w, i+i%2)
+		o.waiting = append(o.waiting, unitOf{unit: Unit{Job: fmt.Sprint(i)}, demand: cranjob.Resources{CPU: 30}, endsAt: 50 * time.Millisecond})
+		w.run(100 * time.Millisecond)
+		require.Empty(t, o.waiting)
+	}
+}
--- a/internal/cranquota/record.go
+++ b/internal/cranquota/record.go
@@ -25,8 +25,10 @@
 	_ struct{} `cbor:",toarray"`
 	// Version is that of the configuration with the caps to which the shares refer.
 	Version int64
-	Gifts   []Gift
-	Wants   []Want
+	// Caps is a checksum of them.
+	Caps  uint64
+	Gifts []Gift
+	Wants []Want
 	// Pins holds the shares that the long-running tasks of tenants use on the shard.
 	Pins []Amount
 	// Over holds what tenants use beyond their shares, since a cap was lowered.
