--- a/internal/cransched/quota.go
+++ b/internal/cransched/quota.go
@@ -139,13 +139,14 @@
 	return true
 }
 
-// refusedByQuota reports whether a stage has tasks that could be placed now if the cap of their tenant allowed it.
+// refusedByQuota reports whether a stage has tasks that could be placed now if the cap of their tenant allowed it. What
+// suspected tasks wait for is decided before.
 func (s *Scheduler) refusedByQuota(st *stage) bool {
-	if !s.limitsTenant(st.tasks[0].job) || !s.mayStartUnit(st) {
+	if !s.limitsTenant(st.tasks[0].job) {
 		st.waitsForCap = false
 		return false
 	}
-	return !s.allowsUnit(st)
+	return s.mayStartUnit(st) && !s.allowsUnit(st)
 }
 
 // countStart counts a task that starts.
