--- a/internal/cransched/scheduler.go
+++ b/internal/cransched/scheduler.go
@@ -78,6 +78,7 @@
 	fairness Fairness
 	// instanceCapacity holds the capacity of an instance of each pool.
 	instanceCapacity map[string]cranjob.Resources
+	quotaState
 }
 
 // Predecessor is what a new owner knows about the previous owner.
@@ -164,7 +165,7 @@
 			host.unlistedAt = s.clock.Steady
 			s.addTarget(host)
 		}
-		t.run = &run{name: t.name, number: t.Run, reserved: t.step.Reservation(), phase: unverified, task: t, step: t.step, share: fullShare}
+		t.run = &run{name: t.name, number: t.Run, reserved: t.step.Reservation(), phase: unverified, task: t, step: t.step, tenant: j.Tenant, share: fullShare}
 		host.add(t.run)
 	}
 	if e.Cancelled() {
@@ -333,6 +334,7 @@
 		return
 	}
 	s.inFlight = nil
+	s.recountQuota()
 	for _, e := range b.effects {
 		if start, isStart := e.(StartRun); isStart {
 			s.dropStart(start)
