cranpool, cransched: move the sizes of the pools into a pure package

Cause: the sizes of the pools are to follow the period of the peaks and the costs of moves. The decision was spread over pools.go, moves.go and surge.go and needed a whole scheduler to be tested.

Change: cranpool.Planner takes the supply and the demand of each pool, the number of moves that the budget allows and what the platform refuses, and returns the balances and the moves. cransched computes the demand from the jobs, orders the moves, and keeps the targets that it empties. No behaviour is changed.

--- /dev/null
+++ b/internal/cranpool/plan.go
@@ -0,0 +1,221 @@
+package cranpool
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// MoveTime is the time from the order of a move to the first task on the instance in
+	// its new pool.
+	MoveTime = 2000 * time.Millisecond
+	// usableShare is the fraction of an instance that tasks of mixed sizes can use.
+	usableShare = 0.9
+	// peakHoldTime is how long a pool keeps its instances from a standby pool after demand has
+	// dropped. Moving an instance away and back costs about two seconds of its time.
+	peakHoldTime = 1200 * time.Millisecond
+	// spareInstances is the number of instances that each pool gets beyond its demand. The
+	// first jobs of a surge arrive before an instance can be moved.
+	spareInstances = 1
+)
+
+// Supply describes the instances that a pool has.
+type Supply struct {
+	// Members counts the instances whose target takes tasks or soon will.
+	Members int
+	// Empty lists the instances on which nothing runs, including those in standby.
+	Empty []string
+	// Arriving counts the moves in progress to the pool.
+	Arriving int
+	// Capacity is that of one instance; 0 if it isn't known.
+	Capacity Load
+}
+
+// Total counts the instances whose target takes tasks, and those on their way to the pool.
+func (p *Supply) Total() int { return p.Members + p.Arriving }
+
+// Pool is the supply and the demand of a pool.
+type Pool struct {
+	Name string
+	// Standby is set for a pool whose instances are switched off.
+	Standby bool
+	Supply  Supply
+	Demand  Demand
+	// Starved is set if a task of the pool fits on none of its targets.
+	Starved bool
+}
+
+// Balance compares the instances that a pool has with those that it needs.
+type Balance struct {
+	Pool  string
+	Total int
+	// Punctual is how many instances the long-running tasks and the work that can still
+	// complete in time need, Needed how many all work of the pool needs, and Held the most
+	// that it has needed within peakHoldTime.
+	Punctual, Needed, Held int
+	empty                  []string
+}
+
+// Move is the decision to move an instance to a pool.
+type Move struct{ Instance, Pool string }
+
+// Limits restrict the moves of one plan.
+type Limits struct {
+	// Moves is the largest number of them.
+	Moves int
+	// MayMove reports whether the platform accepts a move now.
+	MayMove func(Move) bool
+}
+
+// Planner plans the moves of the instances of a shard. It isn't safe for concurrent use.
+type Planner struct {
+	// peaks holds the recent peak demand of each pool.
+	peaks map[string]*peakDemand
+}
+
+// NewPlanner returns a planner that knows nothing of earlier demand.
+func NewPlanner() *Planner { return &Planner{peaks: map[string]*peakDemand{}} }
+
+// Plan returns the balance of each pool that isn't a standby pool, and the moves to order.
+// The pools must be sorted by name.
+func (p *Planner) Plan(now time.Duration, pools []Pool, limits Limits) ([]Balance, []Move) {
+	balances := p.balances(now, pools)
+	return balances, planMoves(balances, pools, limits)
+}
+
+// balances returns the balance of each pool that isn't a standby pool.
+func (p *Planner) balances(now time.Duration, pools []Pool) []Balance {
+	var balances []Balance
+	for i := range pools {
+		pool := &pools[i]
+		if pool.Standby {
+			continue
+		}
+		starved := pool.starvedInstances()
+		d, supply := &pool.Demand, &pool.Supply
+		needed := max(d.instances(supply.Capacity, d.Late), starved)
+		balances = append(balances, Balance{
+			Pool: pool.Name, Total: supply.Total(), empty: supply.Empty,
+			Punctual: max(d.instances(supply.Capacity, Load{}), starved), Needed: needed, Held: p.holdPeak(now, pool.Name, needed),
+		})
+	}
+	return balances
+}
+
+// starvedInstances returns the number of instances that a pool needs for a task that fits on
+// none of its targets: one more than its members. The demand of the pool
+// alone doesn't show this, since its total free capacity may be large enough for the task.
+func (p *Pool) starvedInstances() int {
+	if !p.Starved {
+		return 0
+	}
+	return p.Supply.Members + 1
+}
+
+// peakDemand is the largest number of instances that a pool needed recently, kept until a
+// time.
+type peakDemand struct {
+	count int
+	until time.Duration
+}
+
+// holdPeak returns the largest number of instances that the pool needed within
+// peakHoldTime, so that a short dip in demand moves no instance to a standby pool.
+func (p *Planner) holdPeak(now time.Duration, pool string, count int) int {
+	peak := p.peaks[pool]
+	if peak == nil || count >= peak.count || now >= peak.until {
+		p.peaks[pool] = &peakDemand{count: count, until: now + peakHoldTime}
+		return count
+	}
+	return peak.count
+}
+
+// shortage is a number of instances that a pool lacks.
+type shortage struct {
+	pool  string
+	count int
+}
+
+// shortages returns what the pools lack, in the order in which they get instances: first for
+// work that can still complete in time, then for late work, and the largest shortage first.
+func shortages(balances []Balance) []shortage {
+	var punctual, late []shortage
+	for _, b := range balances {
+		lacksPunctual := max(b.Punctual-b.Total, 0)
+		if lacksPunctual > 0 {
+			punctual = append(punctual, shortage{b.Pool, lacksPunctual})
+		}
+		if rest := b.Needed - b.Total - lacksPunctual; rest > 0 {
+			late = append(late, shortage{b.Pool, rest})
+		}
+	}
+	for _, list := range [][]shortage{punctual, late} {
+		slices.SortFunc(list, func(a, b shortage) int { return cmp.Or(b.count-a.count, cmp.Compare(a.pool, b.pool)) })
+	}
+	return append(punctual, late...)
+}
+
+// surplus returns the empty instances that a pool doesn't need now.
+func (b *Balance) surplus() []string {
+	return b.empty[:min(max(b.Total-b.Needed, 0), len(b.empty))]
+}
+
+// unneeded returns those of the surplus that the pool has not needed lately.
+func (b *Balance) unneeded() []string {
+	empty := b.surplus()
+	return empty[:min(max(b.Total-b.Held, 0), len(empty))]
+}
+
+// planMoves moves empty instances to pools with a shortage, and those that no pool has needed
+// lately to a standby pool. It answers demand that turns from one pool to the next: a surplus is
+// used first, since an instance that goes to a standby pool while another one comes from there
+// takes two moves, and a peak that is over keeps no instance from a pool that lacks it.
+func planMoves(balances []Balance, pools []Pool, limits Limits) []Move {
+	var surplus []string
+	unneeded := map[string]bool{}
+	for i := range balances {
+		surplus = append(surplus, balances[i].surplus()...)
+		for _, instance := range balances[i].unneeded() {
+			unneeded[instance] = true
+		}
+	}
+	var moves []Move
+	order := func(instance, pool string) {
+		if m := (Move{instance, pool}); limits.MayMove(m) {
+			moves = append(moves, m)
+		}
+	}
+	standby, reserve := standbyReserve(pools)
+	for _, lack := range shortages(balances) {
+		for n := lack.count; n > 0 && len(surplus)+len(reserve) > 0 && len(moves) < limits.Moves; n-- {
+			donors := &surplus
+			if len(surplus) == 0 {
+				donors = &reserve
+			}
+			order((*donors)[0], lack.pool)
+			*donors = (*donors)[1:]
+		}
+	}
+	for _, instance := range surplus {
+		if standby == "" || len(moves) >= limits.Moves {
+			break
+		}
+		if unneeded[instance] {
+			order(instance, standby)
+		}
+	}
+	return moves
+}
+
+// standbyReserve returns the empty instances of all standby pools, and the name of one of these
+// pools; empty if there is none.
+func standbyReserve(pools []Pool) (pool string, reserve []string) {
+	for i := range pools {
+		if pools[i].Standby {
+			pool = pools[i].Name
+			reserve = append(reserve, pools[i].Supply.Empty...)
+		}
+	}
+	return pool, reserve
+}
--- a/internal/cransched/moves.go
+++ b/internal/cransched/moves.go
@@ -1,7 +1,6 @@
 package cransched
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -25,88 +24,11 @@
 	acceptedAt time.Duration
 }
 
-// shortage is a number of instances that a pool lacks.
-type shortage struct {
-	pool  string
-	count int
-}
-
-// shortages returns what the pools lack, in the order in which they get instances: first for
-// work that can still complete in time, then for late work, and the largest shortage first.
-func shortages(balances []*poolBalance) []shortage {
-	var punctual, late []shortage
-	for _, b := range balances {
-		lacksPunctual := max(b.punctual-b.total, 0)
-		if lacksPunctual > 0 {
-			punctual = append(punctual, shortage{b.pool, lacksPunctual})
-		}
-		if rest := b.needed - b.total - lacksPunctual; rest > 0 {
-			late = append(late, shortage{b.pool, rest})
-		}
-	}
-	for _, list := range [][]shortage{punctual, late} {
-		slices.SortFunc(list, func(a, b shortage) int { return cmp.Or(b.count-a.count, cmp.Compare(a.pool, b.pool)) })
-	}
-	return append(punctual, late...)
-}
-
-// surplus returns the empty instances that a pool doesn't need now.
-func (b *poolBalance) surplus(p *poolSupply) []string {
-	return p.empty[:min(max(b.total-b.needed, 0), len(p.empty))]
-}
-
-// rebalance moves empty instances to pools with a shortage, and those that no pool has needed
-// lately to a standby pool. It answers demand that turns from one pool to the next: a surplus is
-// used first, since an instance that goes to a standby pool while another one comes from there
-// takes two moves, and a peak that is over keeps no instance from a pool that lacks it.
-func (s *Scheduler) rebalance(balances []*poolBalance, supply map[string]*poolSupply) {
-	var surplus []string
-	unneeded := map[string]bool{}
-	for _, b := range balances {
-		empty := b.surplus(supply[b.pool])
-		surplus = append(surplus, empty...)
-		for _, instance := range empty[:min(max(b.total-b.held, 0), len(empty))] {
-			unneeded[instance] = true
-		}
-	}
-	standby, reserve := s.reserve(supply)
-	for _, b := range shortages(balances) {
-		for n := b.count; n > 0 && len(surplus)+len(reserve) > 0 && s.fleet.budget.allows(); n-- {
-			donors := &surplus
-			if len(surplus) == 0 {
-				donors = &reserve
-			}
-			s.orderMove((*donors)[0], b.pool)
-			*donors = (*donors)[1:]
-		}
-	}
-	for _, instance := range surplus {
-		if standby == "" || !s.fleet.budget.allows() {
-			return
-		}
-		if unneeded[instance] {
-			s.orderMove(instance, standby)
-		}
-	}
-}
-
-// reserve returns the empty instances of all standby pools, and the name of one of these pools;
-// empty if there is none.
-func (s *Scheduler) reserve(supply map[string]*poolSupply) (pool string, reserve []string) {
-	for _, name := range slices.Sorted(maps.Keys(s.config.Pools)) {
-		if s.config.Pools[name].Standby {
-			pool = name
-			reserve = append(reserve, supply[name].empty...)
-		}
-	}
-	return pool, reserve
-}
-
 // orderMove cordons an instance and orders its move to a pool. It reports whether the move
 // was ordered.
 func (s *Scheduler) orderMove(instance, pool string) bool {
 	to := destination{instance, pool}
-	if s.fleet.refusedMoves[to] || !s.mayOrder(instance) {
+	if !s.mayMove(to) {
 		return false
 	}
 	m := &move{destination: to, beganAt: s.clock.Steady}
@@ -121,6 +43,11 @@
 	return true
 }
 
+// mayMove reports whether the platform accepts the order of a move now.
+func (s *Scheduler) mayMove(to destination) bool {
+	return !s.fleet.refusedMoves[to] && s.mayOrder(to.instance)
+}
+
 func (s *Scheduler) sendMove(m *move) {
 	m.sentAt = s.clock.Steady
 	order := s.fleet.storedOrders[m.instance]
--- a/internal/cransched/pools.go
+++ b/internal/cransched/pools.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cranberrypick/cranberrypick/internal/cranjob"
+	"github.com/cranberrypick/cranberrypick/internal/cranpool"
 )
 
 const (
@@ -14,18 +15,10 @@
 	planInterval = 100 * time.Millisecond
 	// moveTime is the time from the order of a move to the first task on the instance in
 	// its new pool.
-	moveTime = 2000 * time.Millisecond
+	moveTime = cranpool.MoveTime
 	// lateWorkHorizon is the time within which work should finish that can't meet its soft
 	// deadline any more.
 	lateWorkHorizon = 5000 * time.Millisecond
-	// usableShare is the fraction of an instance that tasks of mixed sizes can use.
-	usableShare = 0.9
-	// peakHoldTime is how long a pool keeps its instances from a standby pool after demand has
-	// dropped. Moving an instance away and back costs about two seconds of its time.
-	peakHoldTime = 1200 * time.Millisecond
-	// spareInstances is the number of instances that each pool gets beyond its demand. The
-	// first jobs of a surge arrive before an instance can be moved.
-	spareInstances = 1
 	// moveTimeout is the time after which an unfinished move no longer counts as in
 	// progress.
 	moveTimeout = 8 * time.Second
@@ -58,33 +51,13 @@
 	b.replenishedAt = now
 }
 
-// allows reports whether a move may be ordered.
-func (b *moveBudget) allows() bool { return b.left >= 1 }
+// available returns how many moves may be ordered now.
+func (b *moveBudget) available() int { return max(int(b.left), 0) }
 
 // spend counts a move that was ordered.
 func (b *moveBudget) spend() { b.left-- }
 
-// peakDemand is the largest number of instances that a pool needed recently, kept until a
-// time.
-type peakDemand struct {
-	count int
-	until time.Duration
-}
-
-// demand is the load that the jobs of a pool ask for.
-type demand struct {
-	// longRunning is the load of long-running tasks, urgent the load that the other tasks
-	// need now to complete in time, and expected the forecast load of arriving jobs. late is
-	// the load of tasks that can't complete in time any more.
-	longRunning, urgent, expected, late load
-	// minInstances is the number of instances needed to spread the tasks of a step.
-	minInstances int
-}
-
-// planPools adapts the sizes of the pools by moving empty instances. Demand surges in one
-// pool at a time, beyond its capacity, while the others are idle. The pool under load
-// therefore gets the instances that the others leave empty, and instances that no pool
-// needs are switched off.
+// planPools adapts the sizes of the pools by moving empty instances, as package cranpool decides.
 func (s *Scheduler) planPools() {
 	now := s.clock.Steady
 	if s.fleet.listRequestedAt == 0 || s.config == nil || now < s.fleet.nextPlanAt {
@@ -94,106 +67,84 @@
 	s.checkMoves()
 	s.fleet.budget.replenish(now, s.timing.OrdersPerSecond)
 	supply := s.supply()
-	balances := s.balances(supply)
+	balances, moves := s.fleet.planner.Plan(now, s.pools(supply), cranpool.Limits{
+		Moves:   s.fleet.budget.available(),
+		MayMove: func(m cranpool.Move) bool { return s.mayMove(destination{m.Instance, m.Pool}) },
+	})
 	s.reportPools(balances, supply)
-	s.rebalance(balances, supply)
+	for _, m := range moves {
+		s.orderMove(m.Instance, m.Pool)
+	}
 	s.vacateForStarved(supply)
 }
 
-// poolBalance compares the instances that a pool has with those that it needs.
-type poolBalance struct {
-	pool string
-	// total counts the instances whose target takes tasks, and those on their way to the pool.
-	total int
-	// punctual is how many instances the long-running tasks and the work that can still
-	// complete in time need, needed how many all work of the pool needs, and held the most
-	// that it has needed within peakHoldTime.
-	punctual, needed, held int
-}
-
-// balances returns the balance of each pool that isn't a standby pool.
-func (s *Scheduler) balances(supply map[string]*poolSupply) []*poolBalance {
+// pools returns the supply and the demand of each pool, sorted by name.
+func (s *Scheduler) pools(supply map[string]*cranpool.Supply) []cranpool.Pool {
 	demands := s.demands()
-	var balances []*poolBalance
+	var pools []cranpool.Pool
 	for _, name := range slices.Sorted(maps.Keys(s.config.Pools)) {
-		if s.config.Pools[name].Standby {
-			continue
-		}
-		d, p := demands[name], supply[name]
-		if d == nil {
-			d = &demand{}
+		pool := cranpool.Pool{Name: name, Standby: s.config.Pools[name].Standby, Supply: *supply[name], Starved: s.starved[name]}
+		if d := demands[name]; d != nil {
+			pool.Demand = *d
 		}
-		starved := s.starvedInstances(name, p)
-		needed := max(s.desiredInstances(d, p, d.late), starved)
-		balances = append(balances, &poolBalance{
-			pool: name, total: p.total(),
-			punctual: max(s.desiredInstances(d, p, load{}), starved), needed: needed, held: s.holdPeak(name, needed),
-		})
+		pools = append(pools, pool)
 	}
-	return balances
-}
-
-// poolSupply describes the instances that a pool has.
-type poolSupply struct {
-	// members counts the instances whose target takes tasks or soon will.
-	members int
-	// empty lists the instances on which nothing runs, including those in standby.
-	empty []string
-	// arriving counts the moves in progress to the pool.
-	arriving int
-	capacity cranjob.Resources
+	return pools
 }
 
-func (p *poolSupply) total() int { return p.members + p.arriving }
-
 // supply counts the instances of each pool. It has an entry for every pool.
-func (s *Scheduler) supply() map[string]*poolSupply {
-	supply := map[string]*poolSupply{}
-	var usual cranjob.Resources
-	entryOf := func(pool string) *poolSupply {
+func (s *Scheduler) supply() map[string]*cranpool.Supply {
+	supply := map[string]*cranpool.Supply{}
+	var usual cranpool.Load
+	entryOf := func(pool string) *cranpool.Supply {
 		if supply[pool] == nil {
-			supply[pool] = &poolSupply{}
+			supply[pool] = &cranpool.Supply{}
 		}
 		return supply[pool]
 	}
 	for _, id := range slices.Sorted(maps.Keys(s.fleet.instances)) {
 		i := s.fleet.instances[id]
 		if m := s.fleet.moves[id]; m != nil {
-			entryOf(m.pool).arriving++
+			entryOf(m.pool).Arriving++
 			continue
 		}
 		p := entryOf(i.Pool)
-		if p.capacity.CPU == 0 {
-			p.capacity = i.Capacity
+		if p.Capacity.CPU == 0 {
+			p.Capacity = loadOf(i.Capacity)
 		}
 		if usual.CPU == 0 {
-			usual = i.Capacity
+			usual = loadOf(i.Capacity)
 		}
 		if !i.Up || s.hasWaveOrder(id) {
 			continue
 		}
 		if s.isStandby(i.Pool) {
-			p.empty = append(p.empty, id)
+			p.Empty = append(p.Empty, id)
 			continue
 		}
 		t := s.targets[i.Target]
 		if t == nil || t.info.Draining || t.cordoned || t.info.Pool != i.Pool {
 			continue
 		}
-		p.members++
+		p.Members++
 		if t.fenced && len(t.runs) == 0 && !t.superseded && t.listed && !t.overdue(s.clock.Steady) {
-			p.empty = append(p.empty, id)
+			p.Empty = append(p.Empty, id)
 		}
 	}
 	for name := range s.config.Pools {
 		// The instances that a pool without any will get are like those of the others.
-		if p := entryOf(name); p.capacity.CPU == 0 {
-			p.capacity = usual
+		if p := entryOf(name); p.Capacity.CPU == 0 {
+			p.Capacity = usual
 		}
 	}
 	return supply
 }
 
+// loadOf returns the constant use of resources.
+func loadOf(r cranjob.Resources) cranpool.Load {
+	return cranpool.Load{CPU: float64(r.CPU), Memory: float64(r.Memory)}
+}
+
 // hasWaveOrder reports whether a wave has an order in progress for an instance.
 func (s *Scheduler) hasWaveOrder(instance string) bool {
 	for _, w := range s.fleet.waves {
@@ -210,25 +161,25 @@
 }
 
 // demands computes the demand of each pool from its jobs and recent arrivals.
-func (s *Scheduler) demands() map[string]*demand {
-	demands := map[string]*demand{}
+func (s *Scheduler) demands() map[string]*cranpool.Demand {
+	demands := map[string]*cranpool.Demand{}
 	for _, j := range s.jobs {
 		d := demands[j.Pool]
 		if d == nil {
-			d = &demand{}
+			d = &cranpool.Demand{}
 			demands[j.Pool] = d
 		}
 		j.updateEstimates(s.predictors[j.Queue], s.clock.Steady)
 		for _, st := range j.stages {
 			if !st.complete() && s.readyWithinMoveTime(j, st) {
 				parallelism, late := s.requiredParallelism(j, st)
-				d.add(st, parallelism, late)
+				addDemand(d, st, parallelism, late)
 			}
 		}
 	}
 	for pool, arrivals := range s.arrivals {
 		if demands[pool] != nil {
-			demands[pool].expected = arrivals.forecast(s.clock.Steady)
+			demands[pool].Expected = arrivals.Forecast(s.clock.Steady)
 		}
 	}
 	return demands
@@ -238,7 +189,7 @@
 // owner took over, so that the forecast survives a change of owner.
 func (s *Scheduler) recordRecentArrival(submission *cranjob.Job) {
 	age := time.Duration(s.clock.UnixMs-submission.ReceivedMs) * time.Millisecond
-	if age >= 0 && age < arrivalSlot*arrivalSlots {
+	if age >= 0 && age < cranpool.ArrivalsSpan {
 		s.recordArrival(newJob(submission, nil), age)
 	}
 }
@@ -252,7 +203,7 @@
 	j.updateEstimates(s.predictors[j.Queue], s.clock.Steady)
 	arrivals := s.arrivals[j.Pool]
 	if arrivals == nil {
-		arrivals = &arrivalHistory{}
+		arrivals = &cranpool.Arrivals{}
 		s.arrivals[j.Pool] = arrivals
 	}
 	for i := range j.Steps {
@@ -262,7 +213,7 @@
 		}
 		reserved := step.Reservation()
 		seconds := float64(step.Count) * j.durationMs[i] / 1000
-		arrivals.add(load{seconds * float64(reserved.CPU), seconds * float64(reserved.Memory)}, s.clock.Steady, age)
+		arrivals.Add(loadOf(reserved).Times(seconds), s.clock.Steady, age)
 	}
 }
 
@@ -298,56 +249,23 @@
 	return openTasks * durationMs / availableMs, false
 }
 
-// add adds the load of a stage that runs with the given parallelism.
-func (d *demand) add(st *stage, parallelism float64, late bool) {
-	reserved := st.step.Reservation()
-	need := load{parallelism * float64(reserved.CPU), parallelism * float64(reserved.Memory)}
+// addDemand adds the load of a stage that runs with the given parallelism.
+func addDemand(d *cranpool.Demand, st *stage, parallelism float64, late bool) {
+	need := loadOf(st.step.Reservation()).Times(parallelism)
 	switch {
 	case st.step.LongRunning:
-		d.longRunning = d.longRunning.plus(need)
+		d.LongRunning = d.LongRunning.Plus(need)
 	case late:
-		d.late = d.late.plus(need)
+		d.Late = d.Late.Plus(need)
 		return
 	default:
-		d.urgent = d.urgent.plus(need)
+		d.Urgent = d.Urgent.Plus(need)
 	}
 	limit := st.step.MaxPerTarget
 	if limit == 0 && st.step.LongRunning && st.step.MaxUnavailable > 0 {
 		limit = st.spreadLimit()
 	}
 	if limit > 0 {
-		d.minInstances = max(d.minInstances, int(math.Ceil(parallelism/float64(limit))))
-	}
-}
-
-// desiredInstances returns the number of instances that a demand needs, with the given part of
-// its late work.
-func (s *Scheduler) desiredInstances(d *demand, p *poolSupply, late load) int {
-	if p.capacity.CPU == 0 || p.capacity.Memory == 0 {
-		return spareInstances
-	}
-	cpu := (d.longRunning.cpu + max(d.urgent.cpu+late.cpu, d.expected.cpu)) / (usableShare * float64(p.capacity.CPU))
-	memory := (d.longRunning.memory + max(d.urgent.memory+late.memory, d.expected.memory)) / (usableShare * float64(p.capacity.Memory))
-	return max(int(math.Ceil(max(cpu, memory)))+spareInstances, d.minInstances)
-}
-
-// starvedInstances returns the number of instances that a pool needs for a task that fits on
-// none of its targets: one more than its members. The demand of the pool
-// alone doesn't show this, since its total free capacity may be large enough for the task.
-func (s *Scheduler) starvedInstances(pool string, p *poolSupply) int {
-	if !s.starved[pool] {
-		return 0
-	}
-	return p.members + 1
-}
-
-// holdPeak returns the largest number of instances that the pool needed within
-// peakHoldTime, so that a short dip in demand moves no instance to a standby pool.
-func (s *Scheduler) holdPeak(pool string, count int) int {
-	peak := s.fleet.peaks[pool]
-	if peak == nil || count >= peak.count || s.clock.Steady >= peak.until {
-		s.fleet.peaks[pool] = &peakDemand{count: count, until: s.clock.Steady + peakHoldTime}
-		return count
+		d.MinInstances = max(d.MinInstances, int(math.Ceil(parallelism/float64(limit))))
 	}
-	return peak.count
 }
--- a/internal/cransched/poolstatus.go
+++ b/internal/cransched/poolstatus.go
@@ -1,6 +1,10 @@
 package cransched
 
-import "time"
+import (
+	"time"
+
+	"github.com/cranberrypick/cranberrypick/internal/cranpool"
+)
 
 // poolReportInterval is how often the status of the pools is reported.
 const poolReportInterval = time.Second
@@ -25,15 +29,15 @@
 }
 
 // reportPools reports the status of each pool that isn't a standby pool.
-func (s *Scheduler) reportPools(balances []*poolBalance, supply map[string]*poolSupply) {
+func (s *Scheduler) reportPools(balances []cranpool.Balance, supply map[string]*cranpool.Supply) {
 	if s.clock.Steady-s.poolsReportedAt < poolReportInterval {
 		return
 	}
 	s.poolsReportedAt = s.clock.Steady
 	for _, b := range balances {
-		p, waiting := supply[b.pool], s.backlogs[b.pool]
+		p, waiting := supply[b.Pool], s.backlogs[b.Pool]
 		s.emit(PoolStatus{
-			Pool: b.pool, Members: p.members, Empty: len(p.empty), Arriving: p.arriving, Punctual: b.punctual, Needed: b.needed,
+			Pool: b.Pool, Members: p.Members, Empty: len(p.Empty), Arriving: p.Arriving, Punctual: b.Punctual, Needed: b.Needed,
 			Waiting: waiting.punctual, WaitingLate: waiting.late, LimitedRounds: s.limitedRounds,
 		})
 	}
--- a/internal/cransched/scheduler.go
+++ b/internal/cransched/scheduler.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cranberrypick/cranberrypick/internal/cranjob"
+	"github.com/cranberrypick/cranberrypick/internal/cranpool"
 	"github.com/cranberrypick/cranberrypick/internal/cranstore"
 )
 
@@ -35,7 +36,7 @@
 	// tickets bounds the requests to the advice service.
 	tickets ticketPacer
 	// arrivals are keyed by pool.
-	arrivals map[string]*arrivalHistory
+	arrivals map[string]*cranpool.Arrivals
 	effects  []Effect
 	// awaitingStore holds effects to emit once the decisions before them are stored.
 	awaitingStore []Effect
@@ -102,7 +103,7 @@
 	s := &Scheduler{
 		token: token, timing: timing, config: config, clock: now, stored: stored,
 		jobs: map[string]*job{}, targets: map[string]*target{}, cancelled: map[string]bool{},
-		predictors: map[string]*predictor{}, arrivals: map[string]*arrivalHistory{}, backlogs: map[string]backlog{},
+		predictors: map[string]*predictor{}, arrivals: map[string]*cranpool.Arrivals{}, backlogs: map[string]backlog{},
 		losses: map[string]loss{}, starved: map[string]bool{}, tickets: newTicketPacer(),
 		suspensions: newSuspensions(predecessor.LeasesEndAt),
 		predecessor: predecessor, createdAt: now.Steady, startsUntil: math.MaxInt64,
--- a/internal/cransched/surge_test.go
+++ b/internal/cransched/surge_test.go
@@ -9,24 +9,6 @@
 	"github.com/cranberrypick/cranberrypick/internal/cranjob"
 )
 
-// TestForecastFollowsGrowth checks the forecasts of a load that doubles with each slot, a
-// constant load and one that has ended.
-func TestForecastFollowsGrowth(t *testing.T) {
-	now := time.Hour
-	growing, steady, ended := &arrivalHistory{}, &arrivalHistory{}, &arrivalHistory{}
-	for i := range arrivalSlots {
-		at := now + time.Duration(i)*arrivalSlot
-		growing.add(load{cpu: float64(int(100) << i)}, at, 0)
-		steady.add(load{cpu: 100}, at, 0)
-		ended.add(load{cpu: 100}, at, 0)
-	}
-	at := now + (arrivalSlots-1)*arrivalSlot
-	perSecond := 100 / arrivalSlot.Seconds()
-	require.InDelta(t, perSecond, steady.forecast(at).cpu, 1)
-	require.Greater(t, growing.forecast(at).cpu, 2*perSecond)
-	require.Zero(t, ended.forecast(at+2*time.Second).cpu)
-}
-
 // TestSuccessorKeepsForecast replaces the owner during a surge. The successor must
 // forecast about the same arrivals and durations.
 func TestSuccessorKeepsForecast(t *testing.T) {
@@ -36,11 +18,11 @@
 		sim.submit(newBatchJob(string(rune('a'+i%26))+string(rune('a'+i/26)), 3))
 		sim.runFor(100 * time.Millisecond)
 	}
-	before := sim.owner.arrivals["p"].forecast(sim.now)
+	before := sim.owner.arrivals["p"].Forecast(sim.now)
 	learned := sim.owner.predictors["q"].predict(800)
 	sim.takeOver(sim.now + OwnershipTimeout)
-	after := sim.owner.arrivals["p"].forecast(sim.now)
-	require.InDelta(t, before.cpu, after.cpu, before.cpu/2)
+	after := sim.owner.arrivals["p"].Forecast(sim.now)
+	require.InDelta(t, before.CPU, after.CPU, before.CPU/2)
 	require.InDelta(t, learned, sim.owner.predictors["q"].predict(800), learned/10)
 }
 
--- a/internal/cransched/vacate.go
+++ b/internal/cransched/vacate.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/cranberrypick/cranberrypick/internal/cranpool"
 )
 
 // vacateDelay is how long a task waits for a target of its own pool before a target of another
@@ -14,7 +16,7 @@
 // none of its targets, if no instance is empty. It answers the load under which
 // every pool has more work than its instances can do, so that none of them ever becomes empty
 // by itself.
-func (s *Scheduler) vacateForStarved(supply map[string]*poolSupply) {
+func (s *Scheduler) vacateForStarved(supply map[string]*cranpool.Supply) {
 	for _, pool := range slices.Sorted(maps.Keys(s.fleet.vacating)) {
 		s.continueVacating(pool)
 	}
@@ -25,7 +27,7 @@
 	}
 	for _, pool := range slices.Sorted(maps.Keys(s.starved)) {
 		p := supply[pool]
-		if !s.starved[pool] || p == nil || p.arriving > 0 || s.fleet.vacating[pool] != nil {
+		if !s.starved[pool] || p == nil || p.Arriving > 0 || s.fleet.vacating[pool] != nil {
 			continue
 		}
 		since, known := s.fleet.starvedSince[pool]
--- a/internal/cransched/wave.go
+++ b/internal/cransched/wave.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cranberrypick/cranberrypick/internal/cranjob"
+	"github.com/cranberrypick/cranberrypick/internal/cranpool"
 	"github.com/cranberrypick/cranberrypick/internal/cranstore"
 )
 
@@ -66,15 +67,15 @@
 	// nextPlanAt is when the pool sizes are planned next, and budget limits the moves.
 	nextPlanAt time.Duration
 	budget     moveBudget
-	// peaks holds the recent peak demand of each pool.
-	peaks map[string]*peakDemand
+	// planner decides on the sizes of the pools.
+	planner *cranpool.Planner
 }
 
 // newFleet restores the stored orders and the moves that may be in progress.
 func (s *Scheduler) newFleet(orders map[string]cranjob.InstanceOrder) fleet {
 	f := fleet{
 		waves: map[int]*wave{}, storedOrders: maps.Clone(orders),
-		moves: map[string]*move{}, refusedMoves: map[destination]bool{}, peaks: map[string]*peakDemand{},
+		moves: map[string]*move{}, refusedMoves: map[destination]bool{}, planner: cranpool.NewPlanner(),
 		vacating: map[string]*target{}, starvedSince: map[string]time.Duration{},
 	}
 	for instance, order := range orders {
