cranpool: have instances in a pool when its next peak begins

Cause: peaks of the queues repeat, but a pool gets instances only once the growth of its arrivals shows, which is up to two seconds late.

Change: a Calendar keeps the number of jobs and their work of the last minute per pool in slots of 250 ms (5.8 KB a pool) and finds the peaks in them. A period is clear if three peaks of a pool have equal distances, or if peaks come in turn and two pools have the same distance. From 2.25 s before the next peak, its mean height counts as demand; instances go to it after work that is punctual now, and before late work. A peak that does not come within a second is expected no longer. A new owner reads the stored jobs of the last minute. Without a period nothing changes.

--- a/internal/cranpool/plan.go
+++ b/internal/cranpool/plan.go
@@ -42,6 +42,8 @@
 	Standby bool
 	Supply  Supply
 	Demand  Demand
+	// Outlook is the forecast of the next peak; nil if the peaks have no clear period.
+	Outlook *Outlook
 	// Starved is set if a task of the pool fits on none of its targets.
 	Starved bool
 }
@@ -51,10 +53,10 @@
 	Pool  string
 	Total int
 	// Punctual is how many instances the long-running tasks and the work that can still
-	// complete in time need, Needed how many all work of the pool needs, and Held the most
-	// that it has needed within peakHoldTime.
-	Punctual, Needed, Held int
-	empty                  []string
+	// complete in time need, Prepared how many these and the next peak need, if it is near, Needed
+	// how many all work of the pool needs, and Held the most that it has needed within peakHoldTime.
+	Punctual, Prepared, Needed, Held int
+	empty                            []string
 }
 
 // Move is the decision to move an instance to a pool.
@@ -94,15 +96,27 @@
 		}
 		starved := pool.starvedInstances()
 		d, supply := &pool.Demand, &pool.Supply
-		needed := max(d.instances(supply.Capacity, d.Late), starved)
-		balances = append(balances, Balance{
-			Pool: pool.Name, Total: supply.Total(), empty: supply.Empty,
-			Punctual: max(d.instances(supply.Capacity, Load{}), starved), Needed: needed, Held: p.holdPeak(now, pool.Name, needed),
-		})
+		b := Balance{Pool: pool.Name, Total: supply.Total(), empty: supply.Empty, Punctual: max(d.instances(supply.Capacity, Load{}), starved)}
+		b.Prepared = max(b.Punctual, pool.preparedInstances())
+		b.Needed = max(d.instances(supply.Capacity, d.Late), starved, b.Prepared)
+		b.Held = p.holdPeak(now, pool.Name, b.Needed)
+		balances = append(balances, b)
 	}
 	return balances
 }
 
+// preparedInstances returns the number of instances that the next peak needs, if it is near.
+func (p *Pool) preparedInstances() int {
+	if p.Outlook == nil {
+		return 0
+	}
+	d := Demand{LongRunning: p.Demand.LongRunning, Expected: p.Outlook.Prepare()}
+	if d.Expected == (Load{}) {
+		return 0
+	}
+	return d.instances(p.Supply.Capacity, Load{})
+}
+
 // starvedInstances returns the number of instances that a pool needs for a task that fits on
 // none of its targets: one more than its members. The demand of the pool
 // alone doesn't show this, since its total free capacity may be large enough for the task.
@@ -138,22 +152,24 @@
 }
 
 // shortages returns what the pools lack, in the order in which they get instances: first for
-// work that can still complete in time, then for late work, and the largest shortage first.
+// work that can still complete in time, then for the next peaks, then for late work, and the largest
+// shortage first.
 func shortages(balances []Balance) []shortage {
-	var punctual, late []shortage
-	for _, b := range balances {
-		lacksPunctual := max(b.Punctual-b.Total, 0)
-		if lacksPunctual > 0 {
-			punctual = append(punctual, shortage{b.Pool, lacksPunctual})
-		}
-		if rest := b.Needed - b.Total - lacksPunctual; rest > 0 {
-			late = append(late, shortage{b.Pool, rest})
+	var list []shortage
+	for _, targetOf := range []func(*Balance) (have, want int){
+		func(b *Balance) (int, int) { return b.Total, b.Punctual },
+		func(b *Balance) (int, int) { return max(b.Total, b.Punctual), b.Prepared },
+		func(b *Balance) (int, int) { return max(b.Total, b.Punctual, b.Prepared), b.Needed },
+	} {
+		begin := len(list)
+		for i := range balances {
+			if have, want := targetOf(&balances[i]); want > have {
+				list = append(list, shortage{balances[i].Pool, want - have})
+			}
 		}
+		slices.SortFunc(list[begin:], func(a, b shortage) int { return cmp.Or(b.count-a.count, cmp.Compare(a.pool, b.pool)) })
 	}
-	for _, list := range [][]shortage{punctual, late} {
-		slices.SortFunc(list, func(a, b shortage) int { return cmp.Or(b.count-a.count, cmp.Compare(a.pool, b.pool)) })
-	}
-	return append(punctual, late...)
+	return list
 }
 
 // surplus returns the empty instances that a pool doesn't need now.
--- a/internal/cransched/pools.go
+++ b/internal/cransched/pools.go
@@ -87,6 +87,9 @@
 		if d := demands[name]; d != nil {
 			pool.Demand = *d
 		}
+		if o, regular := s.calendar.Outlook(name, s.clock.Steady); regular {
+			pool.Outlook = &o
+		}
 		pools = append(pools, pool)
 	}
 	return pools
@@ -185,16 +188,17 @@
 	return demands
 }
 
-// recordRecentArrival adds a job to the arrival history that arrived shortly before this
-// owner took over, so that the forecast survives a change of owner.
+// recordRecentArrival adds a job to the arrival history and the calendar that arrived shortly before
+// this owner took over, so that the forecasts survive a change of owner.
 func (s *Scheduler) recordRecentArrival(submission *cranjob.Job) {
 	age := time.Duration(s.clock.UnixMs-submission.ReceivedMs) * time.Millisecond
-	if age >= 0 && age < cranpool.ArrivalsSpan {
-		s.recordArrival(newJob(submission, nil), age)
+	if age >= 0 && age < cranpool.CalendarSpan {
+		s.recordArrival(&job{Job: submission}, age)
 	}
 }
 
-// recordArrival adds the work of a job of the given age to the arrival history of its pool.
+// recordArrival adds the work of a job of the given age to the arrival history of its pool
+// and to the calendar.
 // Jobs with scheduled occurrences are ignored, and so are long-running steps.
 func (s *Scheduler) recordArrival(j *job, age time.Duration) {
 	if j.Times > 0 {
@@ -206,6 +210,7 @@
 		arrivals = &cranpool.Arrivals{}
 		s.arrivals[j.Pool] = arrivals
 	}
+	work := cranpool.Load{}
 	for i := range j.Steps {
 		step := &j.Steps[i]
 		if step.LongRunning {
@@ -213,7 +218,11 @@
 		}
 		reserved := step.Reservation()
 		seconds := float64(step.Count) * j.durationMs[i] / 1000
-		arrivals.Add(loadOf(reserved).Times(seconds), s.clock.Steady, age)
+		work = work.Plus(loadOf(reserved).Times(seconds))
+	}
+	if work != (cranpool.Load{}) {
+		arrivals.Add(work, s.clock.Steady, age)
+		s.calendar.Add(j.Pool, work, s.clock.Steady, age)
 	}
 }
 
--- a/internal/cransched/scheduler.go
+++ b/internal/cransched/scheduler.go
@@ -37,6 +37,8 @@
 	tickets ticketPacer
 	// arrivals are keyed by pool.
 	arrivals map[string]*cranpool.Arrivals
+	// calendar learns when the peaks of the pools come.
+	calendar *cranpool.Calendar
 	effects  []Effect
 	// awaitingStore holds effects to emit once the decisions before them are stored.
 	awaitingStore []Effect
@@ -104,7 +106,8 @@
 		token: token, timing: timing, config: config, clock: now, stored: stored,
 		jobs: map[string]*job{}, targets: map[string]*target{}, cancelled: map[string]bool{},
 		predictors: map[string]*predictor{}, arrivals: map[string]*cranpool.Arrivals{}, backlogs: map[string]backlog{},
-		losses: map[string]loss{}, starved: map[string]bool{}, tickets: newTicketPacer(),
+		calendar: cranpool.NewCalendar(now.Steady),
+		losses:   map[string]loss{}, starved: map[string]bool{}, tickets: newTicketPacer(),
 		suspensions: newSuspensions(predecessor.LeasesEndAt),
 		predecessor: predecessor, createdAt: now.Steady, startsUntil: math.MaxInt64,
 	}
