cranpool: move idle instances to standby by their costs

Cause: a pool kept the instances of a peak for 1.2 s whatever was known of the next peak, and an instance that another pool needs soon moved to the standby pool and from there.

Change: Costs has the price of an idle second and that of a move. Between two peaks whose time is known, a pool keeps what it needs, and the instances of the next peak only if idling until then costs less than two moves. As many surplus instances stay where they are as another pool gets within the time in which one move costs more than idling. Without a clear period, and within a peak, the peak is kept for the time in which idling costs as much as two moves: 1.2 s by the default costs (a move costs 0.6 s of an instance), as before.

Seen to fail: TestIdleInstanceMovesOnlyIfThatPays with the rule of before, and without the instances that are needed soon.

--- a/internal/cranpool/calendar.go
+++ b/internal/cranpool/calendar.go
@@ -341,11 +341,3 @@
 
 // slots returns the duration of a number of slots.
 func slots(n float64) time.Duration { return time.Duration(n * float64(calendarSlot)) }
-
-// Prepare returns the load for which instances are to be ordered now, ahead of the arrivals.
-func (o *Outlook) Prepare() Load {
-	if o.NextPeak > prepareAhead {
-		return Load{}
-	}
-	return o.Height
-}
--- a/internal/cranpool/calendar_test.go
+++ b/internal/cranpool/calendar_test.go
@@ -42,7 +42,7 @@
 				require.InDelta(t, next, o.NextPeak.Seconds(), 1, "seed %d", seed)
 				require.InDelta(t, 270_000, o.Height.CPU, 60_000, "seed %d", seed)
 				require.False(t, o.InPeak)
-				require.Equal(t, pool == "a", o.Prepare() != Load{})
+				require.Equal(t, pool == "a", o.NextPeak < prepareAhead)
 			}
 			_, regular := calendar.Outlook("a", now+4*time.Second)
 			require.False(t, regular, "a peak that has not come must not be expected any longer")
@@ -73,7 +73,7 @@
 			require.False(t, regular)
 			o, regular := c.Outlook("a", at)
 			total++
-			if regular && o.Prepare() != (Load{}) {
+			if regular && o.NextPeak < prepareAhead {
 				expected++
 			}
 		}
--- a/internal/cranpool/plan.go
+++ b/internal/cranpool/plan.go
@@ -12,9 +12,6 @@
 	MoveTime = 2000 * time.Millisecond
 	// usableShare is the fraction of an instance that tasks of mixed sizes can use.
 	usableShare = 0.9
-	// peakHoldTime is how long a pool keeps its instances from a standby pool after demand has
-	// dropped. Moving an instance away and back costs about two seconds of its time.
-	peakHoldTime = 1200 * time.Millisecond
 	// spareInstances is the number of instances that each pool gets beyond its demand. The
 	// first jobs of a surge arrive before an instance can be moved.
 	spareInstances = 1
@@ -54,7 +51,7 @@
 	Total int
 	// Punctual is how many instances the long-running tasks and the work that can still
 	// complete in time need, Prepared how many these and the next peak need, if it is near, Needed
-	// how many all work of the pool needs, and Held the most that it has needed within peakHoldTime.
+	// how many all work of the pool needs, and Held how many it keeps from a standby pool.
 	Punctual, Prepared, Needed, Held int
 	empty                            []string
 }
@@ -72,18 +69,19 @@
 
 // Planner plans the moves of the instances of a shard. It isn't safe for concurrent use.
 type Planner struct {
+	costs Costs
 	// peaks holds the recent peak demand of each pool.
 	peaks map[string]*peakDemand
 }
 
 // NewPlanner returns a planner that knows nothing of earlier demand.
-func NewPlanner() *Planner { return &Planner{peaks: map[string]*peakDemand{}} }
+func NewPlanner(costs Costs) *Planner { return &Planner{costs: costs, peaks: map[string]*peakDemand{}} }
 
 // Plan returns the balance of each pool that isn't a standby pool, and the moves to order.
 // The pools must be sorted by name.
 func (p *Planner) Plan(now time.Duration, pools []Pool, limits Limits) ([]Balance, []Move) {
 	balances := p.balances(now, pools)
-	return balances, planMoves(balances, pools, limits)
+	return balances, planMoves(balances, pools, p.neededSoon(pools), limits)
 }
 
 // balances returns the balance of each pool that isn't a standby pool.
@@ -99,7 +97,7 @@
 		b := Balance{Pool: pool.Name, Total: supply.Total(), empty: supply.Empty, Punctual: max(d.instances(supply.Capacity, Load{}), starved)}
 		b.Prepared = max(b.Punctual, pool.preparedInstances())
 		b.Needed = max(d.instances(supply.Capacity, d.Late), starved, b.Prepared)
-		b.Held = p.holdPeak(now, pool.Name, b.Needed)
+		b.Held = p.held(now, pool, b.Needed)
 		balances = append(balances, b)
 	}
 	return balances
@@ -110,10 +108,15 @@
 	if p.Outlook == nil {
 		return 0
 	}
-	d := Demand{LongRunning: p.Demand.LongRunning, Expected: p.Outlook.Prepare()}
-	if d.Expected == (Load{}) {
+	if p.Outlook.NextPeak > prepareAhead {
 		return 0
 	}
+	return p.peakInstances()
+}
+
+// peakInstances returns the number of instances that the next peak needs.
+func (p *Pool) peakInstances() int {
+	d := Demand{LongRunning: p.Demand.LongRunning, Expected: p.Outlook.Height}
 	return d.instances(p.Supply.Capacity, Load{})
 }
 
@@ -134,12 +137,41 @@
 	until time.Duration
 }
 
-// holdPeak returns the largest number of instances that the pool needed within
-// peakHoldTime, so that a short dip in demand moves no instance to a standby pool.
+// held returns how many instances a pool keeps from a standby pool. Between two peaks whose time is known,
+// that is what it needs, and what the next peak needs if that is so near that idling until then costs less than
+// a move away and back. Otherwise it is the peak of the last time in which idling has cost less than that.
+func (p *Planner) held(now time.Duration, pool *Pool, needed int) int {
+	held := p.holdPeak(now, pool.Name, needed)
+	o := pool.Outlook
+	switch {
+	case o == nil || o.InPeak:
+		return held
+	case o.NextPeak-MoveTime <= p.costs.breakEven():
+		return max(needed, pool.peakInstances())
+	}
+	return needed
+}
+
+// neededSoon returns how many instances other pools will be given so soon that an idle one is better kept for
+// them where it is: its way over a standby pool would take one more move, which costs more than its idling.
+func (p *Planner) neededSoon(pools []Pool) int {
+	count := 0
+	for i := range pools {
+		o := pools[i].Outlook
+		if pools[i].Standby || o == nil || o.NextPeak <= prepareAhead || o.NextPeak-prepareAhead > p.costs.breakEven()/2 {
+			continue
+		}
+		count += max(pools[i].peakInstances()-pools[i].Supply.Total(), 0)
+	}
+	return count
+}
+
+// holdPeak returns the largest number of instances that the pool needed within the time in which idling has
+// cost less than a move away and back, so that a short dip in demand moves no instance to a standby pool.
 func (p *Planner) holdPeak(now time.Duration, pool string, count int) int {
 	peak := p.peaks[pool]
 	if peak == nil || count >= peak.count || now >= peak.until {
-		p.peaks[pool] = &peakDemand{count: count, until: now + peakHoldTime}
+		p.peaks[pool] = &peakDemand{count: count, until: now + p.costs.breakEven()}
 		return count
 	}
 	return peak.count
@@ -184,10 +216,10 @@
 }
 
 // planMoves moves empty instances to pools with a shortage, and those that no pool has needed
-// lately to a standby pool. It answers demand that turns from one pool to the next: a surplus is
+// lately to a standby pool, except for as many as are needed soon. It answers demand that turns from one pool to the next: a surplus is
 // used first, since an instance that goes to a standby pool while another one comes from there
 // takes two moves, and a peak that is over keeps no instance from a pool that lacks it.
-func planMoves(balances []Balance, pools []Pool, limits Limits) []Move {
+func planMoves(balances []Balance, pools []Pool, neededSoon int, limits Limits) []Move {
 	var surplus []string
 	unneeded := map[string]bool{}
 	for i := range balances {
@@ -217,7 +249,10 @@
 		if standby == "" || len(moves) >= limits.Moves {
 			break
 		}
-		if unneeded[instance] {
+		if !unneeded[instance] {
+			continue
+		}
+		if neededSoon--; neededSoon < 0 {
 			order(instance, standby)
 		}
 	}
--- a/internal/cranpool/plan_test.go
+++ b/internal/cranpool/plan_test.go
@@ -21,9 +21,9 @@
 func TestSurplusMovesDirectly(t *testing.T) {
 	empty := []string{"a1", "a2", "a3"}
 	pools := poolsWith(empty, nil, []string{"off1", "off2"})
-	moves := planMoves([]Balance{{Pool: "a", Total: 3, empty: empty}, {Pool: "b", Punctual: 4, Needed: 4, Held: 4}}, pools, unlimited)
+	moves := planMoves([]Balance{{Pool: "a", Total: 3, empty: empty}, {Pool: "b", Punctual: 4, Needed: 4, Held: 4}}, pools, 0, unlimited)
 	require.ElementsMatch(t, []Move{{"a1", "b"}, {"a2", "b"}, {"a3", "b"}, {"off1", "b"}}, moves)
-	moves = planMoves([]Balance{{Pool: "a", Total: 2, empty: empty}, {Pool: "b", Punctual: 1, Needed: 1, Held: 1}}, pools, unlimited)
+	moves = planMoves([]Balance{{Pool: "a", Total: 2, empty: empty}, {Pool: "b", Punctual: 1, Needed: 1, Held: 1}}, pools, 0, unlimited)
 	require.ElementsMatch(t, []Move{{"a1", "b"}, {"a2", "off"}}, moves)
 }
 
@@ -33,9 +33,9 @@
 func TestPeakThatIsOverKeepsNoInstance(t *testing.T) {
 	empty := []string{"a1", "a2", "a3"}
 	pools := poolsWith(empty, nil, nil)
-	moves := planMoves([]Balance{{Pool: "a", Total: 3, Held: 3, empty: empty}, {Pool: "b", Punctual: 2, Needed: 2, Held: 2}}, pools, unlimited)
+	moves := planMoves([]Balance{{Pool: "a", Total: 3, Held: 3, empty: empty}, {Pool: "b", Punctual: 2, Needed: 2, Held: 2}}, pools, 0, unlimited)
 	require.ElementsMatch(t, []Move{{"a1", "b"}, {"a2", "b"}}, moves)
-	moves = planMoves([]Balance{{Pool: "a", Total: 3, Held: 2, empty: empty}, {Pool: "b"}}, pools, unlimited)
+	moves = planMoves([]Balance{{Pool: "a", Total: 3, Held: 2, empty: empty}, {Pool: "b"}}, pools, 0, unlimited)
 	require.Equal(t, []Move{{"a1", "off"}}, moves)
 }
 
@@ -43,7 +43,7 @@
 func TestRefusedMoveUsesNoBudget(t *testing.T) {
 	empty := []string{"a1", "a2", "a3"}
 	limits := Limits{Moves: 1, MayMove: func(m Move) bool { return m.Instance != "a1" }}
-	moves := planMoves([]Balance{{Pool: "a", Total: 3, empty: empty}, {Pool: "b", Punctual: 3, Needed: 3, Held: 3}}, poolsWith(empty, nil, nil), limits)
+	moves := planMoves([]Balance{{Pool: "a", Total: 3, empty: empty}, {Pool: "b", Punctual: 3, Needed: 3, Held: 3}}, poolsWith(empty, nil, nil), 0, limits)
 	require.Equal(t, []Move{{"a2", "b"}}, moves)
 }
 
@@ -64,3 +64,32 @@
 	require.Greater(t, growing.Forecast(at).CPU, 2*perSecond)
 	require.Zero(t, ended.Forecast(at+2*time.Second).CPU)
 }
+
+// TestIdleInstanceMovesOnlyIfThatPays guards against an instance that idles for longer than its move to the standby
+// pool and back costs, and against one that is moved away although it is needed sooner.
+func TestIdleInstanceMovesOnlyIfThatPays(t *testing.T) {
+	capacity := Load{CPU: 1000, Memory: 1000}
+	empty := []string{"a1", "a2", "a3", "a4"}
+	// moved returns how many instances move to the standby pool, given the forecasts of two pools.
+	moved := func(costs Costs, a, b *Outlook) int {
+		pools := poolsWith(empty, nil, nil)
+		pools[0].Supply = Supply{Members: 4, Empty: empty, Capacity: capacity}
+		pools[1].Supply = Supply{Members: 1, Capacity: capacity}
+		pools[0].Outlook, pools[1].Outlook = a, b
+		p := NewPlanner(costs)
+		p.peaks["a"] = &peakDemand{count: 4, until: time.Hour + time.Second}
+		_, moves := p.Plan(time.Hour, pools, unlimited)
+		return len(moves)
+	}
+	peakIn := func(next time.Duration) *Outlook {
+		return &Outlook{Period: 20 * time.Second, NextPeak: next, Height: Load{CPU: 1800}}
+	}
+	cheap, dear := Costs{IdlePerSecond: 1, Move: 0.6}, Costs{IdlePerSecond: 1, Move: 3}
+	require.Equal(t, 0, moved(cheap, nil, nil), "the peak was just now, and nothing is known of the next one")
+	require.Equal(t, 0, moved(cheap, &Outlook{Period: 20 * time.Second, NextPeak: 15 * time.Second, InPeak: true}, nil))
+	require.Equal(t, 3, moved(cheap, peakIn(15*time.Second), nil))
+	require.Equal(t, 1, moved(dear, peakIn(7*time.Second), nil), "a peak of two instances and a spare one is near")
+	require.Equal(t, 3, moved(cheap, peakIn(7*time.Second), nil))
+	require.Equal(t, 1, moved(cheap, peakIn(15*time.Second), peakIn(prepareAhead+500*time.Millisecond)), "the other pool lacks two soon")
+	require.Equal(t, 3, moved(cheap, peakIn(15*time.Second), peakIn(prepareAhead+700*time.Millisecond)))
+}
--- a/internal/cransched/wave.go
+++ b/internal/cransched/wave.go
@@ -75,7 +75,7 @@
 func (s *Scheduler) newFleet(orders map[string]cranjob.InstanceOrder) fleet {
 	f := fleet{
 		waves: map[int]*wave{}, storedOrders: maps.Clone(orders),
-		moves: map[string]*move{}, refusedMoves: map[destination]bool{}, planner: cranpool.NewPlanner(),
+		moves: map[string]*move{}, refusedMoves: map[destination]bool{}, planner: cranpool.NewPlanner(cranpool.DefaultCosts()),
 		vacating: map[string]*target{}, starvedSince: map[string]time.Duration{},
 	}
 	for instance, order := range orders {
