cranpool: limit the forecast in a known peak to the height of peaks

Cause: the begin of a peak is steep, and its growth is extrapolated to up to three times what has arrived, also for a pool whose peaks are known. It took instances that were moved back 1.2 s later.

Change: where the peaks of a pool have a clear period, the extrapolated load is at most 1.25 times their mean height, but never less than what has arrived.

TestBeginOfPeakAsksForNoMoreThanItsHeight was seen to fail without the limit.

--- a/internal/cranpool/plan.go
+++ b/internal/cranpool/plan.go
@@ -15,6 +15,8 @@
 	// spareInstances is the number of instances that each pool gets beyond its demand. The
 	// first jobs of a surge arrive before an instance can be moved.
 	spareInstances = 1
+	// heightMargin is by how much a peak may exceed the mean height of earlier ones.
+	heightMargin = 1.25
 )
 
 // Supply describes the instances that a pool has.
@@ -75,7 +77,9 @@
 }
 
 // NewPlanner returns a planner that knows nothing of earlier demand.
-func NewPlanner(costs Costs) *Planner { return &Planner{costs: costs, peaks: map[string]*peakDemand{}} }
+func NewPlanner(costs Costs) *Planner {
+	return &Planner{costs: costs, peaks: map[string]*peakDemand{}}
+}
 
 // Plan returns the balance of each pool that isn't a standby pool, and the moves to order.
 // The pools must be sorted by name.
@@ -92,6 +96,7 @@
 		if pool.Standby {
 			continue
 		}
+		pool.limitForecast()
 		starved := pool.starvedInstances()
 		d, supply := &pool.Demand, &pool.Supply
 		b := Balance{Pool: pool.Name, Total: supply.Total(), empty: supply.Empty, Punctual: max(d.instances(supply.Capacity, Load{}), starved)}
@@ -103,6 +108,18 @@
 	return balances
 }
 
+// limitForecast limits the load that the growth of arrivals lets expect to heightMargin times the height of
+// the peaks, if that is known. The growth at the begin of a peak is as steep as that of a much higher one. The load
+// that has arrived is not limited.
+func (p *Pool) limitForecast() {
+	if p.Outlook == nil {
+		return
+	}
+	expected, height := &p.Demand.Expected, p.Outlook.Height.Times(heightMargin)
+	expected.CPU = min(expected.CPU, max(height.CPU, expected.CPU/maxGrowth))
+	expected.Memory = min(expected.Memory, max(height.Memory, expected.Memory/maxGrowth))
+}
+
 // preparedInstances returns the number of instances that the next peak needs, if it is near.
 func (p *Pool) preparedInstances() int {
 	if p.Outlook == nil {
--- a/internal/cranpool/plan_test.go
+++ b/internal/cranpool/plan_test.go
@@ -10,9 +10,9 @@
 // unlimited allows up to six moves, of any instance.
 var unlimited = Limits{Moves: 6, MayMove: func(Move) bool { return true }}
 
-// poolsWith returns the pools a and b and a standby pool with the given empty instances.
-func poolsWith(a, b, off []string) []Pool {
-	return []Pool{{Name: "a", Supply: Supply{Empty: a}}, {Name: "b", Supply: Supply{Empty: b}}, {Name: "off", Standby: true, Supply: Supply{Empty: off}}}
+// poolsWith returns the pools a and b and a standby pool; a and the latter have the given empty instances.
+func poolsWith(a, off []string) []Pool {
+	return []Pool{{Name: "a", Supply: Supply{Empty: a}}, {Name: "b"}, {Name: "off", Standby: true, Supply: Supply{Empty: off}}}
 }
 
 // TestSurplusMovesDirectly lets the demand turn from one pool to another. The instances that
@@ -20,7 +20,7 @@
 // there.
 func TestSurplusMovesDirectly(t *testing.T) {
 	empty := []string{"a1", "a2", "a3"}
-	pools := poolsWith(empty, nil, []string{"off1", "off2"})
+	pools := poolsWith(empty, []string{"off1", "off2"})
 	moves := planMoves([]Balance{{Pool: "a", Total: 3, empty: empty}, {Pool: "b", Punctual: 4, Needed: 4, Held: 4}}, pools, 0, unlimited)
 	require.ElementsMatch(t, []Move{{"a1", "b"}, {"a2", "b"}, {"a3", "b"}, {"off1", "b"}}, moves)
 	moves = planMoves([]Balance{{Pool: "a", Total: 2, empty: empty}, {Pool: "b", Punctual: 1, Needed: 1, Held: 1}}, pools, 0, unlimited)
@@ -32,7 +32,7 @@
 // at once, although it keeps the rest from the standby pool for a while.
 func TestPeakThatIsOverKeepsNoInstance(t *testing.T) {
 	empty := []string{"a1", "a2", "a3"}
-	pools := poolsWith(empty, nil, nil)
+	pools := poolsWith(empty, nil)
 	moves := planMoves([]Balance{{Pool: "a", Total: 3, Held: 3, empty: empty}, {Pool: "b", Punctual: 2, Needed: 2, Held: 2}}, pools, 0, unlimited)
 	require.ElementsMatch(t, []Move{{"a1", "b"}, {"a2", "b"}}, moves)
 	moves = planMoves([]Balance{{Pool: "a", Total: 3, Held: 2, empty: empty}, {Pool: "b"}}, pools, 0, unlimited)
@@ -43,7 +43,7 @@
 func TestRefusedMoveUsesNoBudget(t *testing.T) {
 	empty := []string{"a1", "a2", "a3"}
 	limits := Limits{Moves: 1, MayMove: func(m Move) bool { return m.Instance != "a1" }}
-	moves := planMoves([]Balance{{Pool: "a", Total: 3, empty: empty}, {Pool: "b", Punctual: 3, Needed: 3, Held: 3}}, poolsWith(empty, nil, nil), 0, limits)
+	moves := planMoves([]Balance{{Pool: "a", Total: 3, empty: empty}, {Pool: "b", Punctual: 3, Needed: 3, Held: 3}}, poolsWith(empty, nil), 0, limits)
 	require.Equal(t, []Move{{"a2", "b"}}, moves)
 }
 
@@ -72,7 +72,7 @@
 	empty := []string{"a1", "a2", "a3", "a4"}
 	// moved returns how many instances move to the standby pool, given the forecasts of two pools.
 	moved := func(costs Costs, a, b *Outlook) int {
-		pools := poolsWith(empty, nil, nil)
+		pools := poolsWith(empty, nil)
 		pools[0].Supply = Supply{Members: 4, Empty: empty, Capacity: capacity}
 		pools[1].Supply = Supply{Members: 1, Capacity: capacity}
 		pools[0].Outlook, pools[1].Outlook = a, b
@@ -93,3 +93,17 @@
 	require.Equal(t, 1, moved(cheap, peakIn(15*time.Second), peakIn(prepareAhead+500*time.Millisecond)), "the other pool lacks two soon")
 	require.Equal(t, 3, moved(cheap, peakIn(15*time.Second), peakIn(prepareAhead+700*time.Millisecond)))
 }
+
+// TestBeginOfPeakAsksForNoMoreThanItsHeight guards against a pool that takes every instance at the begin of a peak
+// since its growth is extrapolated, and against a surge beyond all earlier ones that gets too few.
+func TestBeginOfPeakAsksForNoMoreThanItsHeight(t *testing.T) {
+	needed := func(o *Outlook, expected float64) int {
+		pool := Pool{Name: "a", Outlook: o, Supply: Supply{Capacity: Load{CPU: 1000, Memory: 1000}}, Demand: Demand{Expected: Load{CPU: expected}}}
+		balances, _ := NewPlanner(DefaultCosts()).Plan(time.Hour, []Pool{pool}, unlimited)
+		return balances[0].Needed
+	}
+	known := &Outlook{Period: 20 * time.Second, NextPeak: 18 * time.Second, Height: Load{CPU: 7200}, InPeak: true}
+	require.Equal(t, 30+spareInstances, needed(nil, 27_000))
+	require.Equal(t, 10+spareInstances, needed(known, 27_000))
+	require.Equal(t, 20+spareInstances, needed(known, 54_000))
+}
