cranpool: take three equally distant peaks of one pool for no period

Change: without other pools that have the same period, four peaks of a pool must be equally far apart. Peaks in turn are known as early as before.

--- a/internal/cranpool/calendar.go
+++ b/internal/cranpool/calendar.go
@@ -24,6 +24,9 @@
 	// periodTolerance is by how many slots the time between two peaks may differ from the period.
 	// The mean time of the jobs of a peak varies by about one slot at ten jobs per second.
 	periodTolerance = 3
+	// minOwnPeaks is how many equally distant peaks of a pool are enough if those of other pools show no period.
+	// Three peaks at random times are equally distant too often.
+	minOwnPeaks = 4
 	// thresholdRounds is how often the threshold between peaks and pauses is refined.
 	thresholdRounds = 4
 	// prepareAhead is how long before the begin of a peak its instances are ordered.
@@ -250,7 +253,7 @@
 	return mean
 }
 
-// shareOnePeriod decides whose period is clear. Two equal times between three peaks of a pool are clear, and
+// shareOnePeriod decides whose period is clear. Equal times between minOwnPeaks peaks of a pool are clear, and
 // so is one that peaks of another pool have, too. Where peaks come in turn, the period of the pools
 // is the same, so that one peak of a pool is enough if at least two pools have the period, none has another one,
 // and the peaks overlap little. Surges at random times have equal times between them more often.
@@ -275,7 +278,7 @@
 		switch {
 		case agreed && len(o.ended()) > 0:
 			o.period = mean
-		case len(o.ended()) < 3:
+		case len(o.ended()) < minOwnPeaks:
 			o.period = 0
 		}
 	}
