cransched, cranpool: empty instances of late work for punctual work

Change: Planner.Yields names the pools that empty instances if another one lacks them for punctual work. No run is stopped, and targets with long-running tasks or due for maintenance stay.

TestLateWorkKeepsThirdOfItsInstances covers the bound. It was seen to fail without the memory of where the pool began (11 given, not 8).

--- a/internal/cranpool/plan.go
+++ b/internal/cranpool/plan.go
@@ -43,6 +43,8 @@
 	Demand  Demand
 	// Outlook is the forecast of the next peak; nil if the peaks have no clear period.
 	Outlook *Outlook
+	// Promised counts the instances that other pools empty for this one.
+	Promised int
 	// Starved is set if a task of the pool fits on none of its targets.
 	Starved bool
 }
@@ -72,13 +74,14 @@
 // Planner plans the moves of the instances of a shard. It isn't safe for concurrent use.
 type Planner struct {
 	costs Costs
-	// peaks holds the recent peak demand of each pool.
-	peaks map[string]*peakDemand
+	// peaks holds the recent peak demand of each pool, yields what it lacks and keeps.
+	peaks  map[string]*peakDemand
+	yields map[string]*yieldState
 }
 
 // NewPlanner returns a planner that knows nothing of earlier demand.
 func NewPlanner(costs Costs) *Planner {
-	return &Planner{costs: costs, peaks: map[string]*peakDemand{}}
+	return &Planner{costs: costs, peaks: map[string]*peakDemand{}, yields: map[string]*yieldState{}}
 }
 
 // Plan returns the balance of each pool that isn't a standby pool, and the moves to order.
--- a/internal/cransched/pools.go
+++ b/internal/cransched/pools.go
@@ -67,7 +67,8 @@
 	s.checkMoves()
 	s.fleet.budget.replenish(now, s.timing.OrdersPerSecond)
 	supply := s.supply()
-	balances, moves := s.fleet.planner.Plan(now, s.pools(supply), cranpool.Limits{
+	pools := s.pools(supply)
+	balances, moves := s.fleet.planner.Plan(now, pools, cranpool.Limits{
 		Moves:   s.fleet.budget.available(),
 		MayMove: func(m cranpool.Move) bool { return s.mayMove(destination{m.Instance, m.Pool}) },
 	})
@@ -76,6 +77,7 @@
 		s.orderMove(m.Instance, m.Pool)
 	}
 	s.vacateForStarved(supply)
+	s.yieldLateWork(pools, balances)
 }
 
 // pools returns the supply and the demand of each pool, sorted by name.
--- a/internal/cransched/wave.go
+++ b/internal/cransched/wave.go
@@ -61,6 +61,8 @@
 	// vacating holds, for each pool, the target of another pool that is emptied so that its
 	// instance can be moved there.
 	vacating map[string]*target
+	// yielding holds the targets with late work that are emptied for punctual work of other pools, by id.
+	yielding map[string]*yielding
 	// starvedSince is when each pool of which a long-running task fits on no target was first
 	// found so.
 	starvedSince map[string]time.Duration
@@ -76,7 +78,7 @@
 	f := fleet{
 		waves: map[int]*wave{}, storedOrders: maps.Clone(orders),
 		moves: map[string]*move{}, refusedMoves: map[destination]bool{}, planner: cranpool.NewPlanner(cranpool.DefaultCosts()),
-		vacating: map[string]*target{}, starvedSince: map[string]time.Duration{},
+		vacating: map[string]*target{}, yielding: map[string]*yielding{}, starvedSince: map[string]time.Duration{},
 	}
 	for instance, order := range orders {
 		at, found := s.predecessor.LastOrderAt[instance]
