cransched, crannode: log and count expected peaks and yielded instances

Events 1431 (peakExpected, once for each peak) and 1432 (instancesYielded), and the counters peaks_expected_total and instances_yielded_total.

TestPeakIsReportedOnce was seen to fail with a report in each plan.

--- a/internal/cranevent/catalogue.go
+++ b/internal/cranevent/catalogue.go
@@ -215,6 +215,10 @@
 		KeyCause, KeyNumber, KeyTarget),
 	define(PoolReported, "poolReported", LevelInfo, "what a pool has and needs, and what waits in it",
 		KeyArriving, KeyCount, KeyEmpty, KeyLimited, KeyNeeded, KeyPool, KeyPunctual, KeyShard, KeyWaiting, KeyWaitingLate),
+	define(PeakExpected, "peakExpected", LevelInfo, "a pool is prepared for its next peak",
+		KeyCount, KeyPool, KeyRemainingMs, KeyShard),
+	define(InstancesYielded, "instancesYielded", LevelInfo, "instances with late work are emptied for another pool",
+		KeyCause, KeyCount, KeyPool, KeyShard),
 }
 
 // byEvent maps each event to its definition.
--- a/internal/cranevent/event.go
+++ b/internal/cranevent/event.go
@@ -143,6 +143,14 @@
 	PoolReported Event = 1314
 )
 
+// Events of the sizes of pools.
+const (
+	// PeakExpected says that a pool gets instances for its next peak.
+	PeakExpected Event = 1431
+	// InstancesYielded says that a pool empties instances with late work for another pool.
+	InstancesYielded Event = 1432
+)
+
 // Events of moves between pools.
 const (
 	MoveDone Event = 603
--- a/internal/cranmetric/jobs.go
+++ b/internal/cranmetric/jobs.go
@@ -24,6 +24,7 @@
 	orders *prometheus.CounterVec
 	accepted, cancelled, takeovers prometheus.Counter
 	targetCrashes, givenUp         prometheus.Counter
+	peaksExpected, yielded         prometheus.Counter
 	acceptance                     prometheus.Histogram
 	orderTime                      *prometheus.HistogramVec
 	firstStart                     prometheus.Histogram
@@ -70,6 +71,8 @@
 		takeovers:     counter("scheduler_takeovers_total", "Times that this process took over a shard."),
 		targetCrashes: counter("target_crashes_total", "Targets that have crashed."),
 		givenUp:       counter("tasks_given_up_total", "Tasks that were given up, because targets crash under them."),
+		peaksExpected: counter("peaks_expected_total", "Peaks of pools for which instances were ordered ahead of the arrivals."),
+		yielded:       counter("instances_yielded_total", "Instances with late work that were emptied for punctual work of another pool."),
 		acceptance:    prometheus.NewHistogram(histogram("accept_seconds", "Time from a job's arrival until it is stored.")),
 		orderTime:     prometheus.NewHistogramVec(histogram("order_seconds", "Time until an order is answered, by kind."), []string{"order"}),
 		firstStart:    prometheus.NewHistogram(histogram("first_start_seconds", "Time from a job's arrival until its first task is placed.")),
@@ -104,7 +107,7 @@
 		m.retries.WithLabelValues(reason)
 	}
 	m.registry.MustRegister(m.refusals, m.retries, m.ended, m.objectives, m.runEnds, m.orders, m.accepted, m.cancelled,
-		m.takeovers, m.targetCrashes, m.givenUp, m.acceptance, m.orderTime, m.firstStart, m.reads, m.readBytes, m.behind, m.firstByte, m.configApply, m.configRevision, m.configConfirmed, m.ownedShards, m.lag, m.digestJobs, malformed, collectors.NewGoCollector(),
+		m.takeovers, m.targetCrashes, m.givenUp, m.peaksExpected, m.yielded, m.acceptance, m.orderTime, m.firstStart, m.reads, m.readBytes, m.behind, m.firstByte, m.configApply, m.configRevision, m.configConfirmed, m.ownedShards, m.lag, m.digestJobs, malformed, collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -172,6 +175,12 @@
 // TaskGivenUp counts a task that is given up, because targets crash under it.
 func (m *Jobs) TaskGivenUp() { m.givenUp.Inc() }
 
+// PeakExpected counts a peak for which a pool gets instances ahead of the arrivals.
+func (m *Jobs) PeakExpected() { m.peaksExpected.Inc() }
+
+// InstancesYielded counts instances with late work that are emptied for punctual work of another pool.
+func (m *Jobs) InstancesYielded(count int) { m.yielded.Add(float64(count)) }
+
 // Ended counts a job that has reached a final state.
 func (m *Jobs) Ended(state string) { m.ended.WithLabelValues(state).Inc() }
 
--- a/internal/crannode/owner.go
+++ b/internal/crannode/owner.go
@@ -184,6 +184,10 @@
 			o.waveRecords = append(o.waveRecords, crandigest.WaveProgress{Begun: e.Begun, Done: e.Done}.Record(e.Wave, o.shard.number))
 		case cransched.PoolStatus:
 			o.shard.node.logPoolStatus(o.shard.name, e)
+		case cransched.PeakExpected:
+			o.shard.node.logPeakExpected(o.shard.name, e)
+		case cransched.InstancesYielded:
+			o.shard.node.logInstancesYielded(o.shard.name, e)
 		case cransched.LogEntry:
 			o.shard.node.logDecision(e, o.readAge())
 		default:
--- a/internal/cranpool/calendar.go
+++ b/internal/cranpool/calendar.go
@@ -330,6 +330,9 @@
 	return Outlook{Period: period, NextPeak: max(next, 0), Height: o.height, InPeak: now < begin+length}, true
 }
 
+// Near reports whether instances are to be ordered now for the next peak.
+func (o *Outlook) Near() bool { return o.NextPeak <= prepareAhead }
+
 // newestMiddle returns the middle of the newest peak that follows from all peaks.
 func (o *outlook) newestMiddle() float64 {
 	if newest := len(o.peaks) - 1; o.peaks[newest].open {
--- a/internal/cranpool/plan.go
+++ b/internal/cranpool/plan.go
@@ -125,10 +125,7 @@
 
 // preparedInstances returns the number of instances that the next peak needs, if it is near.
 func (p *Pool) preparedInstances() int {
-	if p.Outlook == nil {
-		return 0
-	}
-	if p.Outlook.NextPeak > prepareAhead {
+	if p.Outlook == nil || !p.Outlook.Near() {
 		return 0
 	}
 	return p.peakInstances()
@@ -178,7 +175,7 @@
 	count := 0
 	for i := range pools {
 		o := pools[i].Outlook
-		if pools[i].Standby || o == nil || o.NextPeak <= prepareAhead || o.NextPeak-prepareAhead > p.costs.breakEven()/2 {
+		if pools[i].Standby || o == nil || o.Near() || o.NextPeak-prepareAhead > p.costs.breakEven()/2 {
 			continue
 		}
 		count += max(pools[i].peakInstances()-pools[i].Supply.Total(), 0)
--- a/internal/cransched/peaks_test.go
+++ b/internal/cransched/peaks_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cranberrypick/cranberrypick/internal/cranjob"
+	"github.com/cranberrypick/cranberrypick/internal/cranpool"
 )
 
 // peakCosts is what a time with peaks has cost and earned.
@@ -179,3 +180,15 @@
 	}
 	require.Less(t, costs[0], 1.005*costs[1])
 }
+
+// TestPeakIsReportedOnce guards against an event in each of the ten plans per second while a peak is near.
+func TestPeakIsReportedOnce(t *testing.T) {
+	s := newPeaks(t, 1, 4, withoutCalendar).owner
+	s.Effects()
+	near, far := cranpool.Outlook{NextPeak: time.Second}, cranpool.Outlook{NextPeak: 10 * time.Second}
+	for _, o := range []*cranpool.Outlook{&near, &near, &far, nil, &near} {
+		s.reportPeaks([]cranpool.Pool{{Name: "p1", Outlook: o}}, []cranpool.Balance{{Pool: "p1", Prepared: 3}})
+	}
+	want := PeakExpected{Pool: "p1", Instances: 3, Next: time.Second}
+	require.Equal(t, []Effect{want, want}, s.Effects())
+}
--- a/internal/cransched/pools.go
+++ b/internal/cransched/pools.go
@@ -73,6 +73,7 @@
 		MayMove: func(m cranpool.Move) bool { return s.mayMove(destination{m.Instance, m.Pool}) },
 	})
 	s.reportPools(balances, supply)
+	s.reportPeaks(pools, balances)
 	for _, m := range moves {
 		s.orderMove(m.Instance, m.Pool)
 	}
--- a/internal/cransched/wave.go
+++ b/internal/cransched/wave.go
@@ -61,6 +61,8 @@
 	// vacating holds, for each pool, the target of another pool that is emptied so that its
 	// instance can be moved there.
 	vacating map[string]*target
+	// peaksNear marks the pools that are given instances for their next peak.
+	peaksNear map[string]bool
 	// yielding holds the targets with late work that are emptied for punctual work of other pools, by id.
 	yielding map[string]*yielding
 	// starvedSince is when each pool of which a long-running task fits on no target was first
@@ -78,7 +80,7 @@
 	f := fleet{
 		waves: map[int]*wave{}, storedOrders: maps.Clone(orders),
 		moves: map[string]*move{}, refusedMoves: map[destination]bool{}, planner: cranpool.NewPlanner(cranpool.DefaultCosts()),
-		vacating: map[string]*target{}, yielding: map[string]*yielding{}, starvedSince: map[string]time.Duration{},
+		vacating: map[string]*target{}, yielding: map[string]*yielding{}, peaksNear: map[string]bool{}, starvedSince: map[string]time.Duration{},
 	}
 	for instance, order := range orders {
 		at, found := s.predecessor.LastOrderAt[instance]
--- a/internal/cransched/yield.go
+++ b/internal/cransched/yield.go
@@ -27,7 +27,8 @@
 		pools[i].Promised = s.countPromised(pools[i].Name)
 	}
 	for _, y := range s.fleet.planner.Yields(s.clock.Steady, pools, balances) {
-		for range y.Count {
+		emptied := 0
+		for ; emptied < y.Count; emptied++ {
 			t := s.cheapestToYield(y.From)
 			if t == nil {
 				break
@@ -36,6 +37,9 @@
 			s.fleet.yielding[t.info.ID] = &yielding{target: t, pool: y.To}
 			s.emit(LogEntry{Kind: LogTargetCordoned, Target: t.info.ID, Reason: t.info.Instance})
 		}
+		if emptied > 0 {
+			s.emit(InstancesYielded{From: y.From, To: y.To, Instances: emptied})
+		}
 	}
 }
 
