--- a/internal/crannode/owner.go
+++ b/internal/crannode/owner.go
@@ -197,6 +197,10 @@
 			o.shard.node.logPoolStatus(o.shard.name, e)
 		case cransched.RunTimesJudged:
 			o.shard.node.judgeRunTimes(o.shard.name, e)
+		case cransched.PeakExpected:
+			o.shard.node.logPeakExpected(o.shard.name, e)
+		case cransched.InstancesYielded:
+			o.shard.node.logInstancesYielded(o.shard.name, e)
 		case cransched.LogEntry:
 			o.shard.node.logDecision(e, o.readAge())
 		default:
--- a/internal/cransched/admission.go
+++ b/internal/cransched/admission.go
@@ -6,6 +6,7 @@
 
 	"github.com/cranberrypick/cranberrypick/internal/cranadmit"
 	"github.com/cranberrypick/cranberrypick/internal/cranjob"
+	"github.com/cranberrypick/cranberrypick/internal/cranpool"
 )
 
 const (
@@ -60,7 +61,7 @@
 	// entitlements replaces the classification of the jobs; nil if it isn't replaced.
 	entitlements Entitlements
 	// shares holds, by pool, the part of its capacity that tasks which end have used while others waited.
-	shares     map[string]load
+	shares     map[string]cranpool.Load
 	measuredAt time.Duration
 }
 
@@ -73,13 +74,13 @@
 	jobs, waiting            int
 	arrivals, arrivalsWithin float64
 	pathMs                   float64
-	total                    load
+	total                    cranpool.Load
 }
 
 // poolWork sums up the waiting work of a pool, as the product of resources and seconds: all of it, and the parts that
 // are served before a new job beyond its tenant's entitlement and before one within it.
 type poolWork struct {
-	all, ahead, within load
+	all, ahead, within cranpool.Load
 	backlogged         bool
 }
 
@@ -99,23 +100,23 @@
 	f := cranadmit.Figures{Queues: map[string]cranadmit.QueueLoad{}, Within: entitlements.WithinShares()}
 	for name, q := range queues {
 		p, rate := pools[q.pool], rates[q.pool]
-		if !p.backlogged || rate.cpu <= 0 || rate.memory <= 0 {
+		if !p.backlogged || rate.CPU <= 0 || rate.Memory <= 0 {
 			continue
 		}
 		n := float64(q.jobs)
 		f.Queues[name] = cranadmit.QueueLoad{
 			Waiting: q.waiting, Drain: drain(p.all, rate), Ahead: drain(p.ahead, rate), Within: drain(p.within, rate),
-			Path: min(time.Duration(q.pathMs/n*float64(time.Millisecond)), maxDrain), JobTime: drain(load{q.total.cpu / n, q.total.memory / n}, rate),
+			Path: min(time.Duration(q.pathMs/n*float64(time.Millisecond)), maxDrain), JobTime: drain(cranpool.Load{q.total.CPU / n, q.total.Memory / n}, rate),
 			Arrivals: q.arrivals, ArrivalsWithin: q.arrivalsWithin, Share: 1,
-			Arriving: min(arriving[q.pool].cpu/rate.cpu, maxArriving),
+			Arriving: min(arriving[q.pool].CPU/rate.CPU, maxArriving),
 		}
 	}
 	return f
 }
 
 // drain returns how long work takes at a rate of service.
-func drain(work, rate load) time.Duration {
-	seconds := max(work.cpu/rate.cpu, work.memory/rate.memory)
+func drain(work, rate cranpool.Load) time.Duration {
+	seconds := max(work.CPU/rate.CPU, work.Memory/rate.Memory)
 	return time.Duration(min(seconds, maxDrain.Seconds()) * float64(time.Second))
 }
 
@@ -161,7 +162,7 @@
 	}
 	q.pathMs += j.workMs
 	for i := range j.Steps {
-		q.total = q.total.plus(j.workOf(&j.Steps[i], i, j.Steps[i].Count))
+		q.total = q.total.Plus(j.workOf(&j.Steps[i], i, j.Steps[i].Count))
 	}
 	if s.clock.UnixMs-j.ReceivedMs < arrivalWindow.Milliseconds() {
 		q.arrivals++
@@ -174,36 +175,36 @@
 // addToPool adds the waiting work of a job. Work within entitlements goes first and late work last inside each class,
 // and work without any worth gives way to what could still have some.
 func (s *Scheduler) addToPool(p *poolWork, j *job, beyond bool) {
-	var work load
+	var work cranpool.Load
 	late, worthless := false, s.clock.UnixMs > j.ReceivedMs+worthlessFactor*(s.softDeadlineMs(j, 0)-j.ReceivedMs)
 	for _, st := range j.stages {
 		if st.waiting == 0 {
 			continue
 		}
-		work = work.plus(j.workOf(st.step, st.name.Step, st.waiting))
+		work = work.Plus(j.workOf(st.step, st.name.Step, st.waiting))
 		late = late || s.slackMs(j, st) < j.slackReserveMs(st)
 		p.backlogged = p.backlogged || j.ready(st, s.clock.UnixMs)
 	}
-	p.all = p.all.plus(work)
+	p.all = p.all.Plus(work)
 	if !worthless && (!beyond || !late) {
-		p.ahead = p.ahead.plus(work)
+		p.ahead = p.ahead.Plus(work)
 	}
 	if !worthless && !beyond {
-		p.within = p.within.plus(work)
+		p.within = p.within.Plus(work)
 	}
 }
 
 // workOf returns the expected work of a number of tasks of a step, as the product of resources and seconds.
-func (j *job) workOf(step *cranjob.Step, index, tasks int) load {
+func (j *job) workOf(step *cranjob.Step, index, tasks int) cranpool.Load {
 	reserved := step.Reservation()
 	seconds := float64(tasks) * j.durationMs[index] / 1000
-	return load{seconds * float64(reserved.CPU), seconds * float64(reserved.Memory)}
+	return cranpool.Load{seconds * float64(reserved.CPU), seconds * float64(reserved.Memory)}
 }
 
 // measureRates returns the resources that tasks of each pool which end use at a time: the capacity that they have now,
 // times the part of it that they have used in the last seconds while others waited. New instances count at once.
-func (s *Scheduler) measureRates(pools map[string]*poolWork) map[string]load {
-	busy, capacity := map[string]load{}, map[string]load{}
+func (s *Scheduler) measureRates(pools map[string]*poolWork) map[string]cranpool.Load {
+	busy, capacity := map[string]cranpool.Load{}, map[string]cranpool.Load{}
 	for _, t := range s.sorted {
 		if !t.schedulable(s.clock.Steady) {
 			continue
@@ -211,9 +212,9 @@
 		lasting := t.longRunningResources()
 		used := t.used.Sub(lasting)
 		pool := t.info.Pool
-		busy[pool] = busy[pool].plus(load{float64(used.CPU), float64(used.Memory)})
-		capacity[pool] = capacity[pool].plus(load{
-			max(usableShare*float64(t.info.Capacity.CPU)-float64(lasting.CPU), 0), max(usableShare*float64(t.info.Capacity.Memory)-float64(lasting.Memory), 0),
+		busy[pool] = busy[pool].Plus(cranpool.Load{float64(used.CPU), float64(used.Memory)})
+		capacity[pool] = capacity[pool].Plus(cranpool.Load{
+			max(cranpool.UsableShare*float64(t.info.Capacity.CPU)-float64(lasting.CPU), 0), max(cranpool.UsableShare*float64(t.info.Capacity.Memory)-float64(lasting.Memory), 0),
 		})
 	}
 	weight := 0.0
@@ -221,19 +222,19 @@
 		weight = 1 - math.Exp(-(s.clock.Steady-s.admission.measuredAt).Seconds()/rateMemory.Seconds())
 	}
 	s.admission.measuredAt = s.clock.Steady
-	rates, shares := make(map[string]load, len(capacity)), make(map[string]load, len(capacity))
+	rates, shares := make(map[string]cranpool.Load, len(capacity)), make(map[string]cranpool.Load, len(capacity))
 	for pool, most := range capacity {
 		before, known := s.admission.shares[pool]
 		if !known {
-			before = load{1, 1}
+			before = cranpool.Load{1, 1}
 		}
-		sample := load{1, 1}
+		sample := cranpool.Load{1, 1}
 		if p := pools[pool]; p != nil && p.backlogged {
-			sample = load{busyShare(busy[pool].cpu, most.cpu), busyShare(busy[pool].memory, most.memory)}
+			sample = cranpool.Load{busyShare(busy[pool].CPU, most.CPU), busyShare(busy[pool].Memory, most.Memory)}
 		}
-		share := load{before.cpu + weight*(sample.cpu-before.cpu), before.memory + weight*(sample.memory-before.memory)}
+		share := cranpool.Load{before.CPU + weight*(sample.CPU-before.CPU), before.Memory + weight*(sample.Memory-before.Memory)}
 		shares[pool] = share
-		rates[pool] = load{share.cpu * most.cpu, share.memory * most.memory}
+		rates[pool] = cranpool.Load{share.CPU * most.CPU, share.Memory * most.Memory}
 	}
 	s.admission.shares = shares
 	return rates
@@ -250,19 +251,19 @@
 // arrivingCapacity returns the capacity of the instances that are being moved to each pool. Those that are idle elsewhere
 // count too, in equal parts for the pools in which tasks wait: at the beginning of a peak no move is ordered yet, and a
 // job that waits for them is not worthless.
-func (s *Scheduler) arrivingCapacity(pools map[string]*poolWork) map[string]load {
-	arriving := map[string]load{}
-	var idle load
+func (s *Scheduler) arrivingCapacity(pools map[string]*poolWork) map[string]cranpool.Load {
+	arriving := map[string]cranpool.Load{}
+	var idle cranpool.Load
 	for id, i := range s.fleet.instances {
-		c := load{usableShare * float64(i.Capacity.CPU), usableShare * float64(i.Capacity.Memory)}
+		c := cranpool.Load{cranpool.UsableShare * float64(i.Capacity.CPU), cranpool.UsableShare * float64(i.Capacity.Memory)}
 		if m := s.fleet.moves[id]; m != nil {
-			arriving[m.pool] = arriving[m.pool].plus(c)
+			arriving[m.pool] = arriving[m.pool].Plus(c)
 			continue
 		}
 		t, p := s.targets[i.Target], pools[i.Pool]
 		isIdle := s.isStandby(i.Pool) || t != nil && len(t.runs) == 0 && (p == nil || !p.backlogged)
 		if i.Up && isIdle && !s.hasWaveOrder(id) {
-			idle = idle.plus(c)
+			idle = idle.Plus(c)
 		}
 	}
 	backlogged := 0.0
@@ -273,7 +274,7 @@
 	}
 	for pool, p := range pools {
 		if p.backlogged {
-			arriving[pool] = arriving[pool].plus(load{idle.cpu / backlogged, idle.memory / backlogged})
+			arriving[pool] = arriving[pool].Plus(cranpool.Load{idle.CPU / backlogged, idle.Memory / backlogged})
 		}
 	}
 	return arriving
--- a/internal/cransched/fairness_test.go
+++ b/internal/cransched/fairness_test.go
@@ -131,16 +131,16 @@
 	sim.takeOver(sim.now - time.Hour)
 	sim.submitFor("t0", newBatchJob("beyond", 4))
 	d := sim.owner.demands()["p"]
-	require.Zero(t, d.urgent)
-	require.Zero(t, d.expected)
-	require.Positive(t, d.late.cpu)
-	owed := d.late
+	require.Zero(t, d.Urgent)
+	require.Zero(t, d.Expected)
+	require.Positive(t, d.Late.CPU)
+	owed := d.Late
 	sim.takeOver(sim.now)
-	require.Zero(t, sim.owner.demands()["p"].expected)
+	require.Zero(t, sim.owner.demands()["p"].Expected)
 	sim.submit(newBatchJob("owed", 4))
 	d = sim.owner.demands()["p"]
-	require.Equal(t, owed, d.late)
-	require.Greater(t, d.urgent.cpu, owed.cpu)
+	require.Equal(t, owed, d.Late)
+	require.Greater(t, d.Urgent.CPU, owed.CPU)
 }
 
 // waitsForRoom returns a task that waits although it fits on a target; empty if there is none.
--- a/internal/cransched/order.go
+++ b/internal/cransched/order.go
@@ -7,6 +7,7 @@
 
 	"github.com/cranberrypick/cranberrypick/internal/cranjob"
 	"github.com/cranberrypick/cranberrypick/internal/cranorder"
+	"github.com/cranberrypick/cranberrypick/internal/cranpool"
 )
 
 // orderInterval is how often the jobs that are to be served in time are selected.
@@ -68,12 +69,12 @@
 			taken := t.longRunningResources()
 			left := 1 - max(fraction(taken.CPU, t.info.Capacity.CPU), fraction(taken.Memory, t.info.Capacity.Memory))
 			o := orderOf(t.info.Pool)
-			o.capacity.Instances += usableShare * max(left, 0)
+			o.capacity.Instances += cranpool.UsableShare * max(left, 0)
 			o.instance = t.info.Capacity
 		}
 	}
 	for _, m := range s.fleet.moves {
-		orderOf(m.pool).capacity.Arriving += usableShare
+		orderOf(m.pool).capacity.Arriving += cranpool.UsableShare
 	}
 	return orders
 }
--- a/internal/cransched/quota_test.go
+++ b/internal/cransched/quota_test.go
@@ -152,7 +152,7 @@
 	require.Positive(t, sim.countRunning("free"))
 	require.Empty(t, sim.owner.starved)
 	d := sim.owner.demands()["p"]
-	require.LessOrEqual(t, d.longRunning.cpu+d.urgent.cpu+d.late.cpu, 12000.0)
+	require.LessOrEqual(t, d.LongRunning.CPU+d.Urgent.CPU+d.Late.CPU, 12000.0)
 }
 
 // TestSuccessorCountsRunsOfEndedJobs guards against starts beyond a cap beside runs that a predecessor couldn't stop: their
--- a/internal/cransched/retire.go
+++ b/internal/cransched/retire.go
@@ -2,9 +2,10 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
+
+	"github.com/cranberrypick/cranberrypick/internal/cranpool"
 )
 
 // retireHorizon is the longest time that a target may take to become empty for its instance to be
@@ -15,20 +16,26 @@
 // their targets take no further tasks, so that they become empty and can be moved. It answers demand
 // that turns from one pool to the next. The tasks of the pool whose peak is over are spread over all of
 // its instances, and without it each of them would stay in use as long as any task is left to place.
-func (s *Scheduler) retireSurplus(balances []*poolBalance, supply map[string]*poolSupply) {
-	lacking := 0
-	for _, b := range balances {
-		lacking += max(b.needed-b.total, 0)
+func (s *Scheduler) retireSurplus(pools []cranpool.Pool, balances []cranpool.Balance) {
+	supply, lacking := map[string]*cranpool.Supply{}, 0
+	for i := range pools {
+		p := &pools[i]
+		supply[p.Name] = &p.Supply
+		lacking -= p.Promised
+		if p.Standby {
+			lacking -= len(p.Supply.Empty)
+		}
 	}
-	_, reserve := s.reserve(supply)
-	lacking -= len(reserve)
-	for _, b := range balances {
-		lacking -= len(b.surplus(supply[b.pool]))
+	empty := func(b *cranpool.Balance) int { return min(max(b.Total-b.Needed, 0), len(supply[b.Pool].Empty)) }
+	for i := range balances {
+		b := &balances[i]
+		lacking += max(b.Needed-b.Total, 0) - empty(b)
 	}
 	retired := map[*target]bool{}
-	for _, b := range balances {
-		free := min(b.total+supply[b.pool].retiring-b.needed-len(b.surplus(supply[b.pool])), lacking)
-		for _, t := range s.soonestEmpty(b.pool, free) {
+	for i := range balances {
+		b := &balances[i]
+		free := b.Total + supply[b.Pool].Retiring - b.Needed - empty(b)
+		for _, t := range s.soonestEmpty(b.Pool, min(free, lacking)) {
 			retired[t] = true
 			lacking--
 		}
@@ -88,12 +95,3 @@
 	}
 	return longest
 }
-
-// retiredInstances returns the instances that were retired and on which nothing runs any more.
-func (s *Scheduler) retiredInstances(supply map[string]*poolSupply) []string {
-	var list []string
-	for _, pool := range slices.Sorted(maps.Keys(supply)) {
-		list = append(list, supply[pool].retired...)
-	}
-	return list
-}
--- a/internal/cransched/wave.go
+++ b/internal/cransched/wave.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cranberrypick/cranberrypick/internal/cranjob"
+	"github.com/cranberrypick/cranberrypick/internal/cranpool"
 	"github.com/cranberrypick/cranberrypick/internal/cranstore"
 )
 
@@ -60,22 +61,26 @@
 	// vacating holds, for each pool, the target of another pool that is emptied so that its
 	// instance can be moved there.
 	vacating map[string]*target
+	// peaksNear marks the pools that are given instances for their next peak.
+	peaksNear map[string]bool
+	// yielding holds the targets with late work that are emptied for punctual work of other pools, by id.
+	yielding map[string]*yielding
 	// starvedSince is when each pool of which a long-running task fits on no target was first
 	// found so.
 	starvedSince map[string]time.Duration
 	// nextPlanAt is when the pool sizes are planned next, and budget limits the moves.
 	nextPlanAt time.Duration
 	budget     moveBudget
-	// peaks holds the recent peak demand of each pool.
-	peaks map[string]*peakDemand
+	// planner decides on the sizes of the pools.
+	planner *cranpool.Planner
 }
 
 // newFleet restores the stored orders and the moves that may be in progress.
 func (s *Scheduler) newFleet(orders map[string]cranjob.InstanceOrder) fleet {
 	f := fleet{
 		waves: map[int]*wave{}, storedOrders: maps.Clone(orders),
-		moves: map[string]*move{}, refusedMoves: map[destination]bool{}, peaks: map[string]*peakDemand{},
-		vacating: map[string]*target{}, starvedSince: map[string]time.Duration{},
+		moves: map[string]*move{}, refusedMoves: map[destination]bool{}, planner: cranpool.NewPlanner(cranpool.DefaultCosts()),
+		vacating: map[string]*target{}, yielding: map[string]*yielding{}, peaksNear: map[string]bool{}, starvedSince: map[string]time.Duration{},
 	}
 	for instance, order := range orders {
 		at, found := s.predecessor.LastOrderAt[instance]
