cransched: don't move an instance to the pool that it is in

A pool that had retired instances and lacked some again was given its own: the platform accepts such a move and does nothing, while the scheduler counts the target as ended.

A pool keeps its retired instances first when it lacks some, and no move to the present pool of an instance is ordered at all.

TestRetiredInstancesStayInPoolThatLacksThem fails before.

--- a/internal/cransched/moves.go
+++ b/internal/cransched/moves.go
@@ -60,7 +60,7 @@
 // used first, since an instance that goes to a standby pool while another one comes from there
 // takes two moves, and a peak that is over keeps no instance from a pool that lacks it.
 func (s *Scheduler) rebalance(balances []*poolBalance, supply map[string]*poolSupply) {
-	surplus := s.retiredInstances(supply)
+	surplus, kept := s.retiredInstances(balances, supply)
 	unneeded := map[string]bool{}
 	for _, b := range balances {
 		empty := b.surplus(supply[b.pool])
@@ -71,7 +71,9 @@
 	}
 	standby, reserve := s.reserve(supply)
 	for _, b := range shortages(balances) {
-		for n := b.count; n > 0 && len(surplus)+len(reserve) > 0 && s.fleet.budget.allows(); n-- {
+		own := min(kept[b.pool], b.count)
+		kept[b.pool] -= own
+		for n := b.count - own; n > 0 && len(surplus)+len(reserve) > 0 && s.fleet.budget.allows(); n-- {
 			donors := &surplus
 			if len(surplus) == 0 {
 				donors = &reserve
@@ -106,7 +108,9 @@
 // was ordered.
 func (s *Scheduler) orderMove(instance, pool string) bool {
 	to := destination{instance, pool}
-	if s.fleet.refusedMoves[to] || !s.mayOrder(instance) {
+	// The platform accepts the move of an instance to the pool that it is in, and does nothing. Its target would
+	// count as ended for good.
+	if s.fleet.instances[instance].Pool == pool || s.fleet.refusedMoves[to] || !s.mayOrder(instance) {
 		return false
 	}
 	m := &move{destination: to, beganAt: s.clock.Steady}
--- a/internal/cransched/retire.go
+++ b/internal/cransched/retire.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 )
@@ -89,11 +88,14 @@
 	return longest
 }
 
-// retiredInstances returns the instances that were retired and on which nothing runs any more.
-func (s *Scheduler) retiredInstances(supply map[string]*poolSupply) []string {
-	var list []string
-	for _, pool := range slices.Sorted(maps.Keys(supply)) {
-		list = append(list, supply[pool].retired...)
+// retiredInstances returns the instances that were retired and on which nothing runs any more. A pool that
+// lacks instances again keeps its own, of which it also returns the number.
+func (s *Scheduler) retiredInstances(balances []*poolBalance, supply map[string]*poolSupply) (list []string, kept map[string]int) {
+	kept = map[string]int{}
+	for _, b := range balances {
+		retired := supply[b.pool].retired
+		kept[b.pool] = min(max(b.needed-b.total, 0), len(retired))
+		list = append(list, retired[kept[b.pool]:]...)
 	}
-	return list
+	return list, kept
 }
--- a/internal/cransched/retire_test.go
+++ b/internal/cransched/retire_test.go
@@ -47,3 +47,27 @@
 		require.Equal(t, cranjob.Completed, state, id)
 	}
 }
+
+// TestRetiredInstancesStayInPoolThatLacksThem guards against the move of an instance to the pool that it is in.
+// The platform accepts it and does nothing, and the target would count as ended for good: its instance is
+// lost for the pool, and in the end jobs stand still.
+func TestRetiredInstancesStayInPoolThatLacksThem(t *testing.T) {
+	sim := newSimulation(t, 1, 4)
+	sim.config.Pools["r"] = &Pool{Name: "r"}
+	sim.takeOver(sim.now - time.Hour)
+	sim.submit(newBatchJob("j", 8))
+	sim.runFor(300 * time.Millisecond)
+	s := sim.owner
+	retired := []string{"mt0", "mt1"}
+	s.fleet.budget.left = 8
+	s.rebalance([]*poolBalance{{pool: "p", total: 1, punctual: 2, needed: 2}, {pool: "r", punctual: 1, needed: 1}}, map[string]*poolSupply{
+		"p": {retired: retired}, "r": {}, "off": {},
+	})
+	require.Len(t, s.fleet.moves, 1)
+	for _, instance := range retired {
+		require.False(t, s.orderMove(instance, "p"))
+		if m := s.fleet.moves[instance]; m != nil {
+			require.Equal(t, "r", m.pool)
+		}
+	}
+}
