--- a/internal/cranevent/catalogue.go
+++ b/internal/cranevent/catalogue.go
@@ -235,8 +235,6 @@
 		KeyNumber, KeyObjectiveMs, KeyQueue, KeyRemainingMs, KeyShard, KeyWaiting),
 	define(PeakExpected, "peakExpected", LevelInfo, "a pool is prepared for its next peak",
 		KeyCount, KeyPool, KeyRemainingMs, KeyShard),
-	define(InstancesYielded, "instancesYielded", LevelInfo, "instances with late work are emptied for another pool",
-		KeyCause, KeyCount, KeyPool, KeyShard),
 	define(RunTimesJudged, "runTimesJudged", LevelInfo, "how many runs ended within the predicted times",
 		KeyCount, KeyShard, KeyWithin50, KeyWithin90),
 }
--- a/internal/crannode/owner.go
+++ b/internal/crannode/owner.go
@@ -199,8 +199,6 @@
 			o.shard.node.judgeRunTimes(o.shard.name, e)
 		case cransched.PeakExpected:
 			o.shard.node.logPeakExpected(o.shard.name, e)
-		case cransched.InstancesYielded:
-			o.shard.node.logInstancesYielded(o.shard.name, e)
 		case cransched.LogEntry:
 			o.shard.node.logDecision(e, o.readAge())
 		default:
--- a/internal/cranorder/select.go
+++ b/internal/cranorder/select.go
@@ -70,7 +70,7 @@
 			heap.Push(candidates, i)
 		}
 		for c.waitMs(before) > jobs[i].SlackMs && candidates.Len() > 0 {
-			given := heap.Pop(candidates).(int) //nolint:errcheck,forcetypeassert // The heap holds integers only.
+			given := heap.Pop(candidates).(int) //nolint:forcetypeassert // The heap holds integers only.
 			selected[given] = false
 			work -= jobs[given].Work
 			if given == i {
@@ -91,7 +91,7 @@
 func (h *byWork) Len() int           { return len(h.items) }
 func (h *byWork) Less(a, b int) bool { return h.jobs[h.items[a]].Work > h.jobs[h.items[b]].Work }
 func (h *byWork) Swap(a, b int)      { h.items[a], h.items[b] = h.items[b], h.items[a] }
-func (h *byWork) Push(x any)         { h.items = append(h.items, x.(int)) } //nolint:errcheck,forcetypeassert // The heap holds integers only.
+func (h *byWork) Push(x any)         { h.items = append(h.items, x.(int)) } //nolint:forcetypeassert // The heap holds integers only.
 func (h *byWork) Pop() any {
 	last := h.items[len(h.items)-1]
 	h.items = h.items[:len(h.items)-1]
--- a/internal/cransched/admission.go
+++ b/internal/cransched/admission.go
@@ -106,7 +106,7 @@
 		n := float64(q.jobs)
 		f.Queues[name] = cranadmit.QueueLoad{
 			Waiting: q.waiting, Drain: drain(p.all, rate), Ahead: drain(p.ahead, rate), Within: drain(p.within, rate),
-			Path: min(time.Duration(q.pathMs/n*float64(time.Millisecond)), maxDrain), JobTime: drain(cranpool.Load{q.total.CPU / n, q.total.Memory / n}, rate),
+			Path: min(time.Duration(q.pathMs/n*float64(time.Millisecond)), maxDrain), JobTime: drain(cranpool.Load{CPU: q.total.CPU / n, Memory: q.total.Memory / n}, rate),
 			Arrivals: q.arrivals, ArrivalsWithin: q.arrivalsWithin, Share: 1,
 			Arriving: min(arriving[q.pool].CPU/rate.CPU, maxArriving),
 		}
@@ -198,7 +198,7 @@
 func (j *job) workOf(step *cranjob.Step, index, tasks int) cranpool.Load {
 	reserved := step.Reservation()
 	seconds := float64(tasks) * j.durationMs[index] / 1000
-	return cranpool.Load{seconds * float64(reserved.CPU), seconds * float64(reserved.Memory)}
+	return cranpool.Load{CPU: seconds * float64(reserved.CPU), Memory: seconds * float64(reserved.Memory)}
 }
 
 // measureRates returns the resources that tasks of each pool which end use at a time: the capacity that they have now,
@@ -212,9 +212,10 @@
 		lasting := t.longRunningResources()
 		used := t.used.Sub(lasting)
 		pool := t.info.Pool
-		busy[pool] = busy[pool].Plus(cranpool.Load{float64(used.CPU), float64(used.Memory)})
+		busy[pool] = busy[pool].Plus(cranpool.Load{CPU: float64(used.CPU), Memory: float64(used.Memory)})
 		capacity[pool] = capacity[pool].Plus(cranpool.Load{
-			max(cranpool.UsableShare*float64(t.info.Capacity.CPU)-float64(lasting.CPU), 0), max(cranpool.UsableShare*float64(t.info.Capacity.Memory)-float64(lasting.Memory), 0),
+			CPU:    max(cranpool.UsableShare*float64(t.info.Capacity.CPU)-float64(lasting.CPU), 0),
+			Memory: max(cranpool.UsableShare*float64(t.info.Capacity.Memory)-float64(lasting.Memory), 0),
 		})
 	}
 	weight := 0.0
@@ -226,15 +227,15 @@
 	for pool, most := range capacity {
 		before, known := s.admission.shares[pool]
 		if !known {
-			before = cranpool.Load{1, 1}
+			before = cranpool.Load{CPU: 1, Memory: 1}
 		}
-		sample := cranpool.Load{1, 1}
+		sample := cranpool.Load{CPU: 1, Memory: 1}
 		if p := pools[pool]; p != nil && p.backlogged {
-			sample = cranpool.Load{busyShare(busy[pool].CPU, most.CPU), busyShare(busy[pool].Memory, most.Memory)}
+			sample = cranpool.Load{CPU: busyShare(busy[pool].CPU, most.CPU), Memory: busyShare(busy[pool].Memory, most.Memory)}
 		}
-		share := cranpool.Load{before.CPU + weight*(sample.CPU-before.CPU), before.Memory + weight*(sample.Memory-before.Memory)}
+		share := cranpool.Load{CPU: before.CPU + weight*(sample.CPU-before.CPU), Memory: before.Memory + weight*(sample.Memory-before.Memory)}
 		shares[pool] = share
-		rates[pool] = cranpool.Load{share.CPU * most.CPU, share.Memory * most.Memory}
+		rates[pool] = cranpool.Load{CPU: share.CPU * most.CPU, Memory: share.Memory * most.Memory}
 	}
 	s.admission.shares = shares
 	return rates
@@ -255,7 +256,7 @@
 	arriving := map[string]cranpool.Load{}
 	var idle cranpool.Load
 	for id, i := range s.fleet.instances {
-		c := cranpool.Load{cranpool.UsableShare * float64(i.Capacity.CPU), cranpool.UsableShare * float64(i.Capacity.Memory)}
+		c := cranpool.Load{CPU: cranpool.UsableShare * float64(i.Capacity.CPU), Memory: cranpool.UsableShare * float64(i.Capacity.Memory)}
 		if m := s.fleet.moves[id]; m != nil {
 			arriving[m.pool] = arriving[m.pool].Plus(c)
 			continue
@@ -274,7 +275,7 @@
 	}
 	for pool, p := range pools {
 		if p.backlogged {
-			arriving[pool] = arriving[pool].Plus(cranpool.Load{idle.CPU / backlogged, idle.Memory / backlogged})
+			arriving[pool] = arriving[pool].Plus(cranpool.Load{CPU: idle.CPU / backlogged, Memory: idle.Memory / backlogged})
 		}
 	}
 	return arriving
--- a/internal/cransched/moves.go
+++ b/internal/cransched/moves.go
@@ -47,7 +47,9 @@
 func (s *Scheduler) mayMove(to destination) bool {
 	// The platform accepts the move of an instance to the pool that it is in, and does nothing. Its target would
 	// count as ended for good.
-	return s.fleet.instances[to.instance].Pool != to.pool && !s.fleet.refusedMoves[to] && s.mayOrder(to.instance)
+	i := s.fleet.instances[to.instance]
+	stays := i.Pool == to.pool && i.Target != ""
+	return !stays && !s.fleet.refusedMoves[to] && s.mayOrder(to.instance)
 }
 
 func (s *Scheduler) sendMove(m *move) {
--- a/internal/cransched/pooleffect.go
+++ b/internal/cransched/pooleffect.go
@@ -14,14 +14,7 @@
 	Next      time.Duration
 }
 
-// InstancesYielded reports that a pool empties instances with late work for the punctual work of another pool.
-type InstancesYielded struct {
-	From, To  string
-	Instances int
-}
-
-func (PeakExpected) effect()     {}
-func (InstancesYielded) effect() {}
+func (PeakExpected) effect() {}
 
 // reportPeaks reports the peaks for which pools get instances from now on.
 func (s *Scheduler) reportPeaks(pools []cranpool.Pool, balances []cranpool.Balance) {
--- a/internal/cransched/pools.go
+++ b/internal/cransched/pools.go
@@ -78,7 +78,6 @@
 		s.orderMove(m.Instance, m.Pool)
 	}
 	s.vacateForStarved(supply)
-	s.yieldLateWork(pools, balances)
 	s.retireSurplus(pools, balances)
 }
 
--- a/internal/cransched/retire.go
+++ b/internal/cransched/retire.go
@@ -21,7 +21,6 @@
 	for i := range pools {
 		p := &pools[i]
 		supply[p.Name] = &p.Supply
-		lacking -= p.Promised
 		if p.Standby {
 			lacking -= len(p.Supply.Empty)
 		}
--- a/internal/cransched/retire_test.go
+++ b/internal/cransched/retire_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cranberrypick/cranberrypick/internal/cranjob"
+	"github.com/cranberrypick/cranberrypick/internal/cranpool"
 )
 
 // TestSurplusInstancesBecomeEmptyForAnotherPool guards against instances that stay in a pool whose peak is
@@ -47,3 +48,23 @@
 		require.Equal(t, cranjob.Completed, state, id)
 	}
 }
+
+// TestRetiredInstancesStayInPoolThatLacksThem guards against the move of an instance to the pool that it is in.
+// The platform accepts it and does nothing, and the target would count as ended for good: its instance is
+// lost for the pool, and in the end jobs stand still.
+func TestRetiredInstancesStayInPoolThatLacksThem(t *testing.T) {
+	sim := newSimulation(t, 1, 4)
+	sim.takeOver(sim.now - time.Hour)
+	sim.runFor(300 * time.Millisecond)
+	for id, i := range sim.owner.fleet.instances {
+		require.False(t, i.Target != "" && sim.owner.orderMove(id, i.Pool))
+	}
+	require.NotEmpty(t, sim.owner.fleet.instances)
+	demand := cranpool.Demand{Urgent: cranpool.Load{CPU: 30000, Memory: 1000}}
+	capacity := cranpool.Load{CPU: 16000, Memory: 64000}
+	_, moves := cranpool.NewPlanner(cranpool.DefaultCosts()).Plan(time.Hour, []cranpool.Pool{
+		{Name: "p", Demand: demand, Supply: cranpool.Supply{Members: 3, Retiring: 2, Retired: []string{"a", "b"}, Capacity: capacity}},
+		{Name: "r", Demand: demand, Supply: cranpool.Supply{Members: 3, Capacity: capacity}},
+	}, cranpool.Limits{Moves: 8, MayMove: func(cranpool.Move) bool { return true }})
+	require.Equal(t, []cranpool.Move{{Instance: "b", Pool: "r"}}, moves)
+}
