--- a/internal/crancapacity/report.go
+++ b/internal/crancapacity/report.go
@@ -13,11 +13,19 @@
 	Control []ControlCost `json:"control"`
 	Claims  []ClaimCost   `json:"claims"`
 	Rollout []RolloutCost `json:"rollout"`
+	Tenants []TenantCost  `json:"tenants"`
 }
 
 // Measure runs all measurements. It takes some minutes.
 func Measure() (Report, error) {
 	var r Report
+	for _, n := range []int{20, 67, 1000} {
+		c, err := MeasureTenants(n)
+		if err != nil {
+			return r, err
+		}
+		r.Tenants = append(r.Tenants, c)
+	}
 	for _, n := range []int{50, 500, 7900} {
 		c, err := MeasureReducer(n, 9)
 		if err != nil {
@@ -87,5 +95,10 @@
 	for _, c := range r.Rollout {
 		line("%d\t%d\t%d\t%.1f\t%.1f", c.Entries, c.LogDelayMs, c.Rounds, c.MedianMs, c.MaxMs)
 	}
+	line("")
+	line("tenants\theap bytes\tbuild ms\tlookup ns\tcaps bytes\tentitlements bytes\tcaps us")
+	for _, c := range r.Tenants {
+		line("%d\t%d\t%.1f\t%.0f\t%d\t%d\t%.0f", c.Tenants, c.HeapBytes, c.BuildMs, c.LookupNanos, c.CapBytes, c.UsageBytes, c.CapRoundMicros)
+	}
 	return w.Flush()
 }
--- a/internal/cransoak/soak_test.go
+++ b/internal/cransoak/soak_test.go
@@ -28,8 +28,12 @@
 // a part of the store.
 var surgeSeeds = []uint64{4, 7}
 
-// TestSoak builds the program and runs a soak of 8 seconds with each regression seed, one with
-// several owners, and one of 12 seconds with surges.
+// tenantSeeds are played with keys and caps of tenants that change: the first with one owner, where it
+// has violations if the program never forgets a key, the second with several.
+var tenantSeeds = [2]uint64{1, 21}
+
+// TestSoak builds the program and runs a soak of 8 seconds with each regression seed, some with
+// several owners and with tenants, and some of 12 seconds with surges.
 func TestSoak(t *testing.T) {
 	dir := t.TempDir()
 	program := filepath.Join(dir, "cranberrypick")
@@ -48,6 +52,8 @@
 	for _, seed := range shardedSeeds {
 		play(Options{Seed: seed, Entries: 5, Targets: 8, Shards: 4})
 	}
+	play(Options{Seed: tenantSeeds[0], Entries: 3, Targets: 4, Tenants: true})
+	play(Options{Seed: tenantSeeds[1], Entries: 5, Targets: 8, Shards: 4, Tenants: true})
 	for _, seed := range surgeSeeds {
 		play(Options{Seed: seed, Entries: 6, Small: 4, Targets: 40, Surges: true, CancelBound: 4 * time.Second, Duration: 12 * time.Second})
 	}
