--- a/internal/cransched/config.go
+++ b/internal/cransched/config.go
@@ -61,11 +61,23 @@
 	OrdersPerSecond float64
 	// DeliveryTime is how long after the end of a job its caller learns of it at the latest.
 	DeliveryTime time.Duration
-	// RegressionOnly lets one regression line for each queue predict run times instead of their
-	// distributions.
-	RegressionOnly bool
+	// RunTimes says how run times are predicted.
+	RunTimes RunTimeModel
 }
 
+// RunTimeModel says how run times are predicted.
+type RunTimeModel int
+
+const (
+	// Distributions predicts distributions by queue, image, step, demand and tenant.
+	Distributions RunTimeModel = iota
+	// Regression predicts the mean by one regression line for each queue.
+	Regression
+	// DistributionsForTenants stands for Distributions if the configuration has tenants when a scheduler
+	// is created, and for Regression otherwise.
+	DistributionsForTenants
+)
+
 const (
 	// heartbeatInterval is the maximum time between two heartbeats to a target. Each
 	// heartbeat renews the lease; at this interval three in a row may fail before the
--- a/internal/cransched/runtimes.go
+++ b/internal/cransched/runtimes.go
@@ -23,7 +23,7 @@
 // restoreRunTimes restores what earlier owners have learned of run times. The sums of an earlier version
 // count for a queue without a record.
 func (s *Scheduler) restoreRunTimes() {
-	if s.timing.RegressionOnly {
+	if m := s.timing.RunTimes; m == Regression || m == DistributionsForTenants && s.config.Tenants == nil {
 		return
 	}
 	s.runTimes = cranpredict.New()
--- a/internal/cransched/runtimes_test.go
+++ b/internal/cransched/runtimes_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cranberrypick/cranberrypick/internal/cranjob"
+	"github.com/cranberrypick/cranberrypick/internal/crantenant"
 )
 
 // submitUncertain submits a job of two steps of four tasks. Its estimates are off by a standard deviation of the
@@ -75,11 +76,30 @@
 	require.Greater(t, with, without)
 }
 
+func runTimeModel(regressionOnly bool) RunTimeModel {
+	if regressionOnly {
+		return Regression
+	}
+	return Distributions
+}
+
+// TestRunTimeModelFollowsTenants guards against distributions in a deployment that hasn't asked for them.
+func TestRunTimeModelFollowsTenants(t *testing.T) {
+	directory, err := crantenant.New(nil)
+	require.NoError(t, err)
+	timing := simTiming
+	timing.RunTimes = DistributionsForTenants
+	for _, tenants := range []*crantenant.Directory{nil, directory} {
+		s := New(1, timing, &Config{Tenants: tenants}, cranjob.NewReplica(), Clock{Steady: time.Hour, UnixMs: 1000}, Predecessor{})
+		require.Equal(t, tenants != nil, s.runTimes != nil)
+	}
+}
+
 // newRunTimesScheduler returns a scheduler with empty targets of four cores.
 func newRunTimesScheduler(regressionOnly bool, targets ...string) *Scheduler {
 	config := &Config{Version: 1, Queues: map[string]*Queue{"q": {Name: "q", Pool: "p", Attempts: 3, Stretch: 1.6}}, Pools: map[string]*Pool{"p": {Name: "p"}}}
 	timing := simTiming
-	timing.RegressionOnly = regressionOnly
+	timing.RunTimes = runTimeModel(regressionOnly)
 	s := New(1, timing, config, cranjob.NewReplica(), Clock{Steady: time.Hour, UnixMs: 1000}, Predecessor{})
 	for _, id := range targets {
 		t := newTarget(TargetInfo{ID: id, Pool: "p", Instance: "m" + id, Capacity: cranjob.Resources{CPU: 4000, Memory: 8000}}, s.clock.Steady, 0)
--- a/internal/cransched/world_test.go
+++ b/internal/cransched/world_test.go
@@ -216,7 +216,7 @@
 		options = append(options, WithFairness(sim.fairness()))
 	}
 	timing := simTiming
-	timing.RegressionOnly = sim.regressionOnly
+	timing.RunTimes = runTimeModel(sim.regressionOnly)
 	sim.owner = New(sim.epoch, timing, sim.config, sim.stored, sim.clock(), Predecessor{StoppedBy: predecessorStop, LastOrderAt: maps.Clone(sim.orderStoredAt), LeasesEndAt: sim.leasesEndAt}, options...)
 	sim.owners[sim.ownerID] = sim.owner
 	if sim.newQuota != nil {
