crannode: load the partitions of a shard as the link of the process carries them

On a link of 2 Mbit/s, the parallel loads of a shard's partitions delayed the renewals of the claim, so that other entry instances claimed the shard before it was loaded, each in turn, and its jobs stood still. The time that a load takes no longer counts as the latency of reads either, which let a new owner count as stalled at once.

--- a/internal/crannode/ownership.go
+++ b/internal/crannode/ownership.go
@@ -5,6 +5,7 @@
 	"errors"
 	"maps"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -104,8 +105,10 @@
 	figuresWriter figuresWriter
 	// flushed is set once the last decisions before a release were stored.
 	flushed bool
-	ctx     context.Context
-	cancel  context.CancelFunc
+	// loads has a place for each topic that may be loaded at once.
+	loads  chan struct{}
+	ctx    context.Context
+	cancel context.CancelFunc
 }
 
 // beginOwnership makes this process the owner of the shard. It schedules once the shard is
@@ -116,8 +119,8 @@
 		shard: s, epoch: claim.Epoch, renewedAt: s.claimSentAt, beganAt: now.Steady, replica: cranjob.NewReplica(), stateIndex: map[string]int{},
 		progress:      &fencedWriter{topic: s.topics.Progress, producer: producer, epoch: claim.Epoch, interval: progressInterval},
 		digest:        &fencedWriter{topic: n.topics.Digest, producer: s.digestProducer(), epoch: claim.Epoch, interval: digestInterval},
-		stripeReaders: make([]stripeReader, len(s.stripes)),
-		predecessor:   cransched.Predecessor{StoppedBy: s.ownersStopBy(claim, now.Steady), LeasesEndAt: s.leasesEndAt(claim.Epoch - 1)},
+		stripeReaders: make([]stripeReader, len(s.stripes)), loads: make(chan struct{}, n.loadsAtOnce(len(s.stripes)+1)),
+		predecessor: cransched.Predecessor{StoppedBy: s.ownersStopBy(claim, now.Steady), LeasesEndAt: s.leasesEndAt(claim.Epoch - 1)},
 	}
 	for _, p := range s.stripes {
 		o.trims = append(o.trims, cranstore.NewBatcher(p.topic, n.metrics.Retried))
@@ -145,6 +148,10 @@
 	for _, p := range s.stripes {
 		n.control.group.Go(func() { n.followSubmissions(o, p) })
 	}
+	if !o.beginLoad() {
+		return
+	}
+	defer o.endLoad()
 	for o.ctx.Err() == nil {
 		records, _, err := cranstore.Load(o.ctx, s.topics.Progress)
 		if err == nil {
@@ -200,12 +207,50 @@
 // followSubmissions passes the submissions in a stripe to the shard's owner until the ownership ends.
 // The control goroutine applies each update before the next read.
 func (n *Node) followSubmissions(o *ownership, p *stripe) {
+	if !o.beginLoad() {
+		return
+	}
+	end := sync.OnceFunc(o.endLoad)
+	defer end()
 	f := n.newFollower(readOptions{topic: p.topic, wait: n.submissionsReadWait(), pause: submissionsPause})
 	n.follow(o.ctx, "submissions", f, func(u cranstore.Update) {
 		n.postAndWait(o.ctx, func() { o.applySubmissions(p, u) })
+		if u.Next >= u.End {
+			end()
+		}
 	})
 }
 
+const (
+	// loadPageBytes is the size of a page of a load, and loadPageTime how long it may take on the link of the
+	// process. The renewals of the claim share the link: with longer pages, others claim the shard while it is loaded,
+	// and then nobody ever loads it.
+	loadPageBytes = 128 << 10
+	loadPageTime  = 500 * time.Millisecond
+)
+
+// loadsAtOnce returns how many of the given number of topics may be loaded at once: as many as the link of the
+// process carries in loadPageTime.
+func (n *Node) loadsAtOnce(topics int) int {
+	if n.limits.LinkMbps <= 0 {
+		return topics
+	}
+	bytes := n.limits.LinkMbps * 1e6 / 8 * loadPageTime.Seconds()
+	return max(int(min(bytes/loadPageBytes, float64(topics))), 1)
+}
+
+// beginLoad waits until another topic may be loaded, and returns false if the ownership ends before.
+func (o *ownership) beginLoad() bool {
+	select {
+	case o.loads <- struct{}{}:
+		return true
+	case <-o.ctx.Done():
+		return false
+	}
+}
+
+func (o *ownership) endLoad() { <-o.loads }
+
 // applySubmissions applies a read of a stripe of the submissions, and passes the changes to the
 // scheduler.
 func (o *ownership) applySubmissions(p *stripe, u cranstore.Update) {
--- a/internal/crannode/stripe.go
+++ b/internal/crannode/stripe.go
@@ -71,6 +71,10 @@
 	if at, current := u.CurrentAt(); current {
 		waited := min(o.shard.node.submissionsReadWait(), u.Transfer.Elapsed)
 		r.readAt, r.answeredAt, r.latency = at, u.Sent+waited, u.Transfer.Elapsed-waited
+		if o.scheduler == nil {
+			// How long a load takes depends on what is stored, and says nothing about the reads that follow.
+			r.latency = 0
+		}
 	}
 	first := o.stripeReaders[0]
 	o.through, o.submissionsReadAt, o.submissionsAnsweredAt = first.through, first.readAt, first.answeredAt
