--- a/internal/crannode/ownership.go
+++ b/internal/crannode/ownership.go
@@ -215,7 +215,7 @@
 	f := n.newFollower(readOptions{topic: p.topic, wait: n.submissionsReadWait(), pause: submissionsPause})
 	n.follow(o.ctx, "submissions", f, func(u cranstore.Update) {
 		n.postAndWait(o.ctx, func() { o.applySubmissions(p, u) })
-		if u.Next >= u.End {
+		if _, current := u.CurrentAt(); current {
 			end()
 		}
 	})
