--- a/internal/cranevent/catalogue.go
+++ b/internal/cranevent/catalogue.go
@@ -152,7 +152,7 @@
 	rateLimited(define(SchedulerLags, "schedulerLags", LevelWarn, "the owner of a shard lags",
 		KeyElapsedMs, KeyShard)),
 	define(OwnerProgress, "ownerProgress", LevelInfo, "the owner of a shard is at work",
-		KeyAppendAgeMs, KeyCount, KeyEpoch, KeyReadAgeMs, KeyShard, KeyUnderWay, KeyWaiting),
+		KeyAppendAgeMs, KeyCount, KeyEpoch, KeyReadAgeMs, KeyReady, KeyShard, KeyTickMs, KeyUnderWay, KeyWaiting),
 	define(OwnerStalled, "ownerStalled", LevelWarn, "the owner of a shard makes no progress",
 		KeyAppendAgeMs, KeyElapsedMs, KeyEpoch, KeyReadAgeMs, KeyShard),
 	define(OwnerRecovered, "ownerRecovered", LevelInfo, "the owner of a shard makes progress again",
--- a/internal/cranevent/event_test.go
+++ b/internal/cranevent/event_test.go
@@ -29,7 +29,7 @@
 	Elapsed(1500 * time.Millisecond), Empty(1), Epoch(5), Err(errors.New("a \"quoted\"\nerror")), File("entry.toml"), FirstByte(70 * time.Millisecond), FirstStart(200 * time.Millisecond), FromPhase("stopping"),
 	Instance("office-1"), Job("5c0e7a21d94b36f8"), LimitedRounds(10), Member("entry-1-7f"), Needed(9), Number(2), Objective(1700 * time.Millisecond), Offset(18446744073709551615), Peer("entry-2"),
 	Pool("office"), Punctual(7), Queue("matching"), ReadAge(35 * time.Millisecond), Reason(cranfault.BudgetSpent), Remaining(-40 * time.Millisecond), Revision(7), Service("placement"),
-	Shard("office"), Slack(-15 * time.Millisecond), Stream("control"), suppressed(4), Target("i-7f3a91c2"), Task("5c0e7a21d94b36f8.0.1.17"), Tenant("clinics"), ToPhase("returning"), ToPool("vets"), UnderWay(8), Waiting(6), WaitingLate(11), Wave(12), Within50(13), Within90(14), WithinPercent(40),
+	Shard("office"), Slack(-15 * time.Millisecond), Stream("control"), suppressed(4), Target("i-7f3a91c2"), Task("5c0e7a21d94b36f8.0.1.17"), Tenant("clinics"), ToPhase("returning"), ToPool("vets"), UnderWay(8), Ready(15), Tick(16 * time.Millisecond), Waiting(6), WaitingLate(11), Wave(12), Within50(13), Within90(14), WithinPercent(40),
 }
 
 func sampleFieldsOf(d Definition) []Field {
--- a/internal/cranevent/field.go
+++ b/internal/cranevent/field.go
@@ -47,6 +47,7 @@
 	KeyPunctual    Key = "punctual"
 	KeyQueue       Key = "queue"
 	KeyReadAgeMs   Key = "readAgeMs"
+	KeyReady       Key = "ready"
 	KeyReason      Key = "reason"
 	KeyRemainingMs Key = "remainingMs"
 	KeyRevision    Key = "revision"
@@ -58,6 +59,7 @@
 	KeyTarget      Key = "target"
 	KeyTask        Key = "task"
 	KeyTenant      Key = "tenant"
+	KeyTickMs      Key = "tickMs"
 	KeyToPhase     Key = "toPhase"
 	KeyToPool      Key = "toPool"
 	KeyUnderWay    Key = "underWay"
@@ -204,6 +206,12 @@
 // ReadAge returns a field with the time since every stored submission was read.
 func ReadAge(d time.Duration) Field { return integerField(KeyReadAgeMs, d.Milliseconds()) }
 
+// Ready returns a field with the number of stages that have waiting tasks and could run.
+func Ready(n int) Field { return integerField(KeyReady, int64(n)) }
+
+// Tick returns a field with the longest time that a tick of a scheduler has taken, in whole milliseconds.
+func Tick(d time.Duration) Field { return integerField(KeyTickMs, d.Milliseconds()) }
+
 // UnderWay returns a field with the number of starts that wait for a response.
 func UnderWay(n int) Field { return integerField(KeyUnderWay, int64(n)) }
 
--- a/internal/cranmetric/jobs.go
+++ b/internal/cranmetric/jobs.go
@@ -16,6 +16,10 @@
 // caller waits.
 var jobBuckets = []float64{0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5}
 
+// tickBuckets holds the upper bounds of the buckets for ticks in seconds: from a tick of an idle scheduler to one that
+// makes an owner late.
+var tickBuckets = []float64{0.0001, 0.0002, 0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25}
+
 // Jobs holds the metrics of an entry instance of the job service. It is safe for
 // concurrent use.
 type Jobs struct {
@@ -39,10 +43,11 @@
 	ownedShards, lag prometheus.Gauge
 	digestJobs       prometheus.Gauge
 	// The owner metrics are by shard.
-	waitingTasks, startsUnderWay, submissionsAge, appendAge, cappedTenants *prometheus.GaugeVec
-	sharesGiven                                                            prometheus.Counter
-	malformed                                                              closedCounters[string]
-	entitlements                                                           entitlementMetrics
+	waitingTasks, readyStages, startsUnderWay, submissionsAge, appendAge, cappedTenants *prometheus.GaugeVec
+	schedulerTick                                                                       prometheus.Histogram
+	sharesGiven                                                                         prometheus.Counter
+	malformed                                                                           closedCounters[string]
+	entitlements                                                                        entitlementMetrics
 }
 
 // streams are the values of the label stream.
@@ -97,12 +102,16 @@
 		return prometheus.NewGaugeVec(gauge(name, help), []string{"shard"})
 	}
 	m.waitingTasks = shardGauge("owner_waiting_tasks", "Tasks of a shard that could run and wait for a target.")
+	m.readyStages = shardGauge("owner_ready_stages", "Stages of a shard that have waiting tasks and could run.")
+	m.schedulerTick = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Namespace: namespace, Name: "scheduler_tick_seconds", Help: "Time that a tick of a shard's scheduler takes.", Buckets: tickBuckets,
+	})
 	m.startsUnderWay = shardGauge("owner_starts_under_way", "Starts of a shard's owner that wait for the store or for a response.")
 	m.submissionsAge = shardGauge("owner_submissions_age_seconds", "Time since a shard's owner has read every stored submission.")
 	m.appendAge = shardGauge("owner_append_age_seconds", "Time for which the append of a shard's owner to the progress has been unanswered.")
 	m.cappedTenants = shardGauge("owner_capped_tenants", "Tenants of which tasks of a shard wait for the cap.")
 	m.sharesGiven = counter("quota_gifts_total", "Shares of tenants' caps that this process gave to other shards.")
-	m.registry.MustRegister(m.cappedTenants, m.sharesGiven, m.waitingTasks, m.startsUnderWay, m.submissionsAge, m.appendAge)
+	m.registry.MustRegister(m.readyStages, m.schedulerTick, m.cappedTenants, m.sharesGiven, m.waitingTasks, m.startsUnderWay, m.submissionsAge, m.appendAge)
 	malformed := vector("malformed_records_total", "Records of a stream that were skipped because they are malformed.", "stream")
 	m.malformed = newClosedCounters(malformed, streams)
 	for _, k := range cranfault.Kinds() {
@@ -159,16 +168,20 @@
 func (m *Jobs) Lagged(lag time.Duration) { m.lag.Set(lag.Seconds()) }
 
 // OwnerProgressed records how far the owner of a shard has got.
-func (m *Jobs) OwnerProgressed(shard string, waiting, underWay int, submissionsAge, appendAge time.Duration) {
+func (m *Jobs) OwnerProgressed(shard string, waiting, ready, underWay int, submissionsAge, appendAge time.Duration) {
 	m.waitingTasks.WithLabelValues(shard).Set(float64(waiting))
+	m.readyStages.WithLabelValues(shard).Set(float64(ready))
 	m.startsUnderWay.WithLabelValues(shard).Set(float64(underWay))
 	m.submissionsAge.WithLabelValues(shard).Set(submissionsAge.Seconds())
 	m.appendAge.WithLabelValues(shard).Set(appendAge.Seconds())
 }
 
+// SchedulerTicked observes how long a tick of a scheduler took.
+func (m *Jobs) SchedulerTicked(took time.Duration) { m.schedulerTick.Observe(took.Seconds()) }
+
 // OwnerEnded removes what was recorded of the owner of a shard, which this process no longer is.
 func (m *Jobs) OwnerEnded(shard string) {
-	for _, v := range []*prometheus.GaugeVec{m.waitingTasks, m.startsUnderWay, m.submissionsAge, m.appendAge, m.cappedTenants} {
+	for _, v := range []*prometheus.GaugeVec{m.waitingTasks, m.readyStages, m.startsUnderWay, m.submissionsAge, m.appendAge, m.cappedTenants} {
 		v.DeleteLabelValues(shard)
 	}
 }
--- a/internal/crannode/owner.go
+++ b/internal/crannode/owner.go
@@ -40,6 +40,9 @@
 		o.observeTick(now.Steady)
 		o.tickedAt = now.Steady
 		o.scheduler.Tick()
+		took := o.shard.node.now().Steady - now.Steady
+		o.longestTick = max(o.longestTick, took)
+		o.shard.node.metrics.SchedulerTicked(took)
 	}
 	return maxStepInterval
 }
--- a/internal/crannode/ownership.go
+++ b/internal/crannode/ownership.go
@@ -57,6 +57,8 @@
 	// trims append the smaller records that replace the submissions of ended jobs, one for each stripe.
 	trims []*cranstore.Batcher
 
+	// longestTick is the longest time that a tick has taken since the last report.
+	longestTick time.Duration
 	// replica holds the jobs of the shard. It is loaded from the topics of the shard, of
 	// which progressLoaded and submissionsLoaded say whether they were read.
 	replica                           *cranjob.Replica
--- a/internal/crannode/report.go
+++ b/internal/crannode/report.go
@@ -23,9 +23,11 @@
 	o.reportedAt = now
 	waiting, underWay := o.scheduler.WaitingTasks(), o.scheduler.StartsUnderWay()
 	readAge, appendAge := now-o.submissionsReadAt, o.progress.age(now)
-	n.metrics.OwnerProgressed(o.shard.name, waiting, underWay, readAge, appendAge)
+	ready := o.scheduler.ReadyStages()
+	n.metrics.OwnerProgressed(o.shard.name, waiting, ready, underWay, readAge, appendAge)
 	n.log.Emit(cranevent.OwnerProgress, cranevent.Shard(o.shard.name), cranevent.Epoch(o.epoch), cranevent.Count(o.scheduler.JobCount()),
-		cranevent.Waiting(waiting), cranevent.UnderWay(underWay), cranevent.ReadAge(readAge), cranevent.AppendAge(appendAge))
+		cranevent.Waiting(waiting), cranevent.Ready(ready), cranevent.Tick(o.longestTick), cranevent.UnderWay(underWay), cranevent.ReadAge(readAge), cranevent.AppendAge(appendAge))
+	o.longestTick = 0
 	o.reportEntitlements(now)
 }
 
--- a/internal/cransched/bench_test.go
+++ b/internal/cransched/bench_test.go
@@ -140,3 +140,45 @@
 		})
 	}
 }
+
+// BenchmarkStartsInBacklog measures a tick in which 12 tasks start while 16,000 jobs wait: 1,000 starts per second.
+func BenchmarkStartsInBacklog(b *testing.B) {
+	s := newBenchScheduler(cranjob.NewReplica(), 349)
+	for n := range 16000 {
+		s.AddJob(newBenchJob(n))
+	}
+	now, next, starts := s.clock, 16000, 0
+	for b.Loop() {
+		b.StopTimer()
+		now.Steady += 12 * time.Millisecond
+		now.UnixMs += 12
+		s.Advance(now)
+		ended := 0
+		for _, t := range s.sorted {
+			t.lastResponseAt = now.Steady
+			for _, r := range t.sortedRuns() {
+				if ended < 12 && r.phase == startSent {
+					ended++
+					t.remove(r)
+					s.startsPaced.answered(runName{r.name, r.number})
+					s.setStatus(r.task, cranjob.Done)
+					s.completeIfDone(r.task.job)
+				}
+			}
+		}
+		for len(s.jobs) < 16000 {
+			s.AddJob(newBenchJob(next))
+			next++
+		}
+		b.StartTimer()
+		s.Tick()
+		for _, e := range s.Effects() {
+			if _, isStart := e.(StartRun); isStart {
+				starts++
+			}
+		}
+		s.NextBatch()
+		s.ConfirmBatch()
+	}
+	b.ReportMetric(float64(starts)/float64(b.N), "starts/tick")
+}
--- a/internal/cransched/candidate.go
+++ b/internal/cransched/candidate.go
@@ -77,6 +77,9 @@
 	return v.list
 }
 
+// ReadyStages returns the number of stages that had waiting tasks and could run when all jobs were last looked at.
+func (s *Scheduler) ReadyStages() int { return len(s.survey.list) }
+
 // surveyJobs looks at all jobs.
 func (s *Scheduler) surveyJobs() {
 	v := &s.survey
--- a/internal/cransched/order.go
+++ b/internal/cransched/order.go
@@ -88,6 +88,9 @@
 		part := max(fraction(reserved.CPU, o.instance.CPU), fraction(reserved.Memory, o.instance.Memory))
 		seconds := j.durationMs[st.name.Step] / 1000
 		waiting += float64(st.waiting) * part * seconds
+		if st.waiting+st.done == len(st.tasks) {
+			continue
+		}
 		for _, t := range st.tasks {
 			if t.Status == cranjob.Placed && t.run != nil {
 				left := seconds
