cranmeasure overload: measure goodput in a surge

Operators see what the job service achieves while callers send up to several times what its targets can serve, beside two other policies: admitting everything, and a queue of fixed length.

internal/cranoverload plays callers, entry instances, the owner of a shard and its targets in virtual time. It runs the real cranadmit, cranfair and cransched (with cranorder); only the store, targets and callers are simulated.

--- a/cmd/cranmeasure/main.go
+++ b/cmd/cranmeasure/main.go
@@ -1,5 +1,5 @@
-// Command cranmeasure measures the performance of parts of the system. The subcommands slots
-// and waves run the real decision code on a seeded workload in virtual time and print the
+// Command cranmeasure measures the performance of parts of the system. The subcommands slots,
+// waves and overload run the real decision code on a seeded workload in virtual time and print the
 // figures next to their baselines. The subcommand capacity measures costs in real time.
 package main
 
@@ -10,6 +10,7 @@
 	Slots    slotsCommand    `cmd:"" help:"Measure how entries share the slots of targets."`
 	Capacity capacityCommand `cmd:"" help:"Measure the figures of docs/CAPACITY.md; takes some minutes of real time."`
 	Waves    wavesCommand    `cmd:"" help:"Measure the makespan of maintenance waves."`
+	Overload overloadCommand `cmd:"" help:"Measure the goodput of the job service while callers send more than it can serve."`
 }
 
 func main() {
