cranledger: report when the last task of a job succeeded

Whoever runs the stand-ins can tell which jobs ended in time, by what the targets recorded instead of by when a caller asked. RecordEnd sets the time when the last of the tasks that were submitted is done; ends of a task that is done already don't move it.

--- a/internal/cranledger/ledger.go
+++ b/internal/cranledger/ledger.go
@@ -50,6 +50,8 @@
 	cancelling bool
 	// idleSince is when the job was accepted, or its last running task ended.
 	idleSince time.Time
+	// completedAt is when the last task succeeded.
+	completedAt time.Time
 	// tenant is the tenant of the job, empty if it has none, and cpu what one of its tasks takes, in
 	// thousandths of a core.
 	tenant string
@@ -194,8 +196,21 @@
 	}
 	if outcome == "done" && !t.done {
 		t.done = true
-		j.done++
+		if j.done++; j.done == j.count {
+			j.completedAt = at
+		}
+	}
+}
+
+// CompletedAt returns when the last task of a job succeeded. It reports false if not all tasks have succeeded.
+func (l *Ledger) CompletedAt(name string) (time.Time, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	j := l.jobs[name]
+	if j == nil || j.completedAt.IsZero() {
+		return time.Time{}, false
 	}
+	return j.completedAt, true
 }
 
 // JobStarted reports whether any task of a job has started.
