--- a/examples/tenants/report.go
+++ b/examples/tenants/report.go
@@ -24,6 +24,9 @@
 	settleInterval = 200 * time.Millisecond
 )
 
+// errBroken is wrapped by errors that no busy machine excuses: a job was lost or a target has recorded a violation.
+var errBroken = errors.New("a requirement is broken")
+
 // counts are the numbers of jobs by outcome. Of the jobs sent, each is accepted, refused or unknown; of those accepted,
 // each is in time, late or lost.
 type counts struct {
@@ -123,12 +126,12 @@
 				errs = append(errs, eris.Errorf("%s %s the burst: %d of %d jobs not accepted", t.name, phaseNames[phase], n.sent-n.accepted, n.sent))
 			}
 			if n.lost > 0 {
-				errs = append(errs, eris.Errorf("%s %s the burst: %d of %d accepted jobs lost", t.name, phaseNames[phase], n.lost, n.accepted))
+				errs = append(errs, fmt.Errorf("%w: %s %s the burst: %d of %d accepted jobs lost", errBroken, t.name, phaseNames[phase], n.lost, n.accepted))
 			}
 		}
 	}
 	for _, v := range violations {
-		errs = append(errs, eris.New(v))
+		errs = append(errs, fmt.Errorf("%w: %s", errBroken, v))
 	}
 	return errors.Join(errs...)
 }
