cransched: answer where a job would go now, without side effects

Operators will be able to ask where a job would be placed and why it would wait. The scheduler's part of the answer is Scheduler.Where: the entitlement, the room under the cap, the waiting stages ahead, whether the job would be given up, the target of each step that is ready with its score or the reasons against the targets, the expected run times and the state of the pool.

Where rehearses the next round: candidates in placement order get tentative runs, which are removed at the end. Estimates are updated on copies of jobs, the order of the work beyond entitlements is copied, and starts under way are counted without dropping old ones. Parts of the round are split off for that (candidateOf, addToOrder, assignGang, withoutReserved); an expired ticket is no longer deleted when it is read.

--- a/internal/cranadmit/decide.go
+++ b/internal/cranadmit/decide.go
@@ -76,25 +76,34 @@
 // Decide admits or refuses a job, and counts it if it is admitted. It admits every job for whose queue there
 // are no figures younger than MaxAge.
 func (b *Board) Decide(r Request, now time.Duration) Decision {
+	d, known := b.Peek(r, now)
+	if d.Admitted {
+		if known {
+			b.shards[r.Shard].admitted[r.Queue]++
+		}
+		return Decision{Admitted: true}
+	}
+	return d
+}
+
+// Peek returns the decision on a job without counting it, with the age of the figures also if the job is admitted. It
+// reports whether there are figures younger than MaxAge for its queue.
+func (b *Board) Peek(r Request, now time.Duration) (d Decision, known bool) {
 	p := b.shards[r.Shard]
 	if p == nil || now-p.readAt >= MaxAge {
-		return Decision{Admitted: true}
+		return Decision{Admitted: true}, false
 	}
 	q, known := p.figures.Queues[r.Queue]
 	if !known {
-		return Decision{Admitted: true}
+		return Decision{Admitted: true}, false
 	}
 	age := max(now-p.readAt, 0)
 	// The other entry instances have admitted about as many jobs as before.
 	since := math.Max(float64(p.admitted[r.Queue]), q.Arrivals*age.Seconds())
 	added := time.Duration(since*float64(q.JobTime)) - age
-	d := decide(r, &q, added, p.figures.Within)
-	if d.Admitted {
-		p.admitted[r.Queue]++
-		return Decision{Admitted: true}
-	}
+	d = decide(r, &q, added, p.figures.Within)
 	d.Age = age
-	return d
+	return d, true
 }
 
 // decide decides on a job of a queue whose drain has changed by added since the figures were published.
--- a/internal/cranfair/ledger.go
+++ b/internal/cranfair/ledger.go
@@ -65,6 +65,21 @@
 	return within
 }
 
+// IsWithin reports whether Classify would count a job as within the entitlement of its tenant. It changes nothing.
+func (l *Ledger) IsWithin(tenant string, receivedMs, nowMs int64) bool {
+	if tenant == "" || !l.enabled {
+		return true
+	}
+	a := &account{}
+	if known := l.accounts[tenant]; known != nil {
+		*a = *known
+	} else {
+		a.setWeight(l.weights[tenant], l.shards)
+	}
+	a.fill(min(receivedMs, nowMs))
+	return a.tokens >= 1
+}
+
 // account returns the account of a tenant. A tenant that was never configured has no weight.
 func (l *Ledger) account(tenant string) *account {
 	a := l.accounts[tenant]
--- a/internal/cranfair/order.go
+++ b/internal/cranfair/order.go
@@ -71,6 +71,16 @@
 	o.service(tenant).virtual += work / o.share(tenant)
 }
 
+// Clone returns a copy of the order, of which the rounds don't change this one.
+func (o *Order) Clone() *Order {
+	c := &Order{weights: o.weights, served: make(map[string]*service, len(o.served)), round: o.round, floor: o.floor}
+	for tenant, s := range o.served {
+		copied := *s
+		c.served[tenant] = &copied
+	}
+	return c
+}
+
 func (o *Order) service(tenant string) *service {
 	s := o.served[tenant]
 	if s == nil {
--- a/internal/cranquota/ledger.go
+++ b/internal/cranquota/ledger.go
@@ -335,6 +335,28 @@
 	}
 }
 
+// Room returns what a tenant with a cap may still start on the shard, as of the last count, and the cap. A quantity
+// without a cap is 0 in both.
+func (l *Ledger) Room(tenant string) (room, whole cranjob.Resources) {
+	a := l.accounts[tenant]
+	if a == nil || !a.limited() {
+		return cranjob.Resources{}, cranjob.Resources{}
+	}
+	if a.unsettled {
+		return cranjob.Resources{}, a.cap
+	}
+	share := l.usable(tenant) - a.owed
+	left := func(used, quantity int) int {
+		if quantity == 0 {
+			return 0
+		}
+		return max(int(limit(share, quantity))-used, 0)
+	}
+	return cranjob.Resources{
+		CPU: left(a.used.CPU, a.cap.CPU), Memory: left(a.used.Memory, a.cap.Memory), Accelerators: left(a.used.Accelerators, a.cap.Accelerators),
+	}, a.cap
+}
+
 // WaitingTenants returns the tenants of which tasks wait for the cap, in order.
 func (l *Ledger) WaitingTenants() []string {
 	var names []string
--- a/internal/cransched/advice.go
+++ b/internal/cransched/advice.go
@@ -122,7 +122,6 @@
 func (t *target) validTicket(step StepName, now time.Duration) string {
 	granted, found := t.tickets[step]
 	if !found || now >= granted.expiresAt {
-		delete(t.tickets, step)
 		return ""
 	}
 	return granted.text
--- a/internal/cransched/bench_test.go
+++ b/internal/cransched/bench_test.go
@@ -108,6 +108,28 @@
 	}
 }
 
+// BenchmarkWhere measures a query while 4,000 jobs wait for full targets. It must take less time than a tick in which
+// the jobs to be served in time are selected; every eighth tick of BenchmarkFullPool is one.
+func BenchmarkWhere(b *testing.B) {
+	for _, jobs := range []int{100, 4000, 16000} {
+		b.Run(fmt.Sprint(jobs), func(b *testing.B) {
+			s := newBenchScheduler(cranjob.NewReplica(), 49)
+			for _, t := range s.sorted {
+				t.add(&run{name: cranjob.TaskName{Job: t.info.ID}, number: 1, reserved: t.info.Capacity, phase: confirmed, step: &cranjob.Step{}})
+			}
+			for n := range jobs {
+				s.AddJob(newBenchJob(n))
+			}
+			s.Tick()
+			asked := newBenchJob(jobs)
+			b.ReportAllocs()
+			for b.Loop() {
+				s.Where(asked, s.clock)
+			}
+		})
+	}
+}
+
 // BenchmarkFullPool measures a tick in which nothing can start, by the number of waiting jobs of 16 tasks.
 func BenchmarkFullPool(b *testing.B) {
 	for _, jobs := range []int{100, 1000, 4000, 16000} {
--- a/internal/cransched/candidate.go
+++ b/internal/cransched/candidate.go
@@ -101,7 +101,7 @@
 	}
 	clear(v.jobs[len(left):])
 	slices.SortFunc(list, compareCandidates)
-	s.rankBeyond(list)
+	s.rankBeyond(list, s.orderOf)
 	v.list, v.jobs = list, v.inOrder(left, list)
 	s.recordBacklog(list)
 }
@@ -134,12 +134,7 @@
 		if st.waiting == 0 || !j.ready(st, s.clock.UnixMs) {
 			continue
 		}
-		s.updateEstimates(j)
-		slack := s.orderSlackMs(j, st)
-		c := candidate{
-			job: j, stage: st, startByMs: s.clock.UnixMs + slack, late: !st.step.LongRunning && (j.givenUp || slack < j.slackReserveMs(st)),
-			beyond: j.beyond && !st.step.LongRunning,
-		}
+		c := s.candidateOf(j, st)
 		c.room = s.survey.roomOf(j.Pool)
 		c.shape = c.room.add(st, s.isBound(j))
 		list = append(list, c)
@@ -147,6 +142,16 @@
 	return list
 }
 
+// candidateOf returns a stage with its sort keys, apart from its rank and its room.
+func (s *Scheduler) candidateOf(j *job, st *stage) candidate {
+	s.updateEstimates(j)
+	slack := s.orderSlackMs(j, st)
+	return candidate{
+		job: j, stage: st, startByMs: s.clock.UnixMs + slack, late: !st.step.LongRunning && (j.givenUp || slack < j.slackReserveMs(st)),
+		beyond: j.beyond && !st.step.LongRunning,
+	}
+}
+
 // insertAdded inserts the stages that have become ready since the last round. Those beyond the entitlement of their
 // tenant come last until all jobs are looked at.
 func (s *Scheduler) insertAdded() {
--- a/internal/cransched/fairness.go
+++ b/internal/cransched/fairness.go
@@ -16,6 +16,8 @@
 	SetTenants(d *crantenant.Directory, nowMs int64)
 	// Classify reports whether a job is within the entitlement. It is called once for each job.
 	Classify(tenant string, receivedMs, nowMs int64) bool
+	// IsWithin reports what Classify would, and changes nothing.
+	IsWithin(tenant string, receivedMs, nowMs int64) bool
 	// Beyond returns the tenants that are beyond their entitlement now.
 	Beyond(nowMs int64) []cranfair.Standing
 	// Order returns the order of the work beyond the entitlement in a pool.
@@ -76,7 +78,7 @@
 
 // rankBeyond sorts the candidates beyond the entitlement, which are consecutive in the sorted list,
 // so that tenants get room in proportion to their weights. The work of one tenant keeps its order.
-func (s *Scheduler) rankBeyond(list []candidate) {
+func (s *Scheduler) rankBeyond(list []candidate, orderOf func(pool string) *cranfair.Order) {
 	first := slices.IndexFunc(list, func(c candidate) bool { return c.beyond })
 	if first < 0 {
 		return
@@ -87,7 +89,7 @@
 		c := &list[i]
 		order := orders[c.job.Pool]
 		if order == nil {
-			order = s.fairness.Order(c.job.Pool)
+			order = orderOf(c.job.Pool)
 			order.Begin()
 			orders[c.job.Pool] = order
 		}
@@ -96,6 +98,8 @@
 	slices.SortFunc(list, compareCandidates)
 }
 
+func (s *Scheduler) orderOf(pool string) *cranfair.Order { return s.fairness.Order(pool) }
+
 // chargeStart records the start of a task of a job beyond the entitlement of its tenant.
 func (s *Scheduler) chargeStart(t *task) {
 	if j := t.job; j.beyond && !t.step.LongRunning {
--- a/internal/cransched/gang.go
+++ b/internal/cransched/gang.go
@@ -9,30 +9,30 @@
 // prefers a single rack, each rack is tried before the targets of all racks.
 func (s *Scheduler) placeGang(c candidate, targets []*target) {
 	st := c.stage
-	if st.waiting != len(st.tasks) {
+	if !s.mayStartUnit(st) {
 		return
 	}
 	number := 0
 	for _, t := range st.tasks {
-		if t.notBefore > s.clock.Steady {
-			return
-		}
 		number = max(number, t.Run+1)
 	}
+	for i, dest := range s.assignGang(st, targets) {
+		s.startTask(st.tasks[i], dest, number)
+	}
+}
+
+// assignGang returns a target for each task of a gang, or nil if they don't all fit.
+func (s *Scheduler) assignGang(st *stage, targets []*target) []*target {
 	groups := [][]*target{targets}
 	if st.step.SameRack {
 		groups = append(groupByRack(targets), targets)
 	}
 	for _, group := range groups {
-		assigned := s.fitGang(st, group)
-		if assigned == nil {
-			continue
-		}
-		for i, t := range st.tasks {
-			s.startTask(t, assigned[i], number)
+		if assigned := s.fitGang(st, group); assigned != nil {
+			return assigned
 		}
-		return
 	}
+	return nil
 }
 
 // fitGang returns a target for each task of a stage, or nil if they don't all fit. It adds
--- a/internal/cransched/order.go
+++ b/internal/cransched/order.go
@@ -33,18 +33,11 @@
 	s.survey.due = true
 	for j := range s.openJobs() {
 		o := orders[j.Pool]
-		if o == nil || j.Times > 0 || j.LongRunning() {
+		if o == nil || !isSelectable(j) {
 			continue
 		}
 		s.updateEstimates(j)
-		running, waiting := s.remainingWork(j, o)
-		slackMs, waits := s.waitingSlackMs(j)
-		if !waits || j.waiting == 0 {
-			o.capacity.Occupied += running
-			continue
-		}
-		o.jobs = append(o.jobs, j)
-		o.items = append(o.items, cranorder.Job{Work: running + waiting, SlackMs: slackMs, Started: j.waiting < len(j.tasks)})
+		s.addToOrder(o, j)
 	}
 	for _, o := range orders {
 		for i, selected := range cranorder.Select(o.items, o.capacity) {
@@ -53,6 +46,21 @@
 	}
 }
 
+// isSelectable reports whether a job may be given up.
+func isSelectable(j *job) bool { return j.Times == 0 && !j.LongRunning() }
+
+// addToOrder adds the work of a job, by its last estimates, to what the selection of its pool is based on.
+func (s *Scheduler) addToOrder(o *poolOrder, j *job) {
+	running, waiting := s.remainingWork(j, o)
+	slackMs, waits := s.waitingSlackMs(j)
+	if !waits || j.waiting == 0 {
+		o.capacity.Occupied += running
+		return
+	}
+	o.jobs = append(o.jobs, j)
+	o.items = append(o.items, cranorder.Job{Work: running + waiting, SlackMs: slackMs, Started: j.waiting < len(j.tasks)})
+}
+
 // poolCapacities returns the capacity of each pool, in instances that long-running tasks leave.
 func (s *Scheduler) poolCapacities() map[string]*poolOrder {
 	orders := map[string]*poolOrder{}
--- a/internal/cransched/pacer.go
+++ b/internal/cransched/pacer.go
@@ -56,6 +56,17 @@
 	return p.storeFactor(maxStartsAt(lag)) - p.planned - len(p.sentAt)
 }
 
+// leftAt returns what left does without a change.
+func (p *startPacer) leftAt(now, lag time.Duration) int {
+	under := 0
+	for _, at := range p.sentAt {
+		if now-at <= startResponseTime+lag {
+			under++
+		}
+	}
+	return p.storeFactor(maxStartsAt(lag)) - p.planned - under
+}
+
 // storeFactor returns n times how much longer than quickStoreTime an append takes. The owner is idle while
 // starts wait for the store: with no more of them than it may have under way, a store that takes half a
 // second lets it start a few hundred tasks a second, however many targets are free.
--- a/internal/cransched/place.go
+++ b/internal/cransched/place.go
@@ -124,6 +124,11 @@
 // capacity that becomes free.
 func (s *Scheduler) reserveTarget(st *stage, targets []*target) []*target {
 	s.starved[st.tasks[0].job.Pool] = true
+	return s.withoutReserved(st, targets)
+}
+
+// withoutReserved returns the targets without the one to keep free for a long-running task.
+func (s *Scheduler) withoutReserved(st *stage, targets []*target) []*target {
 	best := -1
 	for i, t := range targets {
 		if !s.meetsConstraints(st, t) || !t.info.Capacity.Fits(t.longRunningResources().Add(st.step.Reservation())) {
--- a/internal/cransched/poolstatus.go
+++ b/internal/cransched/poolstatus.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/cranberrypick/cranberrypick/internal/cranexplain"
 	"github.com/cranberrypick/cranberrypick/internal/cranpool"
 )
 
@@ -30,6 +31,10 @@
 
 // reportPools reports the status of each pool that isn't a standby pool.
 func (s *Scheduler) reportPools(balances []cranpool.Balance, supply map[string]*cranpool.Supply) {
+	for _, b := range balances {
+		p := supply[b.Pool]
+		s.fleet.planned[b.Pool] = cranexplain.Pool{Instances: p.Members, Idle: len(p.Empty), Arriving: p.Arriving, Needed: b.Needed}
+	}
 	if s.clock.Steady-s.poolsReportedAt < poolReportInterval {
 		return
 	}
--- a/internal/cransched/quota.go
+++ b/internal/cransched/quota.go
@@ -25,6 +25,8 @@
 	// Exceeded reports whether a tenant may no longer start a run that was counted, and Release takes one back.
 	Exceeded(tenant string, d cranjob.Resources) bool
 	Release(tenant string, d cranjob.Resources)
+	// Room returns what a tenant may still start, and its cap.
+	Room(tenant string) (room, whole cranjob.Resources)
 	// HasRemoved reports whether the caps of removed tenants are kept, and Forget drops those of tenants without jobs.
 	HasRemoved() bool
 	Forget(present func(tenant string) bool)
--- a/internal/cransched/room.go
+++ b/internal/cransched/room.go
@@ -32,7 +32,7 @@
 // add returns the index of the shape of a stage.
 func (r *poolRoom) add(st *stage, bound bool) int {
 	r.bound = r.bound || bound
-	k := shape{st.step.Reservation(), st.step.Requires}
+	k := st.shape()
 	i, known := r.indexes[k]
 	if !known {
 		i = len(r.full)
@@ -43,6 +43,8 @@
 	return i
 }
 
+func (st *stage) shape() shape { return shape{st.step.Reservation(), st.step.Requires} }
+
 // reset begins a round.
 func (r *poolRoom) reset() {
 	clear(r.full)
--- a/internal/cransched/wave.go
+++ b/internal/cransched/wave.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/cranberrypick/cranberrypick/internal/cranexplain"
 	"github.com/cranberrypick/cranberrypick/internal/cranjob"
 	"github.com/cranberrypick/cranberrypick/internal/cranpool"
 	"github.com/cranberrypick/cranberrypick/internal/cranstore"
@@ -71,6 +72,8 @@
 	budget     moveBudget
 	// planner decides on the sizes of the pools.
 	planner *cranpool.Planner
+	// planned holds the state of the pools as of the last plan.
+	planned map[string]cranexplain.Pool
 }
 
 // newFleet restores the stored orders and the moves that may be in progress.
@@ -79,6 +82,7 @@
 		waves: map[int]*wave{}, storedOrders: maps.Clone(orders),
 		moves: map[string]*move{}, refusedMoves: map[destination]bool{}, planner: cranpool.NewPlanner(cranpool.DefaultCosts()),
 		vacating: map[string]*target{}, peaksNear: map[string]bool{}, starvedSince: map[string]time.Duration{},
+		planned: map[string]cranexplain.Pool{},
 	}
 	for instance, order := range orders {
 		at, found := s.predecessor.LastOrderAt[instance]
--- a/internal/cransched/world_target_test.go
+++ b/internal/cransched/world_target_test.go
@@ -1,6 +1,7 @@
 package cransched
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -122,7 +123,7 @@
 		}
 		response.Finished = append(response.Finished, end.EndReport)
 	}
-	for _, name := range slices.SortedFunc(maps.Keys(tgt.runs), func(a, b cranjob.TaskName) int { return a.Index - b.Index }) {
+	for _, name := range slices.SortedFunc(maps.Keys(tgt.runs), compareTasks) {
 		percent := 100
 		if now < tgt.runs[name].readyAt {
 			percent = 50
@@ -137,7 +138,7 @@
 // endDueRuns ends the runs of a target that are finished or whose lease has expired.
 func (sim *simulation) endDueRuns(tgt *simTarget) {
 	expired := tgt.leaseExpired(sim.now)
-	for _, name := range slices.SortedFunc(maps.Keys(tgt.runs), func(a, b cranjob.TaskName) int { return a.Index - b.Index }) {
+	for _, name := range slices.SortedFunc(maps.Keys(tgt.runs), compareTasks) {
 		r := tgt.runs[name]
 		switch {
 		case r.endsAt <= sim.now && (!expired || tgt.clockMs(r.endsAt) <= tgt.leaseEndMs):
@@ -339,3 +340,8 @@
 		}
 	}
 }
+
+// compareTasks orders the runs of a target, so that equal simulations take the same course.
+func compareTasks(a, b cranjob.TaskName) int {
+	return cmp.Or(a.Index-b.Index, cmp.Compare(a.Job, b.Job), a.Occurrence-b.Occurrence, a.Step-b.Step)
+}
--- a/internal/cransched/world_test.go
+++ b/internal/cransched/world_test.go
@@ -6,6 +6,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -122,6 +123,10 @@
 	// background is the number of ordinary jobs that runBackground has submitted.
 	background int
 
+	// beforeTick, if set, is called before each tick of an owner, and observe for each record and effect of one.
+	beforeTick func(s *Scheduler)
+	observe    func(text string)
+
 	// newQuota, if set, returns what limits the tenants for a new owner.
 	newQuota func() Quota
 
@@ -259,6 +264,9 @@
 	if !sim.platformDown {
 		owner.SetInstances(sim.instanceList(), sim.now)
 	}
+	if sim.beforeTick != nil {
+		sim.beforeTick(owner)
+	}
 	owner.Tick()
 	owner.SetStoreLatency(sim.storeTime)
 	sim.storeAndPerform(owner, id)
@@ -269,6 +277,14 @@
 func (sim *simulation) storeAndPerform(s *Scheduler, id int) {
 	if records, any := s.NextBatch(); any {
 		epoch := s.token
+		for _, r := range records {
+			// Crashes are encoded from a map, in any order.
+			value := r.Value
+			if strings.HasPrefix(r.Key, "k") {
+				value = slices.Sorted(slices.Values(value))
+			}
+			sim.note("%s=%x", r.Key, value)
+		}
 		sim.schedule(cmp.Or(sim.storeTime, 6*time.Millisecond), func() {
 			if epoch != sim.epoch {
 				return
@@ -295,10 +311,24 @@
 		sim.schedule(cmp.Or(sim.publishDelay, 40*time.Millisecond), func() { sim.publishSilentTargets(s, id, epoch, silent) })
 	}
 	for _, e := range s.Effects() {
+		if l, ends := e.(LogEntry); ends && l.Timing != nil {
+			sim.note("%+v", *l.Timing)
+			l.Timing = nil
+			sim.note("%+v", l)
+		} else {
+			sim.note("%T %+v", e, e)
+		}
 		sim.perform(s, id, e)
 	}
 }
 
+// note passes a record or an effect to what observes them.
+func (sim *simulation) note(format string, args ...any) {
+	if sim.observe != nil {
+		sim.observe(fmt.Sprintf("%v ", sim.now) + fmt.Sprintf(format, args...))
+	}
+}
+
 // publishSilentTargets stores the list of silent targets, unless a later owner has claimed.
 func (sim *simulation) publishSilentTargets(s *Scheduler, id int, epoch uint64, silent []SilentTarget) {
 	if epoch != sim.epoch {
