cranberrypick where: ask an entry instance where a job would go now

Operators can ask one entry instance of the job service what it would do with a submission, without sending it and without a key:

The command posts the submission to /explain at the address of the metrics. The answer says whether the job would be accepted, with the status, Retry-After and the age of the figures, which shard and owner it has, and, at the owner, its placement and what would have to change for it to start.

The admission is that of Submit, by Board.Peek, which counts nothing. The rest is answered on the control goroutine within 2 s; a query that is still queued then does nothing. One query is answered at a time. Status codes of refusals and the decoding of a submission are shared with the callers' handler.

go test ./internal/crannode -run TestWhere, ./platform -run 'TestExplain|TestWhereCommand' and ./internal/crancli -run TestWhere pass: the owner alone names a target, other processes name the owner, a repeated query gets the same answer, a refusal is the one that a submission then meets, and nothing is stored.

--- a/internal/crancli/cli.go
+++ b/internal/crancli/cli.go
@@ -39,6 +39,7 @@
 	Move    moveCommand    `cmd:"" help:"Move an instance to another pool."`
 	Wave    waveCommand    `cmd:"" help:"Start, resume or cancel a maintenance wave."`
 	Explain explainCommand `cmd:"" help:"Explain why an instance or a wave does not progress, and what blocks it."`
+	Where   whereCommand   `cmd:"" help:"Explain where the job service would place a job now, and why, without submitting it."`
 	Demo    demoCommand    `cmd:"" help:"Run a whole deployment in this process, inject faults, and check the results."`
 }
 
--- a/internal/crannode/admission.go
+++ b/internal/crannode/admission.go
@@ -12,7 +12,6 @@
 	"github.com/cranberrypick/cranberrypick/internal/cranadmit"
 	"github.com/cranberrypick/cranberrypick/internal/crandigest"
 	"github.com/cranberrypick/cranberrypick/internal/cranevent"
-	"github.com/cranberrypick/cranberrypick/internal/cranfault"
 	"github.com/cranberrypick/cranberrypick/internal/cranjob"
 	"github.com/cranberrypick/cranberrypick/internal/cransched"
 	"github.com/cranberrypick/cranberrypick/internal/cranstore"
@@ -37,9 +36,7 @@
 	}
 	q := config.Queues[j.Queue]
 	n.admission.mu.Lock()
-	d := n.admission.board.Decide(cranadmit.Request{
-		ID: j.ID, Queue: j.Queue, Tenant: j.Tenant, Shard: s.number, Stretch: q.Stretch, LatencyTarget: q.LatencyTarget,
-	}, n.now().Steady)
+	d := n.admission.board.Decide(admissionRequest(j, q, s), n.now().Steady)
 	n.admission.mu.Unlock()
 	if d.Admitted {
 		return nil
@@ -47,8 +44,7 @@
 	n.metrics.NotAdmitted(j.Tenant, string(d.Cause))
 	n.log.Emit(cranevent.JobNotAdmitted, cranevent.Job(j.ID), cranevent.Queue(j.Queue), cranevent.Tenant(j.Tenant), cranevent.Shard(s.name),
 		cranevent.Cause(string(d.Cause)), cranevent.Remaining(d.Wait), cranevent.Objective(d.Objective), cranevent.Age(d.Age), cranevent.Number(d.RetryAfter))
-	return cranfault.New(cranfault.QueueFull, "submit the job again later",
-		"a new job would wait for %v, and the cause of the refusal is %s", d.Wait.Round(time.Millisecond), d.Cause).WithRetryAfter(d.RetryAfter)
+	return notAdmitted(d)
 }
 
 // readFigures puts the figures on the board that the owner of a shard has published. Those that a load has returned, or
--- a/internal/crannode/admission_test.go
+++ b/internal/crannode/admission_test.go
@@ -22,12 +22,7 @@
 // overloadFleet returns a fleet, with or without tenants, whose pool has minutes of work waiting.
 func overloadFleet(t *testing.T, tenants *crantenant.Directory) *testFleet {
 	f := newTestFleet(t, 0)
-	decode := f.directory.DecodeOperatorRecord
-	f.directory.DecodeOperatorRecord = func(key string, value []byte) (any, error) {
-		c, err := decode(key, value)
-		c.(*Config).Tenants = tenants
-		return c, err
-	}
+	f.routed(tenants)
 	for i := range fleetShards + 2 {
 		n := &fleetNode{name: fmt.Sprintf("n%d", i), fault: &fault{}}
 		f.nodes = append(f.nodes, n)
