--- a/internal/cransched/wheretext.go
+++ b/internal/cransched/wheretext.go
@@ -34,7 +34,11 @@
 		add("responses to the starts under way, of which the owner of the shard has as many as it may have")
 		return list
 	case waitsForCap:
-		add("%s fewer in use by tenant %s, or a higher cap", describe(st.step.Demand), j.Tenant)
+		d := st.step.Demand
+		if st.step.Gang {
+			d = multiply(d, st.step.Count)
+		}
+		add("%s free under the cap of tenant %s, of its share of this shard", describe(d), j.Tenant)
 		return list
 	case noHindrance, waitsForTicket:
 	}
