cransched: let overdue jobs start first in the rehearsal of a round

An owner that is held up by the limit on starts under way gives half of its starts to jobs that have waited for over a second. An answer about a job could name a target although an overdue job got the start. The rehearsal now places them first, too.

TestOverdueJobsStartFirst fails without it.

--- a/internal/cransched/overdue.go
+++ b/internal/cransched/overdue.go
@@ -25,22 +25,8 @@
 // placeOverdue starts one task of each overdue job, the one that has waited longest first. Only jobs that wait because
 // of the limit on starts under way need it: where room is scarce, the order of candidates says who gets it.
 func (s *Scheduler) placeOverdue(list []candidate, byPool map[string][]*target, starts int) {
-	if !s.startsLimited {
-		return
-	}
-	var overdue []candidate
-	for i := range list {
-		c := &list[i]
-		if !c.isWaiting() || c.stage.step.Gang || c.stage.waitsForCap || s.clock.Steady-c.job.waitsSince < overdueAfter {
-			continue
-		}
-		if overdue = append(overdue, *c); len(overdue) > maxOverdue {
-			return
-		}
-	}
-	slices.SortStableFunc(overdue, func(a, b candidate) int { return cmp.Compare(a.job.waitsSince, b.job.waitsSince) })
 	full := map[string]bool{}
-	for _, c := range overdue {
+	for _, c := range s.overdueCandidates(list) {
 		targets := byPool[c.job.Pool]
 		if starts <= 0 {
 			return
@@ -64,6 +50,26 @@
 	}
 }
 
+// overdueCandidates returns the stages of overdue jobs in the order in which they may start, if the last round has ended
+// at the limit on starts under way.
+func (s *Scheduler) overdueCandidates(list []candidate) []candidate {
+	if !s.startsLimited {
+		return nil
+	}
+	var overdue []candidate
+	for i := range list {
+		c := &list[i]
+		if !c.isWaiting() || c.stage.step.Gang || c.stage.waitsForCap || s.clock.Steady-c.job.waitsSince < overdueAfter {
+			continue
+		}
+		if overdue = append(overdue, *c); len(overdue) > maxOverdue {
+			return nil
+		}
+	}
+	slices.SortStableFunc(overdue, func(a, b candidate) int { return cmp.Compare(a.job.waitsSince, b.job.waitsSince) })
+	return overdue
+}
+
 // mayPlace reports whether a task waits to be placed like any other.
 func (s *Scheduler) mayPlace(t *task) bool {
 	return t.Status == cranjob.Waiting && t.notBefore <= s.clock.Steady && !t.suspected()
--- a/internal/cransched/rehearse.go
+++ b/internal/cransched/rehearse.go
@@ -65,6 +65,7 @@
 		}
 	}
 	r.starts = s.startsPaced.leftAt(s.clock.Steady, s.lag)
+	r.placeOverdue(list)
 	left := 0
 	for i := range list {
 		if list[i].job == j {
@@ -104,6 +105,39 @@
 	}
 }
 
+// placeOverdue places a task of each overdue job as placeOverdue of the scheduler does.
+func (r *rehearsal) placeOverdue(list []candidate) {
+	s := r.scheduler
+	if !s.mayStart() {
+		return
+	}
+	full := map[string]bool{}
+	least := r.starts - (r.starts+overdueShare-1)/overdueShare
+	placed := map[string]bool{}
+	for _, c := range s.overdueCandidates(list) {
+		targets := r.byPool[c.job.Pool]
+		switch {
+		case r.starts <= least:
+			return
+		case full[c.job.Pool] || placed[c.job.ID] || !c.job.idle() || len(targets) == 0:
+			continue
+		case c.job.queue != nil && c.job.queue.RequiresTicket && !s.hasTickets(c.stage):
+			continue
+		}
+		i := slices.IndexFunc(c.stage.tasks, func(t *task) bool { return s.mayPlace(t) })
+		if i < 0 || !r.allows(c.stage) {
+			continue
+		}
+		chosen := s.chooseTarget(c.stage, targets)
+		if chosen == nil {
+			full[c.job.Pool] = true
+			continue
+		}
+		placed[c.job.ID] = true
+		r.start(c.stage.tasks[i], chosen)
+	}
+}
+
 // place places the waiting tasks of a candidate as placeCandidate does.
 func (r *rehearsal) place(c *candidate) *rehearsed {
 	s, st, pool := r.scheduler, c.stage, c.job.Pool
--- a/internal/cransched/where.go
+++ b/internal/cransched/where.go
@@ -156,6 +156,9 @@
 	if j.waiting == 0 || j.state.Final() {
 		return list
 	}
+	if !j.idle() || j.waitsSince == 0 {
+		j.waitsSince = s.clock.Steady
+	}
 	for _, st := range j.stages {
 		if st.waiting > 0 && j.ready(st, s.clock.UnixMs) {
 			list = append(list, s.candidateOf(j, st))
--- a/internal/cransched/where_test.go
+++ b/internal/cransched/where_test.go
@@ -21,6 +21,7 @@
 	seed                               uint64
 	targets                            int
 	tenants, tickets, standbys, isCalm bool
+	lag                                time.Duration
 	surveyedAtOnce                     int
 	events, pausesMs                   []int
 }
@@ -36,6 +37,8 @@
 	l := whereLoad{seed: rapid.Uint64().Draw(t, "seed"), targets: rapid.IntRange(2, 6).Draw(t, "targets"), isCalm: isCalm}
 	l.tenants = rapid.Bool().Draw(t, "tenants")
 	l.tickets = rapid.Bool().Draw(t, "tickets") && (!isCalm || rapid.Bool().Draw(t, "tickets in a calm load"))
+	// With a long lag, few starts may be under way.
+	l.lag = rapid.SampledFrom([]time.Duration{0, 5 * time.Second}).Draw(t, "lag")
 	l.standbys = rapid.Bool().Draw(t, "standby pool")
 	l.surveyedAtOnce = rapid.SampledFrom([]int{0, defaultSurveyedAtOnce}).Draw(t, "surveyed at once")
 	n := rapid.IntRange(5, 25).Draw(t, "events")
@@ -82,6 +85,7 @@
 	sim.observe = func(text string) { trace = append(trace, text) }
 	sim.beforeTick = func(s *Scheduler) {
 		s.survey.surveyedAtOnce = l.surveyedAtOnce
+		s.SetLag(l.lag)
 		beforeTick(s)
 	}
 	if l.tickets {
@@ -243,3 +247,33 @@
 	require.Zero(t, s.sorted[0].used)
 	require.Empty(t, s.sorted[0].runs)
 }
+
+// TestOverdueJobsStartFirst guards against an answer that gives a start to a job which an overdue one gets.
+func TestOverdueJobsStartFirst(t *testing.T) {
+	s := newBenchScheduler(cranjob.NewReplica(), 1)
+	s.config.Queues["low"] = &Queue{Name: "low", Pool: "p", Priority: 1, Attempts: 3, Stretch: 1.6}
+	// Eight starts may be under way.
+	s.SetLag(5 * time.Second)
+	newJob := func(n int, queue string) *cranjob.Job {
+		j := newBenchJob(n)
+		j.Queue, j.Steps[0].Count, j.ReceivedMs = queue, 1, s.clock.UnixMs
+		return j
+	}
+	overdue, asked := newJob(1, "low"), newJob(100, "q")
+	s.AddJob(overdue)
+	for n := range minStartsUnderWay - 1 {
+		s.AddJob(newJob(2+n, "q"))
+	}
+	p, _ := s.Where(asked, s.clock)
+	require.Equal(t, "t000", p.Steps[0].Target)
+	s.startsLimited = true
+	s.jobs[overdue.ID].waitsSince = s.clock.Steady - 2*overdueAfter
+	p, sentences := s.Where(asked, s.clock)
+	require.Empty(t, p.Steps[0].Target)
+	require.Contains(t, sentences[0], "responses to the starts under way")
+	s.AddJob(asked)
+	first := s.jobs[asked.ID].tasks[0]
+	s.place()
+	require.Equal(t, cranjob.Waiting, first.Status)
+	require.True(t, s.startsLimited)
+}
