--- a/internal/cransched/bench_test.go
+++ b/internal/cransched/bench_test.go
@@ -108,6 +108,45 @@
 	}
 }
 
+// BenchmarkWhere measures a query, and a tick in which the jobs to be served in time are selected, by the number of jobs
+// that wait for full targets. In an overload the query must not take longer than the tick.
+func BenchmarkWhere(b *testing.B) {
+	for _, jobs := range []int{100, 4000, 16000} {
+		s := newBenchScheduler(cranjob.NewReplica(), 49)
+		for _, t := range s.sorted {
+			t.add(&run{name: cranjob.TaskName{Job: t.info.ID}, number: 1, reserved: t.info.Capacity, phase: confirmed, step: &cranjob.Step{}})
+		}
+		for n := range jobs {
+			s.AddJob(newBenchJob(n))
+		}
+		now := s.clock
+		tick := func() {
+			now.Steady += orderInterval
+			now.UnixMs += orderInterval.Milliseconds()
+			s.Advance(now)
+			for _, t := range s.sorted {
+				t.lastResponseAt = now.Steady
+			}
+			s.Tick()
+			s.Effects()
+			if _, decided := s.NextBatch(); decided {
+				s.ConfirmBatch()
+			}
+		}
+		b.Run(fmt.Sprintf("tick/%d", jobs), func(b *testing.B) {
+			for b.Loop() {
+				tick()
+			}
+		})
+		b.Run(fmt.Sprintf("query/%d", jobs), func(b *testing.B) {
+			asked := newBenchJob(jobs)
+			for b.Loop() {
+				s.Where(asked, s.clock)
+			}
+		})
+	}
+}
+
 // BenchmarkFullPool measures a tick in which nothing can start, by the number of waiting jobs of 16 tasks.
 func BenchmarkFullPool(b *testing.B) {
 	for _, jobs := range []int{100, 1000, 4000, 16000} {
