--- a/internal/cransched/scheduler.go
+++ b/internal/cransched/scheduler.go
@@ -100,19 +100,6 @@
 	LeasesEndAt map[string]time.Duration
 }
 
-// batch is the content of one append: the effects to emit and the ends to acknowledge once
-// it is stored.
-type batch struct {
-	effects      []Effect
-	acknowledged map[*target]acknowledgement
-}
-
-// acknowledgement is the highest number of an end that a process of a target has reported.
-type acknowledgement struct {
-	number   int64
-	restarts int
-}
-
 // New returns the scheduler of a new owner. The token is the epoch of the owner's claim.
 // The stored state must include every record that precedes the claim.
 func New(token uint64, timing Timing, config *Config, stored *cranjob.Replica, now Clock, predecessor Predecessor, opts ...Option) *Scheduler {
@@ -282,14 +269,6 @@
 	t.run = nil
 }
 
-// markDirty schedules the job's progress for the next batch.
-func (s *Scheduler) markDirty(j *job) {
-	if !j.dirty {
-		j.dirty = true
-		s.dirty = append(s.dirty, j)
-	}
-}
-
 // publish emits the state of a job.
 func (s *Scheduler) publish(j *job) {
 	s.emit(JobChanged{Job: j.ID, Queue: j.Queue, State: j.state})
@@ -297,9 +276,6 @@
 
 func (s *Scheduler) emit(e Effect) { s.effects = append(s.effects, e) }
 
-// emitOnceStored emits an effect once all decisions so far are stored.
-func (s *Scheduler) emitOnceStored(e Effect) { s.awaitingStore = append(s.awaitingStore, e) }
-
 // Effects returns the pending effects and clears them.
 func (s *Scheduler) Effects() []Effect {
 	effects := s.effects
@@ -307,61 +283,6 @@
 	return effects
 }
 
-// NextBatch returns the records to store and whether there is a batch at all. The records
-// may be empty. It returns no further batch until [Scheduler.ConfirmBatch] is called.
-func (s *Scheduler) NextBatch() ([]cranstore.Record, bool) {
-	if s.inFlight != nil {
-		return nil, false
-	}
-	acknowledged := map[*target]acknowledgement{}
-	for _, t := range s.targets {
-		if n := t.endsSeen; n > t.endsStored {
-			acknowledged[t] = acknowledgement{n, t.restarts}
-		}
-	}
-	if len(s.dirty) == 0 && len(s.pendingRecords) == 0 && len(s.awaitingStore) == 0 && len(acknowledged) == 0 {
-		return nil, false
-	}
-	records := s.pendingRecords
-	for _, j := range s.dirty {
-		j.dirty = false
-		records = append(records, cranstore.Record{Key: cranjob.ProgressKey(j.ID), Value: cranjob.Encode(j.progress())})
-		records = append(records, j.nextCrashesRecord()...)
-	}
-	s.inFlight = &batch{effects: s.awaitingStore, acknowledged: acknowledged}
-	s.dirty, s.pendingRecords, s.awaitingStore = nil, nil, nil
-	return records, true
-}
-
-// ConfirmBatch records that the batch is stored and emits the effects that waited for it.
-func (s *Scheduler) ConfirmBatch() {
-	b := s.inFlight
-	if b == nil {
-		return
-	}
-	s.inFlight = nil
-	s.recountQuota()
-	for _, e := range b.effects {
-		if start, isStart := e.(StartRun); isStart {
-			s.dropStart(start)
-		}
-	}
-	for _, e := range b.effects {
-		if start, isStart := e.(StartRun); isStart {
-			s.startsPaced.queue = append(s.startsPaced.queue, start)
-			continue
-		}
-		s.emit(e)
-	}
-	s.sendQueuedStarts()
-	for t, a := range b.acknowledged {
-		// The numbers of a new process begin anew.
-		if t.restarts == a.restarts {
-			t.endsStored = a.number
-		}
-	}
-}
-
 // addTarget adds a target. Targets are sorted by id so that the effects are deterministic.
 func (s *Scheduler) addTarget(t *target) {
 	s.targets[t.info.ID] = t
