crannode: jobs go on while the digest is away and their shard isn't

Cause: an owner held its shard by appends to the digest alone and stopped 2.5 s after the last, and callers learned of ends from the digest alone, although the partitions of most shards answered.

Change: while the digest doesn't answer, an owner stores a fallback record with the progress of its shard. It holds the shard by it, since a successor fences the progress before it sends an order, and entry instances that can't read the digest read from it which jobs have ended. A successor that finds a record waits for OwnershipTimeout from its fence on.

TestJobsGoOnWhileDigestIsAway failed before.

--- a/internal/cranevent/catalogue.go
+++ b/internal/cranevent/catalogue.go
@@ -159,6 +159,8 @@
 		KeyAppendAgeMs, KeyElapsedMs, KeyEpoch, KeyReadAgeMs, KeyShard),
 	define(OwnerRelieved, "ownerRelieved", LevelInfo, "this entry instance takes a shard over from an owner that has stalled or is undersized",
 		KeyCause, KeyEpoch, KeyMember, KeyShard),
+	define(FallbackStored, "fallbackStored", LevelWarn, "the digest doesn't answer, and the owner holds the shard by its progress",
+		KeyAgeMs, KeyCount, KeyEpoch, KeyShard),
 	define(RunPlaced, "runPlaced", LevelInfo, "a run is placed on a target",
 		KeyAgeMs, KeyJob, KeyNumber, KeyReadAgeMs, KeyTarget, KeyTask),
 	define(RunUnanswered, "runUnanswered", LevelWarn, "a request to start a run got no response",
--- a/internal/cranevent/event.go
+++ b/internal/cranevent/event.go
@@ -101,6 +101,8 @@
 	OwnerStalled   Event = 1111
 	OwnerRecovered Event = 1112
 	OwnerRelieved  Event = 1113
+	// FallbackStored means that an owner holds its shard by a record in the progress, since the digest doesn't answer.
+	FallbackStored Event = 1114
 )
 
 // Events of the runs of tasks.
--- a/internal/cranjob/replica.go
+++ b/internal/cranjob/replica.go
@@ -166,6 +166,10 @@
 		r.claim = *claim
 		return Change{Kind: ClaimChanged, ID: claim.Node}, nil
 	}
+	if key == KeyFallback {
+		// The progress of the jobs has the ends, too.
+		return Change{}, nil
+	}
 	if len(key) < 2 {
 		return Change{}, cranfault.New(cranfault.Malformed, "find the other process that writes to the topic",
 			"the key %q is too short for a kind and an id", key)
--- a/internal/crannode/digest.go
+++ b/internal/crannode/digest.go
@@ -71,7 +71,7 @@
 	now := n.now()
 	change, err := n.digest.Apply(r.Key, r.Value, now.Steady)
 	if err != nil {
-		n.skipMalformed("digest", r, err)
+		n.skipMalformed(digestStream, r, err)
 		return false
 	}
 	switch change.Kind {
--- a/internal/crannode/lease_test.go
+++ b/internal/crannode/lease_test.go
@@ -25,6 +25,7 @@
 func (n *fleetNode) kill() {
 	n.fault.set(true, 0)
 	n.fault = &fault{}
+	n.digestFault = &fault{parent: n.fault, cut: n.digestFault.isCut()}
 	n.stop()
 }
 
--- a/internal/crannode/node.go
+++ b/internal/crannode/node.go
@@ -31,6 +31,8 @@
 	// reachableFor is how long the store counts as reachable after a successful read was
 	// sent.
 	reachableFor = 2500 * time.Millisecond
+	// digestStream is the name of the digest in logs and metrics.
+	digestStream = "digest"
 	// eventQueueSize bounds the number of events queued for the control goroutine.
 	eventQueueSize = 4096
 )
@@ -72,6 +74,8 @@
 	// sent; 0 before the first.
 	digestFollower  *cranstore.Follower
 	digestContactAt atomic.Int64
+	// digestUnavailable is true while reads of the digest fail.
+	digestUnavailable atomic.Bool
 	// admission holds the load by which jobs are refused.
 	admission admission
 	// contact tells whether the store answers the reads and appends of this process.
@@ -174,7 +178,7 @@
 	n.control.runCtx = runCtx
 	var group sync.WaitGroup
 	group.Go(func() {
-		n.follow(runCtx, "digest", n.digestFollower, func(u cranstore.Update) {
+		n.follow(runCtx, digestStream, n.digestFollower, func(u cranstore.Update) {
 			n.postAndWait(runCtx, func() { n.control.applyDigest(u) })
 		})
 	})
@@ -262,6 +266,9 @@
 		n.metrics.ReadTopic(name, u.Err != nil, u.Transfer.Bytes, u.Transfer.FirstByte, u.End-u.Next)
 		now := n.now().Steady
 		n.contact.observe(u.Err, now)
+		if name == digestStream {
+			n.digestUnavailable.Store(u.Err != nil)
+		}
 		switch {
 		case u.Err != nil && !unavailable:
 			unavailable, lostAt = true, now
--- a/internal/crannode/orders.go
+++ b/internal/crannode/orders.go
@@ -25,7 +25,7 @@
 	case cransched.Heartbeat:
 		o.callAsync(e.Wait+callTimeout, func(ctx context.Context) func() {
 			response := cransched.HeartbeatResponse{}
-			o.sendOrder("hold", cransched.OwnershipTimeout, func() cransched.CallStatus {
+			o.sendOrder("hold", o.holdsShard, func() cransched.CallStatus {
 				response = n.orders.Heartbeat(ctx, e)
 				return response.Status
 			})
@@ -75,7 +75,7 @@
 ) {
 	o.callAsync(callTimeout, func(ctx context.Context) func() {
 		response := withheld
-		o.sendOrder(kind, cransched.OwnershipTimeout, func() cransched.CallStatus {
+		o.sendOrder(kind, o.holdsShard, func() cransched.CallStatus {
 			response = send(ctx)
 			return response.Status
 		})
@@ -88,19 +88,28 @@
 	send func(context.Context) cransched.CallStatus, handle func(cransched.CallStatus),
 ) {
 	o.callAsync(callTimeout, func(ctx context.Context) func() {
-		status := o.sendOrder(kind, cransched.OrderOwnershipTimeout, func() cransched.CallStatus { return send(ctx) })
+		status := o.sendOrder(kind, o.mayOrderInstances, func() cransched.CallStatus { return send(ctx) })
 		return func() { handle(status) }
 	})
 }
 
-// sendOrder sends an order unless the newest confirmed append was sent longer ago than
-// bound, because another process may own the shard by then. It checks this right before the
-// call, because the process may have been suspended. An order that is not sent counts as
-// unanswered.
-func (o *ownership) sendOrder(kind string, bound time.Duration, send func() cransched.CallStatus) cransched.CallStatus {
+// holdsShard reports whether no successor sends orders to targets yet.
+func (o *ownership) holdsShard(now time.Duration) bool {
+	return now-o.heldAt() < cransched.OwnershipTimeout
+}
+
+// mayOrderInstances reports whether orders about instances may be sent. A successor repeats those that are stored after a
+// time that counts from the digest, so a fallback record doesn't extend it.
+func (o *ownership) mayOrderInstances(now time.Duration) bool {
+	return now-time.Duration(o.confirmedAt.Load()) < cransched.OrderOwnershipTimeout
+}
+
+// sendOrder sends an order if it may be sent, since another process may own the shard by then. It checks this right
+// before the call, because the process may have been suspended. An order that is not sent counts as unanswered.
+func (o *ownership) sendOrder(kind string, may func(now time.Duration) bool, send func() cransched.CallStatus) cransched.CallStatus {
 	n := o.shard.node
 	start := n.now().Steady
-	if start-time.Duration(o.confirmedAt.Load()) >= bound {
+	if !may(start) {
 		n.metrics.Ordered(kind, "withheld", 0)
 		return cransched.StatusUnanswered
 	}
--- a/internal/crannode/owner.go
+++ b/internal/crannode/owner.go
@@ -1,6 +1,7 @@
 package crannode
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cranberrypick/cranberrypick/internal/crandigest"
@@ -69,20 +70,28 @@
 	}
 	o.flushed = releasing
 	records, decided := o.scheduler.NextBatch()
-	switch {
-	case !decided:
-		return
-	case len(records) == 0:
+	if decided && len(records) == 0 {
 		// The store counts no append without records.
 		o.scheduler.ConfirmBatch()
+		decided = false
+	}
+	fallback := o.fallbackRecords(now)
+	appended := slices.Concat(records, fallback)
+	if len(appended) == 0 {
 		return
 	}
-	o.progress.write(o, records, func(_ time.Duration, err error) { o.progressAppended(records, err) })
+	extends := len(fallback) > 0 && o.fallback.stored
+	o.progress.write(o, appended, func(sent time.Duration, err error) {
+		o.progressAppended(records, decided, err)
+		if extends && err == nil {
+			o.extendedAt.Store(int64(sent))
+		}
+	})
 }
 
-// progressAppended handles the result of storing a batch. The replica keeps the records, since
-// the owner doesn't read them back.
-func (o *ownership) progressAppended(records []cranstore.Record, err error) {
+// progressAppended handles the result of storing the records of a batch, if one was decided. The replica
+// keeps them, since the owner doesn't read them back.
+func (o *ownership) progressAppended(records []cranstore.Record, decided bool, err error) {
 	if err != nil {
 		o.shard.stopScheduling("an append was refused: " + err.Error())
 		return
@@ -92,8 +101,10 @@
 			o.shard.node.skipMalformed("progress", r, err)
 		}
 	}
-	o.scheduler.Advance(o.shard.node.now())
-	o.scheduler.ConfirmBatch()
+	if decided {
+		o.scheduler.Advance(o.shard.node.now())
+		o.scheduler.ConfirmBatch()
+	}
 }
 
 // appendDigest publishes the states of jobs and renews or releases the claim.
@@ -113,7 +124,7 @@
 	s := o.shard
 	records := crandigest.Segments(s.number, o.epoch, o.digest.sequence+1, o.states)
 	records = append(append(records, o.waveRecords...), quota...)
-	o.states, o.waveRecords = nil, nil
+	o.publishing, o.states, o.waveRecords = o.states, nil, nil
 	clear(o.stateIndex)
 	leases := o.silentTargetsChanged()
 	if leases {
@@ -185,6 +196,7 @@
 		s.stopScheduling("vacated")
 	default:
 		o.confirmedAt.Store(int64(sent))
+		o.publishing, o.fallback.count = nil, 0
 	}
 }
 
--- a/internal/crannode/ownership.go
+++ b/internal/crannode/ownership.go
@@ -50,10 +50,10 @@
 	// the claim was sent.
 	renewals  uint64
 	renewedAt time.Duration
-	// confirmedAt is when the newest confirmed append to the digest was first sent. The
-	// goroutines that send orders read it.
-	confirmedAt      atomic.Int64
-	progress, digest *fencedWriter
+	// confirmedAt is when the newest confirmed append to the digest was first sent, extendedAt when that of
+	// the newest fallback record was; 0 while the digest answers. The goroutines that send orders read them.
+	confirmedAt, extendedAt atomic.Int64
+	progress, digest        *fencedWriter
 	// trims append the smaller records that replace the submissions of ended jobs, one for each stripe.
 	trims []*cranstore.Batcher
 
@@ -90,6 +90,9 @@
 	states      []crandigest.JobState
 	stateIndex  map[string]int
 	waveRecords []cranstore.Record
+	// publishing holds the states in the append to the digest that is under way.
+	publishing []crandigest.JobState
+	fallback   fallbackWriter
 	// tickedAt is when the scheduler last ran a full tick; lateTicks counts the ticks
 	// that came later than lateTickThreshold, the last at lateTickAt.
 	tickedAt   time.Duration
@@ -143,6 +146,7 @@
 	n := s.node
 	fence := []cranstore.Record{{Key: cranjob.KeyClaim, Value: cranjob.Encode(claim)}}
 	_, err := n.appendUntilAnswered(o.ctx, s.topics.Progress, fence, cranstore.AppendOptions{Producer: producer, Epoch: o.epoch})
+	fencedAt := n.now().Steady
 	if err != nil {
 		n.post(n.control.runCtx, func() { o.loadFailed(err) })
 		return
@@ -157,7 +161,7 @@
 	for o.ctx.Err() == nil {
 		records, _, err := cranstore.Load(o.ctx, s.topics.Progress)
 		if err == nil {
-			n.post(n.control.runCtx, func() { o.applyProgress(records) })
+			n.post(n.control.runCtx, func() { o.applyProgress(records, fencedAt) })
 			return
 		}
 		n.log.Emit(cranevent.LogUnavailable, cranevent.Stream("progress"), cranevent.Err(err))
@@ -178,12 +182,13 @@
 	s.stopScheduling("the progress records are fenced: " + err.Error())
 }
 
-// applyProgress applies the loaded progress records.
-func (o *ownership) applyProgress(records []cranstore.Record) {
+// applyProgress applies the progress records, which were loaded after they were fenced.
+func (o *ownership) applyProgress(records []cranstore.Record, fencedAt time.Duration) {
 	if o.shard.owner != o {
 		return
 	}
 	o.apply("progress", records)
+	o.observeFallback(records, fencedAt)
 	o.progressLoaded = true
 	if claim := o.replica.Claim(); claim.Epoch != o.epoch || claim.Incarnation != o.shard.node.incarnation {
 		// A process of another version has used the epoch.
--- a/internal/crannode/shard.go
+++ b/internal/crannode/shard.go
@@ -44,6 +44,8 @@
 	// renewedAt is when a renewal or segment was last read soon after it was stored. The node's
 	// lock guards it.
 	renewedAt time.Duration
+	// fallback holds the ends that the owner couldn't publish to the digest.
+	fallback fallbackReader
 	// owner is this process's ownership; nil if it isn't the owner.
 	owner *ownership
 }
--- a/internal/crannode/starts.go
+++ b/internal/crannode/starts.go
@@ -71,11 +71,11 @@
 // may start the same tasks.
 func (o *ownership) boundStarts(now time.Duration) {
 	n := o.shard.node
-	targetsReadAt, confirmedAt := n.control.targets.readAt, time.Duration(o.confirmedAt.Load())
+	targetsReadAt, heldAt := n.control.targets.readAt, o.heldAt()
 	first := slices.MinFunc(append(o.configPremise(), []premise{
 		{"submissions", o.submissionsReadAt, o.submissionsReadAt + n.cancelBound - minStartTime - startMargin},
 		{"targets", targetsReadAt, targetsReadAt + n.drainBound - minStartTime - startMargin},
-		{"digest", confirmedAt, confirmedAt + cransched.OwnershipTimeout},
+		{digestStream, heldAt, heldAt + cransched.OwnershipTimeout},
 	}...), func(a, b premise) int { return cmp.Compare(a.holdsTill, b.holdsTill) })
 	o.scheduler.SetStartsUntil(first.holdsTill)
 	w := &o.startWatch
