--- a/internal/crannode/fleet_test.go
+++ b/internal/crannode/fleet_test.go
@@ -107,7 +107,6 @@
 	}
 	for i := range nodes {
 		n := &fleetNode{name: fmt.Sprintf("n%d", i), fault: &fault{}}
-		n.digestFault = &fault{parent: n.fault}
 		f.nodes = append(f.nodes, n)
 		f.start(n)
 	}
@@ -119,11 +118,11 @@
 	f.processes++
 	incarnation := fmt.Sprintf("%s-%d", n.name, f.processes)
 	connect := func(t cranstore.Topic) *link { return &link{Topic: t.(*cranmemory.Topic), fault: n.fault} }
-	digest := connect(f.digest)
-	digest.fault = n.digestFault
 	if n.submissionsFault == nil {
-		n.submissionsFault, n.targetsFault = &fault{}, &fault{}
+		n.submissionsFault, n.targetsFault, n.digestFault = &fault{}, &fault{}, &fault{parent: n.fault}
 	}
+	digest := connect(f.digest)
+	digest.fault = n.digestFault
 	submissions := make([]*link, fleetShards)
 	n.digest, n.submissions = digest, submissions
 	for number := range submissions {
