crannode: keep the fallback record of an earlier owner until it has stopped

The record now stays until the first owner has stopped; the new test failed before.

An entry instance also keeps to the ends that it has read while its copy of the digest lags after the outage, so that it takes no answer back. Without this, TestJobsGoOnWhileDigestIsAway shows the job as running again.

--- a/internal/crannode/fallback.go
+++ b/internal/crannode/fallback.go
@@ -52,6 +52,8 @@
 	w := &o.fallback
 	switch {
 	case o.releasing() || o.scheduler == nil:
+	case w.stored && w.sentAt == 0 && now < o.predecessor.StoppedBy:
+		// The record of an earlier owner tells the next one to wait for that, also if this one ends before.
 	case o.digest.age(now) >= fallbackAfter:
 		return o.nextFallback(now)
 	case w.stored && o.confirmedAt.Load() > o.extendedAt.Load() && now >= o.predecessor.StoppedBy:
@@ -131,14 +133,14 @@
 }
 
 // fallbackState returns the final state of a job that the owner of its shard has stored but couldn't publish, and
-// whether there is one.
+// whether there is one. It reads the record only while the digest doesn't answer.
 func (n *Node) fallbackState(ctx context.Context, id string) (cranjob.State, bool) {
 	s := n.shardOf(id)
 	if s == nil {
 		return 0, false
 	}
 	r := &s.fallback
-	if state, ended, current := r.lookup(id, n.now().Steady); current {
+	if state, ended, current := r.lookup(id, n.now().Steady); current || !n.digestUnavailable.Load() {
 		return state, ended
 	}
 	_, _, _ = r.reads.Do(s.name, func() (any, error) {
--- a/internal/crannode/fallback_test.go
+++ b/internal/crannode/fallback_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cranberrypick/cranberrypick/internal/cranjob"
+	"github.com/cranberrypick/cranberrypick/internal/cransched"
 	"github.com/cranberrypick/cranberrypick/internal/cranstore"
 )
 
@@ -56,6 +57,15 @@
 		// The chain takes at least 18 s, most of them without the digest.
 		time.Sleep(23 * time.Second)
 		states(chain.ID, cranjob.Completed)
+		// No entry instance takes an answer back while the digest doesn't have the end yet.
+		owner := f.ownerOf(chain)
+		for _, n := range f.nodes {
+			n.digestFault.set(n == owner, 0)
+		}
+		for range 20 {
+			states(chain.ID, cranjob.Completed)
+			time.Sleep(20 * time.Millisecond)
+		}
 		f.cutDigest(false)
 		time.Sleep(5 * time.Second)
 		states(short.ID, cranjob.Completed)
@@ -102,6 +112,19 @@
 	})
 }
 
+// TestFallbackOfEarlierOwnerIsKeptUntilItHasStopped guards against a third owner that sends orders beside the first, because
+// the second has replaced the record of the first and released its claim soon after.
+func TestFallbackOfEarlierOwnerIsKeptUntilItHasStopped(t *testing.T) {
+	now := time.Hour
+	n := newLoneNode(t, "a-1", &now)
+	n.shards = []*shard{n.newShard(0, now)}
+	o := &ownership{shard: n.shards[0], epoch: 9, digest: &fencedWriter{busy: true, begunAt: now - time.Second}, scheduler: &cransched.Scheduler{}}
+	earlier := cranjob.Encode(cranjob.Fallback{Epoch: 8})
+	o.observeFallback([]cranstore.Record{{Key: cranjob.KeyFallback, Value: earlier}}, now)
+	require.Empty(t, o.fallbackRecords(o.predecessor.StoppedBy-1))
+	require.Len(t, o.fallbackRecords(o.predecessor.StoppedBy), 1)
+}
+
 // TestMalformedFallbackIsAwaited guards against a new owner that takes a record which it can't read for none.
 func TestMalformedFallbackIsAwaited(t *testing.T) {
 	for _, value := range [][]byte{{0xff}, cranjob.Encode(cranjob.Fallback{Epoch: 8, Ended: []cranjob.EndedJob{{ID: "a", State: cranjob.Running}}})} {
--- a/internal/crannode/service.go
+++ b/internal/crannode/service.go
@@ -112,7 +112,7 @@
 	if err != nil || e == nil {
 		return 0, false, err
 	}
-	if !e.state.Final() && n.digestUnavailable.Load() {
+	if !e.state.Final() {
 		if state, ended := n.fallbackState(ctx, id); ended {
 			return state, true, nil
 		}
