--- a/cmd/cransoak/main.go
+++ b/cmd/cransoak/main.go
@@ -27,6 +27,7 @@
 	Small   int           `help:"Number of entry instances on small machines; all machines have limits if it isn't 0." default:"0"`
 	Surges  bool          `help:"Many jobs in surges, and series of faults that overlap."`
 	Tenants bool          `help:"Callers send keys of tenants, which come and go, with caps that change and bursts of one tenant."`
+	Partial bool          `help:"The store loses the digest alone where it would be unavailable as a whole."`
 	Cancel  time.Duration `help:"Time within which a cancellation must be in effect." default:"3s"`
 	Keep    bool          `help:"Keep the logs of all seeds."`
 	Length  time.Duration `help:"Time for which each seed submits jobs and injects faults." default:"20s"`
@@ -69,7 +70,7 @@
 	defer func() { _ = trace.Close() }()
 	report, err := cransoak.Run(ctx, cransoak.Options{
 		Program: c.Program, Dir: dir, Seed: seed, Entries: c.Entries, Targets: c.Targets, Shards: c.Shards, Duration: c.Length,
-		Small: c.Small, Surges: c.Surges, Tenants: c.Tenants, CancelBound: c.Cancel, Trace: trace,
+		Small: c.Small, Surges: c.Surges, Tenants: c.Tenants, Partial: c.Partial, CancelBound: c.Cancel, Trace: trace,
 	})
 	fmt.Printf("seed %d: %d faults; jobs: %d accepted, %d refused, %d unknown\n",
 		seed, report.Faults, report.Accepted, report.Refused, report.Unknown)
--- a/internal/cransoak/faults.go
+++ b/internal/cransoak/faults.go
@@ -106,6 +106,11 @@
 		store.DropAppendResponses(2 + s.random.IntN(4))
 		s.group.Go(func() { cranpause.Sleep(ctx, duration); store.DropAppendResponses(0); end() })
 	case 2:
+		if s.Partial {
+			store.SetSilent(func(topic, _ string) bool { return topic == topicDigest })
+			s.group.Go(func() { cranpause.Sleep(ctx, duration); store.SetSilent(nil); end() })
+			return
+		}
 		store.SetUnavailable(true)
 		s.group.Go(func() { cranpause.Sleep(ctx, duration); store.SetUnavailable(false); end() })
 	}
--- a/internal/cransoak/series.go
+++ b/internal/cransoak/series.go
@@ -29,6 +29,8 @@
 	lastSilence = 6 * time.Second
 	// topicJobs is the topic whose partitions hold the submissions and the progress of shards.
 	topicJobs = "keyed.cranberrypick"
+	// topicDigest is that of the digest.
+	topicDigest = topicJobs + "-digest"
 )
 
 // runSeries injects series of faults, which overlap, until submitCtx ends.
--- a/internal/cransoak/soak.go
+++ b/internal/cransoak/soak.go
@@ -60,6 +60,9 @@
 	// Tenants lets callers send keys of tenants, which come and go, with caps that change and bursts of
 	// one tenant. It has no effect with Surges.
 	Tenants bool
+	// Partial lets the store lose the digest alone where it would be unavailable as a whole. It has no effect
+	// with Surges.
+	Partial bool
 	// CancelBound is the time within which a cancellation must be in effect; 0 means the
 	// default of the stand-in.
 	CancelBound time.Duration
--- a/internal/cransoak/soak_test.go
+++ b/internal/cransoak/soak_test.go
@@ -32,6 +32,10 @@
 // has violations if the program never forgets a key, the second with several.
 var tenantSeeds = [2]uint64{1, 21}
 
+// partialSeed is played with a store that loses the digest alone, while owners are killed and paused. All
+// shards are held by fallback records in it.
+const partialSeed = 6
+
 // TestSoak builds the program and runs a soak of 8 seconds with each regression seed, some with
 // several owners and with tenants, and some of 12 seconds with surges.
 func TestSoak(t *testing.T) {
@@ -52,6 +56,7 @@
 	for _, seed := range shardedSeeds {
 		play(Options{Seed: seed, Entries: 5, Targets: 8, Shards: 4})
 	}
+	play(Options{Seed: partialSeed, Entries: 5, Targets: 8, Shards: 4, Partial: true})
 	play(Options{Seed: tenantSeeds[0], Entries: 3, Targets: 4, Tenants: true})
 	play(Options{Seed: tenantSeeds[1], Entries: 5, Targets: 8, Shards: 4, Tenants: true})
 	for _, seed := range surgeSeeds {
