--- a/internal/crannode/fleet_test.go
+++ b/internal/crannode/fleet_test.go
@@ -275,11 +275,17 @@
 			require.True(t, found)
 		}
 		for number := range fleetShards {
-			require.EqualValues(t, 1, f.nodes[0].node.digest.Claim(number).Epoch)
+			require.EqualValues(t, 1, f.nodes[0].claimedEpoch(t, number))
 		}
 	})
 }
 
+// claimedEpoch returns the epoch of the newest claim of a shard that the process has read.
+func (n *fleetNode) claimedEpoch(t *testing.T, number int) (epoch uint64) {
+	n.node.postAndWait(t.Context(), func() { epoch = n.node.digest.Claim(number).Epoch })
+	return epoch
+}
+
 // TestDataOfEarlierVersion starts a process on the data of the version without shards. While a
 // process of that version renews its claim, nothing may be laid out and nothing is accepted.
 // After that, its job must be known, and the deployment has one shard.
--- a/internal/crannode/outage_test.go
+++ b/internal/crannode/outage_test.go
@@ -21,12 +21,9 @@
 					time.Sleep(5 * time.Second)
 					require.Equal(t, allOwned, f.owners())
 					epochs := func() (e []uint64) {
-						n := f.nodes[0].node
-						n.postAndWait(t.Context(), func() {
-							for number := range fleetShards {
-								e = append(e, n.digest.Claim(number).Epoch)
-							}
-						})
+						for number := range fleetShards {
+							e = append(e, f.nodes[0].claimedEpoch(t, number))
+						}
 						return e
 					}
 					before := epochs()
