crannode: say for how long successors expect orders of an owner

Comments of the fallback record and of the check before an order said that no successor sends orders meanwhile. It may, and knows for how long its predecessor still does. Names and comments only.

--- a/internal/crannode/fallback.go
+++ b/internal/crannode/fallback.go
@@ -42,7 +42,7 @@
 	stored bool
 	// count is the number of ends in the newest record since the digest has answered.
 	count int
-	// sentAt is when the newest record was first sent.
+	// sentAt is when this owner decided on the newest record; 0 if that is of an earlier owner.
 	sentAt time.Duration
 }
 
@@ -95,8 +95,8 @@
 	return ended
 }
 
-// heldAt returns the time at which this process last held the shard for certain. For OwnershipTimeout from then on
-// no successor sends orders to targets.
+// heldAt returns the time at which this process last held the shard for certain. Successors expect it to send orders to
+// targets for OwnershipTimeout from then on, and no longer.
 func (o *ownership) heldAt() time.Duration {
 	return time.Duration(max(o.confirmedAt.Load(), o.extendedAt.Load()))
 }
--- a/internal/crannode/orders.go
+++ b/internal/crannode/orders.go
@@ -25,7 +25,7 @@
 	case cransched.Heartbeat:
 		o.callAsync(e.Wait+callTimeout, func(ctx context.Context) func() {
 			response := cransched.HeartbeatResponse{}
-			o.sendOrder("hold", o.holdsShard, func() cransched.CallStatus {
+			o.sendOrder("hold", o.mayOrderTargets, func() cransched.CallStatus {
 				response = n.orders.Heartbeat(ctx, e)
 				return response.Status
 			})
@@ -75,7 +75,7 @@
 ) {
 	o.callAsync(callTimeout, func(ctx context.Context) func() {
 		response := withheld
-		o.sendOrder(kind, o.holdsShard, func() cransched.CallStatus {
+		o.sendOrder(kind, o.mayOrderTargets, func() cransched.CallStatus {
 			response = send(ctx)
 			return response.Status
 		})
@@ -93,8 +93,8 @@
 	})
 }
 
-// holdsShard reports whether no successor sends orders to targets yet.
-func (o *ownership) holdsShard(now time.Duration) bool {
+// mayOrderTargets reports whether orders may be sent to targets.
+func (o *ownership) mayOrderTargets(now time.Duration) bool {
 	return now-o.heldAt() < cransched.OwnershipTimeout
 }
 
@@ -104,8 +104,8 @@
 	return now-time.Duration(o.confirmedAt.Load()) < cransched.OrderOwnershipTimeout
 }
 
-// sendOrder sends an order if it may be sent, since another process may own the shard by then. It checks this right
-// before the call, because the process may have been suspended. An order that is not sent counts as unanswered.
+// sendOrder sends an order unless may refuses it, since another process may own the shard by now. It asks right before
+// the call, because the process may have been suspended. An order that is not sent counts as unanswered.
 func (o *ownership) sendOrder(kind string, may func(now time.Duration) bool, send func() cransched.CallStatus) cransched.CallStatus {
 	n := o.shard.node
 	start := n.now().Steady
--- a/internal/cransoak/soak_test.go
+++ b/internal/cransoak/soak_test.go
@@ -32,8 +32,8 @@
 // has violations if the program never forgets a key, the second with several.
 var tenantSeeds = [2]uint64{1, 21}
 
-// partialSeed is played with a store that loses the digest alone, while owners are killed and paused. All
-// shards are held by fallback records in it.
+// partialSeed is played with a store that loses the digest alone beside other disruptions, so that owners hold
+// their shards by fallback records.
 const partialSeed = 6
 
 // TestSoak builds the program and runs a soak of 8 seconds with each regression seed, some with
