--- /dev/null
+++ b/review/_stand3/cases.go
@@ -0,0 +1,267 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+)
+
+const (
+	contact = 3 * time.Second
+	// entries is the number of entry instances of a small deployment.
+	entries = 6
+)
+
+// playGang loses one runner under a gang that saves its progress.
+func playGang(d *deployment, trouble bool) (bool, error) {
+	for i := range 9 {
+		if _, err := d.addRunner(fmt.Sprintf("i-%010x", 0x1000+i), "p", fmt.Sprintf("r%d", i/4), 16000, 65536); err != nil {
+			return false, err
+		}
+	}
+	d.publish(configOf([]string{"p"}, route("qa", "/qa/", "p", 3)))
+	if err := d.begin(entries); err != nil {
+		return false, err
+	}
+	const id = "5c0e7a21d94b36f8"
+	step := map[string]any{"count": 3, "cpu": 9000, "mem_mb": 4096, "estimate_ms": 12000, "gang": true, "checkpointing": true}
+	if status, _ := d.ask(http.MethodPost, "/qa/"+id, "", job("gang=3 work=12000 saves", step)); status != 200 {
+		return false, fmt.Errorf("the job was not accepted")
+	}
+	// The runner crashes when a little more than three seconds of work are done.
+	var victim *runner
+	for end := time.Now().Add(15 * time.Second); victim == nil; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			return false, fmt.Errorf("the gang didn't begin")
+		}
+		d.mu.Lock()
+		for _, r := range d.runners {
+			if t := r.runs[id+".0.0.0"]; t != nil && !t.workBegan.IsZero() && time.Since(t.workBegan) > 3100*time.Millisecond {
+				victim = r
+			}
+		}
+		d.mu.Unlock()
+	}
+	calmFrom := time.Now()
+	if trouble {
+		d.record.say("runner %s crashes", victim.id)
+		victim.crash()
+		time.Sleep(4500 * time.Millisecond)
+		if err := victim.begin(victim.address); err != nil {
+			return false, err
+		}
+		d.record.say("runner %s is back", victim.id)
+		calmFrom = time.Now().Add(contact)
+	}
+	time.Sleep(40 * time.Second)
+	_, answer := d.ask(http.MethodGet, "/qa/"+id, "", nil)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	alone := 0
+	for _, e := range d.taken {
+		if e.how == "alone" && e.at.After(calmFrom) {
+			alone++
+		}
+	}
+	d.record.say("%d runs ended alone with no disruption near; the job is %s", alone, answer)
+	return alone > 0, nil
+}
+
+// playBudget drops the route of a queue with a job that always fails, and kills the process that schedules.
+func playBudget(d *deployment, trouble bool) (bool, error) {
+	for i := range 6 {
+		if _, err := d.addRunner(fmt.Sprintf("i-%010x", 0x1000+i), "p", fmt.Sprintf("r%d", i/2), 16000, 65536); err != nil {
+			return false, err
+		}
+	}
+	const attempts = 2
+	d.publish(configOf([]string{"p"}, route("qa", "/qa/", "p", attempts), route("qb", "/qb/", "p", 3)))
+	if err := d.begin(entries); err != nil {
+		return false, err
+	}
+	const id = "00000000000000a1"
+	step := map[string]any{"count": 1, "cpu": 1000, "mem_mb": 1024, "estimate_ms": 3000}
+	if status, _ := d.ask(http.MethodPost, "/qa/"+id, "", job("fail=3000 work=9000", step)); status != 200 {
+		return false, fmt.Errorf("the job was not accepted")
+	}
+	time.Sleep(1500 * time.Millisecond)
+	d.publish(configOf([]string{"p"}, route("qb", "/qb/", "p", 3)))
+	time.Sleep(4500 * time.Millisecond)
+	if trouble {
+		if err := d.kill(d.owner(), 3500*time.Millisecond); err != nil {
+			return false, err
+		}
+	}
+	time.Sleep(30 * time.Second)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	excess := 0
+	for _, s := range d.starts {
+		failed := 0
+		for _, e := range d.taken {
+			if e.task == s.task && e.how == "failed" && e.at.Before(s.at) && !e.notedAt.IsZero() {
+				failed++
+			}
+		}
+		if failed >= attempts {
+			d.record.say("start of %s run %d after %d of its runs have ended failed; attempts is %d", s.task, s.run, failed, attempts)
+			excess++
+		}
+	}
+	return excess > 0, nil
+}
+
+// playAdvice drops the route of a queue that needs tickets while a job waits there.
+func playAdvice(d *deployment, trouble bool) (bool, error) {
+	for i := range 3 {
+		if _, err := d.addRunner(fmt.Sprintf("i-%010x", 0x1000+i), "p", "r1", 16000, 65536); err != nil {
+			return false, err
+		}
+	}
+	qa := route("qa", "/qa/", "p", 3)
+	qa["advice"] = map[string]any{"decide_ms": 20, "each_ms": 1, "valid_ms": 5000}
+	d.publish(configOf([]string{"p"}, qa, route("qb", "/qb/", "p", 3)))
+	if err := d.begin(entries); err != nil {
+		return false, err
+	}
+	// The second step becomes ready after the route was dropped.
+	const id = "00000000000000a1"
+	body := map[string]any{"spec": "work=5000 ticket", "steps": []map[string]any{
+		{"count": 2, "cpu": 1000, "mem_mb": 1024, "estimate_ms": 5000},
+		{"count": 2, "cpu": 1000, "mem_mb": 1024, "estimate_ms": 5000, "after": []int{0}},
+	}}
+	if status, _ := d.ask(http.MethodPost, "/qa/"+id, "", body); status != 200 {
+		return false, fmt.Errorf("the job was not accepted")
+	}
+	time.Sleep(1500 * time.Millisecond)
+	if trouble {
+		d.publish(configOf([]string{"p"}, route("qb", "/qb/", "p", 3)))
+	} else {
+		d.publish(configOf([]string{"p"}, qa))
+	}
+	time.Sleep(30 * time.Second)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	second, firstDone := 0, time.Time{}
+	for _, s := range d.starts {
+		if strings.HasPrefix(s.task, id+".0.1.") {
+			second++
+		}
+	}
+	for _, e := range d.taken {
+		if strings.HasPrefix(e.task, id+".0.0.") && e.how == "done" {
+			firstDone = e.at
+		}
+	}
+	d.record.say("%d starts of the second step, whose turn came %.1f s ago", second, time.Since(firstDone).Seconds())
+	return second == 0 && !firstDone.IsZero(), nil
+}
+
+// playLarge submits one large job among small ones.
+func playLarge(d *deployment, trouble bool) (bool, error) {
+	d.quietStarts = true
+	for i := range 9 {
+		id := fmt.Sprintf("7f3c9a2e-51b4-4c1d-9e0a-%012x", 0x1000+i)
+		if _, err := d.addRunner(id, "render", fmt.Sprintf("r%d", i/4), 16000, 65536); err != nil {
+			return false, err
+		}
+	}
+	for i := range 3 {
+		id := fmt.Sprintf("1b0d4e77-20c9-4a55-8f31-%012x", 0x1000+i)
+		if _, err := d.addRunner(id, "desk", "r9", 16000, 65536); err != nil {
+			return false, err
+		}
+	}
+	d.publish(configOf([]string{"render", "desk"}, route("qa", "/qa/", "render", 3), route("qb", "/qb/", "desk", 3)))
+	if err := d.begin(entries); err != nil {
+		return false, err
+	}
+	count := 600
+	if trouble {
+		count = 6000
+	}
+	step := map[string]any{"count": count, "cpu": 20, "mem_mb": 8, "estimate_ms": 80000, "checkpointing": true}
+	if status, _ := d.ask(http.MethodPost, "/qa/5c0e7a21d94b36f8", "", job("work=90000 saves", step)); status != 200 {
+		return false, fmt.Errorf("the large job was not accepted")
+	}
+	type small struct {
+		id string
+		at time.Time
+	}
+	var accepted []small
+	for i := range 40 {
+		id := fmt.Sprintf("%016x", 0xb000+i)
+		status, _ := d.ask(http.MethodPost, "/qb/"+id, "", job("work=500", map[string]any{"count": 1, "cpu": 1000, "mem_mb": 512, "estimate_ms": 500}))
+		if status == 200 {
+			accepted = append(accepted, small{id, time.Now()})
+		}
+		time.Sleep(time.Second)
+	}
+	time.Sleep(14 * time.Second)
+	d.mu.Lock()
+	begun := map[string]bool{}
+	for _, s := range d.starts {
+		begun[s.task] = true
+	}
+	idle := 0
+	for _, r := range d.runners {
+		if r.service == "desk" && !r.dead && len(r.runs) == 0 {
+			idle++
+		}
+	}
+	most := d.largest.Load()
+	d.mu.Unlock()
+	d.record.say("%d starts; the largest stored record has %d bytes, %d appends were refused; %d runners of the small jobs are idle",
+		len(begun), most, d.refused.Load(), idle)
+	lost := 0
+	for _, s := range accepted {
+		if !begun[s.id+".0.0.0"] {
+			lost++
+			if lost <= 5 {
+				_, answer := d.ask(http.MethodGet, "/qb/"+s.id, "", nil)
+				d.record.say("job %s, accepted %.1f s ago, has never begun, with its service idle; it is shown as %s", s.id, time.Since(s.at).Seconds(), answer)
+			}
+		}
+	}
+	d.record.say("%d of %d accepted small jobs have never begun", lost, len(accepted))
+	return lost > 0 && idle >= 2, nil
+}
+
+// playTenant lets a tenant cancel the job of another one.
+func playTenant(d *deployment, trouble bool) (bool, error) {
+	for i := range 3 {
+		if _, err := d.addRunner(fmt.Sprintf("i-%010x", 0x1000+i), "p", "r1", 16000, 65536); err != nil {
+			return false, err
+		}
+	}
+	config := configOf([]string{"p"}, route("qa", "/qa/", "p", 3), route("qb", "/qb/", "p", 3))
+	d.contracts += `, "tenants", "quota"`
+	capacity := map[string]int{"cpu": 0, "mem_mb": 0, "gpu": 0}
+	config["tenants"] = []map[string]any{
+		{"name": "alpha", "api_keys": []string{"key-of-alpha"}, "weight": 1, "cap": capacity},
+		{"name": "beta", "api_keys": []string{"key-of-beta"}, "weight": 1, "cap": capacity},
+	}
+	d.publish(config)
+	if err := d.begin(entries); err != nil {
+		return false, err
+	}
+	const first, second = "00000000000000a1", "00000000000000b2"
+	step := map[string]any{"count": 2, "cpu": 1000, "mem_mb": 1024, "estimate_ms": 15000}
+	if status, _ := d.ask(http.MethodPost, "/qa/"+first, "key-of-alpha", job("work=15000", step)); status != 200 {
+		return false, fmt.Errorf("the job was not accepted")
+	}
+	if status, _ := d.ask(http.MethodPost, "/qb/"+second, "key-of-beta", job("work=15000", step)); status != 200 {
+		return false, fmt.Errorf("the job was not accepted")
+	}
+	time.Sleep(3 * time.Second)
+	target := second
+	if trouble {
+		target = first
+	}
+	d.ask(http.MethodGet, "/qb/"+target, "key-of-beta", nil)
+	d.ask(http.MethodDelete, "/qb/"+target, "key-of-beta", nil)
+	time.Sleep(20 * time.Second)
+	_, answer := d.ask(http.MethodGet, "/qa/"+first, "key-of-alpha", nil)
+	return !strings.Contains(answer, "completed"), nil
+}
