Review case 11: runners go unused after overlapping waves and a takeover

Cause: the stored order of an instance names only the newest of its waves. A new owner takes the instance for due in an earlier wave that isn't done, orders that maintenance again, and takes the platform's 200 for the end of the target, which has run on.

--- a/review/_stand3/cases.go
+++ b/review/_stand3/cases.go
@@ -265,3 +265,140 @@
 	_, answer := d.ask(http.MethodGet, "/qa/"+first, "key-of-alpha", nil)
 	return !strings.Contains(answer, "completed"), nil
 }
+
+// playWave kills the process that schedules after a wave is done and while an earlier one isn't.
+func playWave(d *deployment, trouble bool) (bool, error) {
+	var machines []string
+	for i := range 9 {
+		r, err := d.addRunner(fmt.Sprintf("i-%010x", 0x1000+i), "p", fmt.Sprintf("r%d", i/4), 16000, 65536)
+		if err != nil {
+			return false, err
+		}
+		machines = append(machines, r.machine)
+	}
+	d.publish(configOf([]string{"p"}, route("qa", "/qa/", "p", 3)))
+	if err := d.begin(entries); err != nil {
+		return false, err
+	}
+	// The first machine is at work for longer than the second wave takes.
+	const long = "00000000000000a1"
+	step := map[string]any{"count": 1, "cpu": 4000, "mem_mb": 4096, "estimate_ms": 60000}
+	if status, _ := d.ask(http.MethodPost, "/qa/"+long, "", job("work=60000", step)); status != 200 {
+		return false, fmt.Errorf("the job was not accepted")
+	}
+	time.Sleep(2 * time.Second)
+	busy := ""
+	d.mu.Lock()
+	for _, r := range d.runners {
+		if len(r.runs) > 0 {
+			busy = r.machine
+		}
+	}
+	d.mu.Unlock()
+	var others []string
+	for _, m := range machines {
+		if m != busy {
+			others = append(others, m)
+		}
+	}
+	d.askWave(1, machines[:], 60, 4)
+	await := func(wave int) bool {
+		for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+			d.mu.Lock()
+			done := 0
+			for _, r := range d.runners {
+				if d.kept[fmt.Sprintf("%s/%d", r.machine, wave)] && !r.dead {
+					done++
+				}
+			}
+			d.mu.Unlock()
+			if done == len(others) {
+				return true
+			}
+		}
+		return false
+	}
+	if !await(1) {
+		return false, fmt.Errorf("the first wave didn't get on")
+	}
+	d.askWave(2, others, 24, 4)
+	if !await(2) {
+		return false, fmt.Errorf("the second wave didn't get on")
+	}
+	time.Sleep(4 * time.Second)
+	if trouble {
+		if err := d.kill(d.owner(), 3500*time.Millisecond); err != nil {
+			return false, err
+		}
+	}
+	time.Sleep(10 * time.Second)
+	var accepted []string
+	for i := range 8 {
+		id := fmt.Sprintf("%016x", 0xb000+i)
+		if status, _ := d.ask(http.MethodPost, "/qa/"+id, "", job("work=500", map[string]any{"count": 1, "cpu": 1000, "mem_mb": 512, "estimate_ms": 500})); status == 200 {
+			accepted = append(accepted, id)
+		}
+	}
+	time.Sleep(17 * time.Second)
+	d.mu.Lock()
+	begun := map[string]bool{}
+	for _, s := range d.starts {
+		begun[s.task] = true
+	}
+	idle := 0
+	for _, r := range d.runners {
+		if !r.dead && len(r.runs) == 0 {
+			idle++
+		}
+	}
+	d.mu.Unlock()
+	lost := 0
+	for _, id := range accepted {
+		if !begun[id+".0.0.0"] {
+			lost++
+		}
+	}
+	d.record.say("%d of %d accepted jobs have not begun after 17 s; %d of %d runners are idle", lost, len(accepted), idle, len(machines))
+	return lost > 0 && idle >= 5, nil
+}
+
+// playMixed asks for two waves of the same machines, and kills the process that schedules while they are carried out.
+func playMixed(d *deployment, trouble bool) (bool, error) {
+	var machines []string
+	for i := range 9 {
+		r, err := d.addRunner(fmt.Sprintf("i-%010x", 0x1000+i), "p", fmt.Sprintf("r%d", i/4), 16000, 65536)
+		if err != nil {
+			return false, err
+		}
+		machines = append(machines, r.machine)
+	}
+	d.publish(configOf([]string{"p"}, route("qa", "/qa/", "p", 3)))
+	if err := d.begin(entries); err != nil {
+		return false, err
+	}
+	time.Sleep(2 * time.Second)
+	d.askWave(1, machines, 24, 4)
+	d.askWave(2, machines, 24, 4)
+	time.Sleep(1500 * time.Millisecond)
+	if trouble {
+		if err := d.kill(d.owner(), 3500*time.Millisecond); err != nil {
+			return false, err
+		}
+	}
+	time.Sleep(45 * time.Second)
+	bad := false
+	for wave := 1; wave <= 2; wave++ {
+		status := d.status(fmt.Sprintf("wave/%d", wave))
+		d.mu.Lock()
+		missing := 0
+		for _, m := range machines {
+			if !d.kept[fmt.Sprintf("%s/%d", m, wave)] {
+				missing++
+			}
+		}
+		d.mu.Unlock()
+		d.record.say("wave %d is said to be %s; %d of %d machines haven't begun their upkeep for it", wave, status, missing, len(machines))
+		bad = bad || missing > 0 && strings.Contains(status, "completed")
+	}
+	return bad, nil
+}
--- a/review/_stand3/platform.go
+++ b/review/_stand3/platform.go
@@ -8,9 +8,11 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -55,6 +57,9 @@
 	refused atomic.Int64
 	largest atomic.Int64
 	version int
+	// due holds the waves of each machine, and kept the upkeeps that are done.
+	due  map[string][]int
+	kept map[string]bool
 	// contracts lists the parts of the rules that are in force.
 	contracts string
 	stopBeat  chan struct{}
@@ -80,7 +85,8 @@
 }
 
 func newDeployment(r *record) (*deployment, error) {
-	d := &deployment{world: newWorld(r), store: standin.NewStore(), stopBeat: make(chan struct{}), contracts: contracts}
+	d := &deployment{world: newWorld(r), store: standin.NewStore(), stopBeat: make(chan struct{}), contracts: contracts,
+		due: map[string][]int{}, kept: map[string]bool{}}
 	d.writer.Store(-1)
 	var err error
 	if d.dir, err = os.MkdirTemp("", "cranreview"); err != nil {
@@ -133,7 +139,7 @@
 	return largest
 }
 
-// serveCloud serves the list of machines and carries out moves. No case has a wave.
+// serveCloud serves the list of machines, and carries out moves and upkeeps.
 func (d *deployment) serveCloud(w http.ResponseWriter, q *http.Request) {
 	switch q.URL.Path {
 	case "/machines":
@@ -145,6 +151,16 @@
 			return
 		}
 		d.moveMachine(w, m.Machine, m.Pool)
+	case "/machine-upkeep":
+		var m struct {
+			Machine string
+			Wave    int
+		}
+		if json.NewDecoder(q.Body).Decode(&m) != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		d.upkeep(w, m.Machine, m.Wave)
 	default:
 		w.WriteHeader(http.StatusBadRequest)
 	}
@@ -162,8 +178,8 @@
 		if r.dead {
 			row["state"], row["id"] = "down", ""
 		}
-		if r.moving {
-			row["state"] = "moving"
+		if r.state != "" {
+			row["state"] = r.state
 		}
 		rows = append(rows, row)
 	}
@@ -196,19 +212,95 @@
 		return
 	}
 	d.record.say("machine %s moves from %s to %s", machine, r.service, pool)
-	r.moving = true
+	r.state = "moving"
 	d.mu.Unlock()
+	d.renew(r, pool, moveTime)
+	writeJSON(w, http.StatusOK, map[string]any{})
+}
+
+// renew ends a runner, and lets a new one of its machine join a pool after a time.
+func (d *deployment) renew(r *runner, pool string, after time.Duration) {
 	r.crash()
 	d.store.Put("keyed.servers", r.id, nil)
-	time.AfterFunc(moveTime, func() {
+	time.AfterFunc(after, func() {
 		d.mu.Lock()
-		r.moves++
-		r.id, r.service, r.moving = fmt.Sprintf("%s-%d", r.machine[len("m-"):], r.moves), pool, false
+		r.lives++
+		r.id, r.service, r.state = fmt.Sprintf("%s-%d", r.machine[len("m-"):], r.lives), pool, ""
 		d.mu.Unlock()
 		if err := r.begin("127.0.0.1:0"); err != nil {
-			d.record.say("the new runner of %s didn't start: %v", machine, err)
+			d.record.say("the new runner of %s didn't start: %v", r.machine, err)
 		}
 	})
+}
+
+// askWave asks for the upkeep of machines, at most limit at a time, as the operator does.
+func (d *deployment) askWave(number int, machines []string, duration, limit int) {
+	text, _ := json.Marshal(map[string]any{"wave": number, "machines": machines, "duration_s": duration, "cap": limit})
+	d.mu.Lock()
+	for _, m := range machines {
+		d.due[m] = append(d.due[m], number)
+	}
+	d.mu.Unlock()
+	d.record.say("the operator asks for wave %d: %s", number, text)
+	d.store.Put("keyed.op", fmt.Sprintf("wave/%d", number), text)
+}
+
+// status returns the newest record under a key of the statuses.
+func (d *deployment) status(key string) string {
+	w := httptest.NewRecorder()
+	d.store.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/log-newest?topic=keyed.status&part=0", nil))
+	var page struct {
+		Items []struct {
+			Key   string
+			Value []byte
+		}
+	}
+	_ = json.Unmarshal(w.Body.Bytes(), &page)
+	for _, item := range page.Items {
+		if item.Key == key {
+			return string(item.Value)
+		}
+	}
+	return "unknown"
+}
+
+// upkeep carries out the upkeep of a machine for a wave, once.
+func (d *deployment) upkeep(w http.ResponseWriter, machine string, wave int) {
+	d.mu.Lock()
+	var r *runner
+	for _, other := range d.runners {
+		if other.machine == machine {
+			r = other
+		}
+	}
+	key := fmt.Sprintf("%s/%d", machine, wave)
+	reason := ""
+	switch {
+	case r == nil:
+		d.mu.Unlock()
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	case !slices.Contains(d.due[machine], wave):
+		reason = "wave"
+	case d.kept[key]:
+		d.mu.Unlock()
+		d.record.say("upkeep of %s for wave %d: 200, it is already done", machine, wave)
+		writeJSON(w, http.StatusOK, map[string]any{})
+		return
+	case r.dead:
+		reason = "busy"
+	}
+	if reason != "" {
+		d.mu.Unlock()
+		d.record.say("upkeep of %s for wave %d: 409 %s", machine, wave, reason)
+		writeJSON(w, http.StatusConflict, map[string]string{"reason": reason})
+		return
+	}
+	d.kept[key] = true
+	r.state = "upkeep"
+	d.record.say("upkeep of %s for wave %d begins", machine, wave)
+	d.mu.Unlock()
+	d.renew(r, r.service, upkeepTime)
 	writeJSON(w, http.StatusOK, map[string]any{})
 }
 
@@ -255,7 +347,7 @@
 			case !r.dead:
 				silent[r.id] = 0
 				d.store.Put("keyed.servers", r.id, r.entry())
-			case r.moving:
+			case r.state != "":
 			case silent[r.id] < 3:
 				if silent[r.id]++; silent[r.id] == 3 {
 					d.store.Put("keyed.servers", r.id, nil)
--- a/review/_stand3/runner.go
+++ b/review/_stand3/runner.go
@@ -20,6 +20,7 @@
 	restoreTime   = 250 * time.Millisecond
 	heartbeatTime = 1500 * time.Millisecond
 	moveTime      = 1500 * time.Millisecond
+	upkeepTime    = 2 * time.Second
 	maxListedEnds = 500
 )
 
@@ -92,9 +93,9 @@
 	endCount int64
 	observed int64
 	dead     bool
-	// moving is set while the machine moves, and moves counts its moves.
-	moving  bool
-	moves   int
+	// state is that of the machine while it moves or has its upkeep, and lives counts its runners.
+	state   string
+	lives   int
 	server  *http.Server
 	changed chan struct{}
 	beat    int
