--- a/review/_stand3/cases.go
+++ b/review/_stand3/cases.go
@@ -7,110 +7,8 @@
 	"time"
 )
 
-const (
-	contact = 3 * time.Second
-	// entries is the number of entry instances of a small deployment.
-	entries = 6
-)
-
-// playGang loses one runner under a gang that saves its progress.
-func playGang(d *deployment, trouble bool) (bool, error) {
-	for i := range 9 {
-		if _, err := d.addRunner(fmt.Sprintf("i-%010x", 0x1000+i), "p", fmt.Sprintf("r%d", i/4), 16000, 65536); err != nil {
-			return false, err
-		}
-	}
-	d.publish(configOf([]string{"p"}, route("qa", "/qa/", "p", 3)))
-	if err := d.begin(entries); err != nil {
-		return false, err
-	}
-	const id = "5c0e7a21d94b36f8"
-	step := map[string]any{"count": 3, "cpu": 9000, "mem_mb": 4096, "estimate_ms": 12000, "gang": true, "checkpointing": true}
-	if status, _ := d.ask(http.MethodPost, "/qa/"+id, "", job("gang=3 work=12000 saves", step)); status != 200 {
-		return false, fmt.Errorf("the job was not accepted")
-	}
-	// The runner crashes when a little more than three seconds of work are done.
-	var victim *runner
-	for end := time.Now().Add(15 * time.Second); victim == nil; time.Sleep(5 * time.Millisecond) {
-		if time.Now().After(end) {
-			return false, fmt.Errorf("the gang didn't begin")
-		}
-		d.mu.Lock()
-		for _, r := range d.runners {
-			if t := r.runs[id+".0.0.0"]; t != nil && !t.workBegan.IsZero() && time.Since(t.workBegan) > 3100*time.Millisecond {
-				victim = r
-			}
-		}
-		d.mu.Unlock()
-	}
-	calmFrom := time.Now()
-	if trouble {
-		d.record.say("runner %s crashes", victim.id)
-		victim.crash()
-		time.Sleep(4500 * time.Millisecond)
-		if err := victim.begin(victim.address); err != nil {
-			return false, err
-		}
-		d.record.say("runner %s is back", victim.id)
-		calmFrom = time.Now().Add(contact)
-	}
-	time.Sleep(40 * time.Second)
-	_, answer := d.ask(http.MethodGet, "/qa/"+id, "", nil)
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	alone := 0
-	for _, e := range d.taken {
-		if e.how == "alone" && e.at.After(calmFrom) {
-			alone++
-		}
-	}
-	d.record.say("%d runs ended alone with no disruption near; the job is %s", alone, answer)
-	return alone > 0, nil
-}
-
-// playBudget drops the route of a queue with a job that always fails, and kills the process that schedules.
-func playBudget(d *deployment, trouble bool) (bool, error) {
-	for i := range 6 {
-		if _, err := d.addRunner(fmt.Sprintf("i-%010x", 0x1000+i), "p", fmt.Sprintf("r%d", i/2), 16000, 65536); err != nil {
-			return false, err
-		}
-	}
-	const attempts = 2
-	d.publish(configOf([]string{"p"}, route("qa", "/qa/", "p", attempts), route("qb", "/qb/", "p", 3)))
-	if err := d.begin(entries); err != nil {
-		return false, err
-	}
-	const id = "00000000000000a1"
-	step := map[string]any{"count": 1, "cpu": 1000, "mem_mb": 1024, "estimate_ms": 3000}
-	if status, _ := d.ask(http.MethodPost, "/qa/"+id, "", job("fail=3000 work=9000", step)); status != 200 {
-		return false, fmt.Errorf("the job was not accepted")
-	}
-	time.Sleep(1500 * time.Millisecond)
-	d.publish(configOf([]string{"p"}, route("qb", "/qb/", "p", 3)))
-	time.Sleep(4500 * time.Millisecond)
-	if trouble {
-		if err := d.kill(d.owner(), 3500*time.Millisecond); err != nil {
-			return false, err
-		}
-	}
-	time.Sleep(30 * time.Second)
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	excess := 0
-	for _, s := range d.starts {
-		failed := 0
-		for _, e := range d.taken {
-			if e.task == s.task && e.how == "failed" && e.at.Before(s.at) && !e.notedAt.IsZero() {
-				failed++
-			}
-		}
-		if failed >= attempts {
-			d.record.say("start of %s run %d after %d of its runs have ended failed; attempts is %d", s.task, s.run, failed, attempts)
-			excess++
-		}
-	}
-	return excess > 0, nil
-}
+// entries is the number of entry instances of a small deployment.
+const entries = 6
 
 // playAdvice drops the route of a queue that needs tickets while a job waits there.
 func playAdvice(d *deployment, trouble bool) (bool, error) {
@@ -365,7 +263,7 @@
 // playMixed asks for two waves of the same machines, and kills the process that schedules while they are carried out.
 func playMixed(d *deployment, trouble bool) (bool, error) {
 	var machines []string
-	for i := range 9 {
+	for i := range 12 {
 		r, err := d.addRunner(fmt.Sprintf("i-%010x", 0x1000+i), "p", fmt.Sprintf("r%d", i/4), 16000, 65536)
 		if err != nil {
 			return false, err
@@ -377,8 +275,8 @@
 		return false, err
 	}
 	time.Sleep(2 * time.Second)
-	d.askWave(1, machines, 24, 4)
-	d.askWave(2, machines, 24, 4)
+	d.askWave(1, machines, 24, 6)
+	d.askWave(2, machines, 24, 6)
 	time.Sleep(1500 * time.Millisecond)
 	if trouble {
 		if err := d.kill(d.owner(), 3500*time.Millisecond); err != nil {
--- a/review/_stand3/main.go
+++ b/review/_stand3/main.go
@@ -15,7 +15,7 @@
 
 // cases are the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(d *deployment, trouble bool) (bool, error){
-	"gang": playGang, "budget": playBudget, "large": playLarge, "tenant": playTenant, "advice": playAdvice, "wave": playWave, "mixed": playMixed,
+	"wave": playWave, "large": playLarge, "advice": playAdvice, "tenant": playTenant, "mixed": playMixed,
 }
 
 func main() {
--- a/review/_stand3/runner.go
+++ b/review/_stand3/runner.go
@@ -15,7 +15,6 @@
 // Bounds of a small deployment.
 const (
 	holdMax       = 6 * time.Second
-	gangTimeout   = 3 * time.Second
 	saveInterval  = time.Second
 	restoreTime   = 250 * time.Millisecond
 	heartbeatTime = 1500 * time.Millisecond
@@ -24,12 +23,11 @@
 	maxListedEnds = 500
 )
 
-// plan is what a subtask does, as its specification says: "work=8000 gang=3 fail=2000 saves ticket".
+// plan is what a subtask does, as its specification says: "work=8000 saves ticket".
 type plan struct {
-	work, fail time.Duration
-	gang       int
-	saves      bool
-	ticket     bool
+	work   time.Duration
+	saves  bool
+	ticket bool
 }
 
 func parsePlan(spec string) plan {
@@ -40,10 +38,6 @@
 		switch name {
 		case "work":
 			p.work = time.Duration(n) * time.Millisecond
-		case "fail":
-			p.fail = time.Duration(n) * time.Millisecond
-		case "gang":
-			p.gang = n
 		case "saves":
 			p.saves = true
 		case "ticket":
@@ -60,8 +54,6 @@
 	plan       plan
 	checkpoint string
 	begunAt    time.Time
-	// workBegan is when the run began to work; for a member of a gang that is when all members were present.
-	workBegan time.Time
 	// saved is the work that is saved, from is the work that the checkpoint had.
 	from, saved time.Duration
 	runner      *runner
@@ -108,7 +100,6 @@
 	runners     []*runner
 	starts      []start
 	taken       []takenEnd
-	gangs       map[string][]*taskRun
 	tickets     map[string]bool
 	quietStarts bool
 }
@@ -131,7 +122,7 @@
 }
 
 func newWorld(r *record) *world {
-	return &world{record: r, gangs: map[string][]*taskRun{}, tickets: map[string]bool{}}
+	return &world{record: r, tickets: map[string]bool{}}
 }
 
 func (w *world) addRunner(id, service, rack string, cpu, mem int) (*runner, error) {
@@ -163,7 +154,6 @@
 	r.dead = true
 	for _, t := range r.runs {
 		r.world.record.say("run of %s (run %d) is lost with %s", t.task, t.number, r.id)
-		r.world.breakGang(t)
 	}
 	r.runs = map[string]*taskRun{}
 	server := r.server
@@ -292,54 +282,10 @@
 	if !r.world.quietStarts {
 		r.world.record.say("start of %s run %d on %s checkpoint %q", o.Task, o.Run, r.id, o.Checkpoint)
 	}
-	r.world.join(t)
 	r.notify()
 	return ""
 }
 
-// join lets a run begin its work. The members of a gang work together from the moment when all members of one run are
-// present. All must carry the same checkpoint: there is no common state to resume from otherwise.
-func (w *world) join(t *taskRun) {
-	if t.plan.gang == 0 {
-		t.workBegan = time.Now()
-		return
-	}
-	key := gangKey(t)
-	w.gangs[key] = append(w.gangs[key], t)
-	if len(w.gangs[key]) < t.plan.gang {
-		return
-	}
-	for _, m := range w.gangs[key] {
-		if m.checkpoint != t.checkpoint {
-			w.record.say("the members of gang %s carry different checkpoints (%q, %q): they can't work together", key, m.checkpoint, t.checkpoint)
-			return
-		}
-	}
-	w.record.say("gang %s is complete and works from checkpoint %q", key, t.checkpoint)
-	for _, m := range w.gangs[key] {
-		m.workBegan = time.Now()
-	}
-}
-
-func gangKey(t *taskRun) string {
-	return fmt.Sprintf("%s run %d", t.task[:strings.LastIndex(t.task, ".")], t.number)
-}
-
-// breakGang ends the other members of the gang of a run that has ended.
-func (w *world) breakGang(t *taskRun) {
-	if t.plan.gang == 0 {
-		return
-	}
-	key := gangKey(t)
-	members := w.gangs[key]
-	delete(w.gangs, key)
-	for _, m := range members {
-		if m != t && m.runner.runs[m.task] == m {
-			m.runner.finish(m, "broken")
-		}
-	}
-}
-
 // checkpointOf returns the checkpoint for an amount of saved work of a subtask.
 func checkpointOf(task string, saved time.Duration) string {
 	if saved == 0 {
@@ -365,13 +311,7 @@
 			r.end(t, "lapsed")
 			continue
 		}
-		if t.workBegan.IsZero() {
-			if now.Sub(t.begunAt) >= gangTimeout {
-				r.end(t, "alone")
-			}
-			continue
-		}
-		worked := now.Sub(t.workBegan)
+		worked := now.Sub(t.begunAt)
 		if t.from > 0 {
 			worked = max(worked-restoreTime, 0)
 		}
@@ -379,30 +319,14 @@
 		if t.plan.saves {
 			t.saved = max(t.saved, t.from+worked/saveInterval*saveInterval)
 		}
-		switch {
-		case t.plan.fail > 0 && done >= t.plan.fail:
-			r.end(t, "failed")
-		case done >= t.plan.work:
-			if t.plan.gang > 0 {
-				for _, m := range r.world.gangs[gangKey(t)] {
-					if m != t && m.runner.runs[m.task] == m {
-						m.runner.finish(m, "done")
-					}
-				}
-				delete(r.world.gangs, gangKey(t))
-			}
-			r.finish(t, "done")
+		if done >= t.plan.work {
+			r.end(t, "done")
 		}
 	}
 }
 
-// end ends a run, and the gang that it is a member of.
+// end ends a run.
 func (r *runner) end(t *taskRun, how string) {
-	r.finish(t, how)
-	r.world.breakGang(t)
-}
-
-func (r *runner) finish(t *taskRun, how string) {
 	delete(r.runs, t.task)
 	r.closed[t.task] = max(r.closed[t.task], t.number)
 	r.endCount++
