--- a/review/_stand3/platform.go
+++ b/review/_stand3/platform.go
@@ -85,8 +85,10 @@
 }
 
 func newDeployment(r *record) (*deployment, error) {
-	d := &deployment{world: newWorld(r), store: standin.NewStore(), stopBeat: make(chan struct{}), contracts: contracts,
-		due: map[string][]int{}, kept: map[string]bool{}}
+	d := &deployment{
+		world: newWorld(r), store: standin.NewStore(), stopBeat: make(chan struct{}), contracts: contracts,
+		due: map[string][]int{}, kept: map[string]bool{},
+	}
 	d.writer.Store(-1)
 	var err error
 	if d.dir, err = os.MkdirTemp("", "cranreview"); err != nil {
