cransched: an accepted order for maintenance doesn't end a target that responds

The platform also answers 200 to an order that it carried out long ago. HandleMaintenanceResponse took that for the end of the target that lived when this owner first sent the order. An ended target gets no heartbeat, and its entry in the store doesn't bring it back, so it stayed unused until the owner was lost. Its instance counted as a member of its pool, so that got no other one.

An accepted order now only makes the targets of the instance unavailable until they have answered a heartbeat that was sent later: a target that has ended never does. For the other case, an order that was sent before, this was done already.

The same order also cordoned the target until the whole wave had begun, here until a task of 60 s had ended. A member's evacuation now ends when its maintenance is confirmed. As waves, moves and pools that lack an instance share the cordon of a target, one of them no longer lifts it for the others: the end of a wave, of a move and of vacating, and a restart, all go through uncordon.

Moves were looked at for the same cause: a move names the target in its old pool, a target never changes its pool, and an instance that is in the pool already isn't ordered there, so a 200 does mean that this target is gone.

--- a/internal/cransched/evacuate.go
+++ b/internal/cransched/evacuate.go
@@ -87,6 +87,7 @@
 		// Instances in standby pools run nothing.
 		return i.Up && (i.Target == "" || s.isStandby(i.Pool))
 	}
+	m.evacuating = true
 	if !t.cordoned {
 		t.cordoned = true
 		s.emit(LogEntry{Kind: LogTargetCordoned, Target: t.info.ID, Reason: m.instance})
@@ -181,12 +182,39 @@
 	return host != nil && host.listed && !host.overdue(s.clock.Steady) && s.clock.Steady-host.stateAsOf <= maxReportAge
 }
 
-// uncordon makes the remaining targets of a completed wave schedulable again. Targets of
-// instances that were taken down no longer exist.
-func (s *Scheduler) uncordon(w *wave) {
-	for _, m := range w.members {
-		if t := s.currentTarget(m.instance); t != nil {
-			t.cordoned, t.leaving = false, false
+// endEvacuation ends the evacuation of a member's instance for its wave. Its target takes tasks again
+// unless it is cordoned for something else.
+func (s *Scheduler) endEvacuation(m *member) {
+	m.evacuating = false
+	for _, t := range s.targetsOf(m.instance) {
+		t.leaving = false
+		s.uncordon(t)
+	}
+}
+
+// uncordon lets a target take tasks again, unless a wave, a move or another pool still needs it to
+// become empty.
+func (s *Scheduler) uncordon(t *target) {
+	t.cordoned = s.isEvacuating(t.info.Instance) || s.isMoving(t) || s.isVacating(t)
+}
+
+// isEvacuating reports whether a wave evacuates an instance.
+func (s *Scheduler) isEvacuating(instance string) bool {
+	for _, w := range s.fleet.waves {
+		if slices.ContainsFunc(w.members, func(m *member) bool { return m.evacuating && m.instance == instance }) {
+			return true
 		}
 	}
+	return false
+}
+
+// targetsOf returns the targets whose entries name an instance. Any entry may name one.
+func (s *Scheduler) targetsOf(instance string) []*target {
+	var list []*target
+	for _, t := range s.sorted {
+		if t.info.Instance == instance && instance != "" {
+			list = append(list, t)
+		}
+	}
+	return list
 }
--- a/internal/cransched/member.go
+++ b/internal/cransched/member.go
@@ -21,9 +21,8 @@
 type member struct {
 	instance string
 	state    memberState
-	// target is the id of the target that ran on the instance when its maintenance was first
-	// ordered; empty if that was by a predecessor.
-	target string
+	// evacuating is set while the target of the instance is cordoned for this wave.
+	evacuating bool
 	// sentAt is when this owner last ordered the maintenance; 0 if it hasn't, also for the
 	// stored order of a predecessor.
 	sentAt time.Duration
@@ -85,10 +84,16 @@
 	return found && !s.isUpSince(i, m.startedAt)
 }
 
-// confirmStarted records that the maintenance of a member has started.
+// confirmStarted records that the maintenance of a member has started or is complete. The platform
+// also accepts an order that it has carried out before, so the target of the instance may have ended or
+// run on: its next response tells.
 func (s *Scheduler) confirmStarted(m *member) {
 	m.state = maintenanceStarted
 	m.startedAt = s.clock.Steady
+	for _, t := range s.targetsOf(m.instance) {
+		t.awaitResponse(s.clock.Steady)
+	}
+	s.endEvacuation(m)
 	order := s.fleet.storedOrders[m.instance]
 	order.Confirmed = true
 	s.storeOrder(m.instance, order)
--- a/internal/cransched/moves.go
+++ b/internal/cransched/moves.go
@@ -86,10 +86,16 @@
 func (s *Scheduler) dropMove(m *move) {
 	delete(s.fleet.moves, m.instance)
 	if t := s.targets[m.target]; t != nil {
-		t.cordoned = false
+		s.uncordon(t)
 	}
 }
 
+// isMoving reports whether the move of a target's instance, which ends the target, is in progress.
+func (s *Scheduler) isMoving(t *target) bool {
+	m := s.fleet.moves[t.info.Instance]
+	return m != nil && m.target == t.info.ID
+}
+
 // checkMoves retries unanswered moves. It removes moves whose instance is up in its new
 // pool or has left the list, and those that have exceeded moveTimeout. A target whose instance is not
 // moved takes tasks again once the last order can't arrive any more.
--- a/internal/cransched/targets.go
+++ b/internal/cransched/targets.go
@@ -135,7 +135,7 @@
 	t.awaitsStore = false
 	t.unansweredBy = 0
 	t.tickets, t.denied = nil, nil
-	t.cordoned = s.fleet.moves[t.info.Instance] != nil
+	s.uncordon(t)
 	s.recordCrash(lost, "it has restarted")
 }
 
--- a/internal/cransched/vacate.go
+++ b/internal/cransched/vacate.go
@@ -52,13 +52,23 @@
 	switch {
 	case !s.starved[pool] || s.targets[t.info.ID] != t || t.ended || !t.listed:
 		// A target that is missing from the store's list may be back later.
-		t.cordoned = false
 		delete(s.fleet.vacating, pool)
+		s.uncordon(t)
 	case len(t.runs) == 0 && !s.hasPendingOrder(t) && s.orderMove(t.info.Instance, pool):
 		delete(s.fleet.vacating, pool)
 	}
 }
 
+// isVacating reports whether a target is emptied for another pool.
+func (s *Scheduler) isVacating(t *target) bool {
+	for _, other := range s.fleet.vacating {
+		if other == t {
+			return true
+		}
+	}
+	return false
+}
+
 // cheapestToVacate returns the target of another pool that becomes empty soonest: the one with
 // the fewest runs, none of which is long-running. It returns nil if there is none.
 func (s *Scheduler) cheapestToVacate(pool string) *target {
--- a/internal/cransched/wave.go
+++ b/internal/cransched/wave.go
@@ -243,7 +243,9 @@
 		w.begun = true
 		s.emit(LogEntry{Kind: LogWaveChanged, Run: w.order.Wave, Reason: "all maintenance has begun"})
 		s.emit(WaveStatus{Wave: w.order.Wave, Begun: true})
-		s.uncordon(w)
+		for _, m := range w.members {
+			s.endEvacuation(m)
+		}
 	}
 	if allUp {
 		w.completed = true
@@ -292,9 +294,6 @@
 
 // orderMaintenance stores the order for an instance and sends it once stored.
 func (s *Scheduler) orderMaintenance(w *wave, m *member) {
-	if t := s.currentTarget(m.instance); t != nil && !m.orderStored {
-		m.target = t.info.ID
-	}
 	m.state = maintenanceOrdered
 	m.orderStored = true
 	m.sentAt = s.clock.Steady
@@ -324,16 +323,7 @@
 		return
 	}
 	for _, m := range w.members {
-		if m.instance != e.Instance || m.state != maintenanceOrdered {
-			continue
-		}
-		if status == StatusOK {
-			// The platform also accepts an order that it has carried out before.
-			if t := s.currentTarget(m.instance); t != nil && t.info.ID == m.target {
-				s.endTarget(t, "the instance is down for maintenance")
-			} else if t != nil {
-				t.awaitResponse(s.clock.Steady)
-			}
+		if m.instance == e.Instance && m.state == maintenanceOrdered && status == StatusOK {
 			s.confirmStarted(m)
 		}
 	}
--- a/internal/cransched/wave_test.go
+++ b/internal/cransched/wave_test.go
@@ -81,3 +81,47 @@
 	require.True(t, begun[1])
 	require.False(t, begun[2], "no order of the second wave was accepted")
 }
+
+// TestRepeatedOrderKeepsLivingTargets guards against targets that count as gone, or stay cordoned, because the
+// platform accepts an order for maintenance that was done before this owner took over (LOST). The stored orders
+// are those of an earlier version, which name the newest wave only.
+func TestRepeatedOrderKeepsLivingTargets(t *testing.T) {
+	sim := newSimulation(t, 1, 5)
+	sim.failureRate, sim.maxDown = 0, 2
+	delete(sim.config.Pools, "off")
+	wave := sim.waveOfAllInstances(time.Minute, 2)
+	sim.takeOver(sim.now - time.Hour)
+	busy := newBatchJob("busy", 1)
+	busy.Steps = busy.Steps[:1]
+	sim.runTimes = map[cranjob.TaskName]time.Duration{{Job: "busy"}: time.Minute}
+	sim.submit(busy)
+	sim.runFor(time.Second)
+	for _, id := range wave.Instances {
+		if tgt := sim.targets[sim.instances[id].target]; len(tgt.runs) > 0 {
+			continue
+		}
+		sim.maintained[instanceWave{id, wave.Wave}] = true
+		order := cranjob.InstanceOrder{Wave: 2, Confirmed: true, DecidedMs: sim.unix() - 10_000}
+		_, err := sim.stored.Apply(cranjob.OrderKey(id), cranjob.Encode(order), sim.offset)
+		require.NoError(t, err)
+		sim.offset++
+	}
+	require.Len(t, sim.maintained, 4)
+	sim.wave = []WaveOrder{wave}
+	sim.takeOver(sim.now)
+	sim.runFor(10 * time.Second)
+	require.False(t, sim.owner.fleet.waves[1].begun, "an instance is still at work")
+	usable := 0
+	for _, tgt := range sim.owner.sorted {
+		if tgt.schedulable(sim.now) && !sim.owner.hasPendingOrder(tgt) {
+			usable++
+		}
+	}
+	require.Equal(t, 4, usable)
+	large := newBatchJob("large", 4)
+	large.Steps = large.Steps[:1]
+	large.Steps[0].Demand = cranjob.Resources{CPU: 3000, Memory: 1000}
+	sim.submit(large)
+	sim.runFor(5 * time.Second)
+	require.Equal(t, cranjob.Completed, sim.states()["large"])
+}
--- a/internal/cransched/world_fleet_test.go
+++ b/internal/cransched/world_fleet_test.go
@@ -88,6 +88,12 @@
 	sim.lastOrders[instance] = sentOrder{token, sim.now}
 }
 
+// instanceWave is an instance in a wave.
+type instanceWave struct {
+	instance string
+	wave     int
+}
+
 // sentOrder is the newest order for an instance.
 type sentOrder struct {
 	token uint64
@@ -96,8 +102,8 @@
 
 func (sim *simulation) orderMaintenance(e Maintain) CallStatus {
 	sim.checkOrderSpacing(e.Instance, e.Token)
-	i := sim.instances[e.Instance]
-	if i.maintenance || sim.maintenances[e.Instance] > 0 {
+	i, done := sim.instances[e.Instance], instanceWave{e.Instance, e.Wave}
+	if sim.maintained[done] {
 		return StatusOK
 	}
 	if i.busyUntil != 0 {
@@ -112,6 +118,7 @@
 	require.Less(sim.t, down, sim.maxDown, "%v: %s goes down while %d others are down", sim.now, e.Instance, down)
 	sim.takeInstanceDown(i, 2*time.Second)
 	i.maintenance = true
+	sim.maintained[done] = true
 	sim.maintenances[e.Instance]++
 	return StatusOK
 }
--- a/internal/cransched/world_test.go
+++ b/internal/cransched/world_test.go
@@ -91,6 +91,8 @@
 	maxDown      int
 	processes    int
 	maintenances map[string]int
+	// maintained holds the instances whose maintenance for a wave has begun.
+	maintained map[instanceWave]bool
 	// orderStoredAt is when the newest order for each instance was stored; lastOrders
 	// holds the newest order that arrived.
 	orderStoredAt map[string]time.Duration
@@ -160,7 +162,7 @@
 		}, Pools: map[string]*Pool{"p": {Name: "p"}, "off": {Name: "off", Standby: true}}},
 		instances: map[string]*simInstance{}, orderStoredAt: map[string]time.Duration{}, lastOrders: map[string]sentOrder{},
 		targets: map[string]*simTarget{}, jobs: map[string]*cranjob.Job{}, acknowledged: map[cranjob.TaskName][]RunOutcome{},
-		durations: map[cranjob.TaskName]time.Duration{}, succeeded: map[cranjob.TaskName]bool{}, maintenances: map[string]int{}, logged: map[LogKind]int{}, failureRate: 0.08,
+		durations: map[cranjob.TaskName]time.Duration{}, succeeded: map[cranjob.TaskName]bool{}, maintenances: map[string]int{}, maintained: map[instanceWave]bool{}, logged: map[LogKind]int{}, failureRate: 0.08,
 		newestStarts: map[cranjob.TaskName]receivedStart{}, deadly: map[cranjob.TaskName]time.Duration{}, crashes: map[cranjob.TaskName]int{}, startsAfterCrashes: map[cranjob.TaskName]int{},
 	}
 	for i := range targets {
