cransched: orders of waves for one instance are stored apart

Cause: InstanceOrder held one wave for each instance, the newest that ordered it. Two waves order an idle instance in the same round; the platform begins one and answers 409 to the other. The confirmation of the one then marked the stored order, which named the other, so the next owner took that wave as begun. And an order of a second wave replaced the confirmed one of the first, so the next owner took the instance for pending in the first.

The record now has an order for each wave, confirmed for that wave only. Orders of waves that the shard has published as done are dropped with the next order, as the digest keeps that for good. An owner gets with each wave what is published, so it neither plans a wave that has begun nor waits for one that is done.

Records of earlier versions name one wave. Earlier versions read the newest order as before.

Related paths that were looked at: an order that replaces another (here); an order that another's answer confirms (here, and the list of instances, which confirms only if no other wave is known or stored); an order of a wave that has begun without an instance that was missing from the list kept that instance from use for good, and does so now only while the order may arrive; moves share DecidedMs and Moving, which are those of the newest order and stay so; digest and permits are kept by wave already. TestRepeatedOrderKeepsLivingTargets now marks the wave of its stored records as carried out, which the simulation has checked since.

--- a/internal/cranjob/progress.go
+++ b/internal/cranjob/progress.go
@@ -130,22 +130,6 @@
 	Undersized bool `cbor:"8,keyasint,omitempty"`
 }
 
-// InstanceOrder is the record of the newest orders to the platform for an instance.
-// It is stored before an order is sent.
-type InstanceOrder struct {
-	// Wave is the newest maintenance wave that ordered the instance out of service.
-	// Confirmed is set once the platform has confirmed that order.
-	Wave      int  `cbor:"1,keyasint,omitempty"`
-	Confirmed bool `cbor:"4,keyasint,omitempty"`
-	// Pool is the destination of the newest move. Moving is set while the move is
-	// the newest order.
-	Pool   string `cbor:"2,keyasint,omitempty"`
-	Moving bool   `cbor:"5,keyasint,omitempty"`
-	// DecidedMs is the time at which the scheduler decided on the newest order, in Unix
-	// milliseconds. The order is sent later.
-	DecidedMs int64 `cbor:"3,keyasint,omitempty"`
-}
-
 // Durations holds the sums for a linear regression of the logarithms of a queue's
 // task durations (Y) on those of their estimates (X), both in milliseconds.
 type Durations struct {
--- a/internal/crannode/wave.go
+++ b/internal/crannode/wave.go
@@ -66,6 +66,8 @@
 		o := w.order
 		o.Instances = w.instances[number]
 		o.MaxParallel = cranshard.Permits(wave, number)
+		published := c.node.digest.Wave(o.Wave, number)
+		o.Begun, o.Done = published.Begun, published.Done
 		orders = append(orders, o)
 	}
 	return orders
--- a/internal/cransched/event.go
+++ b/internal/cransched/event.go
@@ -140,4 +140,6 @@
 	// MaxParallel is the maximum number of instances that may be down for the wave at the
 	// same time.
 	MaxParallel int
+	// Begun and Done are what an owner of the shard has published of the wave; see [WaveStatus].
+	Begun, Done bool
 }
--- a/internal/cransched/member.go
+++ b/internal/cransched/member.go
@@ -36,7 +36,7 @@
 }
 
 // observeMember updates a member from the list of instances.
-func (s *Scheduler) observeMember(m *member) {
+func (s *Scheduler) observeMember(w *wave, m *member) {
 	i, found := s.fleet.instances[m.instance]
 	switch {
 	case found:
@@ -45,11 +45,18 @@
 		m.missingSince = s.fleet.listRequestedAt
 	}
 	// The list doesn't tell for which wave an instance is down.
-	if m.state == maintenanceOrdered && found && i.Maintenance && s.fleet.listRequestedAt > m.sentAt && s.countWavesOf(m.instance) == 1 {
-		s.confirmStarted(m)
+	if m.state == maintenanceOrdered && found && i.Maintenance && s.fleet.listRequestedAt > m.sentAt && s.isInOneWave(m.instance) {
+		s.confirmStarted(w, m)
 	}
 }
 
+// isInOneWave reports whether an instance is in one wave only, also by the orders of predecessors, which may
+// have read of others.
+func (s *Scheduler) isInOneWave(instance string) bool {
+	order := s.fleet.storedOrders[instance]
+	return len(order.Maintenance()) <= 1 && s.countWavesOf(instance) == 1
+}
+
 // countWavesOf counts the waves that an instance is in.
 func (s *Scheduler) countWavesOf(instance string) int {
 	n := 0
@@ -76,7 +83,9 @@
 func (s *Scheduler) countsAsDown(m *member) bool {
 	switch m.state {
 	case pending:
-		return false
+		// A record of an earlier version doesn't tell all waves for which the instance may be down.
+		order := s.fleet.storedOrders[m.instance]
+		return order.IsOfEarlierVersion() && s.fleet.instances[m.instance].Maintenance
 	case maintenanceOrdered:
 		return m.sentAt != 0 || m.orderStored
 	}
@@ -84,17 +93,15 @@
 	return found && !s.isUpSince(i, m.startedAt)
 }
 
-// confirmStarted records that the maintenance of a member has started or is complete. The platform
+// confirmStarted records that the maintenance of a member for its wave has started or is complete. The platform
 // also accepts an order that it has carried out before, so the target of the instance may have ended or
 // run on: its next response tells.
-func (s *Scheduler) confirmStarted(m *member) {
+func (s *Scheduler) confirmStarted(w *wave, m *member) {
 	m.state = maintenanceStarted
 	m.startedAt = s.clock.Steady
 	for _, t := range s.targetsOf(m.instance) {
 		t.awaitResponse(s.clock.Steady)
 	}
 	s.endEvacuation(m)
-	order := s.fleet.storedOrders[m.instance]
-	order.Confirmed = true
-	s.storeOrder(m.instance, order)
+	s.storeOrder(m.instance, s.fleet.storedOrders[m.instance].WithConfirmation(w.order.Wave))
 }
--- a/internal/cransched/moves.go
+++ b/internal/cransched/moves.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/cranberrypick/cranberrypick/internal/cranjob"
 )
 
 // destination is an instance and the pool to which it is moved.
@@ -56,6 +58,7 @@
 	m.sentAt = s.clock.Steady
 	order := s.fleet.storedOrders[m.instance]
 	order.Pool, order.Moving, order.DecidedMs = m.pool, true, s.clock.UnixMs
+	s.fleet.orderedAt[m.instance] = s.clock.Steady
 	s.storeOrder(m.instance, order)
 	s.emitOnceStored(LogEntry{Kind: LogMoveOrdered, Target: m.instance, Reason: m.pool})
 	s.emitOnceStored(MoveInstance{Instance: m.instance, Pool: m.pool, Token: s.token})
@@ -137,5 +140,14 @@
 		return true
 	}
 	order := s.fleet.storedOrders[t.info.Instance]
-	return order.Wave != 0 && !order.Confirmed
+	return slices.ContainsFunc(order.Maintenance(), func(m cranjob.MaintenanceOrder) bool {
+		return !m.Confirmed && s.mayBegin(m.Wave, t.info.Instance)
+	})
+}
+
+// mayBegin reports whether an unconfirmed order to maintain an instance may still take effect. It is repeated
+// until its wave has begun, which can't wait for an instance that is missing from the list.
+func (s *Scheduler) mayBegin(wave int, instance string) bool {
+	w := s.fleet.waves[wave]
+	return w != nil && !w.begun || s.clock.Steady-s.fleet.orderedAt[instance] < moveTimeout
 }
--- a/internal/cransched/wave.go
+++ b/internal/cransched/wave.go
@@ -52,9 +52,10 @@
 	instances map[string]InstanceInfo
 	// listRequestedAt is when the list of instances was requested; 0 before the first.
 	listRequestedAt time.Duration
-	// storedOrders holds the newest order for each instance, including those of
-	// predecessors.
+	// storedOrders holds the orders for each instance, including those of predecessors.
 	storedOrders map[string]cranjob.InstanceOrder
+	// orderedAt is when the newest order for each instance was decided on, by this owner or a predecessor.
+	orderedAt map[string]time.Duration
 	// moves are the moves in progress, keyed by instance.
 	moves map[string]*move
 	// refusedMoves holds the moves that the platform doesn't allow.
@@ -79,11 +80,12 @@
 // newFleet restores the stored orders and the moves that may be in progress.
 func (s *Scheduler) newFleet(orders map[string]cranjob.InstanceOrder) fleet {
 	f := fleet{
-		waves: map[int]*wave{}, storedOrders: maps.Clone(orders),
+		waves: map[int]*wave{}, storedOrders: maps.Clone(orders), orderedAt: map[string]time.Duration{},
 		moves: map[string]*move{}, refusedMoves: map[destination]bool{}, planner: cranpool.NewPlanner(cranpool.DefaultCosts()),
 		vacating: map[string]*target{}, peaksNear: map[string]bool{}, starvedSince: map[string]time.Duration{},
 		planned: map[string]cranexplain.Pool{},
 	}
+	maps.Copy(f.orderedAt, s.predecessor.LastOrderAt)
 	for instance, order := range orders {
 		at, found := s.predecessor.LastOrderAt[instance]
 		if found && order.Moving && s.clock.Steady-at < moveTimeout {
@@ -94,27 +96,53 @@
 }
 
 // SetWaves adds the waves that the operator has requested, with the instances that this owner
-// is to maintain. For a wave that is known it updates MaxParallel.
+// is to maintain. For a wave that is known it updates MaxParallel and what is published.
 func (s *Scheduler) SetWaves(orders []WaveOrder) {
+	var added []*wave
 	for _, o := range orders {
 		if known := s.fleet.waves[o.Wave]; known != nil {
 			known.limit = max(known.limit, o.MaxParallel)
+			known.order.Done = known.order.Done || o.Done
 			continue
 		}
-		w := &wave{order: o, limit: o.MaxParallel}
+		w := &wave{order: o, limit: o.MaxParallel, begun: o.Begun || o.Done, completed: o.Done}
 		for _, id := range o.Instances {
-			m := &member{instance: id}
-			if stored := s.fleet.storedOrders[id]; stored.Wave == o.Wave {
-				m.state = maintenanceOrdered
-				m.orderStored = true
-				if stored.Confirmed {
-					m.state = maintenanceStarted
-				}
-			}
-			w.members = append(w.members, m)
+			w.members = append(w.members, &member{instance: id})
 		}
 		s.fleet.waves[o.Wave] = w
-		s.emit(LogEntry{Kind: LogWaveChanged, Run: o.Wave, Reason: "requested"})
+		added = append(added, w)
+		if !o.Done {
+			s.emit(LogEntry{Kind: LogWaveChanged, Run: o.Wave, Reason: "requested"})
+		}
+	}
+	// Whether a stored order counts depends on the other waves.
+	for _, w := range added {
+		for _, m := range w.members {
+			s.restoreMember(w, m)
+		}
+	}
+}
+
+// restoreMember restores the state of a member from what earlier owners have stored and published.
+func (s *Scheduler) restoreMember(w *wave, m *member) {
+	if w.begun {
+		m.state = maintenanceStarted
+		return
+	}
+	stored := s.fleet.storedOrders[m.instance]
+	order, ordered := stored.OfWave(w.order.Wave)
+	if !ordered {
+		return
+	}
+	if order.Confirmed && stored.IsOfEarlierVersion() && !s.isInOneWave(m.instance) {
+		// Another wave's maintenance may have been confirmed.
+		order.Confirmed, stored.Confirmed = false, false
+		s.fleet.storedOrders[m.instance] = stored
+	}
+	m.state = maintenanceOrdered
+	m.orderStored = true
+	if order.Confirmed {
+		m.state = maintenanceStarted
 	}
 }
 
@@ -189,7 +217,7 @@
 func (s *Scheduler) planWave(w *wave) {
 	downCount, remaining := 0, 0
 	for _, m := range w.members {
-		s.observeMember(m)
+		s.observeMember(w, m)
 		if s.countsAsDown(m) {
 			downCount++
 		}
@@ -297,15 +325,21 @@
 	m.state = maintenanceOrdered
 	m.orderStored = true
 	m.sentAt = s.clock.Steady
-	order := s.fleet.storedOrders[m.instance]
-	order.Wave, order.Confirmed, order.Moving, order.DecidedMs = w.order.Wave, false, false, s.clock.UnixMs
+	order := s.fleet.storedOrders[m.instance].WithMaintenance(w.order.Wave)
+	order.Moving, order.DecidedMs = false, s.clock.UnixMs
+	s.fleet.orderedAt[m.instance] = s.clock.Steady
 	s.storeOrder(m.instance, order)
 	s.emitOnceStored(LogEntry{Kind: LogMaintenanceOrdered, Target: m.instance, Run: w.order.Wave})
 	s.emitOnceStored(Maintain{Instance: m.instance, Wave: w.order.Wave, Token: s.token})
 }
 
-// storeOrder adds an order to the next batch.
+// storeOrder adds the orders for an instance to the next batch, without those of the waves that are published
+// as done.
 func (s *Scheduler) storeOrder(instance string, o cranjob.InstanceOrder) {
+	o = o.WithoutWaves(func(wave int) bool {
+		w := s.fleet.waves[wave]
+		return w != nil && w.order.Done
+	})
 	s.fleet.storedOrders[instance] = o
 	s.pendingRecords = append(s.pendingRecords, cranstore.Record{Key: cranjob.OrderKey(instance), Value: cranjob.Encode(o)})
 }
@@ -324,7 +358,7 @@
 	}
 	for _, m := range w.members {
 		if m.instance == e.Instance && m.state == maintenanceOrdered && status == StatusOK {
-			s.confirmStarted(m)
+			s.confirmStarted(w, m)
 		}
 	}
 }
--- a/internal/cransched/wave_test.go
+++ b/internal/cransched/wave_test.go
@@ -100,13 +100,13 @@
 		if tgt := sim.targets[sim.instances[id].target]; len(tgt.runs) > 0 {
 			continue
 		}
-		sim.maintained[instanceWave{id, wave.Wave}] = true
+		sim.maintained[instanceWave{id, wave.Wave}], sim.maintained[instanceWave{id, 2}] = true, true
 		order := cranjob.InstanceOrder{Wave: 2, Confirmed: true, DecidedMs: sim.unix() - 10_000}
 		_, err := sim.stored.Apply(cranjob.OrderKey(id), cranjob.Encode(order), sim.offset)
 		require.NoError(t, err)
 		sim.offset++
 	}
-	require.Len(t, sim.maintained, 4)
+	require.Len(t, sim.maintained, 8)
 	sim.wave = []WaveOrder{wave}
 	sim.takeOver(sim.now)
 	sim.runFor(10 * time.Second)
@@ -125,3 +125,68 @@
 	sim.runFor(5 * time.Second)
 	require.Equal(t, cranjob.Completed, sim.states()["large"])
 }
+
+// TestWavesOrderedTogetherSurviveTakeover guards against a wave that counts as begun on an instance since the order
+// of another wave for it was confirmed, and the owner was lost then (MIXED).
+func TestWavesOrderedTogetherSurviveTakeover(t *testing.T) {
+	for _, earlierVersion := range []bool{false, true} {
+		sim := newSimulation(t, 1, 12)
+		sim.failureRate, sim.maxDown = 0, 12
+		delete(sim.config.Pools, "off")
+		sim.takeOver(sim.now - time.Hour)
+		sim.runFor(2 * time.Second)
+		for wave := range 2 {
+			order := sim.waveOfAllInstances(24*time.Second, 6)
+			order.Wave = wave + 1
+			sim.wave = append(sim.wave, order)
+		}
+		sim.setWaves()
+		sim.runFor(1500 * time.Millisecond)
+		require.Len(t, sim.confirmed, 6)
+		if earlierVersion {
+			sim.storeEarlierOrders()
+		}
+		sim.takeOver(sim.now + OwnershipTimeout)
+		sim.runFor(30 * time.Second)
+		require.Len(t, sim.maintained, 24)
+		require.True(t, sim.progress[1].Done && sim.progress[2].Done)
+	}
+}
+
+// storeEarlierOrders replaces the stored orders by those of an earlier version, which names the newest wave only and
+// counts the confirmation of any wave for it.
+func (sim *simulation) storeEarlierOrders() {
+	clear(sim.confirmed)
+	for id, o := range sim.stored.Orders() {
+		for _, m := range o.Maintenance() {
+			o.Confirmed = o.Confirmed || m.Confirmed
+		}
+		o.Waves = nil
+		_, err := sim.stored.Apply(cranjob.OrderKey(id), cranjob.Encode(o), sim.offset)
+		require.NoError(sim.t, err)
+		sim.offset++
+	}
+}
+
+// TestCordonIsSharedByWavesAndMoves guards against a target that takes tasks again, since one wave or move has ended,
+// while another one still waits for it to become empty.
+func TestCordonIsSharedByWavesAndMoves(t *testing.T) {
+	sim := newSimulation(t, 1, 1)
+	sim.takeOver(sim.now - time.Hour)
+	sim.runFor(time.Second)
+	s := sim.owner
+	s.SetWaves([]WaveOrder{{Wave: 1, Instances: []string{"mt0"}}, {Wave: 2, Instances: []string{"mt0"}}})
+	first, second, tgt := s.fleet.waves[1].members[0], s.fleet.waves[2].members[0], s.targets["t0"]
+	s.evacuate(first)
+	s.evacuate(second)
+	s.endEvacuation(first)
+	require.True(t, tgt.cordoned, "the second wave evacuates it")
+	require.True(t, s.orderMove("mt0", "off"))
+	s.endEvacuation(second)
+	require.True(t, tgt.cordoned, "it is moved")
+	s.evacuate(second)
+	s.dropMove(s.fleet.moves["mt0"])
+	require.True(t, tgt.cordoned, "the second wave evacuates it")
+	s.endEvacuation(second)
+	require.False(t, tgt.cordoned)
+}
--- a/internal/cransched/world_call_test.go
+++ b/internal/cransched/world_call_test.go
@@ -65,12 +65,21 @@
 // order performs an order about an instance and returns the result to the owner.
 func (sim *simulation) order(s *Scheduler, id int, perform func() CallStatus, onResult func(CallStatus)) {
 	isLost, delay := sim.platformDown || id != sim.ownerID, 5*time.Millisecond+sim.orderDelay
-	if isLost {
+	isSilent := false
+	if sim.orderLossRate+sim.orderSilenceRate > 0 {
+		p := sim.random.Float64()
+		isLost = isLost || p < sim.orderLossRate
+		isSilent = !isLost && p < sim.orderLossRate+sim.orderSilenceRate
+	}
+	if isSilent {
+		sim.schedule(delay, func() { perform() })
+	}
+	if isLost || isSilent {
 		delay = callTimeout
 	}
 	sim.schedule(delay, func() {
 		result := StatusUnanswered
-		if !isLost {
+		if !isLost && !isSilent {
 			result = perform()
 		}
 		if id == sim.ownerID {
--- a/internal/cransched/world_fleet_test.go
+++ b/internal/cransched/world_fleet_test.go
@@ -17,6 +17,8 @@
 	// busyUntil is when a move or a maintenance ends; 0 while the instance is up.
 	busyUntil   time.Duration
 	maintenance bool
+	// wave is the wave of the last maintenance.
+	wave int
 }
 
 // checkEviction checks that a long-running task is stopped only while fewer than
@@ -116,8 +118,9 @@
 		}
 	}
 	require.Less(sim.t, down, sim.maxDown, "%v: %s goes down while %d others are down", sim.now, e.Instance, down)
+	sim.checkLimit(e)
 	sim.takeInstanceDown(i, 2*time.Second)
-	i.maintenance = true
+	i.maintenance, i.wave = true, e.Wave
 	sim.maintained[done] = true
 	sim.maintenances[e.Instance]++
 	return StatusOK
@@ -136,3 +139,54 @@
 	i.pool = e.Pool
 	return StatusOK
 }
+
+// checkLimit checks that a wave takes down no more instances at a time than it may.
+func (sim *simulation) checkLimit(e Maintain) {
+	down := 0
+	for _, other := range sim.instances {
+		if other.maintenance && other.wave == e.Wave && sim.now < other.busyUntil {
+			down++
+		}
+	}
+	for _, w := range sim.wave {
+		if w.Wave == e.Wave {
+			require.Less(sim.t, down, w.MaxParallel, "%v: %s goes down for wave %d", sim.now, e.Instance, e.Wave)
+		}
+	}
+}
+
+// observeOrder records that the orders for an instance were stored.
+func (sim *simulation) observeOrder(instance string) {
+	sim.orderStoredAt[instance] = sim.now
+	order := sim.stored.Orders()[instance]
+	for _, m := range order.Maintenance() {
+		if m.Confirmed {
+			at := instanceWave{instance, m.Wave}
+			require.True(sim.t, sim.maintained[at], "%v: %v is confirmed and hasn't begun", sim.now, at)
+			sim.confirmed[at] = true
+		}
+	}
+}
+
+// publishWave publishes how far a wave has come, and checks that no instance is left out.
+func (sim *simulation) publishWave(e WaveStatus) {
+	sim.progress[e.Wave] = e
+	for _, w := range sim.wave {
+		for _, id := range w.Instances {
+			_, exists := sim.instances[id]
+			require.False(sim.t, w.Wave == e.Wave && exists && !sim.maintained[instanceWave{id, w.Wave}],
+				"%v: wave %d has begun without %s", sim.now, w.Wave, id)
+		}
+	}
+	sim.setWaves()
+}
+
+// setWaves passes the waves to the owner, with what is published of them.
+func (sim *simulation) setWaves() {
+	orders := slices.Clone(sim.wave)
+	for i := range orders {
+		published := sim.progress[orders[i].Wave]
+		orders[i].Begun, orders[i].Done = published.Begun, published.Done
+	}
+	sim.owner.SetWaves(orders)
+}
--- a/internal/cransched/world_test.go
+++ b/internal/cransched/world_test.go
@@ -93,6 +93,15 @@
 	maintenances map[string]int
 	// maintained holds the instances whose maintenance for a wave has begun.
 	maintained map[instanceWave]bool
+	// confirmed holds those of them of which a stored order says so.
+	confirmed map[instanceWave]bool
+	// progress holds what owners have published of each wave.
+	progress map[int]WaveStatus
+	// orderLossRate is the fraction of orders for instances that are lost, and orderSilenceRate that of orders
+	// that are carried out without a response.
+	orderLossRate, orderSilenceRate float64
+	// listInterval is how often the owner reads the list of instances, if not with each tick.
+	listInterval, listedAt time.Duration
 	// orderStoredAt is when the newest order for each instance was stored; lastOrders
 	// holds the newest order that arrived.
 	orderStoredAt map[string]time.Duration
@@ -162,7 +171,7 @@
 		}, Pools: map[string]*Pool{"p": {Name: "p"}, "off": {Name: "off", Standby: true}}},
 		instances: map[string]*simInstance{}, orderStoredAt: map[string]time.Duration{}, lastOrders: map[string]sentOrder{},
 		targets: map[string]*simTarget{}, jobs: map[string]*cranjob.Job{}, acknowledged: map[cranjob.TaskName][]RunOutcome{},
-		durations: map[cranjob.TaskName]time.Duration{}, succeeded: map[cranjob.TaskName]bool{}, maintenances: map[string]int{}, maintained: map[instanceWave]bool{}, logged: map[LogKind]int{}, failureRate: 0.08,
+		durations: map[cranjob.TaskName]time.Duration{}, succeeded: map[cranjob.TaskName]bool{}, maintenances: map[string]int{}, maintained: map[instanceWave]bool{}, confirmed: map[instanceWave]bool{}, progress: map[int]WaveStatus{}, logged: map[LogKind]int{}, failureRate: 0.08,
 		newestStarts: map[cranjob.TaskName]receivedStart{}, deadly: map[cranjob.TaskName]time.Duration{}, crashes: map[cranjob.TaskName]int{}, startsAfterCrashes: map[cranjob.TaskName]int{},
 	}
 	for i := range targets {
@@ -231,7 +240,8 @@
 	}
 	sim.leasesEndAt = nil
 	sim.owner.SetTargets(sim.targetList())
-	sim.owner.SetWaves(sim.wave)
+	sim.listedAt = 0
+	sim.setWaves()
 	sim.tick(sim.ownerID)
 }
 
@@ -263,7 +273,8 @@
 	owner.Advance(sim.clock())
 	owner.SetLag(max(sim.busyUntil-sim.now, 0))
 	owner.SetTargets(sim.targetList())
-	if !sim.platformDown {
+	if !sim.platformDown && sim.now-sim.listedAt >= sim.listInterval {
+		sim.listedAt = sim.now
 		owner.SetInstances(sim.instanceList(), sim.now)
 	}
 	if sim.beforeTick != nil {
@@ -295,7 +306,7 @@
 				change, err := sim.stored.Apply(r.Key, r.Value, sim.offset)
 				require.NoError(sim.t, err)
 				if change.Kind == cranjob.OrderChanged {
-					sim.orderStoredAt[change.ID] = sim.now
+					sim.observeOrder(change.ID)
 				}
 				sim.offset++
 			}
@@ -367,7 +378,10 @@
 		if sim.adviser != nil {
 			sim.askAdviser(s, id, e)
 		}
+	case WaveStatus:
+		sim.publishWave(e)
 	case Maintain:
+		require.False(sim.t, sim.confirmed[instanceWave{e.Instance, e.Wave}], "%v: %s is ordered again for wave %d", sim.now, e.Instance, e.Wave)
 		sim.order(s, id, func() CallStatus { return sim.orderMaintenance(e) }, func(status CallStatus) { s.HandleMaintenanceResponse(e, status) })
 	case MoveInstance:
 		if sim.dropMoves {
