cransched: a list that misses an instance changes no member of a wave

Callers of a wave may see more instances down at a time than it allows (LIMIT), or a wave that is completed without one of its instances (MIXED). The list is read in pages, and may miss an instance while others are added or removed.

Cause: an instance whose maintenance had begun counted as down only while the newest list named it. One list without it freed its permit, also while it was down. And an instance counted as removed once it was missing for 1 s, in which three lists are read at the shortest interval; an owner of many shards reads one each 4 s, so two lists sufficed.

A member now counts as down until a list has shown it up again or it is removed, and as removed once three lists in a row have missed it, over 1 s at least.

TestIncompleteListsChangeNoMember, which guards against both, failed before.

The test now also has a second pool between which instances move, calls to targets that are lost or late, targets that keep their id, and records of earlier versions. It waits longer for the end, as waves of one instance at a time take that long, and allows cordons of moves in progress, as new ones may begin at any time.

--- a/internal/cransched/member.go
+++ b/internal/cransched/member.go
@@ -31,8 +31,12 @@
 	// orderStored is set once the order is stored or part of the next batch.
 	orderStored bool
 	// missingSince is the request time of the first of the consecutive lists without the
-	// instance; 0 if the newest list has it.
-	missingSince time.Duration
+	// instance, and missingLists their number; 0 if the newest list has it. missingAsOf is the request time
+	// of the newest of them.
+	missingSince, missingAsOf time.Duration
+	missingLists              int
+	// upAgain is set once a list has shown the instance up after its maintenance.
+	upAgain bool
 }
 
 // observeMember updates a member from the list of instances.
@@ -40,9 +44,14 @@
 	i, found := s.fleet.instances[m.instance]
 	switch {
 	case found:
-		m.missingSince = 0
-	case m.missingSince == 0:
-		m.missingSince = s.fleet.listRequestedAt
+		m.missingSince, m.missingAsOf, m.missingLists = 0, 0, 0
+		m.upAgain = m.upAgain || m.state == maintenanceStarted && s.isUpSince(i, m.startedAt)
+	case m.missingAsOf != s.fleet.listRequestedAt:
+		m.missingAsOf = s.fleet.listRequestedAt
+		m.missingLists++
+		if m.missingSince == 0 {
+			m.missingSince = m.missingAsOf
+		}
 	}
 	// The list doesn't tell for which wave an instance is down.
 	if m.state == maintenanceOrdered && found && i.Maintenance && s.fleet.listRequestedAt > m.sentAt && s.isInOneWave(m.instance) {
@@ -68,14 +77,17 @@
 	return n
 }
 
-// removalTimeout is how long an instance must be missing from the list before it counts as
-// removed. The list is read in pages, and a page may miss an instance while others are
-// added or removed. Two more lists are read in this time.
-const removalTimeout = 1000 * time.Millisecond
+const (
+	// removalTimeout is how long an instance must be missing from the list before it counts as
+	// removed, and removalLists in how many lists. The list is read in pages, and a page may miss an
+	// instance while others are added or removed.
+	removalTimeout = 1000 * time.Millisecond
+	removalLists   = 3
+)
 
 // exists reports whether the instance has not been removed.
 func (s *Scheduler) exists(m *member) bool {
-	return m.missingSince == 0 || s.fleet.listRequestedAt-m.missingSince < removalTimeout
+	return m.missingLists < removalLists || m.missingAsOf-m.missingSince < removalTimeout
 }
 
 // countsAsDown reports whether a member counts as down for maintenance: from its order
@@ -89,8 +101,7 @@
 	case maintenanceOrdered:
 		return m.sentAt != 0 || m.orderStored
 	}
-	i, found := s.fleet.instances[m.instance]
-	return found && !s.isUpSince(i, m.startedAt)
+	return !m.upAgain && s.exists(m)
 }
 
 // confirmStarted records that the maintenance of a member for its wave has started or is complete. The platform
--- a/internal/cransched/overlap_test.go
+++ b/internal/cransched/overlap_test.go
@@ -29,6 +29,14 @@
 	sim := newSimulation(t, seed, targets)
 	r := sim.random
 	sim.failureRate, sim.maxDown, sim.checkUnavailable = 0, targets, true
+	if r.IntN(2) == 0 {
+		sim.addBusyPool()
+	}
+	sim.reuseIDs = r.IntN(3) == 0
+	sim.incompleteLists = max(0, r.Float64()-0.7)
+	if r.IntN(2) == 0 {
+		sim.lossRate, sim.noResponseRate, sim.delayRate = 0.02, 0.02, 0.01
+	}
 	sim.listInterval = time.Duration(r.IntN(5)) * 500 * time.Millisecond
 	sim.orderLossRate, sim.orderSilenceRate = 0.3*r.Float64(), 0.3*r.Float64()
 	sim.takeOver(sim.now - time.Hour)
@@ -43,21 +51,43 @@
 	for range r.IntN(5) {
 		sim.schedule(time.Duration(r.Int64N(int64(span))), func() {
 			sim.orderDelay = time.Duration(r.IntN(800)) * time.Millisecond
+			if r.IntN(4) == 0 {
+				sim.storeEarlierOrders()
+			}
 			sim.takeOver(sim.now + time.Duration(r.IntN(2))*OwnershipTimeout)
 		})
 	}
 	sim.runBackground(span)
-	sim.platformDown, sim.orderLossRate, sim.orderSilenceRate = false, 0, 0
-	sim.runFor(40 * time.Second)
-	for _, w := range sim.wave {
-		require.True(t, sim.progress[w.Wave].Done, "wave %d isn't done", w.Wave)
+	sim.platformDown, sim.orderLossRate, sim.orderSilenceRate, sim.incompleteLists = false, 0, 0, 0
+	sim.lossRate, sim.noResponseRate, sim.delayRate = 0, 0, 0
+	// The waves may have to maintain 8 instances one at a time, which takes 2 s and two reads of the list each.
+	for end := sim.now + 4*targets*6*time.Second; !sim.wavesDone() && sim.now < end; sim.runFor(time.Second) {
 	}
-	sim.requireNothingHeld()
+	require.True(t, sim.wavesDone(), "%v", sim.progress)
+	sim.runFor(heldTime + 30*time.Second)
 	sim.requireTargetsUsable()
 	sim.requireBackgroundCompleted()
 	require.Equal(t, 4, sim.countRunning("lasting"))
 }
 
+// wavesDone reports whether owners have published that all waves are done.
+func (sim *simulation) wavesDone() bool {
+	return !slices.ContainsFunc(sim.wave, func(w WaveOrder) bool { return !sim.progress[w.Wave].Done })
+}
+
+// addBusyPool adds a second pool, between which and the first one instances are moved.
+func (sim *simulation) addBusyPool() {
+	sim.config.Pools["busy"] = &Pool{Name: "busy"}
+	sim.config.Queues["load"] = &Queue{Name: "load", Pool: "busy", Attempts: 3, Stretch: 1.6, LatencyTarget: 600 * time.Millisecond}
+	for i := range 6 {
+		sim.schedule(time.Duration(i)*4*time.Second, func() {
+			j := newBatchJob(fmt.Sprintf("load%d", i), 12)
+			j.Queue = "load"
+			sim.submit(j)
+		})
+	}
+}
+
 // requestWave requests the maintenance of some of the instances.
 func (sim *simulation) requestWave(number int) {
 	order := sim.waveOfAllInstances(time.Duration(12+sim.random.IntN(14))*time.Second, 1+sim.random.IntN(4))
@@ -70,12 +100,20 @@
 	sim.setWaves()
 }
 
-// requireTargetsUsable checks that the owner uses all targets that are up.
+// requireTargetsUsable checks that the owner uses all targets that are up, unless their instances are being moved.
 func (sim *simulation) requireTargetsUsable() {
+	s := sim.owner
+	for _, m := range s.fleet.moves {
+		require.Less(sim.t, sim.now-m.beganAt, heldTime, "%s is moved for too long", m.instance)
+	}
+	require.Empty(sim.t, s.fleet.vacating)
 	for _, id := range slices.Sorted(maps.Keys(sim.targets)) {
-		known := sim.owner.targets[id]
+		known := s.targets[id]
 		require.NotNil(sim.t, known, id)
+		if s.isMoving(known) {
+			continue
+		}
 		require.True(sim.t, known.retiring || known.schedulable(sim.now), "%s takes no tasks", id)
-		require.False(sim.t, known.leaving || sim.owner.hasPendingOrder(known), "%s is kept free", id)
+		require.False(sim.t, known.leaving || s.hasPendingOrder(known), "%s is kept free", id)
 	}
 }
--- a/internal/cransched/wave_test.go
+++ b/internal/cransched/wave_test.go
@@ -190,3 +190,36 @@
 	s.endEvacuation(second)
 	require.False(t, tgt.cordoned)
 }
+
+// TestIncompleteListsChangeNoMember guards against an instance that counts as up again after its maintenance, or as
+// removed, since one or two lists have missed it (LIMIT of a wave, MIXED).
+func TestIncompleteListsChangeNoMember(t *testing.T) {
+	sim := newSimulation(t, 1, 2)
+	sim.failureRate, sim.maxDown = 0, 1
+	delete(sim.config.Pools, "off")
+	sim.takeOver(sim.now - time.Hour)
+	sim.runFor(time.Second)
+	sim.platformDown = true
+	s := sim.owner
+	s.SetWaves([]WaveOrder{sim.waveOfAllInstances(time.Minute, 1)})
+	complete := sim.instanceList()
+	w, first := s.fleet.waves[1], s.fleet.waves[1].members[0]
+	readList := func(list []InstanceInfo) {
+		sim.now += 2 * time.Second
+		s.Advance(sim.clock())
+		s.SetInstances(list, sim.now)
+		s.observeMember(w, first)
+	}
+	readList(complete[1:])
+	readList(complete[1:])
+	require.True(t, s.exists(first))
+	first.state, first.startedAt = maintenanceStarted, sim.now
+	require.True(t, s.countsAsDown(first), "no list has shown it up again")
+	readList(complete)
+	require.False(t, s.countsAsDown(first))
+	readList(complete[1:])
+	require.False(t, s.countsAsDown(first))
+	readList(complete[1:])
+	readList(complete[1:])
+	require.False(t, s.exists(first))
+}
--- a/internal/cransched/world_fleet_test.go
+++ b/internal/cransched/world_fleet_test.go
@@ -57,6 +57,21 @@
 		}
 		list = append(list, info)
 	}
+	return sim.withoutMissed(list)
+}
+
+// withoutMissed returns a list of instances that may miss one, as a list that is read in pages does while others are
+// added or removed. It misses none three times in a row.
+func (sim *simulation) withoutMissed(list []InstanceInfo) []InstanceInfo {
+	if sim.incompleteLists == 0 {
+		return list
+	}
+	at, missed := sim.random.IntN(len(list)), ""
+	if sim.random.Float64() < sim.incompleteLists && sim.missed[list[at].Instance] < 2 {
+		missed = list[at].Instance
+		list = slices.Delete(list, at, at+1)
+	}
+	sim.missed = map[string]int{missed: sim.missed[missed] + 1}
 	return list
 }
 
@@ -64,7 +79,11 @@
 func (sim *simulation) startNewProcess(id string, i *simInstance) {
 	sim.processes++
 	name := fmt.Sprintf("l%d", sim.processes)
+	if sim.reuseIDs {
+		name = i.target
+	}
 	sim.startProcess(name, id)
+	sim.targets[name].info.ProcessStartMs = sim.unix()
 	i.target = name
 }
 
--- a/internal/cransched/world_test.go
+++ b/internal/cransched/world_test.go
@@ -100,6 +100,12 @@
 	// orderLossRate is the fraction of orders for instances that are lost, and orderSilenceRate that of orders
 	// that are carried out without a response.
 	orderLossRate, orderSilenceRate float64
+	// reuseIDs lets the target that comes up after a move or maintenance have the id of the one before.
+	reuseIDs bool
+	// incompleteLists is the fraction of lists of instances that miss one. missed is the one that the last list has
+	// missed, and in how many in a row.
+	incompleteLists float64
+	missed          map[string]int
 	// listInterval is how often the owner reads the list of instances, if not with each tick.
 	listInterval, listedAt time.Duration
 	// orderStoredAt is when the newest order for each instance was stored; lastOrders
