cransched: an order of a predecessor that can't arrive any more is void

After a change of the owner, a wave of few permits stood still for the rest of its time (its instances late, and emptied targets idle meanwhile): a stored order that wasn't confirmed counted as down until it was sent again, which needs an empty instance. If that instance was up and at work, it held the permit while its work ran. With the other members emptied ahead, that work could not even leave.

An order is under way for OrderOwnershipTimeout and deliveryTimeout at most. If a list that was read later shows the instance up, the order was lost, or is carried out and wasn't confirmed: the member is pending again and is ordered in its turn, within the limit. Until then it counts as down, now also for the waves that a record of an earlier version doesn't name.

Evidence: TestOrderOfPredecessorHoldsNoPermit failed before (0 of 2 instances maintained in 15 s).

Tried and withdrawn: counting such an order as down only while the instance isn't up.

--- a/internal/cransched/member.go
+++ b/internal/cransched/member.go
@@ -28,8 +28,6 @@
 	sentAt time.Duration
 	// startedAt is when the start of the maintenance was confirmed to this owner.
 	startedAt time.Duration
-	// orderStored is set once the order is stored or part of the next batch.
-	orderStored bool
 	// missingSince is the request time of the first of the consecutive lists without the
 	// instance, and missingLists their number; 0 if the newest list has it. missingAsOf is the request time
 	// of the newest of them.
@@ -53,12 +51,22 @@
 			m.missingSince = m.missingAsOf
 		}
 	}
+	if m.state == maintenanceOrdered && m.sentAt == 0 && found && i.Up && s.listShowsEarlierOrders(m.instance) {
+		s.forgetOrder(w, m)
+	}
 	// The list doesn't tell for which wave an instance is down.
 	if m.state == maintenanceOrdered && found && i.Maintenance && s.fleet.listRequestedAt > m.sentAt && s.isInOneWave(m.instance) {
 		s.confirmStarted(w, m)
 	}
 }
 
+// forgetOrder makes a member pending again whose order by a predecessor can't arrive any more, while its instance is
+// up: the order was lost, or is carried out and wasn't confirmed. It is sent again in its turn.
+func (s *Scheduler) forgetOrder(w *wave, m *member) {
+	m.state = pending
+	s.fleet.storedOrders[m.instance] = s.fleet.storedOrders[m.instance].WithoutWaves(func(wave int) bool { return wave == w.order.Wave })
+}
+
 // isInOneWave reports whether an instance is in one wave only, also by the orders of predecessors, which may
 // have read of others.
 func (s *Scheduler) isInOneWave(instance string) bool {
@@ -93,17 +101,25 @@
 // countsAsDown reports whether a member counts as down for maintenance: from its order
 // until a list that is read later shows it up again.
 func (s *Scheduler) countsAsDown(m *member) bool {
+	i := s.fleet.instances[m.instance]
 	switch m.state {
 	case pending:
-		// A record of an earlier version doesn't tell all waves for which the instance may be down.
+		// A record of an earlier version doesn't tell all waves that may have ordered the maintenance.
 		order := s.fleet.storedOrders[m.instance]
-		return order.IsOfEarlierVersion() && s.fleet.instances[m.instance].Maintenance
+		return order.IsOfEarlierVersion() && (i.Maintenance || !s.listShowsEarlierOrders(m.instance))
 	case maintenanceOrdered:
-		return m.sentAt != 0 || m.orderStored
+		return true
 	}
 	return !m.upAgain && s.exists(m)
 }
 
+// listShowsEarlierOrders reports whether the list of instances was read after the last order of a predecessor for
+// an instance can have arrived.
+func (s *Scheduler) listShowsEarlierOrders(instance string) bool {
+	at, ordered := s.predecessor.LastOrderAt[instance]
+	return !ordered || s.fleet.listRequestedAt > at+OrderOwnershipTimeout+deliveryTimeout
+}
+
 // confirmStarted records that the maintenance of a member for its wave has started or is complete. The platform
 // also accepts an order that it has carried out before, so the target of the instance may have ended or
 // run on: its next response tells.
--- a/internal/cransched/overlap_test.go
+++ b/internal/cransched/overlap_test.go
@@ -15,11 +15,16 @@
 // again (LOST), or more instances down for a wave than it allows (LIMIT). Orders are lost, remain unanswered or take
 // long, and owners change meanwhile.
 func TestOverlappingWaves(t *testing.T) {
-	seeds := uint64(40)
+	count := 40
 	if testing.Short() {
-		seeds = 8
+		count = 8
 	}
-	for seed := range seeds {
+	// With 422, an order of a predecessor that was under way didn't count for the limit of its wave.
+	seeds := []uint64{422}
+	for seed := range count {
+		seeds = append(seeds, uint64(seed))
+	}
+	for _, seed := range seeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { playOverlappingWaves(t, seed) })
 	}
 }
--- a/internal/cransched/wave.go
+++ b/internal/cransched/wave.go
@@ -140,7 +140,6 @@
 		s.fleet.storedOrders[m.instance] = stored
 	}
 	m.state = maintenanceOrdered
-	m.orderStored = true
 	if order.Confirmed {
 		m.state = maintenanceStarted
 	}
@@ -249,8 +248,8 @@
 		switch {
 		case s.fleet.moves[m.instance] != nil || !s.mayOrder(m.instance):
 		case m.state == maintenanceOrdered:
-			if s.clock.Steady-m.sentAt >= orderRetryInterval && (m.sentAt != 0 || downCount < limit || s.countsAsDown(m)) {
-				s.resendMaintenance(w, m)
+			if s.clock.Steady-m.sentAt >= orderRetryInterval && s.evacuate(m) {
+				s.orderMaintenance(w, m)
 			}
 		case s.isIdle(m.instance):
 			if downCount < limit && s.evacuate(m) {
@@ -323,7 +322,6 @@
 // orderMaintenance stores the order for an instance and sends it once stored.
 func (s *Scheduler) orderMaintenance(w *wave, m *member) {
 	m.state = maintenanceOrdered
-	m.orderStored = true
 	m.sentAt = s.clock.Steady
 	order := s.fleet.storedOrders[m.instance].WithMaintenance(w.order.Wave)
 	order.Moving, order.DecidedMs = false, s.clock.UnixMs
@@ -344,12 +342,6 @@
 	s.pendingRecords = append(s.pendingRecords, cranstore.Record{Key: cranjob.OrderKey(instance), Value: cranjob.Encode(o)})
 }
 
-func (s *Scheduler) resendMaintenance(w *wave, m *member) {
-	if s.evacuate(m) {
-		s.orderMaintenance(w, m)
-	}
-}
-
 // HandleMaintenanceResponse handles the response to a Maintain.
 func (s *Scheduler) HandleMaintenanceResponse(e Maintain, status CallStatus) {
 	w := s.fleet.waves[e.Wave]
--- a/internal/cransched/wave_test.go
+++ b/internal/cransched/wave_test.go
@@ -223,3 +223,29 @@
 	readList(complete[1:])
 	require.False(t, s.exists(first))
 }
+
+// TestOrderOfPredecessorHoldsNoPermit guards against a wave that stands still since an instance counts as down by an
+// order that a predecessor has stored, though it is up and at work. Earlier versions place tasks there.
+func TestOrderOfPredecessorHoldsNoPermit(t *testing.T) {
+	sim := newSimulation(t, 1, 3)
+	sim.failureRate, sim.maxDown = 0, 1
+	delete(sim.config.Pools, "off")
+	sim.takeOver(sim.now - time.Hour)
+	busy := newBatchJob("busy", 1)
+	busy.Steps = busy.Steps[:1]
+	sim.runTimes = map[cranjob.TaskName]time.Duration{{Job: "busy"}: time.Minute}
+	sim.submit(busy)
+	sim.runFor(time.Second)
+	order := cranjob.InstanceOrder{Wave: 1, DecidedMs: sim.unix()}
+	host := sim.newestStarts[cranjob.TaskName{Job: "busy"}].Target.ID
+	_, err := sim.stored.Apply(cranjob.OrderKey("m"+host), cranjob.Encode(order), sim.offset)
+	require.NoError(t, err)
+	sim.offset++
+	sim.observeOrder("m" + host)
+	sim.wave = []WaveOrder{sim.waveOfAllInstances(20*time.Second, 1)}
+	sim.takeOver(sim.now)
+	sim.runFor(15 * time.Second)
+	require.Len(t, sim.maintained, 2)
+	sim.runFor(time.Minute)
+	require.Len(t, sim.maintained, 3)
+}
