cransched: a successor evicts only by reports that are later than its predecessor's stops

Users of a step that lasts may lose more of its tasks at once than the step allows (LIMIT): a successor stopped a task for a wave while another one, which its predecessor had stopped, was gone already.

Cause: a target reports a run until it has ended, so a successor waits until all stops of its predecessor are over. But it then took a report from before that time as evidence; the next one had been lost. A run that an earlier owner started now counts as available only by a report that was asked for after those stops.

--- a/internal/cransched/evacuate.go
+++ b/internal/cransched/evacuate.go
@@ -147,8 +147,9 @@
 		return true
 	}
 	// Targets report a run until it has ended, including runs that the predecessor has
-	// ordered to stop. Wait until all of those have ended.
-	if s.clock.Steady < s.predecessor.StoppedBy+s.timing.StopTime+stopMargin {
+	// ordered to stop. Wait until all of those have ended, and for a later report of each.
+	stopsEndBy := s.predecessor.StoppedBy + s.timing.StopTime
+	if s.clock.Steady < stopsEndBy+stopMargin {
 		return false
 	}
 	unavailable := 0
@@ -156,7 +157,7 @@
 		if other == r.task {
 			continue
 		}
-		if !s.isAvailable(other) {
+		if !s.isAvailable(other) || other.run.inherited && s.targets[other.Target].stateAsOf < stopsEndBy {
 			unavailable++
 		}
 	}
--- a/internal/cransched/overlap_test.go
+++ b/internal/cransched/overlap_test.go
@@ -19,8 +19,9 @@
 	if testing.Short() {
 		count = 8
 	}
-	// With 422, an order of a predecessor that was under way didn't count for the limit of its wave.
-	seeds := []uint64{422}
+	// With 422, an order of a predecessor that was under way didn't count for the limit of its wave. With 1026 and
+	// 1601, a task that a predecessor had stopped counted as available.
+	seeds := []uint64{422, 1026, 1601}
 	for seed := range count {
 		seeds = append(seeds, uint64(seed))
 	}
