cransched: a lost move leaves its target cordoned no more when a list misses the instance

Callers could lose the use of an instance for good (LOST): checkMoves forgot a move as soon as a list named no such instance, and left the target cordoned. If the order was lost, and the list had missed the instance, the target ran on and nothing lifted the cordon. The move now counts until its order can't arrive any more, and is dropped like any other that hasn't taken place, which lifts the cordon unless a wave needs it.

TestLostMoveOfMissedInstanceHoldsNoTarget failed before.

--- a/internal/cransched/held_test.go
+++ b/internal/cransched/held_test.go
@@ -89,3 +89,20 @@
 	sim.runFor(2 * time.Second)
 	sim.requireNothingHeld()
 }
+
+// TestLostMoveOfMissedInstanceHoldsNoTarget guards against a target that takes no tasks any more, since the order to
+// move its instance was lost and a list has missed the instance then (LOST).
+func TestLostMoveOfMissedInstanceHoldsNoTarget(t *testing.T) {
+	sim := newSimulation(t, 1, 2)
+	delete(sim.config.Pools, "off")
+	sim.takeOver(sim.now - time.Hour)
+	sim.runFor(2 * time.Second)
+	sim.dropMoves = true
+	require.True(t, sim.owner.orderMove("mt0", "off"))
+	sim.runFor(100 * time.Millisecond)
+	sim.platformDown = true
+	sim.owner.SetInstances(sim.instanceList()[1:], sim.now)
+	sim.runFor(3 * time.Second)
+	sim.platformDown = false
+	sim.requireNothingHeld()
+}
--- a/internal/cransched/moves.go
+++ b/internal/cransched/moves.go
@@ -125,8 +125,11 @@
 		arrived := found && i.Pool == m.pool && s.isUpSince(i, m.sentAt) &&
 			(s.isStandby(m.pool) || i.Target != m.target && s.targets[i.Target] != nil)
 		switch {
-		case arrived || listIsNewer && !found:
+		case arrived:
 			delete(s.fleet.moves, id)
+		case listIsNewer && !found && now-m.sentAt > deliveryTimeout:
+			// The instance is removed, or the list has missed it and its target may run on.
+			s.dropMove(m)
 		case now-m.beganAt > moveTimeout && now-m.sentAt > deliveryTimeout:
 			s.dropMove(m)
 		}
