--- a/internal/cransched/member.go
+++ b/internal/cransched/member.go
@@ -60,15 +60,15 @@
 	}
 }
 
-// forgetOrder makes a member pending again whose order by a predecessor can't arrive any more, while its instance is
-// up: the order was lost, or is carried out and wasn't confirmed. It is sent again in its turn.
+// forgetOrder makes a member pending again whose instance is up, and for which the order of a predecessor can't arrive
+// any more. That order was lost, or it was carried out and not confirmed; the next one is sent in its turn.
 func (s *Scheduler) forgetOrder(w *wave, m *member) {
 	m.state = pending
 	s.fleet.storedOrders[m.instance] = s.fleet.storedOrders[m.instance].WithoutWaves(func(wave int) bool { return wave == w.order.Wave })
 }
 
-// isInOneWave reports whether an instance is in one wave only, also by the orders of predecessors, which may
-// have read of others.
+// isInOneWave reports whether an instance is in one wave only. A predecessor may have ordered it for a wave that this
+// owner has not read of yet.
 func (s *Scheduler) isInOneWave(instance string) bool {
 	order := s.fleet.storedOrders[instance]
 	return len(order.Maintenance()) <= 1 && s.countWavesOf(instance) == 1
--- a/internal/cransched/moves.go
+++ b/internal/cransched/moves.go
@@ -148,8 +148,9 @@
 	})
 }
 
-// mayBegin reports whether an unconfirmed order to maintain an instance may still take effect. It is repeated
-// until its wave has begun, which can't wait for an instance that is missing from the list.
+// mayBegin reports whether an unconfirmed order to maintain an instance may still take effect: it is repeated until
+// its wave has begun, and may be under way then. A wave begins without the instances that are removed, and a
+// removed instance may come back.
 func (s *Scheduler) mayBegin(wave int, instance string) bool {
 	w := s.fleet.waves[wave]
 	return w != nil && !w.begun || s.clock.Steady-s.fleet.orderedAt[instance] < moveTimeout
