crannode: test that an owner learns what is published of waves

Guards against an owner that plans a wave again which its predecessors have published as done; without the two assignments in waveOrders it fails.

--- a/internal/crannode/ownership_test.go
+++ b/internal/crannode/ownership_test.go
@@ -257,3 +257,30 @@
 	n.node.postAndWait(t.Context(), func() { epoch = n.node.digest.Claim(number).Epoch })
 	return epoch
 }
+
+// TestOwnerLearnsWhatIsPublishedOfWaves guards against an owner that plans a wave again which its predecessors have
+// published as done.
+func TestOwnerLearnsWhatIsPublishedOfWaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		now := time.Hour
+		n := newLoneNode(t, "a-1", &now)
+		n.control.applyDigest(cranstore.Update{Records: []cranstore.Record{layoutRecord(), claimRecord(8, "b", false)}})
+		for wave := 1; wave <= 3; wave++ {
+			n.control.addWave(cransched.WaveOrder{Wave: wave, Instances: []string{"m"}, MaxParallel: 1})
+		}
+		n.control.applyDigest(cranstore.Update{Records: []cranstore.Record{
+			crandigest.WaveProgress{Begun: true}.Record(2, 0), crandigest.WaveProgress{Begun: true, Done: true}.Record(3, 0),
+		}})
+		var begun, done []int
+		for _, o := range n.control.waveOrders(0) {
+			if o.Begun {
+				begun = append(begun, o.Wave)
+			}
+			if o.Done {
+				done = append(done, o.Wave)
+			}
+		}
+		require.Equal(t, []int{2, 3}, begun)
+		require.Equal(t, []int{3}, done)
+	})
+}
