cransched: an accepted move of an instance that a list misses is over at once

If it was accepted and led to a standby pool, the instance then counted as arrived there after moveTime although it was removed, and was ordered into a pool again: TestRackLostInPeak ends there, since its platform has no such instance. An accepted move has ended its target, so nothing is cordoned and it can be forgotten at once, as before.

--- a/internal/cransched/moves.go
+++ b/internal/cransched/moves.go
@@ -125,7 +125,7 @@
 		arrived := found && i.Pool == m.pool && s.isUpSince(i, m.sentAt) &&
 			(s.isStandby(m.pool) || i.Target != m.target && s.targets[i.Target] != nil)
 		switch {
-		case arrived:
+		case arrived || m.accepted && listIsNewer && !found:
 			delete(s.fleet.moves, id)
 		case listIsNewer && !found && now-m.sentAt > deliveryTimeout:
 			// The instance is removed, or the list has missed it and its target may run on.
